--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements with bounds that stem from the stated target."""
--- /dev/null
+++ b/lavenderstack/__init__.py
@@ -0,0 +1,1 @@
+"""A database proxy with session consistency for many organisations."""
--- /dev/null
+++ b/lavenderstack/border/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters and validated models towards callers, targets, platform, operators."""
--- /dev/null
+++ b/lavenderstack/border/target.py
@@ -0,0 +1,241 @@
+"""The adapter to a target: one connection, spoken to in MessagePack-RPC.
+
+The calls that a target is assumed to offer, and nothing else about it, are stated
+here (see docs/ASSUMPTIONS.md). A connection carries one call at a time. After a
+time-out, a cancelled call or an answer that makes no sense the connection is
+broken: it must be closed and never used again.
+
+=====================================  =========================================
+call                                   answer
+=====================================  =========================================
+``hello(group)``                       ``State``; refused when too many are open
+``state()``                            ``State``
+``run(statement, args, write, term,    ``Ran``; a write is refused by a target that
+once)``                                does not lead ``term``
+``begin(term)``, ``rollback()``        nothing
+``commit(once)``                       ``Ran``
+``adopt(term)``                        ``State``; granted once a term, refused
+                                       when the target knows a term as high
+``lead(term, followers)``              ``State``; needs the term adopted
+``follow(term, host, port)``           ``State``
+=====================================  =========================================
+
+Every answer is ``[result, term, last_term, last_seq]``: the term that the target
+has adopted and the last position of its log come with each.
+"""
+
+import asyncio
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any
+
+import msgpack
+
+from lavenderstack.core.position import Position
+
+_REQUEST = 0
+_RESPONSE = 1
+
+
+class Code(StrEnum):
+    """Errors that a target answers with; none of them has changed any data."""
+
+    TOO_MANY_CONNECTIONS = "too_many_connections"
+    NOT_PRIMARY = "not_primary"
+    OLD_TERM = "old_term"
+    STATEMENT_FAILED = "statement_failed"
+    ALREADY_RUN = "already_run"
+    NO_TRANSACTION = "no_transaction"
+
+
+class TargetRefused(Exception):
+    """The target says that it did not apply the call."""
+
+    def __init__(self, code: str, detail: str = ""):
+        super().__init__(code, detail)
+        self.code = code
+        self.detail = detail
+
+
+class TargetUnreachable(Exception):
+    """No connection could be opened, so nothing was sent."""
+
+
+class TargetLost(Exception):
+    """The connection broke or timed out after the call had been sent."""
+
+
+@dataclass(frozen=True, slots=True)
+class State:
+    """What a target says of itself; ``primary`` is a name, empty if unknown."""
+
+    term: int
+    last: Position
+    role: str
+    primary: str
+
+
+@dataclass(frozen=True, slots=True)
+class Ran:
+    """A statement's result, and the target's term and last position after it."""
+
+    result: Any
+    term: int
+    last: Position
+
+
+class TargetConn(asyncio.Protocol):
+    """One connection to a target. Use ``connect`` to open one."""
+
+    def __init__(self) -> None:
+        self.broken = False
+        self.in_transaction = False
+        self._transport: asyncio.Transport | None = None
+        self._unpacker = msgpack.Unpacker()
+        self._number = 0
+        self._fut: asyncio.Future | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self._transport = transport  # type: ignore[assignment]
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail the call in flight, if any."""
+        self.broken = True
+        if self._fut is not None and not self._fut.done():
+            self._fut.set_exception(TargetLost("connection lost"))
+
+    def data_received(self, data: bytes) -> None:
+        """Hand the answer to the call in flight; all else breaks the connection."""
+        self._unpacker.feed(data)
+        try:
+            for kind, number, error, result in self._unpacker:
+                self._answer(kind, number, error, result)
+        except (ValueError, TypeError, msgpack.exceptions.ExtraData):
+            self.close()
+
+    def _answer(self, kind: int, number: int, error: Any, result: Any) -> None:
+        fut = self._fut
+        if kind != _RESPONSE or number != self._number or fut is None or fut.done():
+            self.close()
+            return
+        if error is None:
+            fut.set_result(result)
+        else:
+            fut.set_exception(TargetRefused(*error))
+
+    def close(self) -> None:
+        """Close the connection at once; the target drops its transaction, if any."""
+        self.broken = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    async def _call(self, method: str, params: list, timeout_s: float) -> Any:
+        if self.broken:
+            raise TargetUnreachable("connection is closed")
+        if self._fut is not None:
+            raise RuntimeError("a connection carries one call at a time")
+        self._number += 1
+        self._fut = asyncio.get_running_loop().create_future()
+        request = [_REQUEST, self._number, method, params]
+        self._transport.write(msgpack.packb(request))
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._fut
+        except TargetRefused:
+            raise
+        except TimeoutError as exc:
+            self.close()
+            raise TargetLost("no answer in time") from exc
+        except BaseException:
+            self.close()
+            raise
+        finally:
+            self._fut = None
+
+    async def hello(self, group: str, timeout_s: float) -> State:
+        """Introduce the connection as one for the group."""
+        return _state(await self._call("hello", [group], timeout_s))
+
+    async def state(self, timeout_s: float) -> State:
+        """Ask for the target's term, last position, role and primary."""
+        return _state(await self._call("state", [], timeout_s))
+
+    async def run(
+        self,
+        statement: str,
+        args: Sequence[Any],
+        timeout_s: float,
+        *,
+        write: bool = False,
+        term: int = 0,
+        once: str = "",
+    ) -> Ran:
+        """Run one statement, inside the open transaction if there is one."""
+        params = [statement, list(args), write, term, once]
+        return _ran(await self._call("run", params, timeout_s))
+
+    async def begin(self, term: int, timeout_s: float) -> None:
+        """Open a transaction on a target that leads ``term``."""
+        await self._call("begin", [term], timeout_s)
+        self.in_transaction = True
+
+    async def commit(self, timeout_s: float, once: str = "") -> Ran:
+        """Commit the open transaction."""
+        self.in_transaction = False
+        return _ran(await self._call("commit", [once], timeout_s))
+
+    async def rollback(self, timeout_s: float) -> None:
+        """Roll the open transaction back."""
+        self.in_transaction = False
+        await self._call("rollback", [], timeout_s)
+
+    async def adopt(self, term: int, timeout_s: float) -> State:
+        """Ask the target to adopt a new term; refused if it knows one as high."""
+        return _state(await self._call("adopt", [term], timeout_s))
+
+    async def lead(
+        self, term: int, followers: Sequence[str], timeout_s: float
+    ) -> State:
+        """Tell the target to lead a term that it has adopted."""
+        return _state(await self._call("lead", [term, list(followers)], timeout_s))
+
+    async def follow(
+        self, term: int, primary: str, host: str, port: int, timeout_s: float
+    ) -> State:
+        """Tell the target to follow the primary of a term."""
+        params = [term, primary, host, port]
+        return _state(await self._call("follow", params, timeout_s))
+
+
+def _ran(answer: Any) -> Ran:
+    result, term, last_term, last_seq = answer
+    return Ran(result, term, Position(last_term, last_seq))
+
+
+def _state(answer: Any) -> State:
+    (role, primary), term, last_term, last_seq = answer
+    return State(term, Position(last_term, last_seq), role, primary)
+
+
+async def connect(host: str, port: int, group: str, timeout_s: float) -> TargetConn:
+    """Open a connection to a target and introduce it.
+
+    Raises ``TargetUnreachable`` if there is none to be had and ``TargetRefused``
+    if the target has too many.
+    """
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout_s):
+            _, conn = await loop.create_connection(TargetConn, host, port)
+    except (OSError, TimeoutError) as exc:
+        raise TargetUnreachable(str(exc) or "no answer in time") from exc
+    try:
+        await conn.hello(group, timeout_s)
+    except TargetLost as exc:
+        raise TargetUnreachable(str(exc)) from exc
+    except BaseException:
+        conn.close()
+        raise
+    return conn
--- /dev/null
+++ b/lavenderstack/core/messages.py
@@ -0,0 +1,112 @@
+"""Messages that nodes send each other about requests of callers.
+
+They travel as msgpack arrays. A position is ``(term, seq)``. Times are given as
+seconds left, never as a point in time, since the clocks of two VMs differ. No
+message has a field for a caller's key.
+"""
+
+from typing import Any
+
+import msgspec
+
+from lavenderstack.core.position import Position
+
+
+class Message(msgspec.Struct, array_like=True, frozen=True, gc=False):
+    """Base of everything that travels between nodes; subclasses carry a tag."""
+
+
+class Execute(Message, tag="execute", kw_only=True):
+    """Run one statement on a target.
+
+    ``organisation`` is empty for an open statement. ``least`` is the session's
+    mark: the target must have reached it within ``wait_s``, or the answer is the
+    refusal ``behind``. ``fresh`` asks for a read that is proved to come from the
+    current primary; ``max_age_s`` for one whose age is proved. ``once`` is the
+    request id under which a non-idempotent write is remembered by the group.
+    ``transaction`` names the transaction in which to run.
+    """
+
+    request: str
+    organisation: str
+    group: str
+    target: str
+    statement: str
+    args: list[Any]
+    write: bool
+    left_s: float
+    least: Position = Position(0, 0)
+    wait_s: float = 0.0
+    fresh: bool = False
+    max_age_s: float | None = None
+    once: str = ""
+    transaction: str = ""
+
+
+class Begin(Message, tag="begin", kw_only=True):
+    """Open a transaction on the primary of a group; answered by ``Begun``."""
+
+    request: str
+    organisation: str
+    group: str
+    target: str
+    left_s: float
+    least: Position = Position(0, 0)
+
+
+class Begun(Message, tag="begun"):
+    """The transaction is open under this name."""
+
+    transaction: str
+
+
+class End(Message, tag="end", kw_only=True):
+    """Commit or roll back a transaction; answered by ``Executed``."""
+
+    request: str
+    organisation: str
+    transaction: str
+    commit: bool
+    left_s: float
+    once: str = ""
+
+
+class Executed(Message, tag="executed", kw_only=True):
+    """The statement is done.
+
+    ``position`` is that of the data read or written, ``holders`` the targets that
+    are known to have reached it. ``age_s`` is the proved age of a read, if asked.
+    """
+
+    result: Any
+    position: Position
+    holders: list[str] = []
+    age_s: float | None = None
+
+
+class Failed(Message, tag="failed", kw_only=True):
+    """The request was refused (``run`` is False) or its outcome is unknown.
+
+    ``primary`` and ``term`` tell what the sender knows of the group's primary.
+    """
+
+    run: bool
+    reason: str
+    detail: str = ""
+    retry_after_s: float | None = None
+    primary: str = ""
+    term: int = 0
+
+
+class Cancel(Message, tag="cancel"):
+    """Forget the request with this stream number if it has not started."""
+
+    number: int
+
+
+class Ping(Message, tag="ping"):
+    """Ask whether the stream is alive; answered by ``Pong``."""
+
+
+class Pong(Message, tag="pong"):
+    """The stream is alive."""
--- /dev/null
+++ b/lavenderstack/core/outcome.py
@@ -0,0 +1,54 @@
+"""The outcomes of a request, as exceptions that travel through the node.
+
+A caller is told one of three things and they are never blurred: the request is
+done, it was not run, or its outcome is unknown. ``Refused`` may only be raised
+when it is certain that the request took no effect; ``Unknown`` covers the rest.
+"""
+
+from enum import StrEnum
+
+
+class Reason(StrEnum):
+    """Why a request was refused or its outcome is unknown."""
+
+    BAD_REQUEST = "bad_request"
+    BAD_TOKEN = "bad_token"
+    NO_KEY = "no_key"
+    KEY_REFUSED = "key_refused"
+    NOT_ALLOWED = "not_allowed"
+    UNKNOWN_GROUP = "unknown_group"
+    OVER_RATE = "over_rate"
+    CROWDED = "crowded"
+    DEADLINE = "deadline"
+    BEHIND = "behind"
+    NO_PRIMARY = "no_primary"
+    NOT_PRIMARY = "not_primary"
+    NOT_HOLDER = "not_holder"
+    LEAVING = "leaving"
+    UNREACHABLE = "unreachable"
+    STALE_VIEW = "stale_view"
+    STATEMENT_FAILED = "statement_failed"
+    TRANSACTION_LOST = "transaction_lost"
+    UNCONFIRMED = "unconfirmed"
+    CONNECTION_LOST = "connection_lost"
+
+
+class Refused(Exception):
+    """The request was not run. ``retry_after_s`` is in seconds, None if never."""
+
+    def __init__(
+        self, reason: Reason, detail: str = "", retry_after_s: float | None = None
+    ):
+        super().__init__(reason, detail)
+        self.reason = reason
+        self.detail = detail
+        self.retry_after_s = retry_after_s
+
+
+class Unknown(Exception):
+    """The request may have run; nothing more can be said about it."""
+
+    def __init__(self, reason: Reason, detail: str = ""):
+        super().__init__(reason, detail)
+        self.reason = reason
+        self.detail = detail
--- /dev/null
+++ b/lavenderstack/core/view.py
@@ -0,0 +1,107 @@
+"""What a node knows of the operators' lists, the groups and the VMs.
+
+A view is built from the entries of the platform's key-value service and carries
+the revision up to which it is complete. It is replaced whole, never changed in
+place, so a request sees one revision from start to end.
+
+Keys of the store, and the JSON object that each holds:
+
+==============================  ==============================================
+``lavenderstack/plans``         what each plan may use: name to ``Plan``
+``lavenderstack/bought``        the plans bought: organisation to plan name
+``lavenderstack/keys/DIGEST``   ``Key``: the organisation, whether withdrawn
+``lavenderstack/groups/NAME``   ``Group``: its targets, organisations, routes
+``lavenderstack/secrets/NAME``  secrets of the service itself (token signing)
+``lavenderstack/duties/NAME``   ownership of a duty (see the allotter)
+``platform/vms/NAME``           ``Vm``, written by the platform
+==============================  ==============================================
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """What a plan may use: ``rate`` in requests/s, ``burst`` in requests."""
+
+    name: str
+    rate: float
+    burst: float
+    weight: float = 1.0
+    queue: int = 200
+
+
+@dataclass(frozen=True, slots=True)
+class Key:
+    """A caller's key, known only by its digest (SHA-256, hex)."""
+
+    digest: str
+    organisation: str
+    withdrawn: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """One database of a group; ``slots`` run at once, ``connections`` may be open."""
+
+    name: str
+    zone: str
+    host: str
+    port: int
+    slots: int
+    connections: int
+
+
+@dataclass(frozen=True, slots=True)
+class Group:
+    """A database group. ``open_statements`` may be run by everyone, to read only."""
+
+    name: str
+    targets: tuple[Target, ...]
+    organisations: frozenset[str]
+    open_statements: frozenset[str] = frozenset()
+
+    @property
+    def majority(self) -> int:
+        """The number of targets that is more than half of the group."""
+        return len(self.targets) // 2 + 1
+
+
+@dataclass(frozen=True, slots=True)
+class Vm:
+    """A VM of the platform's list, which lags behind reality.
+
+    ``kind`` is ``entry`` or ``target``, ``state`` is ``live`` or ``leaving``.
+    ``port`` is that of the node-to-node streams (entry) or the database (target).
+    """
+
+    name: str
+    zone: str
+    host: str
+    port: int
+    kind: str = "entry"
+    state: str = "live"
+
+
+@dataclass(frozen=True, slots=True)
+class View:
+    """Everything a node knows of the store, complete up to ``revision``."""
+
+    revision: int = 0
+    plans: Mapping[str, Plan] = field(default_factory=dict)
+    bought: Mapping[str, str] = field(default_factory=dict)
+    keys: Mapping[str, Key] = field(default_factory=dict)
+    groups: Mapping[str, Group] = field(default_factory=dict)
+    vms: Mapping[str, Vm] = field(default_factory=dict)
+    secrets: Mapping[str, str] = field(default_factory=dict)
+    duties: Mapping[str, str] = field(default_factory=dict)
+
+    def plan_of(self, organisation: str) -> Plan | None:
+        """Return the plan that the organisation bought, or None."""
+        return self.plans.get(self.bought.get(organisation, ""))
+
+    def entry_vms(self) -> list[Vm]:
+        """Return the live entry VMs on the platform's list."""
+        vms = self.vms.values()
+        return [vm for vm in vms if vm.kind == "entry" and vm.state == "live"]
--- /dev/null
+++ b/lavenderstack/node/__init__.py
@@ -0,0 +1,1 @@
+"""The tasks of one running node: supervisor, streams, entry, holder, control."""
--- /dev/null
+++ b/lavenderstack/node/streams.py
@@ -0,0 +1,291 @@
+"""Streams between nodes: framed msgpack over TCP, many requests on each.
+
+A frame is a four-byte length and a msgpack array ``(number, reply, body)``. The
+number ties a reply to its request, so answers may come in any order and a late one
+can't be taken for another's. Streams are opened on use and closed when idle. While
+an answer is awaited the stream is pinged; one that stays silent is abandoned and
+the next request opens a new one, because something between the two ends may have
+lost track of the old one for good.
+"""
+
+import asyncio
+import struct
+from collections.abc import Awaitable, Callable, Mapping
+from contextlib import suppress
+from typing import Any
+
+import msgspec
+import structlog
+
+from lavenderstack.core import clock
+from lavenderstack.core.messages import Cancel, Message, Ping, Pong
+from lavenderstack.node import wire
+
+CONNECT_TIMEOUT_S = 1.0
+PING_AFTER_S = 0.5
+SILENT_AFTER_S = 1.5
+IDLE_CLOSE_S = 30.0
+TICK_S = 0.25
+LONGEST_FRAME_B = 4 * 1024 * 1024
+
+log = structlog.get_logger()
+_LENGTH = struct.Struct(">I")
+
+Handler = Callable[[Any], Awaitable[Message]]
+
+
+class NotSent(Exception):
+    """The request provably never left this node."""
+
+
+class StreamLost(Exception):
+    """The stream broke or fell silent after the request had been sent."""
+
+
+class FrameTooLong(Exception):
+    """A frame is longer than the limit."""
+
+
+class _Framed(asyncio.Protocol):
+    """Cuts the byte stream into frames; subclasses act on each."""
+
+    def __init__(self) -> None:
+        self.transport: asyncio.Transport | None = None
+        self._buffer = bytearray()
+        self.heard_at = clock.now()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport  # type: ignore[assignment]
+
+    def data_received(self, data: bytes) -> None:
+        self.heard_at = clock.now()
+        buffer = self._buffer
+        buffer += data
+        start = 0
+        while len(buffer) - start >= _LENGTH.size:
+            (length,) = _LENGTH.unpack_from(buffer, start)
+            if length > LONGEST_FRAME_B:
+                log.warning("streams: frame too long", length=length)
+                self.transport.abort()
+                return
+            end = start + _LENGTH.size + length
+            if len(buffer) < end:
+                break
+            body = bytes(buffer[start + _LENGTH.size : end])
+            start = end
+            self._accept(body)
+        del buffer[:start]
+
+    def _accept(self, body: bytes) -> None:
+        try:
+            frame = wire.decode(body)
+        except msgspec.MsgspecError as exc:
+            log.warning("streams: frame not understood", error=str(exc))
+            self.transport.abort()
+            return
+        self.frame_received(frame)
+
+    def frame_received(self, frame: wire.Frame) -> None:
+        """Act on one frame."""
+        raise NotImplementedError
+
+    def send(self, frame: wire.Frame) -> None:
+        """Write a frame; a transport that is closing drops it."""
+        body = wire.encode(frame)
+        self.transport.write(_LENGTH.pack(len(body)) + body)
+
+
+class _Served(_Framed):
+    """The answering end of a stream."""
+
+    def __init__(self, server: "StreamServer") -> None:
+        super().__init__()
+        self._server = server
+        self._tasks: dict[int, asyncio.Task] = {}
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self._server.connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._server.connections.discard(self)
+
+    def frame_received(self, frame: wire.Frame) -> None:
+        body = frame.body
+        if isinstance(body, Ping):
+            self.send(wire.Frame(frame.number, True, Pong()))
+            return
+        if isinstance(body, Cancel):
+            self._cancel(body.number)
+            return
+        task = asyncio.ensure_future(self._answer(frame))
+        self._tasks[frame.number] = task
+        self._server.running.add(task)
+        task.add_done_callback(lambda _: self._forget(frame.number, task))
+
+    def _forget(self, number: int, task: asyncio.Task) -> None:
+        self._tasks.pop(number, None)
+        self._server.running.discard(task)
+
+    def _cancel(self, number: int) -> None:
+        if task := self._tasks.get(number):
+            task.cancel()
+
+    async def _answer(self, frame: wire.Frame) -> None:
+        handler = self._server.handlers.get(type(frame.body))
+        if handler is None:
+            log.warning("streams: no handler", message=type(frame.body).__name__)
+            return
+        reply = await handler(frame.body)
+        if not self.transport.is_closing():
+            self.send(wire.Frame(frame.number, True, reply))
+
+
+class StreamServer:
+    """Accepts streams from other nodes and hands each request to its handler.
+
+    ``handlers`` maps a message type to a coroutine function that takes the message
+    and returns the answering message. Handlers turn their failures into messages;
+    one that raises leaves its caller to time out and is logged.
+    """
+
+    def __init__(self, handlers: Mapping[type, Handler]) -> None:
+        self.handlers = dict(handlers)
+        self.connections: set[_Served] = set()
+        self.running: set[asyncio.Task] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self, host: str, port: int) -> int:
+        """Listen; return the port, which differs from the argument if that was 0."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(lambda: _Served(self), host, port)
+        return self._server.sockets[0].getsockname()[1]
+
+    async def stop(self, left_s: float) -> None:
+        """Accept no new streams, let running requests end, then close the rest."""
+        if self._server is None:
+            return
+        self._server.close()
+        if self.running:
+            await asyncio.wait(set(self.running), timeout=left_s)
+        for connection in list(self.connections):
+            connection.transport.close()
+
+
+class _Stream(_Framed):
+    """The asking end of a stream."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.waiting: dict[int, asyncio.Future] = {}
+        self.used_at = clock.now()
+        self.closed = False
+        self._next = 0
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.fail("stream closed")
+
+    def fail(self, why: str) -> None:
+        """Give up the stream; every request that waits on it is told so."""
+        self.closed = True
+        waiting, self.waiting = self.waiting, {}
+        for fut in waiting.values():
+            if not fut.done():
+                fut.set_exception(StreamLost(why))
+        if self.transport is not None:
+            self.transport.abort()
+
+    def frame_received(self, frame: wire.Frame) -> None:
+        fut = self.waiting.pop(frame.number, None)
+        if fut is not None and not fut.done():
+            fut.set_result(frame.body)
+
+    def ask(self, body: Message) -> tuple[int, asyncio.Future]:
+        """Send a request; return its number and the future of its answer."""
+        self._next += 1
+        self.used_at = clock.now()
+        if not self.waiting:
+            self.heard_at = self.used_at
+        fut = asyncio.get_running_loop().create_future()
+        self.waiting[self._next] = fut
+        self.send(wire.Frame(self._next, False, body))
+        return self._next, fut
+
+    def cancel(self, number: int) -> None:
+        """Tell the other end that nobody waits for this answer any more."""
+        if self.waiting.pop(number, None) is not None and not self.closed:
+            self.send(wire.Frame(0, False, Cancel(number)))
+
+    def tick(self, now: float) -> None:
+        """Ping a quiet stream, abandon a silent one, close an idle one."""
+        if self.closed:
+            return
+        quiet_s = now - self.heard_at
+        if self.waiting and quiet_s > SILENT_AFTER_S:
+            self.fail("stream silent")
+        elif self.waiting and quiet_s > PING_AFTER_S:
+            self.send(wire.Frame(0, False, Ping()))
+        elif not self.waiting and now - self.used_at > IDLE_CLOSE_S:
+            self.fail("stream idle")
+
+
+class StreamPool:
+    """The asking ends of this node's streams, one for each address in use."""
+
+    def __init__(self) -> None:
+        self._streams: dict[tuple[str, int], _Stream] = {}
+        self._locks: dict[tuple[str, int], asyncio.Lock] = {}
+
+    def close(self) -> None:
+        """Abandon every stream."""
+        for stream in self._streams.values():
+            stream.fail("pool closed")
+        self._streams.clear()
+
+    async def run(self) -> None:
+        """Look after the streams until cancelled."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            now = clock.now()
+            for addr, stream in list(self._streams.items()):
+                stream.tick(now)
+                if stream.closed:
+                    del self._streams[addr]
+
+    async def _stream(self, addr: tuple[str, int], timeout_s: float) -> _Stream:
+        stream = self._streams.get(addr)
+        if stream is not None and not stream.closed:
+            return stream
+        lock = self._locks.setdefault(addr, asyncio.Lock())
+        async with lock:
+            stream = self._streams.get(addr)
+            if stream is not None and not stream.closed:
+                return stream
+            loop = asyncio.get_running_loop()
+            opening = loop.create_connection(_Stream, *addr)
+            limit_s = min(timeout_s, CONNECT_TIMEOUT_S)
+            _, stream = await asyncio.wait_for(opening, limit_s)
+            self._streams[addr] = stream
+            return stream
+
+    async def call(
+        self, addr: tuple[str, int], body: Message, timeout_s: float
+    ) -> Message:
+        """Send a request to the node at ``addr`` and return its answer.
+
+        Raises ``NotSent`` if the request never left, ``StreamLost`` if the stream
+        broke after it left, and ``TimeoutError`` after ``timeout_s`` seconds. A
+        call that is cancelled or times out tells the other end so.
+        """
+        try:
+            stream = await self._stream(addr, timeout_s)
+        except (OSError, TimeoutError) as exc:
+            raise NotSent(str(exc)) from exc
+        if stream.closed:
+            raise NotSent("stream closed")
+        number, fut = stream.ask(body)
+        try:
+            return await asyncio.wait_for(fut, timeout_s)
+        finally:
+            with suppress(Exception):
+                stream.cancel(number)
--- /dev/null
+++ b/lavenderstack/node/streams_test.py
@@ -0,0 +1,87 @@
+"""Tests of the streams between nodes, over loopback."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import pytest
+
+from lavenderstack.core.messages import Begin, Begun, Ping, Pong
+from lavenderstack.node import streams
+from lavenderstack.node.streams import NotSent, StreamLost, StreamPool, StreamServer
+
+BEGIN = Begin(request="r", organisation="o", group="g", target="t", left_s=1.0)
+
+
+@asynccontextmanager
+async def served(handler):
+    server = StreamServer({Begin: handler})
+    port = await server.start("127.0.0.1", 0)
+    pool = StreamPool()
+    minder = asyncio.ensure_future(pool.run())
+    try:
+        yield pool, ("127.0.0.1", port), server
+    finally:
+        minder.cancel()
+        pool.close()
+        await server.stop(0.1)
+
+
+class TestCalls:
+    async def test_answers_out_of_order_reach_their_own_requests(self):
+        async def handler(message):
+            await asyncio.sleep(0.05 if message.request == "slow" else 0)
+            return Begun(message.request)
+
+        async with served(handler) as (pool, addr, _):
+            names = ["slow", "a", "b"]
+            asks = [
+                Begin(request=n, organisation="o", group="g", target="t", left_s=1)
+                for n in names
+            ]
+            answers = await asyncio.gather(*(pool.call(addr, a, 1.0) for a in asks))
+            assert [answer.transaction for answer in answers] == names
+
+    async def test_a_refused_connection_is_provably_not_sent(self):
+        pool = StreamPool()
+        with pytest.raises(NotSent):
+            await pool.call(("127.0.0.1", 1), BEGIN, 1.0)
+
+    async def test_a_timed_out_call_cancels_its_handler(self):
+        ended = asyncio.Event()
+
+        async def handler(_):
+            try:
+                await asyncio.sleep(10)
+            finally:
+                ended.set()
+
+        async with served(handler) as (pool, addr, _):
+            with pytest.raises(TimeoutError):
+                await pool.call(addr, BEGIN, 0.05)
+            await asyncio.wait_for(ended.wait(), 2)
+
+
+class TestSilence:
+    async def test_a_silent_stream_is_given_up_and_the_next_call_opens_a_new_one(
+        self, monkeypatch
+    ):
+        monkeypatch.setattr(streams, "SILENT_AFTER_S", 0.2)
+        monkeypatch.setattr(streams, "PING_AFTER_S", 0.1)
+        monkeypatch.setattr(streams, "TICK_S", 0.05)
+
+        async def handler(_):
+            return Begun("x")
+
+        async with served(handler) as (pool, addr, server):
+            await pool.call(addr, BEGIN, 1.0)
+            (silent,) = server.connections
+            silent.frame_received = lambda frame: None
+            with pytest.raises(StreamLost):
+                await pool.call(addr, BEGIN, 2.0)
+            assert await pool.call(addr, BEGIN, 1.0) == Begun("x")
+
+
+class TestPing:
+    async def test_a_ping_is_answered_by_the_stream_itself(self):
+        async with served(None) as (pool, addr, _):
+            assert await pool.call(addr, Ping(), 1.0) == Pong()
--- /dev/null
+++ b/lavenderstack/node/wire.py
@@ -0,0 +1,37 @@
+"""The frames that travel between nodes, and the list of messages they may carry.
+
+A message type that is not on the list can neither be sent nor be received.
+"""
+
+from typing import Union
+
+import msgspec
+
+from lavenderstack.core import messages
+
+MESSAGES: tuple[type, ...] = (
+    messages.Execute,
+    messages.Executed,
+    messages.Failed,
+    messages.Begin,
+    messages.Begun,
+    messages.End,
+    messages.Cancel,
+    messages.Ping,
+    messages.Pong,
+)
+
+
+class Frame(msgspec.Struct, array_like=True, frozen=True, gc=False):
+    """One message; ``number`` ties a reply to its request."""
+
+    number: int
+    reply: bool
+    body: Union[MESSAGES]  # noqa: UP007
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Frame)
+
+encode = _encoder.encode
+decode = _decoder.decode
--- /dev/null
+++ b/lavenderstack/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Command line tools for operators and developers."""
