--- /dev/null
+++ b/lavenderstack/core/token_test.py
@@ -0,0 +1,88 @@
+"""Tests of the session token."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lavenderstack.core import token
+from lavenderstack.core.position import START, Position
+from lavenderstack.core.token import Mark, Session
+
+SECRETS = [b"new", b"old"]
+LIPA = Session("lipa", {"records": Mark(Position(2, 7), ("a", "b"))})
+TEXT = token.encode(LIPA, SECRETS)
+
+positions = st.builds(Position, st.integers(0, 9), st.integers(0, 2**40))
+holders = st.lists(st.sampled_from("abcde"), unique=True).map(sorted).map(tuple)
+marks = st.dictionaries(st.text(max_size=8), st.builds(Mark, positions, holders))
+
+
+class TestToken:
+    @given(marks)
+    @settings(derandomize=True, max_examples=60, database=None)
+    def test_round_trip(self, drawn):
+        session = Session("brandt", drawn)
+        text = token.encode(session, SECRETS)
+        assert token.decode(text, SECRETS, "brandt") == session
+
+    @pytest.mark.parametrize(
+        ("case", "text", "secrets", "organisation", "error"),
+        [
+            ("empty", "", SECRETS, "lipa", token.ForgedToken),
+            ("no base64", "é" * 40, SECRETS, "lipa", token.MalformedToken),
+            ("odd length", "a", SECRETS, "lipa", token.MalformedToken),
+            ("too long", "a" * 20_000, SECRETS, "lipa", token.MalformedToken),
+            ("cut off", TEXT[:-4], SECRETS, "lipa", token.ForgedToken),
+            ("other secret", TEXT, [b"x"], "lipa", token.ForgedToken),
+            ("organisation", TEXT, SECRETS, "brandt", token.OtherOrganisation),
+        ],
+    )
+    def test_refused(self, case, text, secrets, organisation, error):
+        with pytest.raises(error):
+            token.decode(text, secrets, organisation)
+
+    def test_any_changed_byte_is_refused(self):
+        for index in range(len(TEXT) - 1):
+            other = "A" if TEXT[index] != "A" else "B"
+            with pytest.raises(token.ForgedToken):
+                changed = TEXT[:index] + other + TEXT[index + 1 :]
+                token.decode(changed, SECRETS, "lipa")
+
+    def test_the_secret_before_is_valid_while_it_is_replaced(self):
+        text = token.encode(LIPA, [b"old"])
+        assert token.decode(text, SECRETS, "lipa") == LIPA
+
+    def test_the_number_of_groups_is_limited(self):
+        full = Session("o", {f"group-{n}": Mark(Position(1, n)) for n in range(65)})
+        with pytest.raises(token.TooManyGroups):
+            token.encode(full, SECRETS)
+        smaller = token.compact(full, {"group-9": Position(1, 9)})
+        assert len(token.encode(smaller, SECRETS)) < 2_500
+
+
+class TestMarks:
+    @given(marks, marks)
+    @settings(derandomize=True, max_examples=60, database=None)
+    def test_a_merged_session_forgets_nothing(self, one, other):
+        merged = token.merge(Session("o", one), Session("o", other))
+        for part in (one, other):
+            for group, mark in part.items():
+                assert merged.least(group) >= mark.position
+        assert merged.least("never seen by the session") == START
+
+    def test_holders_of_an_older_position_are_dropped(self):
+        known = Mark(Position(1, 900), ("a", "b"))
+        assert token.later(known, Mark(Position(2, 1), ("c",))).holders == ("c",)
+        assert token.later(known, Mark(Position(1, 900), ("c",))).holders == (
+            "a",
+            "b",
+            "c",
+        )
+
+    @pytest.mark.parametrize(
+        ("passed", "left"),
+        [({}, 65), ({"0": Position(1, 4)}, 65), ({"0": Position(1, 5)}, 64)],
+    )
+    def test_only_passed_marks_are_dropped(self, passed, left):
+        full = Session("o", {str(n): Mark(Position(1, 5)) for n in range(65)})
+        assert len(token.compact(full, passed).marks) == left
--- /dev/null
+++ b/lavenderstack/core/watchers_test.py
@@ -0,0 +1,37 @@
+"""Tests of the choice of watchers."""
+
+from collections import Counter
+
+import pytest
+
+from lavenderstack.core.view import Vm
+from lavenderstack.core.watchers import Watchers
+
+
+def vms(count, zones):
+    return [Vm(f"n{i}", f"z{i % zones}", "127.0.0.1", i) for i in range(count)]
+
+
+class TestWatchers:
+    @pytest.mark.parametrize(
+        ("nodes", "zones", "watchers", "zones_used"),
+        [(8, 4, 3, 3), (7, 3, 3, 3), (8, 2, 3, 2), (2, 1, 2, 1), (0, 1, 0, 0)],
+    )
+    def test_each_is_of_another_zone_while_there_are_zones(
+        self, nodes, zones, watchers, zones_used
+    ):
+        listed = vms(nodes, zones)
+        zone_of = {vm.name: vm.zone for vm in listed}
+        for group in range(20):
+            chosen = Watchers(listed).of(f"g{group}")
+            assert len(set(chosen)) == len(chosen) == watchers
+            assert len({zone_of[name] for name in chosen}) == zones_used
+
+    def test_duties_are_shared_and_few_move(self):
+        listed = vms(60, 3)
+        before, after = Watchers(listed), Watchers(listed[:-1])
+        groups = [f"g{n}" for n in range(600)]
+        load = Counter(name for group in groups for name in before.of(group))
+        assert max(load.values()) < 3 * 600 * 3 / 60
+        moved = [g for g in groups if before.of(g) != after.of(g)]
+        assert all("n59" in before.of(group) for group in moved)
