--- a/lavenderstack/core/promotion_test.py
+++ b/lavenderstack/core/promotion_test.py
@@ -83,7 +83,8 @@
 class World:
     """Targets, two proposers, and messages under way.
 
-    Writes are proved by one holder's evidence, reads by that of another.
+    Writes are proved by one holder's evidence, reads by that of another. A zone
+    that is cut off holds one target, the reading holder and the second proposer.
     """
 
     def __init__(self):
@@ -95,6 +96,7 @@
         self.writes = []
         self.reads = []
         self.led = {}
+        self.cut_off = ""
         self.replaced_at = {}
 
     def step(self, op, x, y):
@@ -116,13 +118,28 @@
 
     def deliver(self, x, y):
         """Deliver any message; y decides whether it is also kept as a duplicate."""
-        if not self.flight:
+        passing = [message for message in self.flight if self.passes(message)]
+        if not passing:
             return
-        message = self.flight[x % len(self.flight)]
+        message = passing[x % len(passing)]
         if y % 6:
             self.flight.remove(message)
         getattr(self, "on_" + message[0])(*message[1:])
 
+    def passes(self, message):
+        match message:
+            case ("call", who, action):
+                return self.reaches(who, action.target)
+            case ("look", (name, holder), _):
+                return self.reaches(holder, name)
+        return True
+
+    def reaches(self, side, name):
+        return not self.cut_off or (side == 1) == (name == self.cut_off)
+
+    def cut(self, x, y):
+        self.cut_off = NAMES[x % 3] if y % 2 and not self.cut_off else ""
+
     def lose(self, x, y):
         """Lose a message; a lost call may show as a time-out."""
         if self.flight and y % 3 == 0:
@@ -166,7 +183,8 @@
 
     def pull(self, x, y):
         replica = self.targets[NAMES[x % 3]]
-        if replica.primary in self.targets:
+        severed = self.cut_off in (replica.name, replica.primary)
+        if replica.primary in self.targets and not severed:
             replica.pull(self.targets[replica.primary], 1 + y % 3)
 
     def look(self, x, y):
@@ -230,9 +248,12 @@
 
 
 OPS = ["propose", "lose", "tick", "write", "read", "follow"]
+RARE = ["propose", "propose", "cut"]
 OFTEN = ["deliver"] * 20 + ["pull"] * 4 + ["look"] * 3 + ["write"]
 steps = st.lists(
-    st.tuples(st.sampled_from(OPS + OFTEN), st.integers(0, 1000), st.integers(0, 11)),
+    st.tuples(
+        st.sampled_from(OPS + OFTEN + RARE), st.integers(0, 1000), st.integers(0, 11)
+    ),
     max_size=150,
 )
 
@@ -257,7 +278,7 @@
         often = OPS[1:] + OFTEN * 3
         world.step("propose", 0, 0)
         for _ in range(2000):
-            op = "propose" if rng.random() < 0.004 else rng.choice(often)
+            op = rng.choice(RARE if rng.random() < 0.008 else often)
             world.step(op, rng.randrange(1000), rng.randrange(12))
         return world
 
--- a/lavenderstack/core/suspicion.py
+++ b/lavenderstack/core/suspicion.py
@@ -133,12 +133,13 @@
         """Return the highest term that any target has told of."""
         return max((seen.term for seen in self.seen.values()), default=0)
 
-    def healthy(self, now: float) -> bool:
-        """Tell whether the primary and a majority under its term were just heard."""
+    def healthy(self, since: float) -> bool:
+        """Tell whether the primary and a majority under its term answered since."""
         leader = self.leader()
-        if leader is None or leader.target not in self._heard(now):
+        heard = [n for n, health in self._health.items() if health.heard_at >= since]
+        if leader is None or leader.target not in heard:
             return False
-        under = [n for n in self._heard(now) if self._term_of(n) == leader.term]
+        under = [name for name in heard if self._term_of(name) == leader.term]
         return len(under) >= self.majority
 
     def next_probe(self, target: str) -> float:
--- /dev/null
+++ b/lavenderstack/node/watch.py
@@ -0,0 +1,152 @@
+"""The watch of all groups for which this node is one of the watchers.
+
+The node is a watcher of a few groups, chosen by ``core/watchers.py`` from the nodes
+that are live; the list may lag and two nodes may choose differently for a while,
+which costs probes and, at worst, a lost proposal. Other nodes ask a group's
+watchers for its primary.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+import structlog
+
+from lavenderstack.core.group_messages import Leads, WhoLeads
+from lavenderstack.core.suspicion import Leader
+from lavenderstack.core.view import Group, View, Vm
+from lavenderstack.core.watchers import Watchers
+from lavenderstack.node.group_watch import GroupWatch
+from lavenderstack.node.streams import NotSent, StreamLost, StreamPool
+
+DUTIES_INTERVAL_S = 1.0
+ASK_TIMEOUT_S = 0.4
+FIND_TIMEOUT_S = 0.3
+
+log = structlog.get_logger()
+
+
+class Watch:
+    """The watches of this node, ``name``; run it as a part of the supervisor.
+
+    ``view`` and ``live_nodes`` return what is current; ``pool`` carries questions
+    to other nodes. The node's stream server must hand ``WhoLeads`` to ``answer``.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        view: Callable[[], View],
+        live_nodes: Callable[[], list[Vm]],
+        pool: StreamPool,
+    ) -> None:
+        self._name = name
+        self._view = view
+        self._live_nodes = live_nodes
+        self._pool = pool
+        self._watches: dict[str, GroupWatch] = {}
+        self._tasks: dict[str, asyncio.Task] = {}
+        self._nodes: dict[str, Vm] = {}
+        self._watchers = Watchers([])
+        self._groups: object = None
+
+    def primary_of(self, group: str) -> Leader | None:
+        """Return the primary of a group that this node watches, if it knows one."""
+        watch = self._watches.get(group)
+        return watch.leader() if watch else None
+
+    async def find(self, group: str) -> Leader | None:
+        """Return a group's primary, asking its watchers if this node is none."""
+        if leader := self.primary_of(group):
+            return leader
+        for name in self._watchers.of(group):
+            answer = await self._call(name, WhoLeads(group), FIND_TIMEOUT_S)
+            if answer and answer.primary:
+                return Leader(answer.term, answer.primary)
+        return None
+
+    async def answer(self, message: WhoLeads) -> Leads:
+        """Answer another node that asks for a group's primary."""
+        watch = self._watches.get(message.group)
+        if watch is None:
+            return Leads()
+        healthy = await watch.check() if message.check else False
+        leader = watch.leader()
+        if leader is None:
+            return Leads(healthy=healthy)
+        return Leads(leader.term, leader.target, healthy)
+
+    async def run(self) -> None:
+        """Keep the watches in line with the view until cancelled."""
+        try:
+            while True:
+                self._take_duties()
+                await asyncio.sleep(DUTIES_INTERVAL_S)
+        finally:
+            for name in list(self._tasks):
+                self._stop(name)
+
+    def _take_duties(self) -> None:
+        view = self._view()
+        nodes = {vm.name: vm for vm in self._live_nodes()}
+        if nodes != self._nodes or view.groups is not self._groups:
+            if nodes != self._nodes:
+                self._nodes = nodes
+                self._watchers = Watchers(nodes.values())
+            self._groups = view.groups
+            self._rearrange(view)
+        leaving = [
+            vm.name
+            for vm in view.vms.values()
+            if vm.kind == "target" and vm.state == "leaving"
+        ]
+        for name, watch in self._watches.items():
+            watch.set_leaving(leaving)
+            if self._tasks[name].done():
+                log.error("watch: ended", group=name)
+                self._start(watch.group, watch.suspicion.rank)
+
+    def _rearrange(self, view: View) -> None:
+        """Start and stop watches; a change of rank alone leaves a watch running."""
+        duties = self._duties(view)
+        for name, watch in list(self._watches.items()):
+            if name not in duties or watch.group.targets != duties[name][0].targets:
+                self._stop(name)
+        for name, (group, rank) in duties.items():
+            if name in self._watches:
+                self._watches[name].suspicion.rank = rank
+            else:
+                self._start(group, rank)
+
+    def _duties(self, view: View) -> dict[str, tuple[Group, int]]:
+        found = {}
+        for name, group in view.groups.items():
+            watchers = self._watchers.of(name)
+            if self._name in watchers:
+                found[name] = (group, watchers.index(self._name))
+        return found
+
+    def _start(self, group: Group, rank: int) -> None:
+        watch = GroupWatch(group, rank, self._ask_others)
+        self._watches[group.name] = watch
+        task = asyncio.create_task(watch.run(), name=f"watch {group.name}")
+        self._tasks[group.name] = task
+
+    def _stop(self, name: str) -> None:
+        self._tasks.pop(name).cancel()
+        del self._watches[name]
+
+    async def _ask_others(self, group: Group) -> list[Leads]:
+        others = [n for n in self._watchers.of(group.name) if n != self._name]
+        question = WhoLeads(group.name, check=True)
+        asks = [self._call(name, question, ASK_TIMEOUT_S) for name in others]
+        return [answer for answer in await asyncio.gather(*asks) if answer]
+
+    async def _call(
+        self, name: str, question: WhoLeads, timeout_s: float
+    ) -> Leads | None:
+        vm = self._nodes[name]
+        try:
+            answer = await self._pool.call((vm.host, vm.port), question, timeout_s)
+        except (NotSent, StreamLost, TimeoutError):
+            return None
+        return answer if isinstance(answer, Leads) else None
