Route statements through the holder of a target

Cause: the thin path needs the hop from entry to holder and its gates. Not wired to a running node yet; slots, confirmation and admission come from their own parts.

--- a/lavenderstack/core/messages.py
+++ b/lavenderstack/core/messages.py
@@ -2,7 +2,8 @@
 
 They travel as msgpack arrays. A position is ``(term, seq)``. Times are given as
 seconds left, never as a point in time, since the clocks of two VMs differ. No
-message has a field for a caller's key.
+message has a field for a caller's key: what travels is its one-way digest, so that
+the holder can refuse a request whose key was withdrawn while it was queued.
 """
 
 from typing import Any
@@ -24,11 +25,13 @@
     refusal ``behind``. ``fresh`` asks for a read that is proved to come from the
     current primary; ``max_age_s`` for one whose age is proved. ``once`` is the
     request id under which a non-idempotent write is remembered by the group.
-    ``transaction`` names the transaction in which to run.
+    ``transaction`` names the transaction in which to run. ``admitted`` says that the
+    request was already counted against the organisation's rate at another holder.
     """
 
     request: str
     organisation: str
+    key_digest: str
     group: str
     target: str
     statement: str
@@ -41,6 +44,7 @@
     max_age_s: float | None = None
     once: str = ""
     transaction: str = ""
+    admitted: bool = False
 
 
 class Begin(Message, tag="begin", kw_only=True):
@@ -48,10 +52,10 @@
 
     request: str
     organisation: str
+    key_digest: str
     group: str
     target: str
     left_s: float
-    least: Position = Position(0, 0)
 
 
 class Begun(Message, tag="begun"):
@@ -65,6 +69,7 @@
 
     request: str
     organisation: str
+    key_digest: str
     transaction: str
     commit: bool
     left_s: float
@@ -87,7 +92,8 @@
 class Failed(Message, tag="failed", kw_only=True):
     """The request was refused (``run`` is False) or its outcome is unknown.
 
-    ``primary`` and ``term`` tell what the sender knows of the group's primary.
+    ``primary`` and ``term`` tell what the sender knows of the group's primary;
+    ``admitted`` that the request was counted against its organisation's rate.
     """
 
     run: bool
@@ -96,6 +102,7 @@
     retry_after_s: float | None = None
     primary: str = ""
     term: int = 0
+    admitted: bool = False
 
 
 class Cancel(Message, tag="cancel"):
--- /dev/null
+++ b/lavenderstack/core/routing.py
@@ -0,0 +1,84 @@
+"""Which target a statement goes to.
+
+A read that needs no proof of coming from the primary goes to a replica: one that is
+known to hold what the session has seen, else the one that was last seen furthest
+ahead, the caller's own availability zone first. The rest goes to the primary.
+"""
+
+from collections.abc import Collection, Mapping
+from dataclasses import dataclass, field
+
+from lavenderstack.core.position import START, Position
+from lavenderstack.core.request import Mark, Request
+from lavenderstack.core.view import Group, Target
+
+
+@dataclass(frozen=True, slots=True)
+class Leader:
+    """The primary of a group in a term; ``target`` is empty when there is none."""
+
+    term: int
+    target: str
+
+
+@dataclass(slots=True)
+class Knowledge:
+    """What this node has heard of a group: its leader and its targets' positions."""
+
+    leader: Leader | None = None
+    seen: dict[str, Position] = field(default_factory=dict)
+
+    def note_leader(self, term: int, target: str) -> None:
+        """Take note of a leader; an older term never replaces a newer one."""
+        if not target or term <= 0:
+            return
+        if self.leader is None or term >= self.leader.term:
+            self.leader = Leader(term, target)
+
+    def note_position(self, target: str, position: Position) -> None:
+        """Take note of a position that a target was heard to have reached."""
+        if position > self.seen.get(target, START):
+            self.seen[target] = position
+
+
+def needs_primary(req: Request) -> bool:
+    """Tell whether only the primary can serve the request."""
+    return req.write or req.fresh
+
+
+def read_order(
+    group: Group,
+    mark: Mark,
+    zone: str,
+    knowledge: Knowledge,
+    avoid: Collection[str],
+) -> list[Target]:
+    """Return the replicas to try for a read, the best first.
+
+    Targets in ``avoid`` (leaving, or unreachable a moment ago) and the primary are
+    left out. A target that is known to hold the mark goes before one that is near:
+    crossing to another zone costs less than waiting for a replica of unknown lag.
+    """
+    leader = knowledge.leader.target if knowledge.leader else ""
+    replicas = [t for t in group.targets if t.name != leader and t.name not in avoid]
+
+    def preference(target: Target) -> tuple[bool, bool, Position]:
+        seen = knowledge.seen.get(target.name, START)
+        holds = seen >= mark.position or target.name in mark.holders
+        return holds, target.zone == zone, seen
+
+    return sorted(replicas, key=preference, reverse=True)
+
+
+def merged(mark: Mark, position: Position, holders: Collection[str]) -> Mark:
+    """Return the mark of a session after it has seen ``position`` as well."""
+    if position > mark.position:
+        return Mark(position, tuple(holders))
+    if position == mark.position:
+        return Mark(position, tuple(dict.fromkeys([*mark.holders, *holders])))
+    return mark
+
+
+def leaving_targets(states: Mapping[str, str], group: Group) -> set[str]:
+    """Return the group's targets that the platform's list calls leaving."""
+    return {t.name for t in group.targets if states.get(t.name) == "leaving"}
--- /dev/null
+++ b/lavenderstack/core/routing_test.py
@@ -0,0 +1,56 @@
+"""Tests of the choice of targets."""
+
+import pytest
+
+from lavenderstack.core.position import Position
+from lavenderstack.core.request import NO_MARK, Mark
+from lavenderstack.core.routing import Knowledge, merged, read_order
+from lavenderstack.core.view import Group, Target
+
+
+def group():
+    names = [("a", "z1"), ("b", "z2"), ("c", "z3")]
+    targets = tuple(Target(n, z, "127.0.0.1", 1, 5, 30) for n, z in names)
+    return Group("g", targets, frozenset({"o"}))
+
+
+class TestReadOrder:
+    @pytest.mark.parametrize(
+        ("mark", "seen", "avoid", "order"),
+        [
+            (NO_MARK, {}, (), ["c", "b"]),
+            (NO_MARK, {}, ("c",), ["b"]),
+            (Mark(Position(1, 5), ("b",)), {}, (), ["b", "c"]),
+            (Mark(Position(1, 5)), {"b": Position(1, 5)}, (), ["b", "c"]),
+            (Mark(Position(1, 5)), {"c": Position(1, 6)}, (), ["c", "b"]),
+            (Mark(Position(2, 1)), {"b": Position(1, 900)}, (), ["c", "b"]),
+        ],
+    )
+    def test_a_holder_of_the_mark_goes_before_a_near_one(
+        self, mark, seen, avoid, order
+    ):
+        knowledge = Knowledge(seen=dict(seen))
+        knowledge.note_leader(1, "a")
+        found = read_order(group(), mark, "z3", knowledge, avoid)
+        assert [target.name for target in found] == order
+
+
+class TestKnowledge:
+    def test_an_older_term_never_replaces_a_newer_leader(self):
+        knowledge = Knowledge()
+        knowledge.note_leader(3, "b")
+        knowledge.note_leader(2, "a")
+        assert knowledge.leader.target == "b"
+
+
+class TestMerged:
+    @pytest.mark.parametrize(
+        ("position", "holders", "expected"),
+        [
+            (Position(1, 4), ("x",), Mark(Position(1, 5), ("a",))),
+            (Position(1, 5), ("b",), Mark(Position(1, 5), ("a", "b"))),
+            (Position(2, 1), ("b",), Mark(Position(2, 1), ("b",))),
+        ],
+    )
+    def test_a_mark_only_moves_ahead(self, position, holders, expected):
+        assert merged(Mark(Position(1, 5), ("a",)), position, holders) == expected
--- /dev/null
+++ b/lavenderstack/node/target_holder.py
@@ -0,0 +1,403 @@
+"""The holder of one target: its connections, its slots, its view of the log.
+
+Every request passes the same gates in the same order: the target is not leaving,
+the organisation is inside its rate, the log has reached what the session has seen,
+a slot is free, and, at the moment of use, the key still holds. Only then is
+anything sent to the target. What follows is proved before it is answered: a write
+by a majority that holds it, a fresh read by a majority that keeps its term.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from typing import Protocol
+
+import structlog
+
+from lavenderstack.border.target import (
+    Code,
+    Ran,
+    State,
+    TargetConn,
+    TargetLost,
+    TargetRefused,
+    TargetUnreachable,
+)
+from lavenderstack.core import clock
+from lavenderstack.core.messages import Begin, Begun, End, Execute, Executed
+from lavenderstack.core.outcome import Reason, Refused, Unknown
+from lavenderstack.core.position import START, Position
+from lavenderstack.core.view import Group, Target, View
+from lavenderstack.node.pool import CONTROL_CONNECTIONS, Pool, PoolExhausted
+from lavenderstack.node.probe import Probe
+from lavenderstack.node.slots import Slots
+from lavenderstack.node.transactions import TransactionName, Transactions
+
+CROWDED_RETRY_S = 0.2
+NO_PRIMARY_RETRY_S = 0.5
+FIRST_PAUSE_S = 0.001
+LONGEST_PAUSE_S = 0.02
+PINNED_SHARE = 0.5
+
+log = structlog.get_logger()
+
+
+class Confirms(Protocol):
+    """What a holder needs to prove of its group (see ``node/confirm.py``)."""
+
+    async def confirm_write(self, position: Position, deadline: float) -> list[str]:
+        """Return the targets that hold an acknowledged write."""
+
+    async def confirm_term(
+        self, term: int, asked_after: float, deadline: float
+    ) -> None:
+        """Return once a majority was seen to keep the term after a time."""
+
+    async def recent_position(self, max_age_s: float, deadline: float) -> Position:
+        """Return a position that holds all that was acknowledged ``max_age_s`` ago."""
+
+    def proved_age(self, last: Position, now: float) -> float | None:
+        """Return the proved age in seconds of data at a position, if any."""
+
+
+class Control(Protocol):
+    """What a holder needs of the node's control parts."""
+
+    @property
+    def view(self) -> View:
+        """The current view of the store."""
+
+    def usable(self, now: float) -> bool:
+        """Tell whether the view is proved recent enough for keyed work."""
+
+    async def admit(self, organisation: str, deadline: float) -> None:
+        """Count a request against its organisation's rate, or refuse it."""
+
+
+@dataclass(slots=True)
+class Gate:
+    """What admission has done for a request so far."""
+
+    admitted: bool = False
+
+
+class TargetHolder:
+    """Runs requests on one target. Created by ``node/holder.py`` on first use."""
+
+    def __init__(
+        self, node: str, target: Target, group: Group, control: Control, confirms
+    ) -> None:
+        self.target = target
+        self.group = group
+        self.state: State | None = None
+        self._node = node
+        self._control = control
+        self._confirms: Confirms = confirms
+        limit = max(1, target.connections - CONTROL_CONNECTIONS)
+        self._pool = Pool(target, group.name, limit)
+        self._slots = Slots(target.slots)
+        self._probe = Probe(target, group.name)
+        self.transactions = Transactions()
+        self._last = START
+
+    # What is known of the target.
+
+    async def look(self) -> State:
+        """Ask the target for its state; raises the errors of ``border.target``."""
+        state = await self._probe.ask()
+        self.state = state
+        self._note(state.last)
+        return state
+
+    def _note(self, last: Position) -> None:
+        if last > self._last:
+            self._last = last
+
+    async def _leading_term(self) -> int:
+        """Return the term that the target leads, or refuse."""
+        if self.state is None or self.state.role != "primary":
+            try:
+                await self.look()
+            except (TargetLost, TargetRefused, TargetUnreachable) as exc:
+                raise Refused(Reason.UNREACHABLE, str(exc)) from exc
+        if self.state.role != "primary":
+            raise Refused(Reason.NOT_PRIMARY, retry_after_s=NO_PRIMARY_RETRY_S)
+        return self.state.term
+
+    async def _reach(self, least: Position, until: float) -> None:
+        """Wait until the target's log has reached a position, or refuse."""
+        pause_s = FIRST_PAUSE_S
+        while self._last < least:
+            try:
+                await self.look()
+            except (TargetLost, TargetRefused, TargetUnreachable) as exc:
+                raise Refused(Reason.UNREACHABLE, str(exc)) from exc
+            if self._last >= least:
+                return
+            if clock.now() + pause_s > until:
+                raise Refused(Reason.BEHIND, "the replica has not caught up")
+            await asyncio.sleep(pause_s)
+            pause_s = min(pause_s * 2, LONGEST_PAUSE_S)
+
+    # The gates.
+
+    def _check_leaving(self) -> None:
+        vm = self._control.view.vms.get(self.target.name)
+        if vm is not None and vm.state == "leaving":
+            raise Refused(Reason.LEAVING, retry_after_s=NO_PRIMARY_RETRY_S)
+
+    def _check_key(self, digest: str) -> None:
+        """Refuse a request whose key was withdrawn while it was on its way."""
+        if not digest:
+            return
+        if not self._control.usable(clock.now()):
+            raise Refused(Reason.STALE_VIEW, "this zone is cut off", 1.0)
+        key = self._control.view.keys.get(digest)
+        if key is not None and key.withdrawn:
+            raise Refused(Reason.KEY_REFUSED, "the key was withdrawn")
+
+    def _weight(self, organisation: str) -> float:
+        plan = self._control.view.plan_of(organisation)
+        return plan.weight if plan else 1.0
+
+    def _queue_limit(self, organisation: str) -> int:
+        plan = self._control.view.plan_of(organisation)
+        return plan.queue if plan else 50
+
+    async def _admit(self, msg: Execute, deadline: float, gate: Gate) -> None:
+        if msg.admitted or gate.admitted:
+            return
+        await self._control.admit(msg.organisation, deadline)
+        gate.admitted = True
+
+    @asynccontextmanager
+    async def _slot(
+        self, msg: Execute | Begin | End, deadline: float
+    ) -> AsyncIterator[None]:
+        """Hold one of the target's slots; the key is checked once it is free."""
+        organisation = msg.organisation
+        weight = self._weight(organisation)
+        limit = self._queue_limit(organisation)
+        async with self._slots.take(organisation, weight, deadline, limit):
+            self._check_key(msg.key_digest)
+            yield
+
+    # Statements outside of a transaction.
+
+    async def execute(self, msg: Execute, gate: Gate) -> Executed:
+        """Run one statement; raises ``Refused`` or ``Unknown``."""
+        deadline = clock.now() + msg.left_s
+        if msg.transaction:
+            return await self._execute_pinned(msg, deadline, gate)
+        self._check_leaving()
+        await self._admit(msg, deadline, gate)
+        if msg.write:
+            return await self._write(msg, deadline)
+        return await self._read(msg, deadline)
+
+    async def _write(self, msg: Execute, deadline: float) -> Executed:
+        term = await self._leading_term()
+        async with self._slot(msg, deadline):
+            ran = await self._run(msg, term, deadline)
+        holders = await self._confirms.confirm_write(ran.last, deadline)
+        return Executed(result=ran.result, position=ran.last, holders=holders)
+
+    async def _read(self, msg: Execute, deadline: float) -> Executed:
+        started = clock.now()
+        least = msg.least
+        until = min(deadline, started + msg.wait_s)
+        if msg.max_age_s is not None:
+            recent = await self._confirms.recent_position(msg.max_age_s, deadline)
+            least = max(least, recent)
+        await self._reach(least, until)
+        term = await self._leading_term() if msg.fresh else 0
+        async with self._slot(msg, deadline):
+            ran = await self._run(msg, term, deadline)
+        if ran.last < least:
+            raise Refused(Reason.BEHIND, "the target has gone back")
+        if msg.fresh:
+            await self._confirms.confirm_term(ran.term, started, deadline)
+        age_s = self._proved_age(msg, ran)
+        return Executed(
+            result=ran.result,
+            position=ran.last,
+            holders=[self.target.name],
+            age_s=age_s,
+        )
+
+    def _proved_age(self, msg: Execute, ran: Ran) -> float | None:
+        if msg.max_age_s is None:
+            return None
+        age_s = self._confirms.proved_age(ran.last, clock.now())
+        if age_s is None or age_s > msg.max_age_s:
+            raise Refused(Reason.BEHIND, "the age of the data can't be proved")
+        return age_s
+
+    async def _run(self, msg: Execute, term: int, deadline: float) -> Ran:
+        try:
+            async with self._pool.lease() as conn:
+                return await self._run_on(conn, msg, term, deadline)
+        except PoolExhausted as exc:
+            raise Refused(Reason.CROWDED, "no connection", CROWDED_RETRY_S) from exc
+        except TargetUnreachable as exc:
+            self._pool.drop_idle()
+            raise Refused(Reason.UNREACHABLE, str(exc), CROWDED_RETRY_S) from exc
+        except TargetRefused as exc:
+            raise self._refusal(exc) from exc
+
+    async def _run_on(
+        self, conn: TargetConn, msg: Execute, term: int, deadline: float
+    ) -> Ran:
+        left_s = deadline - clock.now()
+        if left_s <= 0:
+            raise Refused(Reason.DEADLINE, "no time left", 0.0)
+        running = conn.run(
+            msg.statement, msg.args, left_s, write=msg.write, term=term, once=msg.once
+        )
+        return await self._outcome(running, msg.once)
+
+    async def _outcome(self, running: Awaitable[Ran], once: str) -> Ran:
+        """Await a call whose failure may leave its effect unknown."""
+        try:
+            ran = await running
+        except TargetLost as exc:
+            self._pool.drop_idle()
+            self.state = None
+            raise Unknown(Reason.CONNECTION_LOST, str(exc)) from exc
+        except TargetRefused as exc:
+            if once and exc.code == Code.ALREADY_RUN:
+                return await self._already_run()
+            raise
+        self._note(ran.last)
+        return ran
+
+    async def _already_run(self) -> Ran:
+        """Answer a repeated request: it is done as soon as the log is confirmed."""
+        try:
+            state = await self.look()
+        except (TargetLost, TargetRefused, TargetUnreachable) as exc:
+            raise Unknown(Reason.CONNECTION_LOST, str(exc)) from exc
+        return Ran("already run", state.term, state.last)
+
+    def _refusal(self, exc: TargetRefused) -> Refused:
+        """Turn what a target says it did not apply into the caller's refusal."""
+        if exc.code == Code.STATEMENT_FAILED:
+            return Refused(Reason.STATEMENT_FAILED, exc.detail)
+        if exc.code == Code.TOO_MANY_CONNECTIONS:
+            return Refused(Reason.CROWDED, "no connection", CROWDED_RETRY_S)
+        if exc.code == Code.NO_TRANSACTION:
+            return Refused(Reason.TRANSACTION_LOST, exc.detail)
+        self.state = None
+        return Refused(Reason.NOT_PRIMARY, exc.detail, NO_PRIMARY_RETRY_S)
+
+    # Transactions.
+
+    async def begin(self, msg: Begin) -> Begun:
+        """Open a transaction and pin it to a connection."""
+        deadline = clock.now() + msg.left_s
+        self._check_leaving()
+        await self._control.admit(msg.organisation, deadline)
+        if len(self.transactions) >= self._pool.limit * PINNED_SHARE:
+            raise Refused(Reason.CROWDED, "too many open transactions", 1.0)
+        term = await self._leading_term()
+        async with self._slot(msg, deadline):
+            conn = await self._begin_on_new(term, deadline)
+        where = TransactionName(self.group.name, self.target.name, self._node)
+        name = where.new()
+        self.transactions.add(name, msg.organisation, conn)
+        return Begun(name)
+
+    async def _begin_on_new(self, term: int, deadline: float) -> TargetConn:
+        try:
+            conn = await self._pool.take()
+        except PoolExhausted as exc:
+            raise Refused(Reason.CROWDED, "no connection", CROWDED_RETRY_S) from exc
+        except TargetUnreachable as exc:
+            raise Refused(Reason.UNREACHABLE, str(exc), CROWDED_RETRY_S) from exc
+        except TargetRefused as exc:
+            raise self._refusal(exc) from exc
+        try:
+            await conn.begin(term, max(0.0, deadline - clock.now()))
+        except TargetRefused as exc:
+            self._pool.give_back(conn)
+            raise self._refusal(exc) from exc
+        except TargetLost as exc:
+            self._pool.give_back(conn)
+            raise Refused(Reason.UNREACHABLE, str(exc), CROWDED_RETRY_S) from exc
+        except BaseException:
+            conn.close()
+            self._pool.give_back(conn)
+            raise
+        return conn
+
+    async def _execute_pinned(
+        self, msg: Execute, deadline: float, gate: Gate
+    ) -> Executed:
+        transaction = self.transactions.find(msg.transaction, msg.organisation)
+        await self._admit(msg, deadline, gate)
+        async with transaction.lock, self._slot(msg, deadline):
+            try:
+                ran = await self._run_on(transaction.conn, msg, 0, deadline)
+            except TargetRefused as exc:
+                raise self._refusal(exc) from exc
+            except (Unknown, TargetUnreachable) as exc:
+                # Nothing of a transaction takes effect before its commit.
+                self.drop(msg.transaction)
+                raise Refused(Reason.TRANSACTION_LOST, "connection lost") from exc
+        return Executed(result=ran.result, position=ran.last)
+
+    async def end(self, msg: End) -> Executed:
+        """Commit a transaction or roll it back, and free its connection."""
+        deadline = clock.now() + msg.left_s
+        transaction = self.transactions.find(msg.transaction, msg.organisation)
+        async with transaction.lock:
+            if not msg.commit:
+                self.drop(msg.transaction)
+                return Executed(result=None, position=START)
+            async with self._slot(msg, deadline):
+                ran = await self._commit(transaction.conn, msg, deadline)
+        holders = await self._confirms.confirm_write(ran.last, deadline)
+        return Executed(result=None, position=ran.last, holders=holders)
+
+    async def _commit(self, conn: TargetConn, msg: End, deadline: float) -> Ran:
+        left_s = deadline - clock.now()
+        if left_s <= 0:
+            raise Refused(Reason.DEADLINE, "no time left", 0.0)
+        try:
+            return await self._outcome(conn.commit(left_s, msg.once), msg.once)
+        except TargetUnreachable as exc:
+            raise Refused(Reason.TRANSACTION_LOST, str(exc)) from exc
+        except TargetRefused as exc:
+            raise self._refusal(exc) from exc
+        finally:
+            self.transactions.remove(msg.transaction)
+            self._pool.give_back(conn)
+
+    def drop(self, name: str) -> None:
+        """Roll a transaction back by closing its connection."""
+        conn = self.transactions.remove(name)
+        if conn is not None:
+            conn.close()
+            self._pool.give_back(conn)
+
+    # Upkeep.
+
+    def sweep(self, now: float) -> None:
+        """Drop transactions that were left alone and connections that are idle."""
+        for name in self.transactions.idle(now):
+            log.info("holder: transaction dropped", target=self.target.name)
+            self.drop(name)
+        self._pool.sweep(now)
+
+    def retire(self) -> None:
+        """Lend nothing more; running work keeps its connections until it ends."""
+        self._pool.close()
+        self._probe.close()
+
+    def close(self) -> None:
+        """Close every connection."""
+        for name in self.transactions.names():
+            self.drop(name)
+        self._pool.close()
+        self._probe.close()
