--- /dev/null
+++ b/lavenderstack/border/answers.py
@@ -0,0 +1,113 @@
+"""The table of answers that callers get, by outcome and reason.
+
+A caller is told one of three outcomes. ``done``: the request took effect and
+``result`` is its whole answer. ``refused``: it was not run; ``retry_after_s`` says
+when to come back, if that can help. ``unknown``: it may have run.
+"""
+
+import math
+import random
+from typing import Any
+
+import msgspec
+from aiohttp import web
+
+from lavenderstack.core.outcome import Reason, Refused, Unknown
+
+RETRY_JITTER_SHARE = 0.25
+
+STATUS_OF_REFUSAL: dict[Reason, int] = {
+    Reason.BAD_REQUEST: 400,
+    Reason.BAD_TOKEN: 400,
+    Reason.NO_KEY: 401,
+    Reason.KEY_REFUSED: 401,
+    Reason.NOT_ALLOWED: 403,
+    Reason.UNKNOWN_GROUP: 404,
+    Reason.STATEMENT_FAILED: 409,
+    Reason.TRANSACTION_LOST: 409,
+    Reason.OVER_RATE: 429,
+    Reason.CROWDED: 503,
+    Reason.DEADLINE: 503,
+    Reason.BEHIND: 503,
+    Reason.NO_PRIMARY: 503,
+    Reason.NOT_PRIMARY: 503,
+    Reason.NOT_HOLDER: 503,
+    Reason.LEAVING: 503,
+    Reason.UNREACHABLE: 503,
+    Reason.STALE_VIEW: 503,
+}
+STATUS_OF_UNKNOWN = 504
+
+_encoder = msgspec.json.Encoder()
+
+
+class Done(msgspec.Struct, kw_only=True):
+    """The request took effect."""
+
+    outcome: str = "done"
+    request_id: str
+    result: Any
+    session: str = ""
+    age_s: float | None = None
+    replica: bool | None = None
+    transaction: str = ""
+
+
+class RefusedAnswer(msgspec.Struct, kw_only=True):
+    """The request was not run."""
+
+    outcome: str = "refused"
+    request_id: str
+    reason: str
+    detail: str
+    retry_after_s: float | None
+
+
+class UnknownAnswer(msgspec.Struct, kw_only=True):
+    """The request may have run."""
+
+    outcome: str = "unknown"
+    request_id: str
+    reason: str
+    detail: str
+
+
+def _response(status: int, body: msgspec.Struct) -> web.Response:
+    return web.Response(
+        status=status,
+        body=_encoder.encode(body),
+        content_type="application/json",
+    )
+
+
+def done(answer: Done) -> web.Response:
+    """Return the response of a request that is done."""
+    return _response(200, answer)
+
+
+def refused(request_id: str, exc: Refused) -> web.Response:
+    """Return the response of a request that was not run."""
+    retry_after_s = _jittered(exc.retry_after_s)
+    body = RefusedAnswer(
+        request_id=request_id,
+        reason=exc.reason,
+        detail=exc.detail,
+        retry_after_s=retry_after_s,
+    )
+    resp = _response(STATUS_OF_REFUSAL.get(exc.reason, 503), body)
+    if retry_after_s is not None:
+        # The header only takes whole seconds; the body is exact.
+        resp.headers["Retry-After"] = str(math.ceil(retry_after_s))
+    return resp
+
+
+def unknown(request_id: str, exc: Unknown) -> web.Response:
+    """Return the response of a request whose outcome is unknown."""
+    body = UnknownAnswer(request_id=request_id, reason=exc.reason, detail=exc.detail)
+    return _response(STATUS_OF_UNKNOWN, body)
+
+
+def _jittered(retry_after_s: float | None) -> float | None:
+    if retry_after_s is None:
+        return None
+    return round(retry_after_s * random.uniform(1.0, 1.0 + RETRY_JITTER_SHARE), 3)
--- /dev/null
+++ b/lavenderstack/border/callers.py
@@ -0,0 +1,204 @@
+"""The interface for callers: HTTP, one version in the path.
+
+========================================================  =====================
+route                                                     what it does
+========================================================  =====================
+``POST /v1/groups/GROUP/statements``                      run one statement
+``POST /v1/open/groups/GROUP/statements``                 the same, for everyone
+``POST /v1/groups/GROUP/transactions``                    open a transaction
+``POST /v1/transactions/NAME/statements``                 a statement inside it
+``POST /v1/transactions/NAME/commit`` or ``/rollback``    end it
+``GET /v1/ready``, ``GET /v1/alive``                      for the balancer
+========================================================  =====================
+
+The key comes as ``Authorization: Bearer KEY`` and the session token as
+``Session-Token``; the answer carries the token to send next. ``Request-Id`` names a
+request; a non-idempotent one that is sent again under the same name is not run
+again. This module checks and parses; what a request means is decided behind
+``Service``.
+"""
+
+import asyncio
+import re
+import secrets
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Annotated, Any, Protocol
+
+from aiohttp import web
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from lavenderstack.border import answers
+from lavenderstack.core.outcome import Reason, Refused, Unknown
+from lavenderstack.core.request import DEFAULT_DEADLINE_S, LONGEST_DEADLINE_S
+
+BODY_LIMIT_B = 256 * 1024
+BODY_TIMEOUT_S = 5.0
+SESSION_HEADER = "Session-Token"
+REQUEST_ID_HEADER = "Request-Id"
+_REQUEST_ID = re.compile(r"[A-Za-z0-9_.:-]{1,64}")
+
+Seconds = Annotated[float, Field(gt=0, le=LONGEST_DEADLINE_S)]
+
+
+class Body(BaseModel):
+    """Base of the request bodies; unknown fields are refused."""
+
+    model_config = ConfigDict(extra="forbid", strict=True)
+
+
+class StatementBody(Body):
+    """One statement. Ages and deadlines are in seconds."""
+
+    statement: Annotated[str, Field(min_length=1, max_length=10_000)]
+    args: list[Any] = []
+    write: bool = False
+    idempotent: bool = True
+    fresh: bool = False
+    max_age_s: Annotated[float, Field(gt=0, le=86_400)] | None = None
+    deadline_s: Seconds = DEFAULT_DEADLINE_S
+
+
+class EndBody(Body):
+    """The end of a transaction, or its beginning."""
+
+    deadline_s: Seconds = DEFAULT_DEADLINE_S
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """What a caller sent, parsed. The key ends at the entry and is never shown."""
+
+    request_id: str
+    key: str = field(repr=False)
+    session: str = field(repr=False)
+    body: Any
+    group: str = ""
+    transaction: str = ""
+
+
+class Service(Protocol):
+    """What answers callers; each method raises ``Refused`` or ``Unknown``."""
+
+    stopping: bool
+
+    async def statement(self, ask: Ask) -> answers.Done:
+        """Run one statement for the organisation of the key."""
+
+    async def open_statement(self, ask: Ask) -> answers.Done:
+        """Run one statement that is open to everyone."""
+
+    async def begin(self, ask: Ask) -> answers.Done:
+        """Open a transaction."""
+
+    async def pinned(self, ask: Ask) -> answers.Done:
+        """Run one statement in a transaction."""
+
+    async def commit(self, ask: Ask) -> answers.Done:
+        """Commit a transaction."""
+
+    async def rollback(self, ask: Ask) -> answers.Done:
+        """Roll a transaction back."""
+
+
+def _bearer(req: web.Request) -> str:
+    scheme, _, key = req.headers.get("Authorization", "").partition(" ")
+    return key.strip() if scheme.lower() == "bearer" else ""
+
+
+def _request_id(req: web.Request) -> str:
+    given = req.headers.get(REQUEST_ID_HEADER)
+    if given is None:
+        return secrets.token_hex(8)
+    if not _REQUEST_ID.fullmatch(given):
+        detail = f"{REQUEST_ID_HEADER} takes 1 to 64 of A-Z a-z 0-9 _ . : -"
+        raise Refused(Reason.BAD_REQUEST, detail)
+    return given
+
+
+async def _read(req: web.Request) -> bytes:
+    try:
+        async with asyncio.timeout(BODY_TIMEOUT_S):
+            return await req.read()
+    except TimeoutError as exc:
+        raise Refused(Reason.BAD_REQUEST, "the body did not come in time") from exc
+    except web.HTTPRequestEntityTooLarge as exc:
+        detail = f"the body is longer than {BODY_LIMIT_B} bytes"
+        raise Refused(Reason.BAD_REQUEST, detail) from exc
+
+
+def _parse(model: type[Body], data: bytes) -> Body:
+    try:
+        return model.model_validate_json(data or b"{}")
+    except ValidationError as exc:
+        raise Refused(Reason.BAD_REQUEST, _mistakes(exc)) from exc
+
+
+def _mistakes(exc: ValidationError) -> str:
+    """Return every mistake with its place, without the values that were sent."""
+    found = exc.errors(include_url=False, include_input=False)
+    return "; ".join(f"{'.'.join(map(str, e['loc']))}: {e['msg']}" for e in found)
+
+
+def _handler(
+    model: type[Body], call: Callable[[Ask], Awaitable[answers.Done]], service: Service
+) -> Callable[[web.Request], Awaitable[web.Response]]:
+    async def handle(req: web.Request) -> web.Response:
+        request_id = ""
+        try:
+            request_id = _request_id(req)
+            ask = Ask(
+                request_id=request_id,
+                key=_bearer(req),
+                session=req.headers.get(SESSION_HEADER, ""),
+                body=_parse(model, await _read(req)),
+                group=req.match_info.get("group", ""),
+                transaction=req.match_info.get("transaction", ""),
+            )
+            answer = await call(ask)
+            resp = answers.done(answer)
+            if answer.session:
+                resp.headers[SESSION_HEADER] = answer.session
+        except Refused as exc:
+            resp = answers.refused(request_id, exc)
+        except Unknown as exc:
+            resp = answers.unknown(request_id, exc)
+        resp.headers[REQUEST_ID_HEADER] = request_id
+        if service.stopping:
+            resp.force_close()
+        return resp
+
+    return handle
+
+
+def _ready(service: Service) -> Callable[[web.Request], Awaitable[web.Response]]:
+    async def handle(_: web.Request) -> web.Response:
+        if service.stopping:
+            return web.Response(status=503, text="stopping\n")
+        return web.Response(text="ready\n")
+
+    return handle
+
+
+async def _alive(_: web.Request) -> web.Response:
+    return web.Response(text="alive\n")
+
+
+def make_app(service: Service) -> web.Application:
+    """Return the application that serves callers."""
+    app = web.Application(client_max_size=BODY_LIMIT_B)
+    statement = _handler(StatementBody, service.statement, service)
+    opened = _handler(StatementBody, service.open_statement, service)
+    pinned = _handler(StatementBody, service.pinned, service)
+    begin = _handler(EndBody, service.begin, service)
+    commit = _handler(EndBody, service.commit, service)
+    rollback = _handler(EndBody, service.rollback, service)
+    app.router.add_post("/v1/groups/{group}/statements", statement)
+    app.router.add_post("/v1/open/groups/{group}/statements", opened)
+    app.router.add_post("/v1/groups/{group}/transactions", begin)
+    app.router.add_post("/v1/transactions/{transaction}/statements", pinned)
+    app.router.add_post("/v1/transactions/{transaction}/commit", commit)
+    app.router.add_post("/v1/transactions/{transaction}/rollback", rollback)
+    app.router.add_get("/v1/ready", _ready(service))
+    app.router.add_get("/v1/alive", _alive)
+    return app
--- a/lavenderstack/core/group_messages.py
+++ b/lavenderstack/core/group_messages.py
@@ -1,13 +1,14 @@
-"""Messages that nodes send each other about the terms of a group's targets."""
+"""Messages between nodes about the state of a database group."""
 
 from lavenderstack.core.messages import Message
-from lavenderstack.core.position import Position
+from lavenderstack.core.position import START, Position
 
 
 class Look(Message, tag="look"):
-    """Ask the holder of a target for what the target says of itself now.
+    """Ask a target's holder for the target's state; answered by ``Looked``.
 
-    Answered by ``Looked``, or by ``Failed`` when the target does not answer.
+    The holder must put a question to the target after this message has arrived; an
+    answer that it knew before proves nothing to the asker.
     """
 
     group: str
@@ -15,22 +16,32 @@
 
 
 class Looked(Message, tag="looked"):
-    """What a target said after the question was received."""
+    """A target's answer. ``answered`` is False when it gave none."""
 
-    term: int
-    last: Position
-    role: str
-    primary: str
+    answered: bool
+    term: int = 0
+    last: Position = START
+    role: str = ""
+    primary: str = ""
 
 
 class WhoLeads(Message, tag="who_leads"):
-    """Ask a watcher of a group for its primary; answered by ``Leads``."""
+    """Ask a watcher of a group for its primary; answered by ``Leads``.
+
+    With ``check`` the watcher probes all targets first and fills in ``healthy``.
+    """
 
     group: str
+    check: bool = False
 
 
 class Leads(Message, tag="leads"):
-    """What the asked node knows; ``primary`` is empty if it knows none."""
+    """The primary that a watcher knows, empty if it knows none.
+
+    ``healthy`` tells that the watcher has just heard the primary and a majority of
+    the group's targets under its term.
+    """
 
-    term: int
-    primary: str
+    term: int = 0
+    primary: str = ""
+    healthy: bool = False
--- /dev/null
+++ b/lavenderstack/node/confirmers.py
@@ -0,0 +1,79 @@
+"""The confirmers of this node, one for each group that it holds a target of."""
+
+import asyncio
+
+import structlog
+
+from lavenderstack.core import clock
+from lavenderstack.core.evidence import Observation
+from lavenderstack.core.group_messages import Look, Looked
+from lavenderstack.core.view import Group, Target
+from lavenderstack.node.confirm import ASK_TIMEOUT_S, Confirmer
+from lavenderstack.node.peers import Peers
+
+log = structlog.get_logger()
+
+
+class NoAnswer(Exception):
+    """A target gave no answer to a question."""
+
+
+class Confirmers:
+    """Makes confirmers on first use and runs them until it is cancelled itself."""
+
+    def __init__(self, peers: Peers) -> None:
+        self._peers = peers
+        self._made: dict[tuple[Target, ...], Confirmer] = {}
+        self._tasks: set[asyncio.Task] = set()
+
+    def of(self, group: Group) -> Confirmer:
+        """Return the confirmer of a group; one whose targets change gets a new one."""
+        confirmer = self._made.get(group.targets)
+        if confirmer is None:
+            confirmer = self._make(group)
+            self._made[group.targets] = confirmer
+        return confirmer
+
+    def _make(self, group: Group) -> Confirmer:
+        targets = {target.name: target for target in group.targets}
+
+        async def ask(name: str) -> Observation:
+            return await self._ask(group.name, targets[name])
+
+        confirmer = Confirmer(list(targets), ask)
+        task = asyncio.create_task(confirmer.run(), name=f"confirm {group.name}")
+        self._tasks.add(task)
+        task.add_done_callback(lambda ended: self._ended(ended, group))
+        return confirmer
+
+    def _ended(self, task: asyncio.Task, group: Group) -> None:
+        """Forget a confirmer that ended, so that the next request makes a new one."""
+        self._tasks.discard(task)
+        self._made.pop(group.targets, None)
+        if not task.cancelled() and (exc := task.exception()):
+            log.error("confirm: questions ended", task=task.get_name(), exc_info=exc)
+
+    async def _ask(self, group: str, target: Target) -> Observation:
+        """Ask the target's holder; the holder puts a new question to the target."""
+        asked_at = clock.now()
+        vm = self._peers.holders(target)[0]
+        answer = await self._peers.ask(vm, Look(group, target.name), ASK_TIMEOUT_S)
+        if not isinstance(answer, Looked) or not answer.answered:
+            raise NoAnswer(target.name)
+        return Observation(
+            target.name,
+            answer.term,
+            answer.last,
+            asked_at,
+            answer.role,
+            answer.primary,
+        )
+
+    async def run(self) -> None:
+        """Keep the confirmers until cancelled, then end them."""
+        try:
+            await asyncio.Event().wait()
+        finally:
+            for task in list(self._tasks):
+                task.cancel()
+            await asyncio.gather(*self._tasks, return_exceptions=True)
--- /dev/null
+++ b/lavenderstack/node/entry.py
@@ -0,0 +1,242 @@
+"""The entry: what stands between callers and the router.
+
+It proves who asks, reads the session token, routes, and writes the new token. The
+caller's key goes no further than this part.
+"""
+
+from collections.abc import Awaitable
+from typing import Protocol
+
+import structlog
+
+from lavenderstack.border.answers import Done
+from lavenderstack.border.callers import Ask, StatementBody
+from lavenderstack.core import clock, token
+from lavenderstack.core.keys import digest_of
+from lavenderstack.core.outcome import Reason, Refused, Unknown
+from lavenderstack.core.request import (
+    EVERYONE,
+    NO_MARK,
+    Answer,
+    Caller,
+    Mark,
+    Request,
+)
+from lavenderstack.core.routing import merged
+from lavenderstack.core.view import Group, View
+from lavenderstack.node.metrics import Metrics
+from lavenderstack.node.router import Router
+
+NEWER_TIMEOUT_S = 0.5
+STALE_RETRY_S = 1.0
+SLOW_S = 2.0
+
+log = structlog.get_logger()
+
+
+class Fresh(Protocol):
+    """What the entry needs of the relay."""
+
+    view: View
+
+    def usable(self, now: float) -> bool:
+        """Tell whether the view is proved recent enough for keyed work."""
+
+    async def newer(self, after_revision: int, timeout: float) -> bool:
+        """Ask once for a newer revision."""
+
+
+class Entry:
+    """Serves callers; implements ``border.callers.Service``."""
+
+    def __init__(self, relay: Fresh, router: Router, metrics: Metrics) -> None:
+        self.stopping = False
+        self.running = 0
+        self._relay = relay
+        self._router = router
+        self._metrics = metrics
+
+    # Who asks.
+
+    async def _caller(self, key: str) -> Caller:
+        if not key:
+            raise Refused(Reason.NO_KEY, "send Authorization: Bearer KEY")
+        if not self._relay.usable(clock.now()):
+            raise Refused(Reason.STALE_VIEW, "this zone is cut off", STALE_RETRY_S)
+        digest = digest_of(key)
+        found = self._relay.view.keys.get(digest)
+        if found is None:
+            # The key may have been granted a moment ago.
+            await self._relay.newer(self._relay.view.revision, NEWER_TIMEOUT_S)
+            found = self._relay.view.keys.get(digest)
+        if found is None or found.withdrawn:
+            raise Refused(Reason.KEY_REFUSED, "the key is not known or was withdrawn")
+        return Caller(found.organisation, digest)
+
+    def _allowed_group(self, name: str, caller: Caller) -> Group:
+        group = self._relay.view.groups.get(name)
+        if group is None:
+            raise Refused(Reason.UNKNOWN_GROUP, f"no database group {name!r}")
+        if caller.organisation not in group.organisations:
+            raise Refused(Reason.NOT_ALLOWED, "the organisation may not use the group")
+        return group
+
+    # The session token.
+
+    def _secret(self) -> bytes:
+        secret = self._relay.view.secrets.get("token")
+        if secret is None:
+            raise Refused(Reason.STALE_VIEW, "no token secret yet", STALE_RETRY_S)
+        return secret.encode()
+
+    def _session(self, ask: Ask, caller: Caller) -> token.Session:
+        if not ask.session:
+            return token.Session(caller.organisation)
+        try:
+            return token.read(ask.session, self._secret(), caller.organisation)
+        except token.TokenError as exc:
+            raise Refused(Reason.BAD_TOKEN, str(exc)) from exc
+
+    def _token(self, session: token.Session, group: str, mark: Mark) -> str:
+        return token.write(session.with_mark(group, mark), self._secret())
+
+    # The routes of border.callers.
+
+    async def statement(self, ask: Ask) -> Done:
+        """Run one statement for the organisation of the key."""
+        caller = await self._caller(ask.key)
+        group = self._allowed_group(ask.group, caller)
+        session = self._session(ask, caller)
+        req = _request(ask, caller, group.name, session.mark(group.name))
+        running = self._router.run(req)
+        answer = await self._observed(caller, _kind(req), ask, running)
+        new_token = self._token(session, group.name, answer.mark)
+        return _done(ask, answer, new_token)
+
+    async def open_statement(self, ask: Ask) -> Done:
+        """Run one statement that is open to everyone; it can only read."""
+        body: StatementBody = ask.body
+        group = self._relay.view.groups.get(ask.group)
+        if group is None:
+            raise Refused(Reason.UNKNOWN_GROUP, f"no database group {ask.group!r}")
+        if body.write or body.statement not in group.open_statements:
+            raise Refused(Reason.NOT_ALLOWED, "the statement is not open to everyone")
+        req = _request(ask, EVERYONE, group.name, NO_MARK)
+        running = self._router.run(req)
+        answer = await self._observed(EVERYONE, "open", ask, running)
+        return _done(ask, answer, "")
+
+    async def begin(self, ask: Ask) -> Done:
+        """Open a transaction."""
+        caller = await self._caller(ask.key)
+        group = self._allowed_group(ask.group, caller)
+        deadline = clock.now() + ask.body.deadline_s
+        running = self._router.begin(ask.request_id, caller, group.name, deadline)
+        name = await self._observed(caller, "begin", ask, running)
+        return Done(request_id=ask.request_id, result=None, transaction=name)
+
+    async def pinned(self, ask: Ask) -> Done:
+        """Run one statement in a transaction."""
+        caller = await self._caller(ask.key)
+        req = _request(ask, caller, "", NO_MARK)
+        running = self._router.run_pinned(req, ask.transaction)
+        answer = await self._observed(caller, "transaction", ask, running)
+        return Done(request_id=ask.request_id, result=answer.result)
+
+    async def commit(self, ask: Ask) -> Done:
+        """Commit a transaction."""
+        return await self._end(ask, commit=True)
+
+    async def rollback(self, ask: Ask) -> Done:
+        """Roll a transaction back."""
+        return await self._end(ask, commit=False)
+
+    async def _end(self, ask: Ask, commit: bool) -> Done:
+        caller = await self._caller(ask.key)
+        session = self._session(ask, caller)
+        deadline = clock.now() + ask.body.deadline_s
+        running = self._router.end(
+            ask.request_id,
+            caller,
+            ask.transaction,
+            commit,
+            deadline,
+            _once(caller, ask.request_id) if commit else "",
+        )
+        kind = "commit" if commit else "rollback"
+        written: Mark = await self._observed(caller, kind, ask, running)
+        group = ask.transaction.partition("~")[0]
+        known = session.mark(group)
+        mark = merged(known, written.position, written.holders)
+        new_token = self._token(session, group, mark)
+        return Done(request_id=ask.request_id, result=None, session=new_token)
+
+    async def _observed(
+        self, caller: Caller, kind: str, ask: Ask, running: Awaitable
+    ) -> object:
+        """Await a request, counting it and how long it took."""
+        started = clock.now()
+        self.running += 1
+        outcome = "unknown"
+        try:
+            found = await running
+            outcome = "done"
+            return found
+        except Refused as exc:
+            outcome = f"refused.{exc.reason}"
+            raise
+        except Unknown as exc:
+            log.warning(
+                "entry: outcome unknown",
+                request=ask.request_id,
+                organisation=caller.organisation,
+                reason=exc.reason,
+                detail=exc.detail,
+            )
+            raise
+        finally:
+            self.running -= 1
+            elapsed_s = clock.now() - started
+            self._metrics.observe(caller.organisation, kind, outcome, elapsed_s)
+            if elapsed_s > SLOW_S:
+                log.info("entry: slow request", request=ask.request_id, kind=kind)
+
+
+def _once(caller: Caller, request_id: str) -> str:
+    return f"{caller.organisation}:{request_id}"
+
+
+def _request(ask: Ask, caller: Caller, group: str, mark: Mark) -> Request:
+    body: StatementBody = ask.body
+    once = ""
+    if body.write and not body.idempotent:
+        once = _once(caller, ask.request_id)
+    return Request(
+        id=ask.request_id,
+        caller=caller,
+        group=group,
+        statement=body.statement,
+        args=body.args,
+        deadline=clock.now() + body.deadline_s,
+        write=body.write,
+        once=once,
+        fresh=body.fresh,
+        max_age_s=body.max_age_s,
+        mark=mark,
+    )
+
+
+def _kind(req: Request) -> str:
+    if req.write:
+        return "write"
+    return "fresh_read" if req.fresh else "read"
+
+
+def _done(ask: Ask, answer: Answer, session: str) -> Done:
+    return Done(
+        request_id=ask.request_id,
+        result=answer.result,
+        session=session,
+        age_s=answer.age_s,
+        replica=answer.replica,
+    )
--- a/lavenderstack/node/holder.py
+++ b/lavenderstack/node/holder.py
@@ -90,8 +90,8 @@
         if target is None:
             raise Refused(Reason.UNKNOWN_GROUP, f"no target {target_name}", 0.5)
         held = self._held.get(target_name)
-        if held is None or (held.target, held.group) != (target, group):
-            held = self._renew(target, group)
+        if held is None or held.target != target or held.group.targets != group.targets:
+            return self._renew(target, group)
         return held
 
     def _renew(self, target: Target, group: Group) -> TargetHolder:
@@ -126,12 +126,9 @@
         """Answer what a target says of itself, asked after this message came."""
         try:
             state = await self._find(msg.group, msg.target).look()
-        except Refused as exc:
-            return Failed(run=False, reason=exc.reason, detail=exc.detail)
-        except (TargetLost, TargetRefused, TargetUnreachable) as exc:
-            detail = str(exc)
-            return Failed(run=False, reason=Reason.UNREACHABLE, detail=detail)
-        return Looked(state.term, state.last, state.role, state.primary)
+        except (Refused, TargetLost, TargetRefused, TargetUnreachable):
+            return Looked(answered=False)
+        return Looked(True, state.term, state.last, state.role, state.primary)
 
     def open_transactions(self) -> int:
         """Return how many transactions are open on this node."""
--- /dev/null
+++ b/lavenderstack/node/leaders.py
@@ -0,0 +1,60 @@
+"""What this node has heard of each group: its primary, its targets' positions.
+
+It is learned from answers, and asked of the group's watchers when it is missing or
+was found to be wrong. It is a hint: a target says itself whether it leads.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from lavenderstack.core.group_messages import Leads, WhoLeads
+from lavenderstack.core.messages import Message
+from lavenderstack.core.routing import Knowledge, Leader
+from lavenderstack.core.view import Vm
+from lavenderstack.node.streams import NotSent, StreamLost
+
+ASK_TIMEOUT_S = 0.5
+
+Ask = Callable[[Vm, Message, float], Awaitable[Message]]
+
+
+class Leaders:
+    """Knowledge of the groups, and the means to ask for it."""
+
+    def __init__(self, ask: Ask, watchers: Callable[[str], list[Vm]]) -> None:
+        self._ask = ask
+        self._watchers = watchers
+        self._known: dict[str, Knowledge] = {}
+        self._asking: dict[str, asyncio.Task] = {}
+
+    def of(self, group: str) -> Knowledge:
+        """Return what is known of a group."""
+        known = self._known.get(group)
+        if known is None:
+            known = self._known[group] = Knowledge()
+        return known
+
+    async def find(self, group: str) -> Leader | None:
+        """Return the group's leader, asking its watchers if none is known."""
+        leader = self.of(group).leader
+        if leader is not None:
+            return leader
+        task = self._asking.get(group)
+        if task is None:
+            task = asyncio.create_task(self._ask_watchers(group))
+            self._asking[group] = task
+            task.add_done_callback(lambda _: self._asking.pop(group, None))
+        await asyncio.shield(task)
+        return self.of(group).leader
+
+    async def _ask_watchers(self, group: str) -> None:
+        asked = [self._ask_one(vm, group) for vm in self._watchers(group)]
+        await asyncio.gather(*asked)
+
+    async def _ask_one(self, vm: Vm, group: str) -> None:
+        try:
+            answer = await self._ask(vm, WhoLeads(group), ASK_TIMEOUT_S)
+        except (NotSent, StreamLost, TimeoutError):
+            return
+        if isinstance(answer, Leads):
+            self.of(group).note_leader(answer.term, answer.primary)
--- /dev/null
+++ b/lavenderstack/node/peers.py
@@ -0,0 +1,51 @@
+"""The other nodes, as the parts of this one reach them.
+
+A message to this node itself takes no stream: its handler is called at once. A node
+that can't be reached is passed over for a short time.
+"""
+
+from collections.abc import Callable, Mapping
+
+from lavenderstack.core import clock
+from lavenderstack.core.members import Members
+from lavenderstack.core.messages import Message
+from lavenderstack.core.view import Target, View, Vm
+from lavenderstack.node.streams import NotSent, StreamLost, StreamPool
+
+
+class Peers:
+    """Sends messages to nodes by their entry in the platform's list."""
+
+    def __init__(
+        self, name: str, view: Callable[[], View], pool: StreamPool, members: Members
+    ) -> None:
+        self.name = name
+        self.pool = pool
+        self._view = view
+        self._members = members
+        self._handlers: Mapping[type, Callable] = {}
+
+    def serve(self, handlers: Mapping[type, Callable]) -> None:
+        """Name what answers messages that this node sends to itself."""
+        self._handlers = handlers
+
+    async def ask(self, vm: Vm, msg: Message, timeout_s: float) -> Message:
+        """Send a message and return its answer.
+
+        Raises ``NotSent``, ``StreamLost`` or ``TimeoutError``.
+        """
+        if vm.name == self.name:
+            return await self._handlers[type(msg)](msg)
+        try:
+            return await self.pool.call((vm.host, vm.port), msg, timeout_s)
+        except (NotSent, StreamLost):
+            self._members.suspect(vm.name, clock.now())
+            raise
+
+    def live(self) -> list[Vm]:
+        """Return the entry VMs that are taken for live."""
+        return self._members.live(self._view(), clock.now())
+
+    def holders(self, target: Target) -> list[Vm]:
+        """Return the VMs to ask for a target, the first choice first."""
+        return self._members.holders(self._view(), target, clock.now())
--- a/lavenderstack/node/probe.py
+++ b/lavenderstack/node/probe.py
@@ -57,5 +57,3 @@
         """Close the connection."""
         if self._conn is not None:
             self._conn.close()
-
-
--- /dev/null
+++ b/lavenderstack/node/router.py
@@ -0,0 +1,351 @@
+"""Takes a request to a target and back, through failures.
+
+Reads that any replica may serve go to replicas and fall back to the primary. What
+fails is tried again only where that is safe, within the deadline and the budget for
+repeats; whatever is given up is answered at once.
+"""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from lavenderstack.core import clock
+from lavenderstack.core.messages import (
+    Begin,
+    Begun,
+    End,
+    Execute,
+    Executed,
+    Failed,
+    Message,
+)
+from lavenderstack.core.outcome import Reason, Refused, Unknown
+from lavenderstack.core.request import Answer, Caller, Mark, Request
+from lavenderstack.core.retry import RetryBudget, is_idempotent, may_repeat, pause_s
+from lavenderstack.core.routing import merged, needs_primary, read_order
+from lavenderstack.core.view import Group, Target, View, Vm
+from lavenderstack.node.leaders import Leaders
+from lavenderstack.node.peers import Peers
+from lavenderstack.node.streams import NotSent, StreamLost
+from lavenderstack.node.transactions import parse
+
+HOP_GRACE_S = 0.25
+REPLICA_WAIT_S = 0.15
+NO_PRIMARY_RETRY_S = 0.5
+FIRST_TRY_SHARE = 0.5
+
+_DOUBTS_LEADER = frozenset(
+    {
+        Reason.NOT_PRIMARY,
+        Reason.NO_PRIMARY,
+        Reason.UNREACHABLE,
+        Reason.LEAVING,
+        Reason.CONNECTION_LOST,
+        Reason.UNCONFIRMED,
+    }
+)
+
+
+@dataclass(slots=True)
+class _Attempts:
+    """What is known of one request while it is being tried."""
+
+    count: int = 0
+    admitted: bool = False
+    may_have_run: bool = False
+    avoid: set[str] = field(default_factory=set)
+    last: Failed | None = None
+
+
+class Router:
+    """Routes requests for the entry of one node."""
+
+    def __init__(self, zone: str, view, peers: Peers, leaders: Leaders) -> None:
+        self._zone = zone
+        self._view = view
+        self._peers = peers
+        self._leaders = leaders
+        self._budget = RetryBudget()
+
+    def _group(self, name: str) -> Group:
+        view: View = self._view()
+        group = view.groups.get(name)
+        if group is None:
+            raise Refused(Reason.UNKNOWN_GROUP, f"no database group {name!r}")
+        return group
+
+    def _leaving(self, target: Target) -> bool:
+        vm = self._view().vms.get(target.name)
+        return vm is not None and vm.state == "leaving"
+
+    async def run(self, req: Request) -> Answer:
+        """Run one statement; raises ``Refused`` or ``Unknown``."""
+        self._budget.note_request()
+        attempts = _Attempts()
+        while True:
+            group = self._group(req.group)
+            target = await self._choose(req, group, attempts)
+            if target is not None:
+                answer = await self._attempt(req, group, target, attempts)
+                if answer is not None:
+                    return answer
+            await self._before_next(req, attempts)
+
+    # The choice of a target.
+
+    async def _choose(
+        self, req: Request, group: Group, attempts: _Attempts
+    ) -> Target | None:
+        if not needs_primary(req):
+            replica = self._replica(req, group, attempts)
+            if replica is not None:
+                return replica
+        return await self._primary(group, attempts)
+
+    def _replica(
+        self, req: Request, group: Group, attempts: _Attempts
+    ) -> Target | None:
+        knowledge = self._leaders.of(group.name)
+        leaving = {t.name for t in group.targets if self._leaving(t)}
+        avoid = attempts.avoid | leaving
+        order = read_order(group, req.mark, self._zone, knowledge, avoid)
+        return order[0] if order else None
+
+    async def _primary(self, group: Group, attempts: _Attempts) -> Target | None:
+        leader = await self._leaders.find(group.name)
+        if leader is None:
+            attempts.last = _no_primary()
+            attempts.count += 1
+            return None
+        return next((t for t in group.targets if t.name == leader.target), None)
+
+    # One attempt.
+
+    async def _attempt(
+        self, req: Request, group: Group, target: Target, attempts: _Attempts
+    ) -> Answer | None:
+        msg = self._message(req, target, attempts)
+        reply = await self._send(target, msg, msg.left_s)
+        if isinstance(reply, Executed):
+            return self._answer(req, target, reply)
+        self._note_failure(req, group, target, reply, attempts)
+        return None
+
+    def _message(self, req: Request, target: Target, attempts: _Attempts) -> Execute:
+        left_s = req.deadline - clock.now()
+        if left_s <= 0:
+            raise _final(attempts)
+        if is_idempotent(req) and attempts.count == 0:
+            # A silent connection must leave time for a second attempt.
+            left_s *= FIRST_TRY_SHARE
+        return Execute(
+            request=req.id,
+            organisation=req.caller.organisation,
+            key_digest=req.caller.digest,
+            group=req.group,
+            target=target.name,
+            statement=req.statement,
+            args=req.args,
+            write=req.write,
+            left_s=left_s,
+            least=req.mark.position,
+            wait_s=min(REPLICA_WAIT_S, left_s),
+            fresh=req.fresh or (not req.write and self._is_leader(req, target)),
+            max_age_s=req.max_age_s,
+            once=req.once,
+            admitted=attempts.admitted,
+        )
+
+    def _is_leader(self, req: Request, target: Target) -> bool:
+        leader = self._leaders.of(req.group).leader
+        return leader is not None and leader.target == target.name
+
+    async def _send(self, target: Target, msg: Message, left_s: float) -> Message:
+        """Send to the target's holder; to the next one only if it never left."""
+        failed = _no_holder(target)
+        for vm in self._peers.holders(target)[:3]:
+            try:
+                return await self._peers.ask(vm, msg, left_s + HOP_GRACE_S)
+            except NotSent:
+                continue
+            except (StreamLost, TimeoutError):
+                return Failed(
+                    run=True, reason=Reason.CONNECTION_LOST, detail="holder lost"
+                )
+        return failed
+
+    def _answer(self, req: Request, target: Target, reply: Executed) -> Answer:
+        knowledge = self._leaders.of(req.group)
+        for name in reply.holders:
+            knowledge.note_position(name, reply.position)
+        knowledge.note_position(target.name, reply.position)
+        mark = merged(req.mark, reply.position, reply.holders or [target.name])
+        replica = not self._is_leader(req, target)
+        return Answer(reply.result, mark, reply.age_s, replica)
+
+    def _note_failure(
+        self,
+        req: Request,
+        group: Group,
+        target: Target,
+        reply: Message,
+        attempts: _Attempts,
+    ) -> None:
+        assert isinstance(reply, Failed)
+        attempts.last = reply
+        attempts.count += 1
+        attempts.admitted |= reply.admitted
+        attempts.may_have_run |= reply.run and req.write
+        attempts.avoid.add(target.name)
+        knowledge = self._leaders.of(group.name)
+        if reply.reason in _DOUBTS_LEADER and self._is_leader(req, target):
+            # The next attempt asks the watchers whether another leads by now.
+            knowledge.leader = None
+        knowledge.note_leader(reply.term, reply.primary)
+
+    async def _before_next(self, req: Request, attempts: _Attempts) -> None:
+        """Pause before the next attempt, or raise the final outcome at once."""
+        failed = attempts.last
+        if failed is None or not may_repeat(req, failed):
+            raise _final(attempts)
+        if not self._budget.take():
+            raise _final(attempts)
+        pause = 0.0 if failed.reason == Reason.BEHIND else pause_s(attempts.count)
+        if clock.now() + pause >= req.deadline:
+            raise _final(attempts)
+        await asyncio.sleep(pause)
+
+    # Transactions.
+
+    async def begin(self, request: str, caller: Caller, group_name: str, deadline):
+        """Open a transaction on the group's primary and return its name."""
+        group = self._group(group_name)
+        attempts = _Attempts()
+        while True:
+            target = await self._primary(group, attempts)
+            if target is not None:
+                reply = await self._begin_on(request, caller, group, target, deadline)
+                if isinstance(reply, Begun):
+                    return reply.transaction
+                self._leaders.of(group_name).leader = None
+                attempts.last = reply
+            attempts.count += 1
+            failed = attempts.last
+            if failed.run or not may_repeat_begin(failed):
+                raise _final(attempts)
+            pause = pause_s(attempts.count)
+            if clock.now() + pause >= deadline:
+                raise _final(attempts)
+            await asyncio.sleep(pause)
+
+    async def _begin_on(
+        self, request: str, caller: Caller, group: Group, target: Target, deadline
+    ) -> Message:
+        left_s = deadline - clock.now()
+        msg = Begin(
+            request=request,
+            organisation=caller.organisation,
+            key_digest=caller.digest,
+            group=group.name,
+            target=target.name,
+            left_s=left_s,
+        )
+        return await self._send(target, msg, left_s)
+
+    async def run_pinned(self, req: Request, transaction: str) -> Answer:
+        """Run one statement inside an open transaction."""
+        where = parse(transaction)
+        left_s = req.deadline - clock.now()
+        msg = Execute(
+            request=req.id,
+            organisation=req.caller.organisation,
+            key_digest=req.caller.digest,
+            group=where.group,
+            target=where.target,
+            statement=req.statement,
+            args=req.args,
+            write=req.write,
+            left_s=left_s,
+            transaction=transaction,
+        )
+        reply = await self._send_to_holder(where.holder, msg, left_s)
+        if isinstance(reply, Executed):
+            return Answer(reply.result, req.mark)
+        # Nothing of a transaction takes effect before its commit.
+        raise Refused(Reason(reply.reason), reply.detail, reply.retry_after_s)
+
+    async def end(
+        self,
+        request: str,
+        caller: Caller,
+        transaction: str,
+        commit: bool,
+        deadline: float,
+        once: str,
+    ) -> Mark:
+        """Commit a transaction, or roll it back; return what it has written."""
+        where = parse(transaction)
+        left_s = deadline - clock.now()
+        msg = End(
+            request=request,
+            organisation=caller.organisation,
+            key_digest=caller.digest,
+            transaction=transaction,
+            commit=commit,
+            left_s=left_s,
+            once=once,
+        )
+        reply = await self._send_to_holder(where.holder, msg, left_s)
+        if isinstance(reply, Executed):
+            return Mark(reply.position, tuple(reply.holders))
+        raise _raised(reply)
+
+    async def _send_to_holder(self, name: str, msg: Message, left_s: float) -> Message:
+        vm: Vm | None = self._view().vms.get(name)
+        if vm is None:
+            raise Refused(Reason.TRANSACTION_LOST, "its VM is gone")
+        try:
+            return await self._peers.ask(vm, msg, left_s + HOP_GRACE_S)
+        except NotSent as exc:
+            raise Refused(Reason.TRANSACTION_LOST, "its VM does not answer") from exc
+        except (StreamLost, TimeoutError):
+            return Failed(run=True, reason=Reason.CONNECTION_LOST, detail="holder lost")
+
+
+def may_repeat_begin(failed: Failed) -> bool:
+    """Tell whether opening a transaction may be tried again."""
+    passing = (Reason.NOT_PRIMARY, Reason.NO_PRIMARY, Reason.UNREACHABLE)
+    return failed.reason in passing or failed.reason == Reason.LEAVING
+
+
+def _no_primary() -> Failed:
+    return Failed(
+        run=False,
+        reason=Reason.NO_PRIMARY,
+        detail="the group has no primary at the moment",
+        retry_after_s=NO_PRIMARY_RETRY_S,
+    )
+
+
+def _no_holder(target: Target) -> Failed:
+    return Failed(
+        run=False,
+        reason=Reason.UNREACHABLE,
+        detail=f"no VM answers for {target.name}",
+        retry_after_s=NO_PRIMARY_RETRY_S,
+    )
+
+
+def _final(attempts: _Attempts) -> Refused | Unknown:
+    failed = attempts.last
+    if failed is None:
+        return Refused(Reason.DEADLINE, "no time left", 0.0)
+    if attempts.may_have_run and not failed.run:
+        return Unknown(Reason(failed.reason), failed.detail)
+    return _raised(failed)
+
+
+def _raised(failed: Failed) -> Refused | Unknown:
+    reason = Reason(failed.reason)
+    if failed.run:
+        return Unknown(reason, failed.detail)
+    return Refused(reason, failed.detail, failed.retry_after_s)
--- a/lavenderstack/node/streams_test.py
+++ b/lavenderstack/node/streams_test.py
@@ -9,7 +9,9 @@
 from lavenderstack.node import streams
 from lavenderstack.node.streams import NotSent, StreamLost, StreamPool, StreamServer
 
-BEGIN = Begin(request="r", organisation="o", key_digest="", group="g", target="t", left_s=1.0)
+BEGIN = Begin(
+    request="r", organisation="o", key_digest="", group="g", target="t", left_s=1.0
+)
 
 
 @asynccontextmanager
@@ -35,7 +37,14 @@
         async with served(handler) as (pool, addr, _):
             names = ["slow", "a", "b"]
             asks = [
-                Begin(request=n, organisation="o", key_digest="", group="g", target="t", left_s=1)
+                Begin(
+                    request=n,
+                    organisation="o",
+                    key_digest="",
+                    group="g",
+                    target="t",
+                    left_s=1,
+                )
                 for n in names
             ]
             answers = await asyncio.gather(*(pool.call(addr, a, 1.0) for a in asks))
--- a/lavenderstack/node/target_holder.py
+++ b/lavenderstack/node/target_holder.py
@@ -39,12 +39,13 @@
 FIRST_PAUSE_S = 0.001
 LONGEST_PAUSE_S = 0.02
 PINNED_SHARE = 0.5
+AGE_PROOF_S = 0.03
 
 log = structlog.get_logger()
 
 
 class Confirms(Protocol):
-    """What a holder needs to prove of its group (see ``node/confirm.py``)."""
+    """What a holder needs to prove of its group; see ``node/confirm.py``."""
 
     async def confirm_write(self, position: Position, deadline: float) -> list[str]:
         """Return the targets that hold an acknowledged write."""
@@ -54,11 +55,10 @@
     ) -> None:
         """Return once a majority was seen to keep the term after a time."""
 
-    async def recent_position(self, max_age_s: float, deadline: float) -> Position:
-        """Return a position that holds all that was acknowledged ``max_age_s`` ago."""
-
-    def proved_age(self, last: Position, now: float) -> float | None:
-        """Return the proved age in seconds of data at a position, if any."""
+    async def confirm_age(
+        self, last: Position, max_age_s: float, deadline: float
+    ) -> float:
+        """Return the proved age in seconds of data at a position, once low enough."""
 
 
 class Control(Protocol):
@@ -110,6 +110,12 @@
         self._note(state.last)
         return state
 
+    async def _look_or_refuse(self) -> None:
+        try:
+            await self.look()
+        except (TargetLost, TargetRefused, TargetUnreachable) as exc:
+            raise Refused(Reason.UNREACHABLE, str(exc)) from exc
+
     def _note(self, last: Position) -> None:
         if last > self._last:
             self._last = last
@@ -117,10 +123,7 @@
     async def _leading_term(self) -> int:
         """Return the term that the target leads, or refuse."""
         if self.state is None or self.state.role != "primary":
-            try:
-                await self.look()
-            except (TargetLost, TargetRefused, TargetUnreachable) as exc:
-                raise Refused(Reason.UNREACHABLE, str(exc)) from exc
+            await self._look_or_refuse()
         if self.state.role != "primary":
             raise Refused(Reason.NOT_PRIMARY, retry_after_s=NO_PRIMARY_RETRY_S)
         return self.state.term
@@ -129,10 +132,7 @@
         """Wait until the target's log has reached a position, or refuse."""
         pause_s = FIRST_PAUSE_S
         while self._last < least:
-            try:
-                await self.look()
-            except (TargetLost, TargetRefused, TargetUnreachable) as exc:
-                raise Refused(Reason.UNREACHABLE, str(exc)) from exc
+            await self._look_or_refuse()
             if self._last >= least:
                 return
             if clock.now() + pause_s > until:
@@ -207,10 +207,9 @@
         started = clock.now()
         least = msg.least
         until = min(deadline, started + msg.wait_s)
-        if msg.max_age_s is not None:
-            recent = await self._confirms.recent_position(msg.max_age_s, deadline)
-            least = max(least, recent)
         await self._reach(least, until)
+        if msg.max_age_s is not None:
+            await self._grow_young(msg.max_age_s, until)
         term = await self._leading_term() if msg.fresh else 0
         async with self._slot(msg, deadline):
             ran = await self._run(msg, term, deadline)
@@ -218,7 +217,10 @@
             raise Refused(Reason.BEHIND, "the target has gone back")
         if msg.fresh:
             await self._confirms.confirm_term(ran.term, started, deadline)
-        age_s = self._proved_age(msg, ran)
+        age_s = None
+        if msg.max_age_s is not None:
+            until = min(deadline, clock.now() + AGE_PROOF_S)
+            age_s = await self._confirms.confirm_age(ran.last, msg.max_age_s, until)
         return Executed(
             result=ran.result,
             position=ran.last,
@@ -226,13 +228,17 @@
             age_s=age_s,
         )
 
-    def _proved_age(self, msg: Execute, ran: Ran) -> float | None:
-        if msg.max_age_s is None:
-            return None
-        age_s = self._confirms.proved_age(ran.last, clock.now())
-        if age_s is None or age_s > msg.max_age_s:
-            raise Refused(Reason.BEHIND, "the age of the data can't be proved")
-        return age_s
+    async def _grow_young(self, max_age_s: float, until: float) -> None:
+        """Wait until what the target holds is proved to be young enough."""
+        while True:
+            proof_until = min(until, clock.now() + AGE_PROOF_S)
+            try:
+                await self._confirms.confirm_age(self._last, max_age_s, proof_until)
+                return
+            except Refused:
+                if clock.now() >= until:
+                    raise
+            await self._look_or_refuse()
 
     async def _run(self, msg: Execute, term: int, deadline: float) -> Ran:
         try:
@@ -391,13 +397,12 @@
         self._pool.sweep(now)
 
     def retire(self) -> None:
-        """Lend nothing more; running work keeps its connections until it ends."""
+        """Lend nothing more; running statements keep their connections to the end."""
+        for name in self.transactions.names():
+            self.drop(name)
         self._pool.close()
         self._probe.close()
 
     def close(self) -> None:
         """Close every connection."""
-        for name in self.transactions.names():
-            self.drop(name)
-        self._pool.close()
-        self._probe.close()
+        self.retire()
--- a/lavenderstack/node/wire.py
+++ b/lavenderstack/node/wire.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from lavenderstack.core import messages
+from lavenderstack.core import group_messages, messages
 
 MESSAGES: tuple[type, ...] = (
     messages.Execute,
@@ -19,6 +19,10 @@
     messages.Cancel,
     messages.Ping,
     messages.Pong,
+    group_messages.Look,
+    group_messages.Looked,
+    group_messages.WhoLeads,
+    group_messages.Leads,
 )
 
 
