--- /dev/null
+++ b/standins/target_fake.py
@@ -0,0 +1,186 @@
+"""An in-memory fake of a group of targets, for tests of the logic above them.
+
+It has the interface of ``lavenderstack.border.target`` and the rules of the process
+in ``target.py``, but no sockets and no waiting. Replicas move only when a test calls
+``replicate``, so a test decides what each of them holds. A target is addressed by
+its place in the list, which is used as its port.
+
+>>> group = FakeGroup("studio", ["a", "b", "c"])
+>>> group.targets[0].up = False
+"""
+
+from collections.abc import Sequence
+from typing import Any
+
+from lavenderstack.border.target import (
+    Code,
+    Ran,
+    State,
+    TargetLost,
+    TargetRefused,
+    TargetUnreachable,
+)
+from standins.replica_log import ReplicaLog, catch_up
+from standins.session import Session
+
+
+class FakeTarget:
+    """One target.
+
+    ``up`` is False while nobody can reach it. ``lose_answers`` is the number of
+    next answers that are lost after the call took effect. ``follows`` is the port
+    of the primary it was told to follow.
+    """
+
+    def __init__(self, name: str, connections: int) -> None:
+        self.log = ReplicaLog(name)
+        self.connections = connections
+        self.conns: set[FakeConn] = set()
+        self.up = True
+        self.lose_answers = 0
+        self.follows: int | None = None
+
+
+class FakeConn:
+    """One connection to a fake target; the same calls as ``TargetConn``."""
+
+    def __init__(self, target: FakeTarget) -> None:
+        self.broken = False
+        self.in_transaction = False
+        self._target = target
+        self._log = target.log
+        self._session = Session(target.log)
+
+    def close(self) -> None:
+        """Close the connection; an open transaction is dropped."""
+        self.broken = True
+        self._target.conns.discard(self)
+
+    def _enter(self) -> None:
+        if self.broken:
+            raise TargetUnreachable("connection is closed")
+        if not self._target.up:
+            self.close()
+            raise TargetLost("no answer in time")
+
+    def _leave(self) -> None:
+        if self._target.lose_answers:
+            self._target.lose_answers -= 1
+            self.close()
+            raise TargetLost("connection lost")
+
+    def _state(self) -> State:
+        self._leave()
+        log = self._log
+        return State(log.term, log.last, log.role, log.primary)
+
+    def _ran(self, result: Any) -> Ran:
+        self._leave()
+        return Ran(result, self._log.term, self._log.last)
+
+    async def hello(self, group: str, timeout_s: float) -> State:
+        """Introduce the connection."""
+        return await self.state(timeout_s)
+
+    async def state(self, timeout_s: float) -> State:
+        """Return the target's term, last position, role and primary."""
+        self._enter()
+        return self._state()
+
+    async def run(
+        self,
+        statement: str,
+        args: Sequence[Any],
+        timeout_s: float,
+        *,
+        write: bool = False,
+        term: int = 0,
+        once: str = "",
+    ) -> Ran:
+        """Run one statement."""
+        self._enter()
+        result = self._session.run(statement, list(args), write, term, once)
+        return self._ran(result)
+
+    async def begin(self, term: int, timeout_s: float) -> None:
+        """Open a transaction."""
+        self._enter()
+        self._session.begin(term)
+        self._leave()
+        self.in_transaction = True
+
+    async def commit(self, timeout_s: float, once: str = "") -> Ran:
+        """Commit the open transaction."""
+        self.in_transaction = False
+        self._enter()
+        self._session.commit(once)
+        return self._ran(None)
+
+    async def rollback(self, timeout_s: float) -> None:
+        """Roll the open transaction back."""
+        self.in_transaction = False
+        self._enter()
+        self._session.rollback()
+        self._leave()
+
+    async def adopt(self, term: int, timeout_s: float) -> State:
+        """Adopt a higher term."""
+        self._enter()
+        self._log.adopt(term)
+        self._target.follows = None
+        return self._state()
+
+    async def lead(
+        self, term: int, followers: Sequence[str], timeout_s: float
+    ) -> State:
+        """Lead the adopted term."""
+        self._enter()
+        self._log.lead(term)
+        self._target.follows = None
+        return self._state()
+
+    async def follow(
+        self, term: int, primary: str, host: str, port: int, timeout_s: float
+    ) -> State:
+        """Follow the primary of a term."""
+        self._enter()
+        self._log.follow(term, primary)
+        self._target.follows = port
+        return self._state()
+
+
+class FakeGroup:
+    """A group of fake targets; ``connect`` stands in for the adapter's function."""
+
+    def __init__(self, name: str, targets: list[str], connections: int = 30) -> None:
+        self.name = name
+        self.targets = [FakeTarget(target, connections) for target in targets]
+
+    async def connect(
+        self, host: str, port: int, group: str, timeout_s: float
+    ) -> FakeConn:
+        """Open a connection to the target with this place in the list."""
+        target = self.targets[port]
+        if not target.up:
+            raise TargetUnreachable("no answer in time")
+        if group != self.name:
+            raise TargetRefused(Code.STATEMENT_FAILED, f"not in group {group}")
+        if len(target.conns) >= target.connections:
+            raise TargetRefused(Code.TOO_MANY_CONNECTIONS, str(len(target.conns)))
+        conn = FakeConn(target)
+        target.conns.add(conn)
+        return conn
+
+    def replicate(self, port: int) -> bool:
+        """Bring one replica up to date; False if it has nobody to pull from."""
+        replica = self.targets[port]
+        if not replica.up or replica.follows is None:
+            return False
+        primary = self.targets[replica.follows]
+        if not primary.up:
+            return False
+        try:
+            catch_up(replica.log, primary.log)
+        except TargetRefused:
+            return False
+        return True
