--- /dev/null
+++ b/lavenderstack/border/store.py
@@ -0,0 +1,331 @@
+"""The port to the platform's key-value service, and its one adapter.
+
+Nothing else in the product knows how the service is spoken to. The adapter speaks
+the JSON gateway of etcd v3 through aiohttp's client; what it relies on is listed in
+docs/ASSUMPTIONS.md. Reads must be linearizable, and the events of a watch come in
+the order of their revisions.
+
+A call fails with ``StoreUnreachable`` if it provably had no effect and with
+``StoreUnknown`` if its answer was lost, so that a change may have taken effect.
+"""
+
+import base64
+import json
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+import aiohttp
+
+from lavenderstack.core.entry import Change
+
+CONNECT_TIMEOUT_S = 0.5
+READ_TIMEOUT_S = 1.0
+SWAP_TIMEOUT_S = 5.0
+LIST_TIMEOUT_S = 10.0
+LONGEST_LINE_B = 64 * 1024 * 1024
+
+
+class StoreError(Exception):
+    """A call to the store did not succeed."""
+
+
+class StoreUnreachable(StoreError):
+    """The call never reached the store, so it had no effect."""
+
+
+class StoreUnknown(StoreError):
+    """No answer came back; a change may have taken effect."""
+
+
+class Compacted(StoreError):
+    """The store no longer has the revisions that the watch asked for."""
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """The entries under a prefix as they stood at ``revision``."""
+
+    entries: tuple[Change, ...]
+    revision: int
+    lineage: str
+
+
+@dataclass(frozen=True, slots=True)
+class Probe:
+    """What is needed to tell whether a copy of some prefixes is complete.
+
+    ``newest`` is the highest revision of an entry written after the revision that
+    was asked about (0 if there is none) and ``count`` the number of entries.
+    """
+
+    revision: int
+    newest: int
+    count: int
+    lineage: str
+
+
+@dataclass(frozen=True, slots=True)
+class Batch:
+    """Changes in the order of their revisions; complete up to ``revision``."""
+
+    revision: int
+    changes: tuple[Change, ...]
+    lineage: str
+
+
+@dataclass(frozen=True, slots=True)
+class SwapDone:
+    """The change has taken effect at this revision."""
+
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class SwapConflict:
+    """The entry was not as expected; ``current`` is what stands there, if any."""
+
+    current: Change | None
+
+
+class Store(Protocol):
+    """What the product needs of the platform's key-value service."""
+
+    async def get(self, key: str) -> Change | None:
+        """Return the entry under the key."""
+
+    async def list(self, prefix: str) -> Listing:
+        """Return all entries under the prefix."""
+
+    async def probe(self, prefixes: Sequence[str], after_revision: int) -> Probe:
+        """Return what changed under the prefixes after a revision, without values."""
+
+    async def swap(
+        self, key: str, value: bytes | None, expected_revision: int, lease: int = 0
+    ) -> SwapDone | SwapConflict:
+        """Write (or delete, if ``value`` is None) if the entry is as expected.
+
+        ``expected_revision`` is that of the entry, 0 if there must be none.
+        """
+
+    async def grant_lease(self, ttl_s: int) -> int:
+        """Return the number of a new lease."""
+
+    async def keep_lease(self, lease: int) -> int:
+        """Renew a lease; return the seconds it has left, 0 if it has lapsed."""
+
+    def watch(
+        self, prefixes: Sequence[str], after_revision: int
+    ) -> AsyncIterator[Batch]:
+        """Yield changes after a revision until the connection breaks.
+
+        Raises ``Compacted`` if the revisions asked for are gone.
+        """
+
+
+def prefix_end(prefix: str) -> str:
+    """Return the first key after all that start with the prefix.
+
+    >>> prefix_end("a/")
+    'a0'
+    """
+    return prefix[:-1] + chr(ord(prefix[-1]) + 1)
+
+
+def _encode(text: str | bytes) -> str:
+    raw = text.encode() if isinstance(text, str) else text
+    return base64.b64encode(raw).decode()
+
+
+def _decode(text: str) -> bytes:
+    return base64.b64decode(text)
+
+
+def _entry(kv: dict) -> Change:
+    value = _decode(kv.get("value", ""))
+    return Change(_decode(kv["key"]).decode(), value, int(kv.get("mod_revision", 0)))
+
+
+def _event(event: dict) -> Change:
+    entry = _entry(event["kv"])
+    if event.get("type") == "DELETE":
+        return entry._replace(value=None)
+    return entry
+
+
+def _range(prefix: str) -> dict[str, Any]:
+    return {"key": _encode(prefix), "range_end": _encode(prefix_end(prefix))}
+
+
+def _header(answer: dict) -> tuple[int, str]:
+    header = answer["header"]
+    return int(header.get("revision", 0)), str(header.get("cluster_id", ""))
+
+
+@asynccontextmanager
+async def _translated():
+    """Turn the client library's errors into those of the port."""
+    try:
+        yield
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
+        raise StoreUnreachable(type(exc).__name__) from exc
+    except (aiohttp.ClientError, TimeoutError, OSError) as exc:
+        raise StoreUnknown(type(exc).__name__) from exc
+    except (ValueError, KeyError, TypeError, AttributeError) as exc:
+        raise StoreUnknown("answer not understood") from exc
+
+
+class GatewayStore:
+    """The adapter: a store behind the JSON gateways at ``urls``.
+
+    One gateway is used until it fails, then the next. Use ``opened``.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession, urls: Sequence[str]) -> None:
+        self._session = session
+        self._urls = [url.rstrip("/") for url in urls]
+        self._turn = 0
+        self.calls = 0
+
+    def _url(self, path: str) -> str:
+        self.calls += 1
+        return self._urls[self._turn % len(self._urls)] + path
+
+    async def _call(self, path: str, body: dict, timeout_s: float) -> dict:
+        timeout = aiohttp.ClientTimeout(timeout_s, sock_connect=CONNECT_TIMEOUT_S)
+        url = self._url(path)
+        try:
+            async with (
+                _translated(),
+                self._session.post(url, json=body, timeout=timeout) as answer,
+            ):
+                answer.raise_for_status()
+                return await answer.json()
+        except StoreError:
+            self._turn += 1
+            raise
+
+    async def get(self, key: str) -> Change | None:
+        """Return the entry under the key."""
+        answer = await self._call("/v3/kv/range", {"key": _encode(key)}, READ_TIMEOUT_S)
+        async with _translated():
+            entries = [_entry(kv) for kv in answer.get("kvs", [])]
+        return entries[0] if entries else None
+
+    async def list(self, prefix: str) -> Listing:
+        """Return all entries under the prefix."""
+        answer = await self._call("/v3/kv/range", _range(prefix), LIST_TIMEOUT_S)
+        async with _translated():
+            entries = tuple(_entry(kv) for kv in answer.get("kvs", []))
+            return Listing(entries, *_header(answer))
+
+    async def probe(self, prefixes: Sequence[str], after_revision: int) -> Probe:
+        """Ask with one transaction that only reads."""
+        since = {"min_mod_revision": str(after_revision + 1), "keys_only": True}
+        reads = [{"request_range": _range(p) | since} for p in prefixes]
+        answer = await self._call("/v3/kv/txn", {"success": reads}, READ_TIMEOUT_S)
+        async with _translated():
+            ranges = [part["response_range"] for part in answer["responses"]]
+            kvs = [kv for part in ranges for kv in part.get("kvs", [])]
+            newest = max((int(kv["mod_revision"]) for kv in kvs), default=0)
+            count = sum(int(part.get("count", 0)) for part in ranges)
+            revision, lineage = _header(answer)
+            return Probe(revision, newest, count, lineage)
+
+    async def swap(
+        self, key: str, value: bytes | None, expected_revision: int, lease: int = 0
+    ) -> SwapDone | SwapConflict:
+        """Write by a transaction that compares the entry's revision."""
+        raw_key = _encode(key)
+        compare = {
+            "key": raw_key,
+            "target": "MOD",
+            "result": "EQUAL",
+            "mod_revision": str(expected_revision),
+        }
+        if value is None:
+            change = {"request_delete_range": {"key": raw_key}}
+        else:
+            put = {"key": raw_key, "value": _encode(value), "lease": str(lease)}
+            change = {"request_put": put}
+        body = {
+            "compare": [compare],
+            "success": [change],
+            "failure": [{"request_range": {"key": raw_key}}],
+        }
+        answer = await self._call("/v3/kv/txn", body, SWAP_TIMEOUT_S)
+        async with _translated():
+            if answer.get("succeeded"):
+                return SwapDone(_header(answer)[0])
+            kvs = answer["responses"][0]["response_range"].get("kvs", [])
+            return SwapConflict(_entry(kvs[0]) if kvs else None)
+
+    async def grant_lease(self, ttl_s: int) -> int:
+        """Return the number of a new lease."""
+        body = {"TTL": str(ttl_s)}
+        answer = await self._call("/v3/lease/grant", body, READ_TIMEOUT_S)
+        async with _translated():
+            return int(answer["ID"])
+
+    async def keep_lease(self, lease: int) -> int:
+        """Renew a lease; return the seconds it has left, 0 if it has lapsed."""
+        body = {"ID": str(lease)}
+        answer = await self._call("/v3/lease/keepalive", body, READ_TIMEOUT_S)
+        async with _translated():
+            return int(answer["result"].get("TTL", 0))
+
+    async def watch(
+        self, prefixes: Sequence[str], after_revision: int
+    ) -> AsyncIterator[Batch]:
+        """Watch one range that covers all prefixes, so that the order is total."""
+        create = {
+            "key": _encode(min(prefixes)),
+            "range_end": _encode(prefix_end(max(prefixes))),
+            "start_revision": str(after_revision + 1),
+        }
+        timeout = aiohttp.ClientTimeout(None, sock_connect=CONNECT_TIMEOUT_S)
+        body = {"create_request": create}
+        async with (
+            _translated(),
+            self._session.post(
+                self._url("/v3/watch"), json=body, timeout=timeout
+            ) as answer,
+        ):
+            answer.raise_for_status()
+            async for line in _lines(answer.content):
+                batch = _batch(json.loads(line)["result"], tuple(prefixes))
+                if batch.changes:
+                    yield batch
+        raise StoreUnknown("watch ended")
+
+
+async def _lines(content: aiohttp.StreamReader) -> AsyncIterator[bytes]:
+    """Cut a stream into lines, however long they are."""
+    buffer = bytearray()
+    async for chunk in content.iter_any():
+        buffer += chunk
+        if len(buffer) > LONGEST_LINE_B:
+            raise ValueError("line too long")
+        *lines, rest = buffer.split(b"\n")
+        buffer = bytearray(rest)
+        for line in lines:
+            if line.strip():
+                yield bytes(line)
+
+
+def _batch(result: dict, prefixes: tuple[str, ...]) -> Batch:
+    if result.get("canceled"):
+        raise Compacted(result.get("compact_revision", ""))
+    events = [_event(event) for event in result.get("events", [])]
+    revision = max((change.revision for change in events), default=0)
+    changes = tuple(change for change in events if change.key.startswith(prefixes))
+    return Batch(revision, changes, _header(result)[1])
+
+
+@asynccontextmanager
+async def opened(urls: Sequence[str]) -> AsyncIterator[GatewayStore]:
+    """Open a client for the gateways and close it at the end."""
+    connector = aiohttp.TCPConnector(limit=8)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        yield GatewayStore(session, urls)
--- /dev/null
+++ b/lavenderstack/border/store_fake.py
@@ -0,0 +1,142 @@
+"""A store in memory, for tests of what uses the store.
+
+It keeps to the port's contract (the same table of tests runs against it and against
+the adapter) and can be told to fail.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator, Sequence
+
+from lavenderstack.border.store import (
+    Batch,
+    Compacted,
+    Listing,
+    Probe,
+    StoreUnknown,
+    StoreUnreachable,
+    SwapConflict,
+    SwapDone,
+)
+from lavenderstack.core.entry import Change
+
+
+class MemoryStore:
+    """The state behind any number of ``FakeStore`` clients."""
+
+    def __init__(self, lineage: str = "1") -> None:
+        self.lineage = lineage
+        self.revision = 1
+        self.entries: dict[str, Change] = {}
+        self.history: list[Change] = []
+        self.compacted = 0
+        self.leases: dict[int, int] = {}
+        self.changed = asyncio.Event()
+
+    def put(self, key: str, value: bytes | None) -> int:
+        """Write or delete; return the revision."""
+        self.revision += 1
+        change = Change(key, value, self.revision)
+        self.history.append(change)
+        if value is None:
+            self.entries.pop(key, None)
+        else:
+            self.entries[key] = change
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return self.revision
+
+
+class FakeStore:
+    """One client's way to a ``MemoryStore``.
+
+    ``down`` makes calls fail before they reach the store, ``lose_answer`` after.
+    """
+
+    def __init__(self, memory: MemoryStore | None = None) -> None:
+        self.memory = memory or MemoryStore()
+        self.down = False
+        self.lose_answer = False
+        self.calls = 0
+
+    def _reach(self) -> None:
+        self.calls += 1
+        if self.down:
+            raise StoreUnreachable("down")
+
+    def _answer(self) -> None:
+        if self.lose_answer:
+            raise StoreUnknown("answer lost")
+
+    async def get(self, key: str) -> Change | None:
+        """Return the entry under the key."""
+        self._reach()
+        self._answer()
+        return self.memory.entries.get(key)
+
+    def _under(self, prefixes: Sequence[str]) -> tuple[Change, ...]:
+        entries = self.memory.entries.values()
+        return tuple(e for e in entries if e.key.startswith(tuple(prefixes)))
+
+    async def list(self, prefix: str) -> Listing:
+        """Return all entries under the prefix."""
+        self._reach()
+        self._answer()
+        memory = self.memory
+        return Listing(self._under([prefix]), memory.revision, memory.lineage)
+
+    async def probe(self, prefixes: Sequence[str], after_revision: int) -> Probe:
+        """Return what changed under the prefixes after a revision."""
+        self._reach()
+        self._answer()
+        entries = self._under(prefixes)
+        later = [e.revision for e in entries if e.revision > after_revision]
+        memory = self.memory
+        newest = max(later, default=0)
+        return Probe(memory.revision, newest, len(entries), memory.lineage)
+
+    async def swap(
+        self, key: str, value: bytes | None, expected_revision: int, lease: int = 0
+    ) -> SwapDone | SwapConflict:
+        """Write or delete if the entry is as expected."""
+        self._reach()
+        current = self.memory.entries.get(key)
+        if (current.revision if current else 0) != expected_revision:
+            self._answer()
+            return SwapConflict(current)
+        revision = self.memory.put(key, value)
+        self._answer()
+        return SwapDone(revision)
+
+    async def grant_lease(self, ttl_s: int) -> int:
+        """Return the number of a new lease."""
+        self._reach()
+        number = len(self.memory.leases) + 1
+        self.memory.leases[number] = ttl_s
+        self._answer()
+        return number
+
+    async def keep_lease(self, lease: int) -> int:
+        """Renew a lease; return the seconds it has left, 0 if it has lapsed."""
+        self._reach()
+        self._answer()
+        return self.memory.leases.get(lease, 0)
+
+    async def watch(
+        self, prefixes: Sequence[str], after_revision: int
+    ) -> AsyncIterator[Batch]:
+        """Yield changes after a revision until the store is down."""
+        self._reach()
+        told = after_revision
+        if told < self.memory.compacted:
+            raise Compacted(str(self.memory.compacted))
+        while True:
+            memory, changed = self.memory, self.memory.changed
+            later = [c for c in memory.history if c.revision > told]
+            changes = tuple(c for c in later if c.key.startswith(tuple(prefixes)))
+            told = max([told, *(c.revision for c in later)])
+            if changes:
+                yield Batch(changes[-1].revision, changes, memory.lineage)
+            else:
+                await changed.wait()
+            if self.down:
+                raise StoreUnknown("watch broke")
