Build the view from entries of the store, forward only

A view must never revert, also when the store restarts with older answers, when changes come twice or out of turn, or when a node starts from a peer. A bad document keeps the one before and is reported.

--- /dev/null
+++ b/lavenderstack/core/documents.py
@@ -0,0 +1,248 @@
+"""Building the view from entries of the store, never backwards.
+
+A ``Snapshot`` is the entries that a node knows together with the view made of them.
+It is complete up to its ``revision``: it holds the effect of every change up to
+there. Single changes that became known out of turn (a change that was just made
+through this node, or handed over by another) may lie above that revision; for each
+key the higher revision wins. So a snapshot only moves forward, whatever order,
+repetition or age the changes come in, and changes of another lineage (another store
+or one that was made anew) are refused.
+
+A document that can't be parsed leaves the one before it in force and is reported.
+"""
+
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field, replace
+from types import MappingProxyType
+from typing import Any
+
+from lavenderstack.core.entry import Change
+from lavenderstack.core.view import View
+
+PREFIXES = ("lavenderstack/", "platform/vms/")
+DELETIONS_KEPT = 1000
+
+_SINGLE = {"lavenderstack/plans": "plans", "lavenderstack/bought": "bought"}
+_FOLDERS = {
+    "lavenderstack/keys/": "keys",
+    "lavenderstack/groups/": "groups",
+    "lavenderstack/secrets/": "secrets",
+    "lavenderstack/duties/": "duties",
+    "platform/vms/": "vms",
+}
+
+
+class BadDocument(Exception):
+    """A value of the store that can't be understood; the text says why."""
+
+
+class OtherLineage(Exception):
+    """The answer is from another store than the one that is followed."""
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Where a key's document goes: a field of the view, and a name in it.
+
+    ``name`` is empty for a document that is the whole field.
+    """
+
+    field: str
+    name: str
+
+
+@dataclass(frozen=True, slots=True)
+class Rejected:
+    """A change whose value was not understood."""
+
+    key: str
+    revision: int
+    why: str
+
+
+Parse = Callable[[Place, bytes], Any]
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """The entries known, complete up to ``revision``, and the view made of them.
+
+    ``newest`` is the highest revision of any change applied. ``deletions`` are the
+    last ones, so that another node can be told of them; those up to ``floor`` have
+    been forgotten.
+    """
+
+    lineage: str = ""
+    revision: int = 0
+    newest: int = 0
+    entries: Mapping[str, Change] = field(default_factory=dict)
+    deletions: tuple[Change, ...] = ()
+    floor: int = 0
+    view: View = View()
+    rejected: tuple[Rejected, ...] = ()
+
+    def since(self, revision: int) -> tuple[Change, ...] | None:
+        """Return the changes after a revision, or None if some are forgotten."""
+        if revision < self.floor:
+            return None
+        if revision >= self.newest:
+            return ()
+        later = [e for e in self.entries.values() if e.revision > revision]
+        later += [d for d in self.deletions if d.revision > revision]
+        return tuple(sorted(later, key=lambda change: change.revision))
+
+
+EMPTY = Snapshot()
+
+
+def place_of(key: str) -> Place | None:
+    """Return where the key's document goes, or None if it is none of the view's.
+
+    >>> place_of("lavenderstack/keys/ab")
+    Place(field='keys', name='ab')
+    """
+    if key in _SINGLE:
+        return Place(_SINGLE[key], "")
+    folder, slash, name = key.rpartition("/")
+    place = _FOLDERS.get(folder + slash)
+    return Place(place, name) if place and name else None
+
+
+class _Draft:
+    """A snapshot in the making."""
+
+    def __init__(self, snapshot: Snapshot, parse: Parse) -> None:
+        self.snapshot = snapshot
+        self.entries = dict(snapshot.entries)
+        self.deletions = list(snapshot.deletions)
+        self._deleted = {d.key: d.revision for d in snapshot.deletions}
+        self.newest = snapshot.newest
+        self.fields: dict[str, dict] = {}
+        self.rejected: dict[str, Rejected] = {r.key: r for r in snapshot.rejected}
+        self._parse = parse
+
+    def known(self, change: Change) -> bool:
+        """Tell whether the change, or a later one of its key, is in force."""
+        if change.revision <= self.snapshot.revision:
+            return True
+        entry = self.entries.get(change.key)
+        if entry is not None and entry.revision >= change.revision:
+            return True
+        return self._deleted.get(change.key, 0) >= change.revision
+
+    def put(self, change: Change) -> None:
+        """Bring a change in force."""
+        self.newest = max(self.newest, change.revision)
+        if change.value is None:
+            self.entries.pop(change.key, None)
+            self.deletions.append(change)
+            self._deleted[change.key] = change.revision
+        else:
+            self.entries[change.key] = change
+        self._place(change)
+
+    def _place(self, change: Change) -> None:
+        place = place_of(change.key)
+        if place is None:
+            return
+        document = None
+        if change.value is not None:
+            try:
+                document = self._parse(place, change.value)
+            except BadDocument as exc:
+                why = Rejected(change.key, change.revision, str(exc))
+                self.rejected[change.key] = why
+                return
+        self.rejected.pop(change.key, None)
+        if not place.name:
+            self.fields[place.field] = document or {}
+        elif document is None:
+            self._copy(place.field).pop(place.name, None)
+        else:
+            self._copy(place.field)[place.name] = document
+
+    def _copy(self, name: str) -> dict:
+        if name not in self.fields:
+            self.fields[name] = dict(getattr(self.snapshot.view, name))
+        return self.fields[name]
+
+    def done(self, lineage: str, revision: int) -> Snapshot:
+        """Return the finished snapshot."""
+        fields = {k: MappingProxyType(v) for k, v in self.fields.items()}
+        forgotten = self.deletions[:-DELETIONS_KEPT]
+        floor = max((d.revision for d in forgotten), default=self.snapshot.floor)
+        return Snapshot(
+            lineage=lineage,
+            revision=revision,
+            newest=self.newest,
+            entries=MappingProxyType(self.entries),
+            deletions=tuple(self.deletions[-DELETIONS_KEPT:]),
+            floor=floor,
+            view=replace(self.snapshot.view, revision=self.newest, **fields),
+            rejected=tuple(self.rejected.values()),
+        )
+
+
+def _checked(snapshot: Snapshot, lineage: str) -> str:
+    if not lineage:
+        raise OtherLineage("the answer names no lineage")
+    if snapshot.lineage not in ("", lineage):
+        raise OtherLineage(f"{lineage} instead of {snapshot.lineage}")
+    return lineage
+
+
+def apply(
+    snapshot: Snapshot,
+    changes: Iterable[Change],
+    revision: int,
+    lineage: str,
+    parse: Parse,
+) -> Snapshot:
+    """Return the snapshot with the changes in force, complete up to ``revision``.
+
+    With a ``revision`` no higher than that of the snapshot the changes are taken as
+    known out of turn. The same snapshot is returned if nothing is new. Raises
+    ``OtherLineage``.
+    """
+    _checked(snapshot, lineage)
+    draft = _Draft(snapshot, parse)
+    fresh = [change for change in changes if not draft.known(change)]
+    complete = max(snapshot.revision, revision)
+    if not fresh and complete == snapshot.revision:
+        return snapshot
+    if not fresh:
+        return replace(snapshot, lineage=lineage, revision=complete)
+    for change in sorted(fresh, key=lambda c: c.revision):
+        if not draft.known(change):
+            draft.put(change)
+    return draft.done(lineage, complete)
+
+
+def apply_listing(
+    snapshot: Snapshot,
+    prefixes: tuple[str, ...],
+    entries: Iterable[Change],
+    revision: int,
+    lineage: str,
+    parse: Parse,
+) -> Snapshot:
+    """Return the snapshot brought up to a whole listing of the prefixes.
+
+    What the listing lacks was deleted at some time up to ``revision``; which other
+    deletions there were isn't known, so the floor is there. An older listing than
+    the snapshot changes nothing.
+    """
+    _checked(snapshot, lineage)
+    if revision <= snapshot.revision:
+        return snapshot
+    entries = tuple(entries)
+    listed = {entry.key for entry in entries}
+    gone = [
+        Change(entry.key, None, revision)
+        for entry in snapshot.entries.values()
+        if entry.key.startswith(prefixes)
+        and entry.key not in listed
+        and entry.revision <= revision
+    ]
+    whole = apply(snapshot, [*entries, *gone], revision, lineage, parse)
+    return replace(whole, floor=revision)
--- /dev/null
+++ b/lavenderstack/core/documents_test.py
@@ -0,0 +1,172 @@
+"""Tests of building the view: it moves forward only, and survives bad documents."""
+
+import json
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lavenderstack.border.documents import parse
+from lavenderstack.core import documents
+from lavenderstack.core.documents import EMPTY, OtherLineage, apply, apply_listing
+from lavenderstack.core.entry import Change
+from lavenderstack.core.view import Duty, Key, Plan
+
+PREFIXES = documents.PREFIXES
+
+
+def put(key, value, revision):
+    return Change(key, json.dumps(value).encode(), revision)
+
+
+def key(revision, withdrawn=False, name="aa"):
+    value = {"organisation": "o1", "withdrawn": withdrawn}
+    return put(f"lavenderstack/keys/{name}", value, revision)
+
+
+def built(*changes, snapshot=EMPTY, revision=0, lineage="1"):
+    return apply(snapshot, changes, revision, lineage, parse)
+
+
+class TestDocuments:
+    def test_each_kind_lands_in_its_field(self):
+        target = dict(name="t", zone="z", host="h", port=1, slots=5, connections=9)
+        group = {"targets": [target], "organisations": ["o1"]}
+        vm = {"zone": "z", "host": "h", "port": 1}
+        plans = {"entries": {"p": {"rate": 5, "burst": 6}}, "change_id": "c"}
+        view = built(
+            put("lavenderstack/plans", plans, 1),
+            put("lavenderstack/bought", {"o1": "p"}, 2),
+            key(3),
+            put("lavenderstack/groups/g", group, 4),
+            put("lavenderstack/duties/d", {"node": "n", "epoch": 2}, 5),
+            put("lavenderstack/secrets/s", {"secret": "x" * 16}, 6),
+            put("platform/vms/n", vm, 7),
+            put("lavenderstack/other/thing", 1, 8),
+        ).view
+        assert view.plan_of("o1") == Plan("p", 5, 6)
+        assert view.keys["aa"] == Key("aa", "o1")
+        assert view.groups["g"].targets[0].connections == 9
+        assert view.duties == {"d": Duty("n", 2)}
+        assert view.secrets == {"s": "x" * 16}
+        assert [vm.name for vm in view.entry_vms()] == ["n"]
+        assert view.revision == 8
+
+    @pytest.mark.parametrize(
+        ("place", "good", "bad"),
+        [
+            ("plans", {"p": {"rate": 5, "burst": 6}}, b"{"),
+            ("plans", {"p": {"rate": 5, "burst": 6}}, b'{"p":{"rate":-1,"burst":1}}'),
+            (
+                "plans",
+                {"p": {"rate": 5, "burst": 6}},
+                b'{"p":{"rate":1e999,"burst":1}}',
+            ),
+            ("bought", {"o1": "p"}, b'["o1"]'),
+            ("keys/aa", {"organisation": "o1"}, b"\xff\xfe"),
+            ("duties/d", {"node": "n", "epoch": 1}, b'{"node":"n","epoch":0}'),
+        ],
+    )
+    def test_a_bad_document_keeps_the_one_before_and_is_reported(
+        self, place, good, bad
+    ):
+        name = f"lavenderstack/{place}"
+        before = built(put(name, good, 2))
+        after = built(Change(name, bad, 3), snapshot=before)
+        field = documents.place_of(name).field
+        assert getattr(after.view, field) == getattr(before.view, field) != {}
+        assert [(r.key, r.revision) for r in after.rejected] == [(name, 3)]
+        mended = built(put(name, good, 4), snapshot=after)
+        assert mended.rejected == ()
+
+
+class TestForwardOnly:
+    @pytest.mark.parametrize(
+        ("changes", "revision", "withdrawn"),
+        [
+            ([key(3, True), key(2, False)], 3, True),
+            ([key(2, False), key(3, True)], 2, True),
+            ([key(3, True), key(3, True)], 0, True),
+            ([key(5, True)], 0, True),
+        ],
+    )
+    def test_the_higher_revision_of_a_key_wins(self, changes, revision, withdrawn):
+        snapshot = EMPTY
+        for change in changes:
+            snapshot = built(change, snapshot=snapshot, revision=revision)
+        assert snapshot.view.keys["aa"].withdrawn is withdrawn
+
+    def test_a_deleted_key_does_not_come_back(self):
+        gone = Change("lavenderstack/keys/aa", None, 4)
+        snapshot = built(key(2), gone)
+        assert built(key(3), snapshot=snapshot).view.keys == {}
+
+    def test_a_store_restarted_with_older_answers_changes_nothing(self):
+        snapshot = built(key(3), key(6, True), revision=6)
+        listing = apply_listing(snapshot, PREFIXES, [key(3)], 5, "1", parse)
+        assert listing is snapshot
+        assert built(key(3), snapshot=snapshot, revision=5) is snapshot
+
+    @pytest.mark.parametrize("lineage", ["2", ""])
+    def test_another_lineage_is_refused(self, lineage):
+        snapshot = built(key(3), revision=3)
+        with pytest.raises(OtherLineage):
+            built(key(9, True), snapshot=snapshot, revision=9, lineage=lineage)
+        with pytest.raises(OtherLineage):
+            apply_listing(snapshot, PREFIXES, [], 9, lineage, parse)
+
+    def test_a_listing_deletes_what_it_lacks_but_not_what_came_later(self):
+        snapshot = built(key(2), key(9, name="bb"), revision=2)
+        listed = apply_listing(snapshot, PREFIXES, [], 5, "1", parse)
+        assert set(listed.view.keys) == {"bb"}
+        assert listed.revision == 5
+
+    def test_what_was_deleted_before_a_listing_is_not_claimed_to_be_known(self):
+        listed = apply_listing(EMPTY, PREFIXES, [key(2)], 9, "1", parse)
+        assert listed.since(8) is None
+        assert listed.since(9) == ()
+
+    def test_forgotten_deletions_are_said_so(self, monkeypatch):
+        monkeypatch.setattr(documents, "DELETIONS_KEPT", 1)
+        gone = [Change(f"lavenderstack/keys/{n}", None, 10 + n) for n in range(3)]
+        snapshot = built(*gone, revision=12)
+        assert snapshot.since(10) is None
+        assert [c.revision for c in snapshot.since(11)] == [12]
+
+
+@st.composite
+def histories(draw):
+    """Return the changes of a store and how they reach a node."""
+    length = draw(st.integers(1, 12))
+    changes = []
+    for revision in range(2, 2 + length):
+        name = draw(st.sampled_from(["aa", "bb", "cc"]))
+        path = f"lavenderstack/keys/{name}"
+        if draw(st.booleans()):
+            changes.append(key(revision, draw(st.booleans()), name))
+        else:
+            changes.append(Change(path, None, revision))
+    return changes, draw(st.integers(0, 2**32))
+
+
+class TestAnyOrder:
+    @settings(max_examples=200, derandomize=True, deadline=None)
+    @given(histories())
+    def test_a_delta_between_nodes_brings_the_same_view(self, history):
+        """Whatever was known out of turn, ``since`` completes another node."""
+        changes, seed = history
+        rng = random.Random(seed)
+        cut = rng.randrange(len(changes) + 1)
+        whole = built(*changes, revision=changes[-1].revision)
+        part = built(*changes[:cut], revision=changes[cut - 1].revision if cut else 0)
+        early = [c for c in changes if rng.random() < 0.5]
+        rng.shuffle(early)
+        for change in early:
+            moved = built(change, snapshot=part)
+            assert moved.newest >= part.newest
+            part = moved
+        delta = whole.since(part.revision)
+        part = built(*delta, snapshot=part, revision=whole.revision)
+        assert part.view.keys == whole.view.keys
+        assert part.revision == whole.revision
--- a/lavenderstack/core/view.py
+++ b/lavenderstack/core/view.py
@@ -1,7 +1,7 @@
 """What a node knows of the operators' lists, the groups and the VMs.
 
 A view is built from the entries of the platform's key-value service and carries
-the revision up to which it is complete. It is replaced whole, never changed in
+the revision of the newest of them. It is replaced whole, never changed in
 place, so a request sees one revision from start to end.
 
 Keys of the store, and the JSON object that each holds:
@@ -11,8 +11,8 @@
 ``lavenderstack/bought``        the plans bought: organisation to plan name
 ``lavenderstack/keys/DIGEST``   ``Key``: the organisation, whether withdrawn
 ``lavenderstack/groups/NAME``   ``Group``: its targets, organisations, routes
-``lavenderstack/secrets/NAME``  secrets of the service itself (token signing)
-``lavenderstack/duties/NAME``   ownership of a duty (see the allotter)
+``lavenderstack/secrets/NAME``  a secret of the service itself: ``secret``
+``lavenderstack/duties/NAME``   ``Duty``: who holds it, and the epoch
 ``platform/vms/NAME``           ``Vm``, written by the platform
 ==============================  ==============================================
 """
@@ -84,9 +84,17 @@
     state: str = "live"
 
 
+@dataclass(frozen=True, slots=True)
+class Duty:
+    """Which node holds a duty; ``epoch`` grows each time that it is taken."""
+
+    node: str
+    epoch: int
+
+
 @dataclass(frozen=True, slots=True)
 class View:
-    """Everything a node knows of the store, complete up to ``revision``."""
+    """Everything a node knows of the store; ``revision`` is its newest change."""
 
     revision: int = 0
     plans: Mapping[str, Plan] = field(default_factory=dict)
@@ -95,7 +103,7 @@
     groups: Mapping[str, Group] = field(default_factory=dict)
     vms: Mapping[str, Vm] = field(default_factory=dict)
     secrets: Mapping[str, str] = field(default_factory=dict)
-    duties: Mapping[str, str] = field(default_factory=dict)
+    duties: Mapping[str, Duty] = field(default_factory=dict)
 
     def plan_of(self, organisation: str) -> Plan | None:
         """Return the plan that the organisation bought, or None."""
