--- /dev/null
+++ b/lavenderstack/border/logs.py
@@ -0,0 +1,26 @@
+"""Logs of the programs: one JSON object a line on standard error."""
+
+import logging
+import sys
+
+import structlog
+
+
+def configure(level: str, node: str) -> None:
+    """Set up the log of this process; each line names the node."""
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
+            structlog.processors.JSONRenderer(),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(
+            logging.getLevelNamesMapping()[level.upper()]
+        ),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        cache_logger_on_first_use=True,
+    )
+    structlog.contextvars.clear_contextvars()
+    structlog.contextvars.bind_contextvars(node=node)
