Add the harness for whole processes on loopback

Each listens behind a link; a connection's zone is found through the process that opened it, so a zone can be cut off while its neighbours in the zone still reach it. An address for each zone was ruled out, as the store has one address for a target.

--- a/standins/link.py
+++ b/standins/link.py
@@ -6,44 +6,59 @@
 
 >>> async def example():
 ...     async with open_link("127.0.0.1", 5000) as link:
-...         link.cut()
-...         link.mend()
+...         link.way.cut()
+...         link.way.mend()
 """
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager, suppress
 
 CHUNK_B = 64 * 1024
 
 
-class Link:
-    """One forwarder. ``delay_s`` holds back every chunk in both directions.
+class Way:
+    """What connections from one place to another meet.
 
-    ``forth`` is the direction from whoever connects, ``back`` the other one.
+    ``forth`` is the direction from whoever connects, ``back`` the other one;
+    ``delay_s`` holds back every chunk in both.
     """
 
-    def __init__(self, host: str, port: int) -> None:
+    def __init__(self) -> None:
         self.delay_s = 0.0
-        self.port = 0
-        self._addr = (host, port)
-        self._forth = asyncio.Event()
-        self._back = asyncio.Event()
-        self._silent: set[asyncio.Task] = set()
-        self._conns: set[asyncio.Task] = set()
+        self.forth = asyncio.Event()
+        self.back = asyncio.Event()
         self.mend()
 
     def cut(self, *, forth: bool = True, back: bool = True) -> None:
         """Hold back one direction or both, on open and on new connections."""
         if forth:
-            self._forth.clear()
+            self.forth.clear()
         if back:
-            self._back.clear()
+            self.back.clear()
 
     def mend(self) -> None:
         """Let everything through again, what was held back first."""
-        self._forth.set()
-        self._back.set()
+        self.forth.set()
+        self.back.set()
+
+
+class Link:
+    """One forwarder to an address; it listens on ``port``.
+
+    All connections share ``way``, unless ``way_of`` chooses one for each by the
+    port from which it comes.
+    """
+
+    def __init__(
+        self, host: str, port: int, way_of: Callable[[int], Way] | None = None
+    ) -> None:
+        self.port = 0
+        self.way = Way()
+        self._way_of = way_of or (lambda _: self.way)
+        self._addr = (host, port)
+        self._silent: set[asyncio.Task] = set()
+        self._conns: set[asyncio.Task] = set()
 
     def silence(self) -> None:
         """Swallow everything on the open connections for good; new ones work."""
@@ -62,10 +77,11 @@
         self._conns.add(task)
         far_writer = None
         try:
-            await self._forth.wait()
+            way = self._way_of(writer.get_extra_info("peername")[1])
+            await way.forth.wait()
             far_reader, far_writer = await asyncio.open_connection(*self._addr)
-            forth = self._pump(task, reader, far_writer, self._forth)
-            back = self._pump(task, far_reader, writer, self._back)
+            forth = self._pump(task, reader, far_writer, way, way.forth)
+            back = self._pump(task, far_reader, writer, way, way.back)
             await _first_of(forth, back)
         except (OSError, asyncio.CancelledError):
             pass
@@ -81,11 +97,12 @@
         conn: asyncio.Task,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        way: Way,
         passes: asyncio.Event,
     ) -> None:
         while data := await reader.read(CHUNK_B):
-            if self.delay_s:
-                await asyncio.sleep(self.delay_s)
+            if way.delay_s:
+                await asyncio.sleep(way.delay_s)
             await passes.wait()
             if conn not in self._silent:
                 writer.write(data)
@@ -114,9 +131,11 @@
 
 
 @asynccontextmanager
-async def open_link(host: str, port: int) -> AsyncIterator[Link]:
+async def open_link(
+    host: str, port: int, way_of: Callable[[int], Way] | None = None
+) -> AsyncIterator[Link]:
     """Serve a link to an address; yields it with its own ``port``."""
-    link = Link(host, port)
+    link = Link(host, port, way_of)
     server = await asyncio.start_server(link.accept, "127.0.0.1", 0)
     link.port = server.sockets[0].getsockname()[1]
     try:
--- a/standins/link_test.py
+++ b/standins/link_test.py
@@ -52,12 +52,12 @@
             old = await call(link)
             old.send(b"1")
             assert await old.hear(b"1") == b"1"
-            link.cut(**way)
+            link.way.cut(**way)
             new = await call(link)
             for each in (old, new):
                 each.send(b"2")
                 await each.hears_nothing()
-            link.mend()
+            link.way.mend()
             for each in (old, new):
                 assert await each.hear(b"2") == b"2"
 
--- /dev/null
+++ b/standins/network.py
@@ -0,0 +1,78 @@
+"""A network between zones, on loopback, that tests can cut.
+
+Every process listens behind a link. A connection is told apart by the process that
+opened it: its port leads to a socket, the socket to one of the children. So one
+address may pass for a neighbour and be cut for the rest, as in a partition.
+"""
+
+from collections.abc import AsyncIterator, Iterable
+from contextlib import asynccontextmanager, suppress
+from pathlib import Path
+
+from standins.link import Link, Way, open_link
+
+OUTSIDE = "outside"
+
+_TCP = Path("/proc/net/tcp")
+
+
+def _socket_of(port: int, far_port: int) -> str | None:
+    """Return the inode of the socket that connects from a port to another one."""
+    for line in _TCP.read_text().splitlines()[1:]:
+        columns = line.split()
+        near, far = (int(columns[i].rpartition(":")[2], 16) for i in (1, 2))
+        if (near, far) == (port, far_port):
+            return columns[9]
+    return None
+
+
+def _holds(pid: int, inode: str) -> bool:
+    with suppress(OSError):
+        for fd in Path(f"/proc/{pid}/fd").iterdir():
+            with suppress(OSError):
+                if str(fd.readlink()) == f"socket:[{inode}]":
+                    return True
+    return False
+
+
+class Network:
+    """The ways between zones; ``zones`` maps the id of a process to its zone."""
+
+    def __init__(self) -> None:
+        self.zones: dict[int, str] = {}
+        self.links: dict[str, Link] = {}
+        self._ways: dict[tuple[str, str], Way] = {}
+
+    def way(self, source: str, destination: str) -> Way:
+        """Return the way from one zone to another."""
+        return self._ways.setdefault((source, destination), Way())
+
+    def _zone_behind(self, port: int, far_port: int) -> str:
+        inode = _socket_of(port, far_port)
+        if inode is None:
+            return OUTSIDE
+        holders = (zone for pid, zone in self.zones.items() if _holds(pid, inode))
+        return next(holders, OUTSIDE)
+
+    @asynccontextmanager
+    async def listen(self, name: str, zone: str, port: int) -> AsyncIterator[Link]:
+        """Put a link in front of a process in a zone."""
+
+        def way_of(source_port: int) -> Way:
+            source = self._zone_behind(source_port, self.links[name].port)
+            return self.way(source, zone)
+
+        async with open_link("127.0.0.1", port, way_of) as link:
+            self.links[name] = link
+            yield link
+
+    def isolate(self, zone: str, others: Iterable[str]) -> None:
+        """Cut a zone off from others, both ways; processes outside reach it still."""
+        for other in others:
+            self.way(zone, other).cut()
+            self.way(other, zone).cut()
+
+    def mend(self) -> None:
+        """Let everything through again."""
+        for way in self._ways.values():
+            way.mend()
--- /dev/null
+++ b/standins/sizes.py
@@ -0,0 +1,47 @@
+"""How large a service on loopback is: small variants of the users' sizes."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class Size:
+    """How large a service is; ``groups`` maps a group to the zones of its targets."""
+
+    zones: tuple[str, ...]
+    groups: dict[str, tuple[str, ...]]
+    slots: int
+    connections: int
+    open_ms: float
+    nodes_a_zone: int = 1
+    organisations: tuple[str, ...] = ("north", "south")
+    rate: float = 2000.0
+    burst: float = 500.0
+
+    def nodes(self) -> list[tuple[str, str]]:
+        """Return the names of the nodes with their zones."""
+        places = range(self.nodes_a_zone)
+        return [(f"{zone}-n{i + 1}", zone) for zone in self.zones for i in places]
+
+    def targets(self) -> list[tuple[str, str, str]]:
+        """Return the names of the targets with their groups and zones."""
+        return [
+            (f"{group}-{i + 1}", group, zone)
+            for group, zones in self.groups.items()
+            for i, zone in enumerate(zones)
+        ]
+
+
+LIPA = Size(
+    zones=("lj-1", "lj-2", "lj-3", "lj-4"),
+    groups={"studio": ("lj-1", "lj-2", "lj-3")},
+    slots=5,
+    connections=30,
+    open_ms=10.0,
+)
+BRANDT = Size(
+    zones=("ko-1", "ko-2", "ko-3"),
+    groups={"fleet": ("ko-1", "ko-2", "ko-3")},
+    slots=3,
+    connections=40,
+    open_ms=30.0,
+)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of whole processes, and what they need."""
