Hold the layers by a test

Imports only go towards core, core does no I/O and reads no clock but in its clock module, nothing of the product imports what is outside, and no process of the product starts another. Red before green: an import of node in core, of pytest in border, of subprocess in node each made one case fail.

--- /dev/null
+++ b/tests/layers_test.py
@@ -0,0 +1,71 @@
+"""Imports only go towards core, and the product knows nothing of what is outside."""
+
+import ast
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parents[1]
+PACKAGE = "lavenderstack"
+LAYERS = ["core", "border", "node", "tools"]
+OUTSIDE = {"standins", "tests", "bench", "pytest", "hypothesis"}
+# Core does no I/O; its module clock is the one place that reads a clock.
+NO_IO = {"asyncio", "socket", "selectors", "subprocess", "threading", "aiohttp"}
+NO_CLOCK = {"time", "datetime"}
+
+
+def modules(folder):
+    found = sorted((ROOT / folder).rglob("*.py"))
+    return [path for path in found if not path.name.endswith("_test.py")]
+
+
+def imports(path):
+    """Yield the full names that a module imports, also inside functions."""
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            yield from (alias.name for alias in node.names)
+        elif isinstance(node, ast.ImportFrom):
+            assert node.level == 0, f"{path}: relative import"
+            yield from (f"{node.module}.{alias.name}" for alias in node.names)
+
+
+def _rank(part):
+    return LAYERS.index(part) if part in LAYERS else 0
+
+
+def breaches(path):
+    own = path.relative_to(ROOT / PACKAGE).parts[0]
+    for name in imports(path):
+        first, *rest = name.split(".")
+        if first in OUTSIDE:
+            yield name
+        if own not in LAYERS:
+            continue
+        if first == PACKAGE and _rank(rest[0]) > _rank(own):
+            yield name
+        if own == "core" and path.name != "clock.py" and first in NO_IO | NO_CLOCK:
+            yield name
+
+
+class TestLayers:
+    @pytest.mark.parametrize(
+        "path", modules(PACKAGE), ids=lambda path: str(path.relative_to(ROOT))
+    )
+    def test_a_module_imports_only_towards_core(self, path):
+        assert list(breaches(path)) == []
+
+    def test_every_module_says_what_it_is(self):
+        folders = (PACKAGE, "standins", "bench", "tests")
+        paths = [path for folder in folders for path in modules(folder)]
+        silent = [p for p in paths if not ast.get_docstring(ast.parse(p.read_text()))]
+        assert silent == []
+
+    def test_no_process_of_the_product_starts_another(self):
+        names = {"subprocess", "multiprocessing", "os.fork", "concurrent.futures"}
+        found = [
+            (path, name)
+            for path in modules(PACKAGE)
+            for name in imports(path)
+            if any(name == n or name.startswith(f"{n}.") for n in names)
+        ]
+        assert found == []
