--- a/lavenderstack/border/answers.py
+++ b/lavenderstack/border/answers.py
@@ -42,7 +42,11 @@
 
 
 class Done(msgspec.Struct, kw_only=True):
-    """The request took effect."""
+    """The request took effect.
+
+    ``replica`` tells whether a replica served it, and ``repeated`` that it had taken
+    effect before under the same request id: its result is then not known any more.
+    """
 
     outcome: str = "done"
     request_id: str
@@ -50,6 +54,7 @@
     session: str = ""
     age_s: float | None = None
     replica: bool | None = None
+    repeated: bool = False
     transaction: str = ""
 
 
--- a/lavenderstack/border/callers.py
+++ b/lavenderstack/border/callers.py
@@ -29,11 +29,10 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from lavenderstack.border import answers
+from lavenderstack.border.settings import Callers
 from lavenderstack.core.outcome import Reason, Refused, Unknown
 from lavenderstack.core.request import DEFAULT_DEADLINE_S, LONGEST_DEADLINE_S
 
-BODY_LIMIT_B = 256 * 1024
-BODY_TIMEOUT_S = 5.0
 SESSION_HEADER = "Session-Token"
 REQUEST_ID_HEADER = "Request-Id"
 _REQUEST_ID = re.compile(r"[A-Za-z0-9_.:-]{1,64}")
@@ -116,14 +115,14 @@
     return given
 
 
-async def _read(req: web.Request) -> bytes:
+async def _read(req: web.Request, limits: Callers) -> bytes:
     try:
-        async with asyncio.timeout(BODY_TIMEOUT_S):
+        async with asyncio.timeout(limits.body_timeout_s):
             return await req.read()
     except TimeoutError as exc:
         raise Refused(Reason.BAD_REQUEST, "the body did not come in time") from exc
     except web.HTTPRequestEntityTooLarge as exc:
-        detail = f"the body is longer than {BODY_LIMIT_B} bytes"
+        detail = f"the body is longer than {limits.body_limit_b} bytes"
         raise Refused(Reason.BAD_REQUEST, detail) from exc
 
 
@@ -141,7 +140,10 @@
 
 
 def _handler(
-    model: type[Body], call: Callable[[Ask], Awaitable[answers.Done]], service: Service
+    model: type[Body],
+    call: Callable[[Ask], Awaitable[answers.Done]],
+    service: Service,
+    limits: Callers,
 ) -> Callable[[web.Request], Awaitable[web.Response]]:
     async def handle(req: web.Request) -> web.Response:
         request_id = ""
@@ -151,7 +153,7 @@
                 request_id=request_id,
                 key=_bearer(req),
                 session=req.headers.get(SESSION_HEADER, ""),
-                body=_parse(model, await _read(req)),
+                body=_parse(model, await _read(req, limits)),
                 group=req.match_info.get("group", ""),
                 transaction=req.match_info.get("transaction", ""),
             )
@@ -184,15 +186,19 @@
     return web.Response(text="alive\n")
 
 
-def make_app(service: Service) -> web.Application:
-    """Return the application that serves callers."""
-    app = web.Application(client_max_size=BODY_LIMIT_B)
-    statement = _handler(StatementBody, service.statement, service)
-    opened = _handler(StatementBody, service.open_statement, service)
-    pinned = _handler(StatementBody, service.pinned, service)
-    begin = _handler(EndBody, service.begin, service)
-    commit = _handler(EndBody, service.commit, service)
-    rollback = _handler(EndBody, service.rollback, service)
+def make_app(service: Service, limits: Callers) -> web.Application:
+    """Return the application that serves callers within ``limits``."""
+    app = web.Application(client_max_size=limits.body_limit_b)
+
+    def handler(model: type[Body], call: Callable[[Ask], Awaitable[answers.Done]]):
+        return _handler(model, call, service, limits)
+
+    statement = handler(StatementBody, service.statement)
+    opened = handler(StatementBody, service.open_statement)
+    pinned = handler(StatementBody, service.pinned)
+    begin = handler(EndBody, service.begin)
+    commit = handler(EndBody, service.commit)
+    rollback = handler(EndBody, service.rollback)
     app.router.add_post("/v1/groups/{group}/statements", statement)
     app.router.add_post("/v1/open/groups/{group}/statements", opened)
     app.router.add_post("/v1/groups/{group}/transactions", begin)
--- /dev/null
+++ b/lavenderstack/border/callers_test.py
@@ -0,0 +1,151 @@
+"""Tests of the callers' interface: what is sent is checked, answers are plain."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import aiohttp
+import pytest
+
+from lavenderstack.border.answers import Done
+from lavenderstack.border.callers import make_app
+from lavenderstack.border.listener import listening
+from lavenderstack.border.settings import Callers
+from lavenderstack.core.outcome import Reason, Refused, Unknown
+
+LIMITS = Callers(
+    host="127.0.0.1", port=0, body_limit_b=1000, body_timeout_s=0.2, header_timeout_s=1
+)
+BODY = {"statement": "get", "args": ["t", 1]}
+
+
+class FakeService:
+    """Answers with what it was asked, or with the outcome it is told to raise."""
+
+    def __init__(self):
+        self.stopping = False
+        self.asks = []
+        self.outcome = None
+
+    async def statement(self, ask):
+        self.asks.append(ask)
+        if self.outcome:
+            raise self.outcome
+        return Done(request_id=ask.request_id, result="r", session="s2")
+
+    open_statement = begin = pinned = commit = rollback = statement
+
+
+@asynccontextmanager
+async def served(header_timeout_s=5.0):
+    service = FakeService()
+    app = make_app(service, LIMITS)
+    async with (
+        listening(app, "127.0.0.1", 0, header_timeout_s, 1.0) as port,
+        aiohttp.ClientSession(f"http://127.0.0.1:{port}") as http,
+    ):
+        yield service, http, port
+
+
+async def post(http, path="/v1/groups/g/statements", **options):
+    async with http.post(path, **options) as resp:
+        return resp, await resp.json()
+
+
+class TestRequests:
+    async def test_all_parts_of_a_request_reach_the_service(self):
+        async with served() as (service, http, _):
+            headers = {
+                "Authorization": "Bearer secret",
+                "Session-Token": "s1",
+                "Request-Id": "r1",
+            }
+            resp, body = await post(http, json=BODY, headers=headers)
+            (ask,) = service.asks
+            assert (ask.key, ask.session, ask.group) == ("secret", "s1", "g")
+            assert (body["outcome"], body["request_id"]) == ("done", "r1")
+            assert resp.headers["Session-Token"] == "s2"
+
+    async def test_a_key_is_never_shown(self):
+        async with served() as (service, http, _):
+            headers = {"Authorization": "Bearer secret", "Session-Token": "token"}
+            await post(http, json=BODY, headers=headers)
+            assert "secret" not in repr(service.asks)
+            assert "token" not in repr(service.asks)
+
+    @pytest.mark.parametrize(
+        ("body", "told"),
+        [
+            (b"{", "Invalid JSON"),
+            (b"{}", "statement"),
+            (b'{"statement": "", "x": 1, "args": 3}', "x: Extra"),
+            (b'{"statement": "s", "deadline_s": 99}', "deadline_s"),
+            (b'{"statement": "s", "max_age_s": -1}', "max_age_s"),
+            (b'{"statement": "s", "write": "yes"}', "write"),
+            (b'{"statement": "' + b"x" * 2000 + b'"}', "longer than 1000 bytes"),
+        ],
+    )
+    async def test_bad_bodies_are_refused_with_every_mistake(self, body, told):
+        async with served() as (service, http, _):
+            resp, answer = await post(http, data=body)
+            assert (resp.status, answer["outcome"]) == (400, "refused")
+            assert told in answer["detail"]
+            assert not service.asks
+
+    async def test_a_bad_request_id_is_refused(self):
+        async with served() as (_, http, _):
+            resp, _ = await post(http, json=BODY, headers={"Request-Id": "a b"})
+            assert resp.status == 400
+
+    async def test_a_half_sent_body_is_given_up(self):
+        async with served() as (_, _, port):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            head = b"POST /v1/groups/g/statements HTTP/1.1\r\nHost: h\r\n"
+            writer.write(head + b"Content-Length: 100\r\n\r\n{")
+            line = await asyncio.wait_for(reader.readline(), 10)
+            assert b"400" in line
+            writer.close()
+
+    async def test_a_half_sent_head_ends_the_connection(self):
+        async with served(header_timeout_s=0.1) as (_, _, port):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(b"POST /v1/groups/g/sta")
+            assert await asyncio.wait_for(reader.read(), 10) == b""
+            writer.close()
+
+
+class TestAnswers:
+    @pytest.mark.parametrize(
+        ("outcome", "status", "told"),
+        [
+            (Refused(Reason.OVER_RATE, "", 0.4), 429, "refused"),
+            (Refused(Reason.KEY_REFUSED), 401, "refused"),
+            (Refused(Reason.NOT_ALLOWED), 403, "refused"),
+            (Refused(Reason.STATEMENT_FAILED), 409, "refused"),
+            (Refused(Reason.NO_PRIMARY, "", 0.5), 503, "refused"),
+            (Unknown(Reason.UNCONFIRMED), 504, "unknown"),
+        ],
+    )
+    async def test_each_outcome_has_its_status(self, outcome, status, told):
+        async with served() as (service, http, _):
+            service.outcome = outcome
+            resp, answer = await post(http, json=BODY)
+            assert (resp.status, answer["outcome"]) == (status, told)
+            assert answer["reason"] == outcome.reason
+
+    async def test_a_refusal_says_when_to_come_back(self):
+        async with served() as (service, http, _):
+            service.outcome = Refused(Reason.OVER_RATE, "", 0.4)
+            resp, answer = await post(http, json=BODY)
+            assert resp.headers["Retry-After"] == "1"
+            assert 0.4 <= answer["retry_after_s"] <= 0.5
+
+
+class TestStop:
+    async def test_a_stopping_node_closes_connections_with_an_answer(self):
+        async with served() as (service, http, _):
+            service.stopping = True
+            resp, answer = await post(http, json=BODY)
+            assert answer["outcome"] == "done"
+            assert resp.headers["Connection"] == "close"
+            async with http.get("/v1/ready") as resp:
+                assert resp.status == 503
--- a/lavenderstack/core/messages.py
+++ b/lavenderstack/core/messages.py
@@ -24,7 +24,7 @@
     mark: the target must have reached it within ``wait_s``, or the answer is the
     refusal ``behind``. ``fresh`` asks for a read that is proved to come from the
     current primary; ``max_age_s`` for one whose age is proved. ``once`` is the
-    request id under which a non-idempotent write is remembered by the group.
+    id under which the group remembers a write, so that it takes effect once.
     ``transaction`` names the transaction in which to run. ``admitted`` says that the
     request was already counted against the organisation's rate at another holder.
     """
@@ -81,12 +81,15 @@
 
     ``position`` is that of the data read or written, ``holders`` the targets that
     are known to have reached it. ``age_s`` is the proved age of a read, if asked.
+    ``repeated`` says that the write had taken effect before, so that its result is
+    not known any more.
     """
 
     result: Any
     position: Position
     holders: list[str] = []
     age_s: float | None = None
+    repeated: bool = False
 
 
 class Failed(Message, tag="failed", kw_only=True):
--- a/lavenderstack/core/request.py
+++ b/lavenderstack/core/request.py
@@ -35,8 +35,8 @@
 class Request:
     """One statement to run. ``deadline`` is a time on ``core.clock``, in seconds.
 
-    ``once`` is the id under which a non-idempotent write is remembered; it is empty
-    for reads and idempotent writes. ``transaction`` is empty outside of one.
+    ``once`` is the id under which the group remembers a write, so that it takes
+    effect once however often it arrives; it is empty for reads.
     """
 
     id: str
@@ -46,6 +46,7 @@
     args: list[Any]
     deadline: float
     write: bool = False
+    idempotent: bool = True
     once: str = ""
     fresh: bool = False
     max_age_s: float | None = None
@@ -60,3 +61,4 @@
     mark: Mark
     age_s: float | None = None
     replica: bool = False
+    repeated: bool = False
--- a/lavenderstack/core/retry.py
+++ b/lavenderstack/core/retry.py
@@ -49,7 +49,7 @@
 
 def is_idempotent(req: Request) -> bool:
     """Tell whether running the request twice has the effect of running it once."""
-    return not req.write or not req.once
+    return not req.write or req.idempotent
 
 
 def may_repeat(req: Request, failed: Failed) -> bool:
--- a/lavenderstack/core/routing.py
+++ b/lavenderstack/core/routing.py
@@ -26,6 +26,7 @@
     """What this node has heard of a group: its leader and its targets' positions."""
 
     leader: Leader | None = None
+    doubted: bool = False
     seen: dict[str, Position] = field(default_factory=dict)
 
     def note_leader(self, term: int, target: str) -> None:
@@ -34,6 +35,11 @@
             return
         if self.leader is None or term >= self.leader.term:
             self.leader = Leader(term, target)
+            self.doubted = False
+
+    def leads(self, target: str) -> bool:
+        """Tell whether a target is the known leader."""
+        return self.leader is not None and self.leader.target == target
 
     def note_position(self, target: str, position: Position) -> None:
         """Take note of a position that a target was heard to have reached."""
--- a/lavenderstack/node/entry.py
+++ b/lavenderstack/node/entry.py
@@ -4,6 +4,7 @@
 caller's key goes no further than this part.
 """
 
+import secrets
 from collections.abc import Awaitable
 from typing import Protocol
 
@@ -206,11 +207,22 @@
     return f"{caller.organisation}:{request_id}"
 
 
+def _once_for(body: StatementBody, caller: Caller, request_id: str) -> str:
+    """Return the id under which a write is remembered.
+
+    A non-idempotent write goes by the caller's own request id, so that a repeat by
+    the caller is found. An idempotent one gets an id of its own: its caller may use
+    one request id for many, and only our own repeats are to be found.
+    """
+    if not body.write:
+        return ""
+    if body.idempotent:
+        return _once(caller, "~" + secrets.token_hex(8))
+    return _once(caller, request_id)
+
+
 def _request(ask: Ask, caller: Caller, group: str, mark: Mark) -> Request:
     body: StatementBody = ask.body
-    once = ""
-    if body.write and not body.idempotent:
-        once = _once(caller, ask.request_id)
     return Request(
         id=ask.request_id,
         caller=caller,
@@ -219,7 +231,8 @@
         args=body.args,
         deadline=clock.now() + body.deadline_s,
         write=body.write,
-        once=once,
+        idempotent=body.idempotent,
+        once=_once_for(body, caller, ask.request_id),
         fresh=body.fresh,
         max_age_s=body.max_age_s,
         mark=mark,
@@ -239,4 +252,5 @@
         session=session,
         age_s=answer.age_s,
         replica=answer.replica,
+        repeated=answer.repeated,
     )
--- a/lavenderstack/node/holder_test.py
+++ b/lavenderstack/node/holder_test.py
@@ -194,7 +194,7 @@
             first = await it.run(*add, write=True, once="lipa:r1")
             again = await it.run(*add, write=True, once="lipa:r1")
             assert isinstance(first, Executed)
-            assert isinstance(again, Executed)
+            assert (first.repeated, again.repeated) == (False, True)
             assert (await it.run("get", "t", "n")).result == 1
 
     async def test_a_read_of_stated_age_has_a_proved_age(self):
--- a/lavenderstack/node/leaders.py
+++ b/lavenderstack/node/leaders.py
@@ -35,17 +35,20 @@
         return known
 
     async def find(self, group: str) -> Leader | None:
-        """Return the group's leader, asking its watchers if none is known."""
-        leader = self.of(group).leader
-        if leader is not None:
-            return leader
+        """Return the group's leader, asking its watchers if there is any doubt.
+
+        When they know of no other, the one that is known is returned all the same.
+        """
+        known = self.of(group)
+        if known.leader is not None and not known.doubted:
+            return known.leader
         task = self._asking.get(group)
         if task is None:
             task = asyncio.create_task(self._ask_watchers(group))
             self._asking[group] = task
             task.add_done_callback(lambda _: self._asking.pop(group, None))
         await asyncio.shield(task)
-        return self.of(group).leader
+        return known.leader
 
     async def _ask_watchers(self, group: str) -> None:
         asked = [self._ask_one(vm, group) for vm in self._watchers(group)]
--- /dev/null
+++ b/lavenderstack/node/main.py
@@ -0,0 +1,203 @@
+"""One running node: it puts the parts together, runs them, and stops as planned.
+
+The order of the start follows what needs what: streams first, since the relay may
+have to learn its view from other nodes; callers last, once there is a view.
+"""
+
+import asyncio
+import signal
+from collections.abc import AsyncIterator, Callable
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
+from dataclasses import dataclass, field
+
+import structlog
+
+from lavenderstack.border import callers, logs, store
+from lavenderstack.border.listener import listening
+from lavenderstack.border.settings import Settings, parse_address
+from lavenderstack.core import clock
+from lavenderstack.core.members import Members
+from lavenderstack.core.view import Group, Target
+from lavenderstack.node import drain, metrics, supervisor
+from lavenderstack.node.allotter import Allotter
+from lavenderstack.node.confirmers import Confirmers
+from lavenderstack.node.control import NodeControl
+from lavenderstack.node.entry import Entry
+from lavenderstack.node.holder import Holders
+from lavenderstack.node.leaders import Leaders
+from lavenderstack.node.peers import Peers
+from lavenderstack.node.relay import Relay
+from lavenderstack.node.router import Router
+from lavenderstack.node.streams import StreamPool, StreamServer
+from lavenderstack.node.supervisor import Part
+from lavenderstack.node.target_holder import TargetHolder
+from lavenderstack.node.watch import Watch
+
+VIEW_POLL_S = 0.05
+STREAMS_STOP_S = 5.0
+
+log = structlog.get_logger()
+
+
+@dataclass
+class Node:
+    """The parts of a node, wired together but not yet running."""
+
+    cfg: Settings
+    relay: Relay
+    peers: Peers
+    pool: StreamPool
+    server: StreamServer
+    holders: Holders
+    confirmers: Confirmers
+    watch: Watch
+    allotter: Allotter
+    entry: Entry
+    metrics: metrics.Metrics
+    stop: asyncio.Event = field(default_factory=asyncio.Event)
+
+
+def build(cfg: Settings, platform: store.Store) -> Node:
+    """Wire the parts of a node together."""
+    pool = StreamPool()
+    seeds = [parse_address(seed) for seed in cfg.seeds]
+    relay = Relay(cfg.name, cfg.availability_zone, platform, pool, seeds)
+    members = Members(cfg.name)
+    peers = Peers(cfg.name, lambda: relay.view, pool, members)
+    allotter = Allotter(cfg.name, relay, peers)
+    control = NodeControl(relay, allotter)
+    confirmers = Confirmers(peers)
+
+    def make(target: Target, group: Group) -> TargetHolder:
+        confirmer = confirmers.of(group)
+        return TargetHolder(cfg.name, target, group, control, confirmer)
+
+    holders = Holders(control, make)
+    watch = Watch(cfg.name, lambda: relay.view, peers.live, pool)
+    leaders = Leaders(peers.ask, watch.watchers)
+    router = Router(cfg.availability_zone, lambda: relay.view, peers, leaders)
+    counted = metrics.Metrics()
+    entry = Entry(relay, router, counted)
+    parts = (holders, relay, watch, allotter)
+    handlers = {}
+    for part in parts:
+        handlers |= part.handlers()
+    peers.serve(handlers)
+    return Node(
+        cfg=cfg,
+        relay=relay,
+        peers=peers,
+        pool=pool,
+        server=StreamServer(handlers),
+        holders=holders,
+        confirmers=confirmers,
+        watch=watch,
+        allotter=allotter,
+        entry=entry,
+        metrics=counted,
+    )
+
+
+def _parts(node: Node) -> list[Part]:
+    parts = [
+        Part("streams", node.pool.run),
+        Part("relay", node.relay.run),
+        Part("holders", node.holders.run),
+        Part("confirm", node.confirmers.run),
+        Part("watch", node.watch.run),
+        Part("allotter", node.allotter.run),
+    ]
+    statsd = node.cfg.statsd
+    if statsd is not None:
+        flush = metrics.run_flush
+        run = lambda: flush(node.metrics, statsd.host, statsd.port)  # noqa: E731
+        parts.append(Part("metrics", run))
+    return parts
+
+
+def _served_callers(node: Node) -> AbstractAsyncContextManager[int]:
+    cfg = node.cfg.callers
+    app = callers.make_app(node.entry, cfg)
+    return listening(
+        app, cfg.host, cfg.port, cfg.header_timeout_s, drain.RUNNING_LIMIT_S
+    )
+
+
+@asynccontextmanager
+async def _served_streams(node: Node) -> AsyncIterator[None]:
+    await node.server.start(node.cfg.peers.host, node.cfg.peers.port)
+    try:
+        yield
+    finally:
+        await node.server.stop(STREAMS_STOP_S)
+
+
+async def _wait_for_view(node: Node) -> None:
+    while not node.relay.view.revision:
+        await node.relay.news(VIEW_POLL_S)
+
+
+async def _stopped(node: Node) -> None:
+    """Serve until told to stop, then end what runs."""
+    await node.stop.wait()
+    log.info("node: stopping", running=node.entry.running)
+    node.entry.stopping = True
+    await asyncio.sleep(drain.NOTICE_S)
+
+
+async def _drained(node: Node) -> None:
+    limit_s = drain.RUNNING_LIMIT_S
+    if not await drain.wait_idle(lambda: node.entry.running, limit_s):
+        log.warning("node: requests still running at the limit")
+    open_ones = node.holders.open_transactions
+    if not await drain.wait_idle(open_ones, limit_s):
+        log.warning("node: transactions still open at the limit")
+    await node.allotter.retire()
+
+
+async def _serve(node: Node) -> None:
+    async with _served_streams(node), asyncio.TaskGroup() as tasks:
+        control = tasks.create_task(supervisor.run(_parts(node)))
+        await _wait_for_view(node)
+        async with _served_callers(node) as port:
+            print(f"ready {port}", flush=True)
+            log.info("node: ready", revision=node.relay.view.revision)
+            await _stopped(node)
+            await _drained(node)
+        control.cancel()
+    node.pool.close()
+
+
+def _on_signals(stop: asyncio.Event) -> None:
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+
+
+async def _run(cfg: Settings) -> int:
+    async with store.opened(cfg.platform.urls) as platform:
+        node = build(cfg, platform)
+        _on_signals(node.stop)
+        try:
+            await _serve(node)
+        except* supervisor.PartFailed as group:
+            names = ", ".join(str(exc) for exc in group.exceptions)
+            log.error("node: a part failed too often", parts=names)
+            return 1
+    log.info("node: stopped")
+    return 0
+
+
+def _runner() -> Callable:
+    import uvloop
+
+    return uvloop.run
+
+
+def run(cfg: Settings) -> int:
+    """Run a node until it is told to stop; return the exit status."""
+    logs.configure(cfg.log_level, cfg.name)
+    started = clock.now()
+    status = _runner()(_run(cfg))
+    log.info("node: ended", status=status, ran_s=round(clock.now() - started, 1))
+    return status
--- a/lavenderstack/node/router.py
+++ b/lavenderstack/node/router.py
@@ -127,7 +127,7 @@
         reply = await self._send(target, msg, msg.left_s)
         if isinstance(reply, Executed):
             return self._answer(req, target, reply)
-        self._note_failure(req, group, target, reply, attempts)
+        self._note_failure(group, target, reply, attempts, req.write)
         return None
 
     def _message(self, req: Request, target: Target, attempts: _Attempts) -> Execute:
@@ -149,15 +149,14 @@
             left_s=left_s,
             least=req.mark.position,
             wait_s=min(REPLICA_WAIT_S, left_s),
-            fresh=req.fresh or (not req.write and self._is_leader(req, target)),
+            fresh=req.fresh or (not req.write and self._leads(req, target)),
             max_age_s=req.max_age_s,
             once=req.once,
             admitted=attempts.admitted,
         )
 
-    def _is_leader(self, req: Request, target: Target) -> bool:
-        leader = self._leaders.of(req.group).leader
-        return leader is not None and leader.target == target.name
+    def _leads(self, req: Request, target: Target) -> bool:
+        return self._leaders.of(req.group).leads(target.name)
 
     async def _send(self, target: Target, msg: Message, left_s: float) -> Message:
         """Send to the target's holder; to the next one only if it never left."""
@@ -179,28 +178,28 @@
             knowledge.note_position(name, reply.position)
         knowledge.note_position(target.name, reply.position)
         mark = merged(req.mark, reply.position, reply.holders or [target.name])
-        replica = not self._is_leader(req, target)
-        return Answer(reply.result, mark, reply.age_s, replica)
+        replica = not knowledge.leads(target.name)
+        return Answer(reply.result, mark, reply.age_s, replica, reply.repeated)
 
     def _note_failure(
         self,
-        req: Request,
         group: Group,
         target: Target,
-        reply: Message,
+        reply: Failed,
         attempts: _Attempts,
+        write: bool,
     ) -> None:
-        assert isinstance(reply, Failed)
         attempts.last = reply
         attempts.count += 1
         attempts.admitted |= reply.admitted
-        attempts.may_have_run |= reply.run and req.write
+        attempts.may_have_run |= reply.run and write
         attempts.avoid.add(target.name)
         knowledge = self._leaders.of(group.name)
-        if reply.reason in _DOUBTS_LEADER and self._is_leader(req, target):
+        if reply.reason in _DOUBTS_LEADER and knowledge.leads(target.name):
             # The next attempt asks the watchers whether another leads by now.
-            knowledge.leader = None
-        knowledge.note_leader(reply.term, reply.primary)
+            knowledge.doubted = True
+        if reply.primary and not knowledge.leads(reply.primary):
+            knowledge.note_leader(reply.term, reply.primary)
 
     async def _before_next(self, req: Request, attempts: _Attempts) -> None:
         """Pause before the next attempt, or raise the final outcome at once."""
@@ -226,9 +225,7 @@
                 reply = await self._begin_on(request, caller, group, target, deadline)
                 if isinstance(reply, Begun):
                     return reply.transaction
-                self._leaders.of(group_name).leader = None
-                attempts.last = reply
-            attempts.count += 1
+                self._note_failure(group, target, reply, attempts, write=False)
             failed = attempts.last
             if failed.run or not may_repeat_begin(failed):
                 raise _final(attempts)
--- /dev/null
+++ b/lavenderstack/node/supervisor_test.py
@@ -0,0 +1,49 @@
+"""Tests of the supervisor tree."""
+
+import asyncio
+
+import pytest
+
+from lavenderstack.node import supervisor
+from lavenderstack.node.supervisor import Part, PartFailed
+
+
+@pytest.fixture(autouse=True)
+def _no_delay(monkeypatch):
+    monkeypatch.setattr(supervisor, "FIRST_DELAY_S", 0.0)
+
+
+class TestRun:
+    async def test_a_crashed_part_is_started_again_without_its_siblings(self):
+        starts = {"bad": 0, "good": 0}
+
+        async def bad():
+            starts["bad"] += 1
+            if starts["bad"] < 3:
+                raise RuntimeError("crash")
+
+        async def good():
+            starts["good"] += 1
+            while starts["bad"] < 3:
+                await asyncio.sleep(0)
+
+        await supervisor.run([Part("bad", bad), Part("good", good)])
+        assert starts == {"bad": 3, "good": 1}
+
+    async def test_a_part_that_keeps_failing_ends_the_tree(self):
+        cleaned = []
+
+        async def bad():
+            raise RuntimeError("crash")
+
+        async def good():
+            try:
+                await asyncio.Event().wait()
+            finally:
+                cleaned.append("good")
+
+        with pytest.raises(ExceptionGroup) as caught:
+            await supervisor.run([Part("bad", bad), Part("good", good)])
+        (failure,) = caught.value.exceptions
+        assert isinstance(failure, PartFailed)
+        assert cleaned == ["good"]
--- a/lavenderstack/node/target_holder.py
+++ b/lavenderstack/node/target_holder.py
@@ -41,6 +41,9 @@
 PINNED_SHARE = 0.5
 AGE_PROOF_S = 0.03
 
+# Stands for the result of a write that had taken effect before.
+_REPEATED = object()
+
 log = structlog.get_logger()
 
 
@@ -201,7 +204,13 @@
         async with self._slot(msg, deadline):
             ran = await self._run(msg, term, deadline)
         holders = await self._confirms.confirm_write(ran.last, deadline)
-        return Executed(result=ran.result, position=ran.last, holders=holders)
+        repeated = ran.result is _REPEATED
+        return Executed(
+            result=None if repeated else ran.result,
+            position=ran.last,
+            holders=holders,
+            repeated=repeated,
+        )
 
     async def _read(self, msg: Execute, deadline: float) -> Executed:
         started = clock.now()
@@ -284,7 +293,7 @@
             state = await self.look()
         except (TargetLost, TargetRefused, TargetUnreachable) as exc:
             raise Unknown(Reason.CONNECTION_LOST, str(exc)) from exc
-        return Ran("already run", state.term, state.last)
+        return Ran(_REPEATED, state.term, state.last)
 
     def _refusal(self, exc: TargetRefused) -> Refused:
         """Turn what a target says it did not apply into the caller's refusal."""
