--- a/lavenderstack/core/request.py
+++ b/lavenderstack/core/request.py
@@ -3,7 +3,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from lavenderstack.core.position import START, Position
+from lavenderstack.core.position import START
+from lavenderstack.core.token import Mark
 
 DEFAULT_DEADLINE_S = 5.0
 LONGEST_DEADLINE_S = 30.0
@@ -20,15 +21,7 @@
 EVERYONE = Caller("", "")
 
 
-@dataclass(frozen=True, slots=True)
-class Mark:
-    """What a session has seen of a group: a position and targets known to hold it."""
-
-    position: Position = START
-    holders: tuple[str, ...] = ()
-
-
-NO_MARK = Mark()
+NO_MARK = Mark(START)
 
 
 @dataclass(frozen=True, slots=True)
--- a/lavenderstack/core/routing.py
+++ b/lavenderstack/core/routing.py
@@ -5,11 +5,12 @@
 ahead, the caller's own availability zone first. The rest goes to the primary.
 """
 
-from collections.abc import Collection, Mapping
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from lavenderstack.core.position import START, Position
-from lavenderstack.core.request import Mark, Request
+from lavenderstack.core.request import Request
+from lavenderstack.core.token import Mark
 from lavenderstack.core.view import Group, Target
 
 
@@ -74,17 +75,3 @@
         return holds, target.zone == zone, seen
 
     return sorted(replicas, key=preference, reverse=True)
-
-
-def merged(mark: Mark, position: Position, holders: Collection[str]) -> Mark:
-    """Return the mark of a session after it has seen ``position`` as well."""
-    if position > mark.position:
-        return Mark(position, tuple(holders))
-    if position == mark.position:
-        return Mark(position, tuple(dict.fromkeys([*mark.holders, *holders])))
-    return mark
-
-
-def leaving_targets(states: Mapping[str, str], group: Group) -> set[str]:
-    """Return the group's targets that the platform's list calls leaving."""
-    return {t.name for t in group.targets if states.get(t.name) == "leaving"}
--- a/lavenderstack/core/routing_test.py
+++ b/lavenderstack/core/routing_test.py
@@ -3,8 +3,9 @@
 import pytest
 
 from lavenderstack.core.position import Position
-from lavenderstack.core.request import NO_MARK, Mark
-from lavenderstack.core.routing import Knowledge, merged, read_order
+from lavenderstack.core.request import NO_MARK
+from lavenderstack.core.routing import Knowledge, read_order
+from lavenderstack.core.token import Mark
 from lavenderstack.core.view import Group, Target
 
 
@@ -41,16 +42,3 @@
         knowledge.note_leader(3, "b")
         knowledge.note_leader(2, "a")
         assert knowledge.leader.target == "b"
-
-
-class TestMerged:
-    @pytest.mark.parametrize(
-        ("position", "holders", "expected"),
-        [
-            (Position(1, 4), ("x",), Mark(Position(1, 5), ("a",))),
-            (Position(1, 5), ("b",), Mark(Position(1, 5), ("a", "b"))),
-            (Position(2, 1), ("b",), Mark(Position(2, 1), ("b",))),
-        ],
-    )
-    def test_a_mark_only_moves_ahead(self, position, holders, expected):
-        assert merged(Mark(Position(1, 5), ("a",)), position, holders) == expected
--- /dev/null
+++ b/lavenderstack/core/token.py
@@ -0,0 +1,160 @@
+"""The session token: what a session has written and read, kept by the caller.
+
+A token holds, for each group that the session has touched, a mark: the position
+that a target must have reached before it may serve the session, and the targets
+that are known to have reached it. Any node can serve the session's next request
+from the token alone, and can send a read that follows a write to one of the marked
+targets at once, without asking anybody for positions.
+
+A token is a msgpack body and its HMAC-SHA256 tag, in base64url. It is bound to the
+organisation whose key came with the request for which it was made. Positions in it
+are no secret; a changed one is refused as forged.
+
+>>> session = with_mark(Session("lipa"), "records", Mark(Position(2, 7), ("a",)))
+>>> decode(encode(session, [b"secret"]), [b"secret"], "lipa") == session
+True
+"""
+
+import hmac
+from base64 import urlsafe_b64decode, urlsafe_b64encode
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field, replace
+
+import msgspec
+
+from lavenderstack.core.position import START, Position
+
+MOST_GROUPS = 64
+LONGEST_TOKEN_B = 16 * 1024
+TAG_B = 16
+_PURPOSE = b"lavenderstack session 1\0"
+
+
+class BadToken(Exception):
+    """The token can't be used; the request that carries it is refused."""
+
+
+class MalformedToken(BadToken):
+    """The text is no token at all."""
+
+
+class ForgedToken(BadToken):
+    """No known secret made this token."""
+
+
+class OtherOrganisation(BadToken):
+    """The token belongs to a session of another organisation."""
+
+
+class TooManyGroups(BadToken):
+    """The session would mark more than ``MOST_GROUPS`` groups."""
+
+
+@dataclass(frozen=True, slots=True)
+class Mark:
+    """A position that the session must see, and targets known to hold it."""
+
+    position: Position
+    holders: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Session:
+    """The marks of one session of an organisation, by group."""
+
+    organisation: str
+    marks: Mapping[str, Mark] = field(default_factory=dict)
+
+    def least(self, group: str) -> Position:
+        """Return the position that a target of the group must have reached."""
+        mark = self.marks.get(group)
+        return mark.position if mark else START
+
+
+class _Body(msgspec.Struct, array_like=True, forbid_unknown_fields=True):
+    organisation: str
+    marks: dict[str, tuple[Position, tuple[str, ...]]]
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(_Body)
+
+
+def later(one: Mark, other: Mark) -> Mark:
+    """Return the mark with the higher position, or both together if equal."""
+    if one.position != other.position:
+        return max(one, other, key=lambda mark: mark.position)
+    return Mark(one.position, tuple(sorted({*one.holders, *other.holders})))
+
+
+def with_mark(session: Session, group: str, mark: Mark) -> Session:
+    """Return the session after it has seen a position of a group."""
+    known = session.marks.get(group)
+    merged = mark if known is None else later(known, mark)
+    return replace(session, marks={**session.marks, group: merged})
+
+
+def merge(one: Session, other: Session) -> Session:
+    """Return a session that has seen what either has; both of one organisation."""
+    if one.organisation != other.organisation:
+        raise OtherOrganisation("sessions of two organisations")
+    for group, mark in other.marks.items():
+        one = with_mark(one, group, mark)
+    return one
+
+
+def without(session: Session, passed: Mapping[str, Position]) -> Session:
+    """Drop marks that say nothing any more.
+
+    ``passed`` gives for each group a position that every one of its targets has
+    reached. A mark at or below it changes no choice of a target.
+    """
+    kept = {
+        group: mark
+        for group, mark in session.marks.items()
+        if group not in passed or mark.position > passed[group]
+    }
+    return replace(session, marks=kept)
+
+
+def _tag(body: bytes, secret: bytes) -> bytes:
+    return hmac.digest(secret, _PURPOSE + body, "sha256")[:TAG_B]
+
+
+def encode(session: Session, secrets: Sequence[bytes]) -> str:
+    """Return the session's token, signed with the first secret.
+
+    Raises ``TooManyGroups`` if the session marks too many.
+    """
+    if len(session.marks) > MOST_GROUPS:
+        raise TooManyGroups(f"more than {MOST_GROUPS} groups in one session")
+    marks = {
+        group: (mark.position, mark.holders) for group, mark in session.marks.items()
+    }
+    body = _encoder.encode(_Body(session.organisation, marks))
+    return urlsafe_b64encode(body + _tag(body, secrets[0])).rstrip(b"=").decode()
+
+
+def decode(text: str, secrets: Sequence[bytes], organisation: str) -> Session:
+    """Return the session of a token made with any of the secrets.
+
+    Raises a ``BadToken``. Several secrets are valid while one replaces another.
+    """
+    if len(text) > LONGEST_TOKEN_B:
+        raise MalformedToken("too long")
+    try:
+        raw = urlsafe_b64decode(text + "=" * (-len(text) % 4))
+    except ValueError as exc:
+        raise MalformedToken("not base64url") from exc
+    body, tag = raw[:-TAG_B], raw[-TAG_B:]
+    valid = [hmac.compare_digest(tag, _tag(body, secret)) for secret in secrets]
+    if not any(valid):
+        raise ForgedToken("signature does not match")
+    try:
+        fields = _decoder.decode(body)
+    except msgspec.MsgspecError as exc:
+        raise MalformedToken("not understood") from exc
+    if fields.organisation != organisation:
+        raise OtherOrganisation("token of another organisation")
+    marks = {group: Mark(*mark) for group, mark in fields.marks.items()}
+    return Session(organisation, marks)
--- a/lavenderstack/node/entry.py
+++ b/lavenderstack/node/entry.py
@@ -20,10 +20,9 @@
     NO_MARK,
     Answer,
     Caller,
-    Mark,
     Request,
 )
-from lavenderstack.core.routing import merged
+from lavenderstack.core.token import Mark
 from lavenderstack.core.view import Group, View
 from lavenderstack.node.metrics import Metrics
 from lavenderstack.node.router import Router
@@ -94,12 +93,27 @@
         if not ask.session:
             return token.Session(caller.organisation)
         try:
-            return token.read(ask.session, self._secret(), caller.organisation)
-        except token.TokenError as exc:
+            return token.decode(ask.session, [self._secret()], caller.organisation)
+        except token.BadToken as exc:
             raise Refused(Reason.BAD_TOKEN, str(exc)) from exc
 
     def _token(self, session: token.Session, group: str, mark: Mark) -> str:
-        return token.write(session.with_mark(group, mark), self._secret())
+        marked = token.with_mark(session, group, mark)
+        return token.encode(marked, [self._secret()])
+
+    def _with_room(self, session: token.Session, group: str) -> token.Session:
+        """Return the session with room for a mark of the group, or refuse it.
+
+        It is refused before the request runs: a token that can't hold the new mark
+        would break the session's promise afterwards.
+        """
+        if group in session.marks or len(session.marks) < token.MOST_GROUPS:
+            return session
+        passed = self._router.passed(session.marks)
+        kept = token.without(session, passed)
+        if len(kept.marks) >= token.MOST_GROUPS:
+            raise Refused(Reason.BAD_TOKEN, "too many groups; begin a new session")
+        return kept
 
     # The routes of border.callers.
 
@@ -107,8 +121,8 @@
         """Run one statement for the organisation of the key."""
         caller = await self._caller(ask.key)
         group = self._allowed_group(ask.group, caller)
-        session = self._session(ask, caller)
-        req = _request(ask, caller, group.name, session.mark(group.name))
+        session = self._with_room(self._session(ask, caller), group.name)
+        req = _request(ask, caller, group.name, session.marks.get(group.name, NO_MARK))
         running = self._router.run(req)
         answer = await self._observed(caller, _kind(req), ask, running)
         new_token = self._token(session, group.name, answer.mark)
@@ -154,7 +168,8 @@
 
     async def _end(self, ask: Ask, commit: bool) -> Done:
         caller = await self._caller(ask.key)
-        session = self._session(ask, caller)
+        group = ask.transaction.partition("~")[0]
+        session = self._with_room(self._session(ask, caller), group)
         deadline = clock.now() + ask.body.deadline_s
         running = self._router.end(
             ask.request_id,
@@ -166,10 +181,7 @@
         )
         kind = "commit" if commit else "rollback"
         written: Mark = await self._observed(caller, kind, ask, running)
-        group = ask.transaction.partition("~")[0]
-        known = session.mark(group)
-        mark = merged(known, written.position, written.holders)
-        new_token = self._token(session, group, mark)
+        new_token = self._token(session, group, written)
         return Done(request_id=ask.request_id, result=None, session=new_token)
 
     async def _observed(
--- a/lavenderstack/node/router.py
+++ b/lavenderstack/node/router.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from lavenderstack.core import clock
@@ -19,9 +20,11 @@
     Message,
 )
 from lavenderstack.core.outcome import Reason, Refused, Unknown
-from lavenderstack.core.request import Answer, Caller, Mark, Request
+from lavenderstack.core.position import START, Position
+from lavenderstack.core.request import Answer, Caller, Request
 from lavenderstack.core.retry import RetryBudget, is_idempotent, may_repeat, pause_s
-from lavenderstack.core.routing import merged, needs_primary, read_order
+from lavenderstack.core.routing import needs_primary, read_order
+from lavenderstack.core.token import Mark, later
 from lavenderstack.core.view import Group, Target, View, Vm
 from lavenderstack.node.leaders import Leaders
 from lavenderstack.node.peers import Peers
@@ -90,6 +93,16 @@
                     return answer
             await self._before_next(req, attempts)
 
+    def passed(self, groups: Iterable[str]) -> dict[str, Position]:
+        """Return for each group a position that all its targets have reached."""
+        found = {}
+        for name in groups:
+            group = self._view().groups.get(name)
+            if group is not None:
+                seen = self._leaders.of(name).seen
+                found[name] = min(seen.get(t.name, START) for t in group.targets)
+        return found
+
     # The choice of a target.
 
     async def _choose(
@@ -177,7 +190,9 @@
         for name in reply.holders:
             knowledge.note_position(name, reply.position)
         knowledge.note_position(target.name, reply.position)
-        mark = merged(req.mark, reply.position, reply.holders or [target.name])
+        mark = later(
+            req.mark, Mark(reply.position, tuple(reply.holders or [target.name]))
+        )
         replica = not knowledge.leads(target.name)
         return Answer(reply.result, mark, reply.age_s, replica, reply.repeated)
 
--- a/lavenderstack/node/router_test.py
+++ b/lavenderstack/node/router_test.py
@@ -6,7 +6,8 @@
 from lavenderstack.core.messages import Begin, Begun, End, Execute, Executed, Failed
 from lavenderstack.core.outcome import Reason, Refused, Unknown
 from lavenderstack.core.position import Position
-from lavenderstack.core.request import Caller, Mark, Request
+from lavenderstack.core.request import Caller, Request
+from lavenderstack.core.token import Mark
 from lavenderstack.core.view import Group, Target, View, Vm
 from lavenderstack.node.leaders import Leaders
 from lavenderstack.node.router import Router
--- a/lavenderstack/node/supervisor_test.py
+++ b/lavenderstack/node/supervisor_test.py
@@ -16,16 +16,17 @@
 class TestRun:
     async def test_a_crashed_part_is_started_again_without_its_siblings(self):
         starts = {"bad": 0, "good": 0}
+        recovered = asyncio.Event()
 
         async def bad():
             starts["bad"] += 1
             if starts["bad"] < 3:
                 raise RuntimeError("crash")
+            recovered.set()
 
         async def good():
             starts["good"] += 1
-            while starts["bad"] < 3:
-                await asyncio.sleep(0)
+            await recovered.wait()
 
         await supervisor.run([Part("bad", bad), Part("good", good)])
         assert starts == {"bad": 3, "good": 1}
