--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -6,7 +6,7 @@
 
 >>> async def example(folder):
 ...     async with running(LIPA, folder) as cluster:
-...         cluster.kill("lj-1-a")
+...         cluster.kill("n1")
 """
 
 import asyncio
@@ -259,6 +259,7 @@
     for name in cluster.nodes:
         await cluster.start_node(name)
     for name in cluster.nodes:
+        await cluster.processes[name].ready_line()
         await eventually(lambda name=name: cluster.ready(name))
     for group in cluster.size.groups:
         await eventually(lambda group=group: cluster.primary(group))
--- a/standins/sizes.py
+++ b/standins/sizes.py
@@ -5,22 +5,25 @@
 
 @dataclass(frozen=True)
 class Size:
-    """How large a service is; ``groups`` maps a group to the zones of its targets."""
+    """How large a service is; ``groups`` maps a group to the zones of its targets.
+
+    ``node_zones`` has the zone of each node; if it is empty, each zone has one.
+    """
 
     zones: tuple[str, ...]
     groups: dict[str, tuple[str, ...]]
     slots: int
     connections: int
     open_ms: float
-    nodes_a_zone: int = 1
+    node_zones: tuple[str, ...] = ()
     organisations: tuple[str, ...] = ("north", "south")
     rate: float = 2000.0
     burst: float = 500.0
 
     def nodes(self) -> list[tuple[str, str]]:
         """Return the names of the nodes with their zones."""
-        places = range(self.nodes_a_zone)
-        return [(f"{zone}-n{i + 1}", zone) for zone in self.zones for i in places]
+        zones = self.node_zones or self.zones
+        return [(f"n{i + 1}", zone) for i, zone in enumerate(zones)]
 
     def targets(self) -> list[tuple[str, str, str]]:
         """Return the names of the targets with their groups and zones."""
@@ -45,3 +48,14 @@
     connections=40,
     open_ms=30.0,
 )
+FIRST_SESSION = Size(
+    zones=("east", "middle", "west"),
+    groups={
+        "studio": ("east", "middle", "west"),
+        "fleet": ("middle", "west", "east"),
+    },
+    slots=5,
+    connections=30,
+    open_ms=10.0,
+    node_zones=("east", "middle", "west", "east"),
+)
