--- a/lavenderstack/core/suspicion.py
+++ b/lavenderstack/core/suspicion.py
@@ -18,6 +18,7 @@
 
 from lavenderstack.core.evidence import Observation, newer
 from lavenderstack.core.position import START
+from lavenderstack.core.routing import Leader
 
 SILENT_S = 1.0
 REFUSED_SILENT_S = 0.3
@@ -35,14 +36,6 @@
 DOUBT_PROBE_S = 0.25
 
 
-@dataclass(frozen=True, slots=True)
-class Leader:
-    """A group's primary and the term that it leads."""
-
-    term: int
-    target: str
-
-
 class Verdict(Enum):
     """What a watcher should do now."""
 
--- a/lavenderstack/core/token.py
+++ b/lavenderstack/core/token.py
@@ -103,14 +103,12 @@
     return one
 
 
-def compact(session: Session, passed: Mapping[str, Position]) -> Session:
-    """Drop marks that say nothing any more, if the session has too many.
+def without(session: Session, passed: Mapping[str, Position]) -> Session:
+    """Drop marks that say nothing any more.
 
     ``passed`` gives for each group a position that every one of its targets has
     reached. A mark at or below it changes no choice of a target.
     """
-    if len(session.marks) <= MOST_GROUPS:
-        return session
     kept = {
         group: mark
         for group, mark in session.marks.items()
--- a/lavenderstack/core/token_test.py
+++ b/lavenderstack/core/token_test.py
@@ -56,7 +56,7 @@
         full = Session("o", {f"group-{n}": Mark(Position(1, n)) for n in range(65)})
         with pytest.raises(token.TooManyGroups):
             token.encode(full, SECRETS)
-        smaller = token.compact(full, {"group-9": Position(1, 9)})
+        smaller = token.without(full, {"group-9": Position(1, 9)})
         assert len(token.encode(smaller, SECRETS)) < 2_500
 
 
@@ -85,4 +85,4 @@
     )
     def test_only_passed_marks_are_dropped(self, passed, left):
         full = Session("o", {str(n): Mark(Position(1, 5)) for n in range(65)})
-        assert len(token.compact(full, passed).marks) == left
+        assert len(token.without(full, passed).marks) == left
--- a/lavenderstack/node/group_watch.py
+++ b/lavenderstack/node/group_watch.py
@@ -30,7 +30,8 @@
     TimedOut,
     stragglers,
 )
-from lavenderstack.core.suspicion import Leader, Suspicion, Verdict
+from lavenderstack.core.routing import Leader
+from lavenderstack.core.suspicion import Suspicion, Verdict
 from lavenderstack.core.view import Group
 from lavenderstack.node.target_link import Probe, Report, TargetLink
 
--- a/lavenderstack/node/watch.py
+++ b/lavenderstack/node/watch.py
@@ -12,15 +12,14 @@
 import structlog
 
 from lavenderstack.core.group_messages import Leads, WhoLeads
-from lavenderstack.core.suspicion import Leader
+from lavenderstack.core.routing import Leader
 from lavenderstack.core.view import Group, View, Vm
 from lavenderstack.core.watchers import Watchers
 from lavenderstack.node.group_watch import GroupWatch
-from lavenderstack.node.streams import NotSent, StreamLost, StreamPool
+from lavenderstack.node.streams import Handler, NotSent, StreamLost, StreamPool
 
 DUTIES_INTERVAL_S = 1.0
 ASK_TIMEOUT_S = 0.4
-FIND_TIMEOUT_S = 0.3
 
 log = structlog.get_logger()
 
@@ -29,7 +28,7 @@
     """The watches of this node, ``name``; run it as a part of the supervisor.
 
     ``view`` and ``live_nodes`` return what is current; ``pool`` carries questions
-    to other nodes. The node's stream server must hand ``WhoLeads`` to ``answer``.
+    to other nodes.
     """
 
     def __init__(
@@ -54,15 +53,13 @@
         watch = self._watches.get(group)
         return watch.leader() if watch else None
 
-    async def find(self, group: str) -> Leader | None:
-        """Return a group's primary, asking its watchers if this node is none."""
-        if leader := self.primary_of(group):
-            return leader
-        for name in self._watchers.of(group):
-            answer = await self._call(name, WhoLeads(group), FIND_TIMEOUT_S)
-            if answer and answer.primary:
-                return Leader(answer.term, answer.primary)
-        return None
+    def watchers(self, group: str) -> list[Vm]:
+        """Return the nodes that watch a group, the one that goes first first."""
+        return [self._nodes[name] for name in self._watchers.of(group)]
+
+    def handlers(self) -> dict[type, Handler]:
+        """Return what answers the messages of other nodes."""
+        return {WhoLeads: self.answer}
 
     async def answer(self, message: WhoLeads) -> Leads:
         """Answer another node that asks for a group's primary."""
@@ -136,17 +133,15 @@
         del self._watches[name]
 
     async def _ask_others(self, group: Group) -> list[Leads]:
-        others = [n for n in self._watchers.of(group.name) if n != self._name]
-        question = WhoLeads(group.name, check=True)
-        asks = [self._call(name, question, ASK_TIMEOUT_S) for name in others]
+        others = [vm for vm in self.watchers(group.name) if vm.name != self._name]
+        asks = [self._ask(vm, group.name) for vm in others]
         return [answer for answer in await asyncio.gather(*asks) if answer]
 
-    async def _call(
-        self, name: str, question: WhoLeads, timeout_s: float
-    ) -> Leads | None:
-        vm = self._nodes[name]
+    async def _ask(self, vm: Vm, group: str) -> Leads | None:
+        question = WhoLeads(group, check=True)
+        addr = (vm.host, vm.port)
         try:
-            answer = await self._pool.call((vm.host, vm.port), question, timeout_s)
+            answer = await self._pool.call(addr, question, ASK_TIMEOUT_S)
         except (NotSent, StreamLost, TimeoutError):
             return None
         return answer if isinstance(answer, Leads) else None
