--- a/lavenderstack/core/promotion_test.py
+++ b/lavenderstack/core/promotion_test.py
@@ -138,7 +138,10 @@
         return not self.cut_off or (side == 1) == (name == self.cut_off)
 
     def cut(self, x, y):
-        self.cut_off = NAMES[x % 3] if y % 2 and not self.cut_off else ""
+        """Cut off a target, often one that believes it leads, or mend the cut."""
+        leading = [t.name for t in self.targets.values() if t.role == PRIMARY]
+        names = leading if leading and y % 3 else NAMES
+        self.cut_off = "" if self.cut_off else names[x % len(names)]
 
     def lose(self, x, y):
         """Lose a message; a lost call may show as a time-out."""
@@ -177,9 +180,10 @@
             write.after = self.now
 
     def read(self, x, y):
-        target = self.targets[NAMES[x % 3]]
-        if target.role == PRIMARY:
-            self.reads.append((self.now, target.term, list(target.log)))
+        """Read from every target that believes it leads."""
+        for target in self.targets.values():
+            if target.role == PRIMARY:
+                self.reads.append((self.now, target.term, list(target.log)))
 
     def pull(self, x, y):
         replica = self.targets[NAMES[x % 3]]
@@ -248,7 +252,7 @@
 
 
 OPS = ["propose", "lose", "tick", "write", "read", "follow"]
-RARE = ["propose", "propose", "cut"]
+RARE = ["propose", "cut"]
 OFTEN = ["deliver"] * 20 + ["pull"] * 4 + ["look"] * 3 + ["write"]
 steps = st.lists(
     st.tuples(
--- a/lavenderstack/core/suspicion.py
+++ b/lavenderstack/core/suspicion.py
@@ -246,7 +246,9 @@
     def _interval(self, target: str) -> float:
         leader = self.leader()
         health = self._health.get(leader.target) if leader else None
-        if health is None or health.failures or leader.target in self.leaving:
+        if health is None or health.failures:
+            return DOUBT_PROBE_S
+        if leader.target in self.leaving or self.highest_term() > leader.term:
             return DOUBT_PROBE_S
         if target != leader.target:
             return REPLICA_PROBE_S
