Stop streams without cutting a request; give a leaving primary a short grace

Cause: a closing node ended its streams while requests of other nodes could still be on the wire, which would have made their writes' outcomes unknown; and a leaving primary refused writes before another target could lead. The other end is now told to send nothing more and closes after its last answer. Ruled out: waiting for running handlers only, since a request on the wire is not yet one of them.

--- a/lavenderstack/core/messages.py
+++ b/lavenderstack/core/messages.py
@@ -118,5 +118,12 @@
     """Ask whether the stream is alive; answered by ``Pong``."""
 
 
+class Goodbye(Message, tag="goodbye"):
+    """The sender stops: open no more requests on this stream.
+
+    Those that were sent before are still answered.
+    """
+
+
 class Pong(Message, tag="pong"):
     """The stream is alive."""
--- a/lavenderstack/node/holder_test.py
+++ b/lavenderstack/node/holder_test.py
@@ -14,7 +14,7 @@
 from lavenderstack.core.outcome import Reason, Refused
 from lavenderstack.core.position import Position
 from lavenderstack.core.view import Group, Key, Plan, Target, View, Vm
-from lavenderstack.node import transactions
+from lavenderstack.node import target_holder, transactions
 from lavenderstack.node.confirm import confirming
 from lavenderstack.node.holder import Holders
 from lavenderstack.node.target_holder import TargetHolder
@@ -265,6 +265,16 @@
             failed = await it.run("get", "t", "k", target="b")
             assert (failed.run, failed.reason) == (False, Reason.LEAVING)
 
+    async def test_a_leaving_primary_takes_writes_only_for_a_short_while(
+        self, monkeypatch
+    ):
+        async with bench() as it:
+            it.control.leave("a")
+            assert isinstance(await it.put("k", 1), Executed)
+            monkeypatch.setattr(target_holder, "LEAVING_GRACE_S", 0.0)
+            failed = await it.put("k", 2)
+            assert (failed.run, failed.reason) == (False, Reason.LEAVING)
+
     async def test_a_request_is_counted_against_its_rate_once(self):
         async with bench() as it:
             it.targets["c"].fault("lag_ms", 60_000)
--- a/lavenderstack/node/main.py
+++ b/lavenderstack/node/main.py
@@ -6,8 +6,8 @@
 
 import asyncio
 import signal
-from collections.abc import AsyncIterator, Callable
-from contextlib import AbstractAsyncContextManager, asynccontextmanager
+from collections.abc import Callable
+from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass, field
 
 import structlog
@@ -123,15 +123,6 @@
     )
 
 
-@asynccontextmanager
-async def _served_streams(node: Node) -> AsyncIterator[None]:
-    await node.server.start(node.cfg.peers.host, node.cfg.peers.port)
-    try:
-        yield
-    finally:
-        await node.server.stop(STREAMS_STOP_S)
-
-
 async def _wait_for_view(node: Node) -> None:
     while not node.relay.view.revision:
         await node.relay.news(VIEW_POLL_S)
@@ -156,7 +147,8 @@
 
 
 async def _serve(node: Node) -> None:
-    async with _served_streams(node), asyncio.TaskGroup() as tasks:
+    await node.server.start(node.cfg.peers.host, node.cfg.peers.port)
+    async with asyncio.TaskGroup() as tasks:
         control = tasks.create_task(supervisor.run(_parts(node)))
         await _wait_for_view(node)
         async with _served_callers(node) as port:
@@ -164,6 +156,8 @@
             log.info("node: ready", revision=node.relay.view.revision)
             await _stopped(node)
             await _drained(node)
+        # Requests of other nodes still need the control parts to end.
+        await node.server.stop(STREAMS_STOP_S)
         control.cancel()
     node.pool.close()
 
--- a/lavenderstack/node/streams.py
+++ b/lavenderstack/node/streams.py
@@ -18,7 +18,7 @@
 import structlog
 
 from lavenderstack.core import clock
-from lavenderstack.core.messages import Cancel, Message, Ping, Pong
+from lavenderstack.core.messages import Cancel, Goodbye, Message, Ping, Pong
 from lavenderstack.node import wire
 
 CONNECT_TIMEOUT_S = 1.0
@@ -106,9 +106,12 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
         self._server.connections.add(self)
+        self._server.emptied.clear()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._server.connections.discard(self)
+        if not self._server.connections:
+            self._server.emptied.set()
 
     def frame_received(self, frame: wire.Frame) -> None:
         body = frame.body
@@ -153,6 +156,7 @@
         self.handlers = dict(handlers)
         self.connections: set[_Served] = set()
         self.running: set[asyncio.Task] = set()
+        self.emptied = asyncio.Event()
         self._server: asyncio.Server | None = None
 
     async def start(self, host: str, port: int) -> int:
@@ -162,12 +166,19 @@
         return self._server.sockets[0].getsockname()[1]
 
     async def stop(self, left_s: float) -> None:
-        """Accept no new streams, let running requests end, then close the rest."""
+        """Accept no new streams and end the open ones without cutting a request.
+
+        The other ends are told to send nothing more; each closes its stream when it
+        has its last answer. After ``left_s`` seconds the rest is closed.
+        """
         if self._server is None:
             return
         self._server.close()
-        if self.running:
-            await asyncio.wait(set(self.running), timeout=left_s)
+        for connection in self.connections:
+            connection.send(wire.Frame(0, True, Goodbye()))
+        with suppress(TimeoutError):
+            async with asyncio.timeout(left_s if self.connections else 0.0):
+                await self.emptied.wait()
         for connection in list(self.connections):
             connection.transport.close()
 
@@ -180,6 +191,7 @@
         self.waiting: dict[int, asyncio.Future] = {}
         self.used_at = clock.now()
         self.closed = False
+        self.leaving = False
         self._next = 0
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -196,9 +208,18 @@
             self.transport.abort()
 
     def frame_received(self, frame: wire.Frame) -> None:
+        if isinstance(frame.body, Goodbye):
+            self.leaving = True
         fut = self.waiting.pop(frame.number, None)
         if fut is not None and not fut.done():
             fut.set_result(frame.body)
+        if self.leaving and not self.waiting:
+            self.fail("other end stops")
+
+    @property
+    def open(self) -> bool:
+        """Whether a new request may be sent on the stream."""
+        return not self.closed and not self.leaving
 
     def ask(self, body: Message) -> tuple[int, asyncio.Future]:
         """Send a request; return its number and the future of its answer."""
@@ -254,12 +275,12 @@
 
     async def _stream(self, addr: tuple[str, int], timeout_s: float) -> _Stream:
         stream = self._streams.get(addr)
-        if stream is not None and not stream.closed:
+        if stream is not None and stream.open:
             return stream
         lock = self._locks.setdefault(addr, asyncio.Lock())
         async with lock:
             stream = self._streams.get(addr)
-            if stream is not None and not stream.closed:
+            if stream is not None and stream.open:
                 return stream
             loop = asyncio.get_running_loop()
             opening = loop.create_connection(_Stream, *addr)
@@ -281,7 +302,7 @@
             stream = await self._stream(addr, timeout_s)
         except (OSError, TimeoutError) as exc:
             raise NotSent(str(exc)) from exc
-        if stream.closed:
+        if not stream.open:
             raise NotSent("stream closed")
         number, fut = stream.ask(body)
         try:
--- a/lavenderstack/node/streams_test.py
+++ b/lavenderstack/node/streams_test.py
@@ -94,3 +94,20 @@
     async def test_a_ping_is_answered_by_the_stream_itself(self):
         async with served(None) as (pool, addr, _):
             assert await pool.call(addr, Ping(), 1.0) == Pong()
+
+
+class TestStop:
+    async def test_a_stopping_server_answers_what_runs_and_takes_nothing_new(self):
+        async def handler(message):
+            await asyncio.sleep(0.1)
+            return Begun(message.request)
+
+        async with served(handler) as (pool, addr, server):
+            running = asyncio.ensure_future(pool.call(addr, BEGIN, 2.0))
+            await asyncio.sleep(0.05)
+            stopping = asyncio.ensure_future(server.stop(5.0))
+            await asyncio.sleep(0.02)
+            with pytest.raises(NotSent):
+                await pool.call(addr, BEGIN, 1.0)
+            assert await running == Begun("r")
+            await asyncio.wait_for(stopping, 2)
--- a/lavenderstack/node/target_holder.py
+++ b/lavenderstack/node/target_holder.py
@@ -40,6 +40,7 @@
 LONGEST_PAUSE_S = 0.02
 PINNED_SHARE = 0.5
 AGE_PROOF_S = 0.03
+LEAVING_GRACE_S = 2.0
 
 # Stands for the result of a write that had taken effect before.
 _REPEATED = object()
@@ -103,6 +104,7 @@
         self._probe = Probe(target, group.name)
         self.transactions = Transactions()
         self._last = START
+        self._leaving_since: float | None = None
 
     # What is known of the target.
 
@@ -145,10 +147,21 @@
 
     # The gates.
 
-    def _check_leaving(self) -> None:
+    def _check_leaving(self, write: bool) -> None:
+        """Refuse new work for a leaving target.
+
+        Single writes still pass for a short while, until another target leads.
+        """
         vm = self._control.view.vms.get(self.target.name)
-        if vm is not None and vm.state == "leaving":
-            raise Refused(Reason.LEAVING, retry_after_s=NO_PRIMARY_RETRY_S)
+        if vm is None or vm.state != "leaving":
+            self._leaving_since = None
+            return
+        now = clock.now()
+        if self._leaving_since is None:
+            self._leaving_since = now
+        if write and now - self._leaving_since < LEAVING_GRACE_S:
+            return
+        raise Refused(Reason.LEAVING, retry_after_s=NO_PRIMARY_RETRY_S)
 
     def _check_key(self, digest: str) -> None:
         """Refuse a request whose key was withdrawn while it was on its way."""
@@ -193,7 +206,7 @@
         deadline = clock.now() + msg.left_s
         if msg.transaction:
             return await self._execute_pinned(msg, deadline, gate)
-        self._check_leaving()
+        self._check_leaving(msg.write)
         await self._admit(msg, deadline, gate)
         if msg.write:
             return await self._write(msg, deadline)
@@ -311,7 +324,7 @@
     async def begin(self, msg: Begin) -> Begun:
         """Open a transaction and pin it to a connection."""
         deadline = clock.now() + msg.left_s
-        self._check_leaving()
+        self._check_leaving(write=False)
         await self._control.admit(msg.organisation, deadline)
         if len(self.transactions) >= self._pool.limit * PINNED_SHARE:
             raise Refused(Reason.CROWDED, "too many open transactions", 1.0)
--- a/lavenderstack/node/wire.py
+++ b/lavenderstack/node/wire.py
@@ -19,6 +19,7 @@
     messages.Cancel,
     messages.Ping,
     messages.Pong,
+    messages.Goodbye,
     group_messages.Look,
     group_messages.Looked,
     group_messages.WhoLeads,
