--- a/lavenderstack/node/main.py
+++ b/lavenderstack/node/main.py
@@ -35,6 +35,7 @@
 
 VIEW_POLL_S = 0.05
 STREAMS_STOP_S = 5.0
+PART_FAILED = 1
 
 log = structlog.get_logger()
 
@@ -169,17 +170,16 @@
 
 
 async def _run(cfg: Settings) -> int:
+    status = 0
     async with store.opened(cfg.platform.urls) as platform:
         node = build(cfg, platform)
         _on_signals(node.stop)
         try:
             await _serve(node)
         except* supervisor.PartFailed as group:
-            names = ", ".join(str(exc) for exc in group.exceptions)
-            log.error("node: a part failed too often", parts=names)
-            return 1
-    log.info("node: stopped")
-    return 0
+            log.error("node: a part failed too often", parts=str(group.exceptions))
+            status = PART_FAILED
+    return status
 
 
 def _runner() -> Callable:
