Prove how current the view is, and relay changes between nodes

One mechanism serves keys, lists and duties. A reader proves its view by a probe that was sent before; other nodes take the proof over with the changes, counted from their own question; a store outage is attested by a reader of every zone. A change made through a node counts as accepted only after the zone's readers were handed it.

--- a/lavenderstack/core/documents_test.py
+++ b/lavenderstack/border/documents_test.py
@@ -88,7 +88,7 @@
             ([key(3, True), key(2, False)], 3, True),
             ([key(2, False), key(3, True)], 2, True),
             ([key(3, True), key(3, True)], 0, True),
-            ([key(5, True)], 0, True),
+            ([key(5, True), key(4, False)], 0, True),
         ],
     )
     def test_the_higher_revision_of_a_key_wins(self, changes, revision, withdrawn):
@@ -126,6 +126,8 @@
         listed = apply_listing(EMPTY, PREFIXES, [key(2)], 9, "1", parse)
         assert listed.since(8) is None
         assert listed.since(9) == ()
+        late = key(5, name="bb")
+        assert built(late, snapshot=listed).view.keys.keys() == {"aa"}
 
     def test_forgotten_deletions_are_said_so(self, monkeypatch):
         monkeypatch.setattr(documents, "DELETIONS_KEPT", 1)
--- a/lavenderstack/border/store_fake.py
+++ b/lavenderstack/border/store_fake.py
@@ -41,10 +41,14 @@
             self.entries.pop(key, None)
         else:
             self.entries[key] = change
-        self.changed.set()
-        self.changed = asyncio.Event()
+        self.wake()
         return self.revision
 
+    def wake(self) -> None:
+        """Wake the watches, so that they see a change or a fault."""
+        event, self.changed = self.changed, asyncio.Event()
+        event.set()
+
 
 class FakeStore:
     """One client's way to a ``MemoryStore``.
--- a/lavenderstack/border/store_test.py
+++ b/lavenderstack/border/store_test.py
@@ -30,7 +30,7 @@
     async def fault(self, kind, **_):
         self.store.down = kind == "outage"
         self.store.lose_answer = kind == "lost_answer"
-        self.store.memory.changed.set()
+        self.store.memory.wake()
 
 
 class Gateway:
--- a/lavenderstack/core/documents.py
+++ b/lavenderstack/core/documents.py
@@ -81,6 +81,16 @@
     view: View = View()
     rejected: tuple[Rejected, ...] = ()
 
+    @property
+    def count(self) -> int:
+        """The number of entries."""
+        return len(self.entries)
+
+    def holds(self, change: Change) -> bool:
+        """Tell whether the change, or a later one of its key, is in force."""
+        entry = self.entries.get(change.key)
+        return entry is not None and entry.revision >= change.revision
+
     def since(self, revision: int) -> tuple[Change, ...] | None:
         """Return the changes after a revision, or None if some are forgotten."""
         if revision < self.floor:
@@ -123,8 +133,6 @@
 
     def known(self, change: Change) -> bool:
         """Tell whether the change, or a later one of its key, is in force."""
-        if change.revision <= self.snapshot.revision:
-            return True
         entry = self.entries.get(change.key)
         if entry is not None and entry.revision >= change.revision:
             return True
@@ -205,14 +213,14 @@
     ``OtherLineage``.
     """
     _checked(snapshot, lineage)
-    draft = _Draft(snapshot, parse)
-    fresh = [change for change in changes if not draft.known(change)]
     complete = max(snapshot.revision, revision)
-    if not fresh and complete == snapshot.revision:
+    later = [change for change in changes if change.revision > snapshot.revision]
+    if not later and complete == snapshot.revision:
         return snapshot
-    if not fresh:
+    if not later:
         return replace(snapshot, lineage=lineage, revision=complete)
-    for change in sorted(fresh, key=lambda c: c.revision):
+    draft = _Draft(snapshot, parse)
+    for change in sorted(later, key=lambda c: c.revision):
         if not draft.known(change):
             draft.put(change)
     return draft.done(lineage, complete)
@@ -240,9 +248,7 @@
     gone = [
         Change(entry.key, None, revision)
         for entry in snapshot.entries.values()
-        if entry.key.startswith(prefixes)
-        and entry.key not in listed
-        and entry.revision <= revision
+        if entry.key.startswith(prefixes) and entry.key not in listed
     ]
     whole = apply(snapshot, [*entries, *gone], revision, lineage, parse)
     return replace(whole, floor=revision)
--- /dev/null
+++ b/lavenderstack/node/relay_links.py
@@ -0,0 +1,149 @@
+"""The asking end of the relay: one task for each upward link.
+
+A link asks its best candidate again as soon as it has an answer; the other end keeps
+the question until there are news, so changes run down the tree at once and a quiet
+link costs one exchange a second. A candidate that fails, or can't keep this node
+current, gives way to the next; the best is tried again after a while.
+"""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from functools import partial
+from typing import TYPE_CHECKING
+
+import structlog
+
+from lavenderstack.core.documents import OtherLineage
+from lavenderstack.core.entry import Change
+from lavenderstack.core.freshness import Statement, bound
+from lavenderstack.core.relay_messages import Ask, Beat, Fetch, Page, Report
+from lavenderstack.core.relay_tree import Link
+from lavenderstack.node.streams import NotSent, StreamLost
+
+if TYPE_CHECKING:
+    from lavenderstack.node.relay import Addr, Relay
+
+BEAT_TIMEOUT_S = 1.5
+ASK_TIMEOUT_S = 1.5
+FETCH_TIMEOUT_S = 5.0
+LEAST_BETWEEN_BEATS_S = 0.1
+RETRY_S = 0.2
+AGED_S = 2.5
+RETURN_S = 30.0
+LONGEST_AGE_S = 1e9
+SEEDS = "seeds"
+
+log = structlog.get_logger()
+
+
+def wanted(relay: "Relay") -> dict[str, Callable[[], Awaitable[None]]]:
+    """Return the tasks that the relay's links need, by label."""
+    if not relay.snapshot.revision:
+        return {SEEDS: partial(_follow_seeds, relay)} if relay.seeds else {}
+    return {
+        link.label: partial(_follow, relay, link.label) for link in relay.tree.links
+    }
+
+
+def _link(relay: "Relay", label: str) -> Link | None:
+    return next((link for link in relay.tree.links if link.label == label), None)
+
+
+async def _follow_seeds(relay: "Relay") -> None:
+    while True:
+        for addr in relay.seeds:
+            await _beat(relay, addr, "")
+        await asyncio.sleep(RETRY_S * random.uniform(0.5, 1.5))
+
+
+async def _follow(relay: "Relay", label: str) -> None:
+    turn, turned_at = 0, relay.clock()
+    vms, link = None, None
+    while True:
+        if relay.view.vms is not vms:
+            vms, link, turn = relay.view.vms, _link(relay, label), 0
+        if link is None:
+            return
+        if turn and relay.clock() - turned_at > RETURN_S:
+            turn = 0
+        vm = link.candidates[turn % len(link.candidates)]
+        sent = relay.clock()
+        answered = await _beat(relay, (vm.host, vm.port), link.zone)
+        aged = label == "parent" and relay.age_s(relay.clock()) > AGED_S
+        if not answered or aged:
+            turn, turned_at = turn + 1, relay.clock()
+            await asyncio.sleep(RETRY_S * random.uniform(0.5, 1.5))
+        await asyncio.sleep(max(0.0, sent + LEAST_BETWEEN_BEATS_S - relay.clock()))
+
+
+async def _beat(relay: "Relay", addr: "Addr", zone: str) -> bool:
+    """Exchange one beat; tell whether the other end was of use."""
+    sent = relay.clock()
+    beat = Beat(
+        revision=relay.snapshot.revision,
+        newest=relay.snapshot.newest,
+        age_s=min(relay.age_s(sent), LONGEST_AGE_S),
+    )
+    try:
+        report = await relay.pool.call(addr, beat, BEAT_TIMEOUT_S)
+        return isinstance(report, Report) and await learn(
+            relay, addr, report, sent, zone
+        )
+    except (NotSent, StreamLost, TimeoutError):
+        return False
+
+
+async def ask(relay: "Relay") -> None:
+    """Have a reader of the zone look in the store, and take over what it has."""
+    for vm in relay.tree.readers:
+        sent = relay.clock()
+        addr = (vm.host, vm.port)
+        question = Ask(revision=relay.snapshot.revision)
+        try:
+            report = await relay.pool.call(addr, question, ASK_TIMEOUT_S)
+            if isinstance(report, Report):
+                await learn(relay, addr, report, sent, "")
+                return
+        except (NotSent, StreamLost, TimeoutError):
+            continue
+
+
+async def learn(
+    relay: "Relay", addr: "Addr", report: Report, sent: float, zone: str
+) -> bool:
+    """Take over a report; what it proves counts only once its changes are in force."""
+    if not report.lineage:
+        return False
+    try:
+        if report.changes is None:
+            await _fetch(relay, addr)
+        else:
+            relay.take(report.changes, report.revision, report.lineage)
+    except OtherLineage as exc:
+        log.error("relay: another lineage refused", error=str(exc))
+        return False
+    if relay.snapshot.revision < report.revision:
+        return False
+    relay.prove(bound(sent, report.held_s, report.age_s))
+    if zone and report.reader:
+        statement = Statement(sent + report.held_s, report.unreachable)
+        relay.freshness.heard(zone, statement)
+        relay.attest()
+    return True
+
+
+async def _fetch(relay: "Relay", addr: "Addr") -> None:
+    """Fetch all entries, page by page; complete up to the oldest page's revision."""
+    entries: list[Change] = []
+    revisions: list[int] = []
+    lineage, after, more = "", "", True
+    while more:
+        page = await relay.pool.call(addr, Fetch(after=after), FETCH_TIMEOUT_S)
+        if not isinstance(page, Page) or lineage not in ("", page.lineage):
+            return
+        entries += page.entries
+        revisions.append(page.revision)
+        lineage, more = page.lineage, page.more
+        after = page.entries[-1].key if page.entries else after
+    relay.take_listing(entries, min(revisions), lineage)
--- /dev/null
+++ b/lavenderstack/node/relay_test.py
@@ -0,0 +1,462 @@
+"""Tests of the relay under faults: many relays in one process, on virtual time.
+
+The loop's clock jumps to the next timer, so a minute of beats takes no minute. An
+oracle runs beside each test: a usable view must hold every change that was accepted
+more than ``USABLE_S`` ago, and no view may lose a change.
+"""
+
+import asyncio
+import json
+import random
+import selectors
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lavenderstack.border.store import StoreError, SwapDone
+from lavenderstack.border.store_fake import FakeStore, MemoryStore
+from lavenderstack.core.duty import TAKEOVER_S
+from lavenderstack.core.entry import Change
+from lavenderstack.core.freshness import USABLE_S
+from lavenderstack.node.relay import Relay
+from lavenderstack.node.streams import NotSent, StreamLost
+
+KEY = "lavenderstack/keys/aa"
+LEAST_STEP_S = 1e-6
+ZONES = ["z1", "z2", "z3"]
+
+
+class VirtualSelector(selectors.SelectSelector):
+    """Never waits; the time that it should have waited passes at once."""
+
+    now = 1000.0
+
+    def select(self, timeout=None):
+        ready = super().select(0)
+        VirtualSelector.now += LEAST_STEP_S if ready or not timeout else timeout
+        return ready
+
+
+def clock():
+    return VirtualSelector.now
+
+
+def on_virtual_time(main):
+    loop = asyncio.SelectorEventLoop(VirtualSelector())
+    loop.time = clock
+    with asyncio.Runner(loop_factory=lambda: loop) as runner:
+        return runner.run(main)
+
+
+class Pool:
+    """A node's way to the others; ``fleet`` knows what is cut or delayed."""
+
+    def __init__(self, fleet, name):
+        self.fleet, self.name = fleet, name
+
+    async def call(self, addr, body, timeout_s):
+        fleet, other = self.fleet, addr[0]
+        if fleet.cut(self.name, other):
+            await asyncio.sleep(min(timeout_s, 1.0))
+            raise NotSent("cut")
+        async with asyncio.timeout(timeout_s):
+            await fleet.travel(self.name, other)
+            answer = await fleet.relays[other].handlers()[type(body)](body)
+            await fleet.travel(other, self.name)
+        if fleet.cut(self.name, other):
+            raise StreamLost("cut")
+        return answer
+
+
+class Store(FakeStore):
+    """A node's way to the store, with the faults of the fleet."""
+
+    def __init__(self, fleet, name):
+        super().__init__(fleet.memory)
+        self.fleet, self.name = fleet, name
+
+    async def probe(self, prefixes, after_revision):
+        await self.fleet.resume(self.name)
+        probe = await super().probe(prefixes, after_revision)
+        await self.fleet.resume(self.name)
+        return probe
+
+
+class Fleet:
+    """Relays in zones over one store, and the faults between them."""
+
+    def __init__(self, zones, a_zone):
+        self.memory = MemoryStore()
+        self.names = {f"{z}n{i}": z for z in zones for i in range(a_zone)}
+        for name, zone in self.names.items():
+            vm = {"zone": zone, "host": name, "port": 1}
+            self.memory.put(f"platform/vms/{name}", json.dumps(vm).encode())
+        self.relays, self.tasks, self.stores = {}, {}, {}
+        self.apart, self.paused = set(), {}
+        self.delay_s = 0.001
+        self.accepted = [(clock(), self.put_key(False))]
+        self.newest = {}
+
+    def put_key(self, withdrawn):
+        value = {"organisation": "o", "withdrawn": withdrawn}
+        return self.memory.put(KEY, json.dumps(value).encode())
+
+    def start(self, *names, seeds=()):
+        for name in names:
+            store = self.stores[name] = Store(self, name)
+            zone = self.names[name]
+            relay = Relay(name, zone, store, Pool(self, name), seeds, clock)
+            self.relays[name] = relay
+            self.tasks[name] = asyncio.ensure_future(relay.run())
+
+    def stop(self, *names):
+        for name in names:
+            self.tasks.pop(name).cancel()
+            self.apart |= {frozenset([name, o]) for o in self.names}
+
+    def cut(self, name, other):
+        return frozenset([name, other]) in self.apart
+
+    def cut_zone(self, zone):
+        inside = {n for n, z in self.names.items() if z == zone}
+        for name in inside:
+            self.apart |= {frozenset([name, o]) for o in self.names if o not in inside}
+
+    def stores_down(self, names, down=True):
+        for name in names:
+            self.stores[name].down = down
+        self.memory.wake()
+
+    async def resume(self, name):
+        await asyncio.sleep(max(0.0, self.paused.get(name, 0.0) - clock()))
+
+    async def travel(self, name, other):
+        await self.resume(name)
+        await asyncio.sleep(self.delay_s)
+        await self.resume(other)
+
+    def accept(self, withdrawn=True):
+        """Accept a change the way of the store's own clients, without a node."""
+        self.accepted.append((clock(), self.put_key(withdrawn)))
+
+    async def change(self, name, withdrawn=True):
+        """Change through a node, as the administration does; tell if accepted."""
+        relay, value = self.relays[name], {"organisation": "o", "withdrawn": withdrawn}
+        raw = json.dumps(value).encode()
+        entry = await relay.store.get(KEY)
+        done = await relay.store.swap(KEY, raw, entry.revision)
+        if not isinstance(done, SwapDone):
+            return False
+        ok = await relay.announce(Change(KEY, raw, done.revision))
+        if ok:
+            self.accepted.append((clock(), done.revision))
+        return ok
+
+    def check(self):
+        now = clock()
+        for name in self.tasks:
+            relay = self.relays[name]
+            held = relay.snapshot.entries.get(KEY)
+            held = held.revision if held else 0
+            assert held >= self.newest.get(name, 0), f"{name} reverted"
+            self.newest[name] = held
+            if relay.usable(now) and self.paused.get(name, 0) <= now:
+                due = [r for at, r in self.accepted if at < now - USABLE_S]
+                assert held >= max(due, default=0), f"{name} is stale, yet usable"
+
+    async def pass_s(self, seconds):
+        until = clock() + seconds
+        while clock() < until:
+            await asyncio.sleep(0.05)
+            self.check()
+
+    def usable(self, *zones):
+        now = clock()
+        names = [n for n in self.tasks if not zones or self.names[n] in zones]
+        return [self.relays[n].usable(now) for n in names]
+
+    def withdrawn(self):
+        return [self.relays[n].view.keys["aa"].withdrawn for n in self.tasks]
+
+    async def close(self):
+        for task in self.tasks.values():
+            task.cancel()
+        await asyncio.gather(*self.tasks.values(), return_exceptions=True)
+
+
+def fleet_test(zones=3, a_zone=3):
+    """Run the decorated coroutine function with a running fleet."""
+
+    def wrap(test):
+        def run(self, *args, **kwargs):
+            async def main():
+                fleet = Fleet(ZONES[:zones], a_zone)
+                fleet.start(*fleet.names)
+                try:
+                    await fleet.pass_s(4)
+                    assert all(fleet.usable())
+                    await test(self, fleet, *args, **kwargs)
+                finally:
+                    await fleet.close()
+
+            on_virtual_time(main())
+
+        run.__name__ = test.__name__
+        return run
+
+    return wrap
+
+
+class TestOutage:
+    @fleet_test()
+    async def test_an_outage_alone_stops_nothing(self, fleet):
+        fleet.stores_down(fleet.names)
+        for _ in range(60):
+            await fleet.pass_s(1)
+            assert all(fleet.usable())
+        fleet.stores_down(fleet.names, down=False)
+        fleet.accept()
+        await fleet.pass_s(2)
+        assert all(fleet.withdrawn())
+
+    @fleet_test()
+    async def test_one_node_reaches_the_store_and_changes_it(self, fleet):
+        """Readers hold the outage for proved; the change must still be in force."""
+        reader = {vm.name for r in fleet.relays.values() for vm in r.tree.readers}
+        name = next(n for n in fleet.names if n not in reader)
+        fleet.stores_down(set(fleet.names) - {name})
+        await fleet.pass_s(10)
+        assert await fleet.change(name)
+        await fleet.pass_s(USABLE_S + 1)
+        assert all(fleet.withdrawn())
+        assert all(fleet.usable())
+
+    @fleet_test()
+    async def test_a_change_that_no_reader_can_be_handed_is_not_accepted(self, fleet):
+        reader = {vm.name for r in fleet.relays.values() for vm in r.tree.readers}
+        name = next(n for n in fleet.names if n not in reader)
+        fleet.stores_down(set(fleet.names) - {name})
+        fleet.apart |= {frozenset([name, o]) for o in fleet.names}
+        await fleet.pass_s(6)
+        assert not await fleet.change(name)
+        assert not fleet.relays[name].usable(clock())
+
+    @fleet_test()
+    async def test_a_new_vm_starts_from_its_peers(self, fleet):
+        fleet.stores_down(fleet.names)
+        await fleet.pass_s(5)
+        fleet.names["z1new"] = "z1"
+        fleet.start("z1new", seeds=[("z1n0", 1), ("z2n0", 1)])
+        fleet.stores_down(["z1new"])
+        await fleet.pass_s(4)
+        assert all(fleet.usable())
+        assert fleet.relays["z1new"].view == fleet.relays["z1n0"].view
+
+
+class TestCuts:
+    @fleet_test()
+    async def test_a_zone_cut_off_from_all_refuses_keyed_work(self, fleet):
+        fleet.cut_zone("z1")
+        fleet.stores_down([n for n, z in fleet.names.items() if z == "z1"])
+        fleet.accept()
+        await fleet.pass_s(USABLE_S + 0.1)
+        assert not any(fleet.usable("z1"))
+        assert all(fleet.usable("z2", "z3"))
+        fleet.apart.clear()
+        await fleet.pass_s(5)
+        assert all(fleet.usable())
+        assert all(fleet.withdrawn())
+
+    @fleet_test()
+    async def test_a_zone_cut_off_from_the_platform_only_stays_current(self, fleet):
+        fleet.stores_down([n for n, z in fleet.names.items() if z == "z1"])
+        await fleet.pass_s(8)
+        fleet.accept()
+        await fleet.pass_s(2)
+        assert all(fleet.usable())
+        assert all(fleet.withdrawn())
+
+    @fleet_test()
+    async def test_an_outage_is_not_attested_without_every_zone(self, fleet):
+        fleet.stores_down(fleet.names)
+        fleet.cut_zone("z1")
+        await fleet.pass_s(USABLE_S + 3)
+        assert not any(fleet.usable())
+
+    @fleet_test(zones=2)
+    async def test_one_way_of_two_zones_each_with_half_the_faults(self, fleet):
+        """One zone reaches the store, the other only hears that zone."""
+        fleet.stores_down([n for n, z in fleet.names.items() if z == "z2"])
+        fleet.delay_s = 0.2
+        for _ in range(10):
+            fleet.accept()
+            await fleet.pass_s(3)
+        assert all(fleet.usable())
+
+
+class TestDeaths:
+    @fleet_test(a_zone=8)
+    async def test_readers_die_one_by_one(self, fleet):
+        readers = fleet.relays["z1n0"].tree.readers
+        for vm in readers:
+            fleet.stop(vm.name)
+            await fleet.pass_s(10)
+            assert all(fleet.usable())
+            fleet.accept()
+            await fleet.pass_s(3)
+            assert all(fleet.withdrawn())
+
+    @fleet_test()
+    async def test_a_paused_node_is_not_usable_when_it_wakes(self, fleet):
+        for name in fleet.names:
+            fleet.paused[name] = clock() + 6
+            await asyncio.sleep(5.9)
+            fleet.accept()
+            assert not fleet.relays[name].usable(clock())
+            await fleet.pass_s(4)
+            assert all(fleet.usable())
+
+
+class TestStoreRestarts:
+    @fleet_test()
+    async def test_older_answers_never_revert_a_view(self, fleet):
+        older = dict(fleet.memory.entries), fleet.memory.revision
+        fleet.accept()
+        await fleet.pass_s(2)
+        fleet.memory.entries, fleet.memory.revision = older
+        fleet.memory.history = [
+            c for c in fleet.memory.history if c.revision <= older[1]
+        ]
+        await fleet.pass_s(20)
+        assert all(fleet.withdrawn())
+        assert all(fleet.usable())
+
+    @fleet_test()
+    async def test_another_lineage_is_refused(self, fleet):
+        fleet.memory.lineage = "2"
+        fleet.put_key(True)
+        await fleet.pass_s(10)
+        assert not any(fleet.withdrawn())
+
+    @fleet_test()
+    async def test_a_silent_watch_is_replaced(self, fleet):
+        for name, store in fleet.stores.items():
+            if fleet.relays[name].is_reader:
+                store.memory = MemoryStore()
+                store.memory.__dict__.update(fleet.memory.__dict__)
+                store.memory.changed = asyncio.Event()
+        reader = next(n for n in fleet.names if fleet.relays[n].is_reader)
+        others = [n for n in fleet.names if n != reader]
+        fleet.stores_down(others)
+        memory = fleet.stores[reader].memory
+        memory.revision += 1
+        value = json.dumps({"organisation": "o", "withdrawn": True}).encode()
+        memory.entries[KEY] = Change(KEY, value, memory.revision)
+        await fleet.pass_s(6)
+        assert all(fleet.withdrawn())
+
+
+class TestSpeed:
+    @pytest.mark.parametrize(("zones", "a_zone"), [(3, 3), (2, 60)])
+    def test_a_withdrawn_key_stops_everywhere_within_seconds(self, zones, a_zone):
+        async def run(_, fleet):
+            fleet.accept()
+            await fleet.pass_s(1)
+            assert all(fleet.withdrawn())
+            assert all(fleet.usable())
+
+        fleet_test(zones, a_zone)(run)(self)
+
+
+class TestNewer:
+    @fleet_test(a_zone=4)
+    async def test_an_unknown_key_is_looked_up_once_and_then_remembered(self, fleet):
+        relay = next(r for r in fleet.relays.values() if not r.is_reader)
+        before = sum(s.calls for s in fleet.stores.values())
+        found = [relay.newer(relay.view.revision, 1.0) for _ in range(50)]
+        assert not any(await asyncio.gather(*found))
+        assert not await relay.newer(relay.view.revision, 1.0)
+        assert sum(s.calls for s in fleet.stores.values()) - before <= 4
+        await fleet.pass_s(1)
+        known = relay.view.revision
+        fleet.accept(withdrawn=True)
+        assert await relay.newer(known, 1.0)
+        assert relay.view.keys["aa"].withdrawn
+
+
+class TestDuties:
+    @fleet_test()
+    async def test_a_successor_acts_only_after_the_predecessor_stopped(self, fleet):
+        one, two = fleet.relays["z1n0"], fleet.relays["z2n0"]
+        assert await one.claim("d") == 1
+        await fleet.pass_s(1)
+        assert one.owns("d", clock()) == 1
+        fleet.cut_zone("z1")
+        fleet.stores_down([n for n, z in fleet.names.items() if z == "z1"])
+        assert await two.claim("d") == 2
+        taken = clock()
+        both = []
+        while not two.owns("d", clock()):
+            await asyncio.sleep(0.01)
+            both.append(bool(one.owns("d", clock()) and two.owns("d", clock())))
+        assert not any(both)
+        assert USABLE_S < clock() - taken <= TAKEOVER_S + 0.1
+        fleet.apart.clear()
+        await fleet.pass_s(3)
+        assert one.owns("d", clock()) is None
+
+    @pytest.mark.parametrize("lose", [False, True])
+    def test_of_two_claims_at_once_one_wins(self, lose):
+        async def run(_, fleet):
+            names = ["z1n0", "z2n0"]
+            fleet.stores["z1n0"].lose_answer = lose
+            claims = [fleet.relays[n].claim("d") for n in names]
+            epochs = await asyncio.gather(*claims)
+            fleet.stores["z1n0"].lose_answer = False
+            await fleet.pass_s(TAKEOVER_S + 1)
+            owned = [fleet.relays[n].owns("d", clock()) for n in names]
+            last = max((e for e in epochs if e), default=None)
+            assert owned == [e if e == last else None for e in epochs]
+
+        fleet_test()(run)(self)
+
+
+FAULTS = st.sampled_from(
+    ["outage", "well", "cut", "heal", "pause", "delay", "change", "change", "restart"]
+)
+
+
+class TestSoundness:
+    @settings(max_examples=40, derandomize=True, deadline=None)
+    @given(st.lists(st.tuples(FAULTS, st.integers(0, 2**16)), min_size=3, max_size=14))
+    def test_no_view_reverts_or_thinks_itself_fresher_than_it_is(self, faults):
+        async def run(_, fleet):
+            for kind, seed in faults:
+                await self.hurt(fleet, kind, random.Random(seed))
+                await fleet.pass_s(random.Random(seed).uniform(0.1, 4))
+
+        fleet_test(a_zone=2)(run)(self)
+
+    async def hurt(self, fleet, kind, rng):
+        some = rng.sample(sorted(fleet.names), rng.randint(1, len(fleet.names)))
+        if kind in ("outage", "well"):
+            fleet.stores_down(some, down=kind == "outage")
+        elif kind == "cut":
+            fleet.cut_zone(rng.choice(ZONES))
+        elif kind == "heal":
+            fleet.apart.clear()
+        elif kind == "pause":
+            fleet.paused[some[0]] = clock() + rng.uniform(0, 8)
+        elif kind == "delay":
+            fleet.delay_s = rng.choice([0.001, 0.3])
+        elif kind == "restart":
+            fleet.tasks.pop(some[0]).cancel()
+            fleet.newest.pop(some[0], None)
+            seeds = [(n, 1) for n in fleet.names if n != some[0]]
+            fleet.start(some[0], seeds=seeds[:2])
+        else:
+            try:
+                await fleet.change(some[0], rng.random() < 0.5)
+            except StoreError:
+                return
--- a/lavenderstack/node/wire.py
+++ b/lavenderstack/node/wire.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from lavenderstack.core import messages
+from lavenderstack.core import messages, relay_messages
 
 MESSAGES: tuple[type, ...] = (
     messages.Execute,
@@ -19,6 +19,15 @@
     messages.Cancel,
     messages.Ping,
     messages.Pong,
+    relay_messages.Beat,
+    relay_messages.Ask,
+    relay_messages.Report,
+    relay_messages.Fetch,
+    relay_messages.Page,
+    relay_messages.Hand,
+    relay_messages.Handed,
+    relay_messages.WhichRevision,
+    relay_messages.InForce,
 )
 
 
