--- a/lavenderstack/node/wire.py
+++ b/lavenderstack/node/wire.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from lavenderstack.core import group_messages, messages
+from lavenderstack.core import group_messages, messages, relay_messages
 
 MESSAGES: tuple[type, ...] = (
     messages.Execute,
@@ -24,6 +24,15 @@
     group_messages.Looked,
     group_messages.WhoLeads,
     group_messages.Leads,
+    relay_messages.Beat,
+    relay_messages.Ask,
+    relay_messages.Report,
+    relay_messages.Fetch,
+    relay_messages.Page,
+    relay_messages.Hand,
+    relay_messages.Handed,
+    relay_messages.WhichRevision,
+    relay_messages.InForce,
 )
 
 
