--- a/lavenderstack/node/main.py
+++ b/lavenderstack/node/main.py
@@ -6,8 +6,8 @@
 
 import asyncio
 import signal
-from collections.abc import AsyncIterator, Callable
-from contextlib import AbstractAsyncContextManager, asynccontextmanager
+from collections.abc import Callable
+from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass, field
 
 import structlog
@@ -35,6 +35,7 @@
 
 VIEW_POLL_S = 0.05
 STREAMS_STOP_S = 5.0
+PART_FAILED = 1
 
 log = structlog.get_logger()
 
@@ -123,15 +124,6 @@
     )
 
 
-@asynccontextmanager
-async def _served_streams(node: Node) -> AsyncIterator[None]:
-    await node.server.start(node.cfg.peers.host, node.cfg.peers.port)
-    try:
-        yield
-    finally:
-        await node.server.stop(STREAMS_STOP_S)
-
-
 async def _wait_for_view(node: Node) -> None:
     while not node.relay.view.revision:
         await node.relay.news(VIEW_POLL_S)
@@ -156,7 +148,8 @@
 
 
 async def _serve(node: Node) -> None:
-    async with _served_streams(node), asyncio.TaskGroup() as tasks:
+    await node.server.start(node.cfg.peers.host, node.cfg.peers.port)
+    async with asyncio.TaskGroup() as tasks:
         control = tasks.create_task(supervisor.run(_parts(node)))
         await _wait_for_view(node)
         async with _served_callers(node) as port:
@@ -164,6 +157,8 @@
             log.info("node: ready", revision=node.relay.view.revision)
             await _stopped(node)
             await _drained(node)
+        # Requests of other nodes still need the control parts to end.
+        await node.server.stop(STREAMS_STOP_S)
         control.cancel()
     node.pool.close()
 
@@ -175,17 +170,16 @@
 
 
 async def _run(cfg: Settings) -> int:
+    status = 0
     async with store.opened(cfg.platform.urls) as platform:
         node = build(cfg, platform)
         _on_signals(node.stop)
         try:
             await _serve(node)
         except* supervisor.PartFailed as group:
-            names = ", ".join(str(exc) for exc in group.exceptions)
-            log.error("node: a part failed too often", parts=names)
-            return 1
-    log.info("node: stopped")
-    return 0
+            log.error("node: a part failed too often", parts=str(group.exceptions))
+            status = PART_FAILED
+    return status
 
 
 def _runner() -> Callable:
