Replace a primary whose replicas stand still; hand over a leaving one sooner

A primary that all watchers hear, but that the other targets can't reach, left the group without acknowledged writes for good: every watcher found it healthy. It is now replaced when a majority makes no progress towards what it wrote seconds ago. Replicas that lag but move are left alone (table in suspicion_test.py).

A target's answers come to a watcher in order, over one connection, so the last one counts as it stands. Keeping the highest term instead would have hidden a target that came back empty, and nobody would have made it follow again.

--- a/lavenderstack/core/suspicion.py
+++ b/lavenderstack/core/suspicion.py
@@ -8,6 +8,10 @@
 hears with a majority is cut off from this watcher and not from the group. That
 answer holds a watcher off for ``HOLD_OFF_S`` at most.
 
+A primary that answers is replaced in three cases only: it is leaving; a majority
+makes no progress towards what it wrote ``STALL_S`` ago; or a target has adopted a
+later term than its own, in which case a new term takes that target back.
+
 Nothing here is needed for safety, which rests on terms alone. A wrong suspicion
 costs a short gap in writes, and a late one a long gap.
 """
@@ -16,7 +20,7 @@
 from dataclasses import dataclass
 from enum import Enum, auto
 
-from lavenderstack.core.evidence import Observation, newer
+from lavenderstack.core.evidence import Observation
 from lavenderstack.core.position import START
 from lavenderstack.core.routing import Leader
 
@@ -25,7 +29,8 @@
 REFUSALS = 2
 RANK_DELAY_S = 0.7
 ORPHAN_S = 2.0
-LEAVING_S = 1.0
+LEAVING_S = 0.3
+STALL_S = 2.0
 HOLD_OFF_S = 4.0
 OPINION_S = 0.5
 PAUSED_S = 0.6
@@ -82,15 +87,23 @@
         self._held_from: float | None = None
         self._fault_from: float | None = None
         self._written_before = START
+        self._marks = (START, START)
+        self._marked_at = now
+        self._moved_at = now
 
     def heard(self, seen: Observation, now: float) -> None:
-        """Take in a target's answer."""
+        """Take in a target's answer; those of one target come in their order."""
         before = self.leader()
         known = self.seen.get(seen.target)
         if known is not None and known.leads:
             self._written_before = known.last
-        self.seen[seen.target] = seen if known is None else newer(known, seen)
+        elif known is not None and known.last != seen.last:
+            self._moved_at = now
+        self.seen[seen.target] = seen
         self.answered(seen.target, now)
+        if seen.leads and now - self._marked_at > STALL_S:
+            self._marked_at = now
+            self._marks = (self._marks[1], seen.last)
         after = self.leader()
         if after != before:
             self._quiet_from = now
@@ -189,37 +202,51 @@
         return Decision(Verdict.PROPOSE, self.highest_term())
 
     def _about_fault(self, leader: Leader, now: float) -> Decision:
-        """Replace a living primary that is leaving, or a term that lost a target."""
-        orphaned = self.highest_term() > leader.term
+        """Replace a living primary that leaves, or under which writes can't go on."""
         voters = self._successors(leader, now)
-        if (not orphaned and not voters) or len(self._heard(now)) < self.majority:
+        wait_s = LEAVING_S
+        still = now - self._moved_at > STALL_S
+        if not voters and still and self._stalled(leader):
+            voters = self._heard(now) - {leader.target}
+            wait_s = STALL_S
+        elif not voters and self.highest_term() > leader.term:
+            voters = self._heard(now)
+            wait_s = ORPHAN_S
+        if len(voters) < self.majority:
             self._fault_from = None
             return HOLD
         if self._fault_from is None:
             self._fault_from = now
-        wait_s = LEAVING_S if voters else ORPHAN_S
         if now - self._fault_from < wait_s + self.rank * RANK_DELAY_S:
             return HOLD
         self._fault_from = now
-        return Decision(Verdict.PROPOSE, self.highest_term(), voters)
+        return Decision(Verdict.PROPOSE, self.highest_term(), tuple(sorted(voters)))
+
+    def _stalled(self, leader: Leader) -> bool:
+        """Tell whether too few hold what the primary wrote some seconds ago.
+
+        Then no write can be acknowledged, though this watcher hears everybody.
+        """
+        mark = self._marks[0]
+        under = [n for n in self.seen if self._term_of(n) == leader.term]
+        reached = [name for name in under if self.seen[name].last >= mark]
+        return mark.term == leader.term and len(reached) < self.majority
 
-    def _successors(self, leader: Leader, now: float) -> tuple[str, ...]:
+    def _successors(self, leader: Leader, now: float) -> set[str]:
         """Return those that may replace a leaving primary, none if it should stay.
 
         They must be a majority that was just heard, and one of them must hold what
         the primary held one probe ago.
         """
         if leader.target not in self.leaving:
-            return ()
-        staying = [
+            return set()
+        staying = {
             name
             for name in self._heard(now) - self.leaving
             if self._term_of(name) == leader.term
-        ]
-        if len(staying) < self.majority:
-            return ()
+        }
         caught_up = any(self.seen[n].last >= self._written_before for n in staying)
-        return tuple(sorted(staying)) if caught_up else ()
+        return staying if caught_up else set()
 
     def _term_of(self, target: str) -> int:
         seen = self.seen.get(target)
@@ -248,7 +275,8 @@
         health = self._health.get(leader.target) if leader else None
         if health is None or health.failures:
             return DOUBT_PROBE_S
-        if leader.target in self.leaving or self.highest_term() > leader.term:
+        faulty = self.highest_term() > leader.term or self._stalled(leader)
+        if faulty or leader.target in self.leaving:
             return DOUBT_PROBE_S
         if target != leader.target:
             return REPLICA_PROBE_S
--- a/lavenderstack/core/suspicion_test.py
+++ b/lavenderstack/core/suspicion_test.py
@@ -38,7 +38,8 @@
             self.suspicion.failed(name, refused=True)
         else:
             usual = (3, (3, 9), "primary" if name == "a" else "replica", "a")
-            term, last, role, primary = fault or usual
+            state = fault(self.now) if callable(fault) else fault
+            term, last, role, primary = state or usual
             seen = Observation(name, term, Position(*last), self.now, role, primary)
             self.suspicion.heard(seen, self.now)
 
@@ -71,6 +72,16 @@
 
 ORPHAN = (4, (3, 9), "replica", "")
 DEPOSED = (4, (3, 9), "replica", "")
+
+
+def writing(now):
+    return 3, (3, 9 + int(now * 100)), "primary", "a"
+
+
+def lagging(now):
+    return 3, (3, 9 + int(now * 50)), "replica", "a"
+
+
 AHEAD = (3, (3, 20), "primary", "a")
 
 
@@ -90,7 +101,14 @@
             ),
             ("deposed", {"faults": {"a": DEPOSED}}, 0.9, 1.8),
             ("one target has a later term", {"faults": {"b": ORPHAN}}, 1.9, 6.5),
-            ("leaving", {"leaving": {"a"}}, 0.9, 1.5),
+            ("leaving", {"leaving": {"a"}}, 0.2, 0.8),
+            ("replicas stand still", {"faults": {"a": writing}}, 3.0, 8.0),
+            (
+                "leaving, successors behind",
+                {"leaving": {"a"}, "faults": {"a": AHEAD}},
+                3.0,
+                8.0,
+            ),
         ],
     )
     def test_in_time(self, case, options, earliest, latest):
@@ -108,8 +126,8 @@
             {"faults": {"a": "refused", "b": "silent"}},
             {"faults": {name: "silent" for name in NAMES}},
             {"leaving": {"a"}, "faults": {"b": "silent"}},
-            {"leaving": {"a"}, "faults": {"a": AHEAD}},
             {"leaving": {"b"}},
+            {"faults": {"a": writing, "b": lagging, "c": lagging}},
         ],
     )
     def test_never(self, options):
--- a/lavenderstack/node/watch.py
+++ b/lavenderstack/node/watch.py
@@ -11,6 +11,7 @@
 
 import structlog
 
+from lavenderstack.core import clock
 from lavenderstack.core.group_messages import Leads, WhoLeads
 from lavenderstack.core.routing import Leader
 from lavenderstack.core.view import Group, View, Vm
@@ -18,7 +19,8 @@
 from lavenderstack.node.group_watch import GroupWatch
 from lavenderstack.node.streams import Handler, NotSent, StreamLost, StreamPool
 
-DUTIES_INTERVAL_S = 1.0
+DUTIES_INTERVAL_S = 0.25
+NODES_INTERVAL_S = 1.0
 ASK_TIMEOUT_S = 0.4
 
 log = structlog.get_logger()
@@ -46,7 +48,8 @@
         self._tasks: dict[str, asyncio.Task] = {}
         self._nodes: dict[str, Vm] = {}
         self._watchers = Watchers([])
-        self._groups: object = None
+        self._nodes_at = 0.0
+        self._seen = View()
 
     def primary_of(self, group: str) -> Leader | None:
         """Return the primary of a group that this node watches, if it knows one."""
@@ -83,25 +86,32 @@
                 self._stop(name)
 
     def _take_duties(self) -> None:
-        view = self._view()
-        nodes = {vm.name: vm for vm in self._live_nodes()}
-        if nodes != self._nodes or view.groups is not self._groups:
-            if nodes != self._nodes:
-                self._nodes = nodes
-                self._watchers = Watchers(nodes.values())
-            self._groups = view.groups
+        """Follow a change of the view at once, one of the nodes a little later."""
+        view, seen = self._view(), self._seen
+        nodes_changed = self._nodes_changed(clock.now())
+        if nodes_changed or view.groups is not seen.groups:
             self._rearrange(view)
-        leaving = [
-            vm.name
-            for vm in view.vms.values()
-            if vm.kind == "target" and vm.state == "leaving"
-        ]
+        if nodes_changed or view is not seen:
+            leaving = _leaving_targets(view)
+            for watch in self._watches.values():
+                watch.set_leaving(leaving)
+        self._seen = view
         for name, watch in self._watches.items():
-            watch.set_leaving(leaving)
             if self._tasks[name].done():
                 log.error("watch: ended", group=name)
                 self._start(watch.group, watch.suspicion.rank)
 
+    def _nodes_changed(self, now: float) -> bool:
+        if now < self._nodes_at:
+            return False
+        self._nodes_at = now + NODES_INTERVAL_S
+        nodes = {vm.name: vm for vm in self._live_nodes()}
+        if nodes == self._nodes:
+            return False
+        self._nodes = nodes
+        self._watchers = Watchers(nodes.values())
+        return True
+
     def _rearrange(self, view: View) -> None:
         """Start and stop watches; a change of rank alone leaves a watch running."""
         duties = self._duties(view)
@@ -145,3 +155,8 @@
         except (NotSent, StreamLost, TimeoutError):
             return None
         return answer if isinstance(answer, Leads) else None
+
+
+def _leaving_targets(view: View) -> list[str]:
+    vms = view.vms.values()
+    return [vm.name for vm in vms if vm.kind == "target" and vm.state == "leaving"]
