--- a/lavenderstack/node/main.py
+++ b/lavenderstack/node/main.py
@@ -34,6 +34,7 @@
 from lavenderstack.node.watch import Watch
 
 VIEW_POLL_S = 0.05
+PROOF_WAIT_S = 10.0
 STREAMS_STOP_S = 5.0
 PART_FAILED = 1
 
@@ -125,8 +126,15 @@
 
 
 async def _wait_for_view(node: Node) -> None:
+    """Wait for a view, and a while for the proof that it is recent.
+
+    Without that proof only what is open to everyone can be served.
+    """
     while not node.relay.view.revision:
         await node.relay.news(VIEW_POLL_S)
+    until = clock.now() + PROOF_WAIT_S
+    while not node.relay.usable(clock.now()) and clock.now() < until:
+        await node.relay.news(VIEW_POLL_S)
 
 
 async def _stopped(node: Node) -> None:
