--- a/lavenderstack/core/suspicion.py
+++ b/lavenderstack/core/suspicion.py
@@ -18,6 +18,7 @@
 
 from lavenderstack.core.evidence import Observation, newer
 from lavenderstack.core.position import START
+from lavenderstack.core.routing import Leader
 
 SILENT_S = 1.0
 REFUSED_SILENT_S = 0.3
@@ -35,14 +36,6 @@
 DOUBT_PROBE_S = 0.25
 
 
-@dataclass(frozen=True, slots=True)
-class Leader:
-    """A group's primary and the term that it leads."""
-
-    term: int
-    target: str
-
-
 class Verdict(Enum):
     """What a watcher should do now."""
 
@@ -133,12 +126,13 @@
         """Return the highest term that any target has told of."""
         return max((seen.term for seen in self.seen.values()), default=0)
 
-    def healthy(self, now: float) -> bool:
-        """Tell whether the primary and a majority under its term were just heard."""
+    def healthy(self, since: float) -> bool:
+        """Tell whether the primary and a majority under its term answered since."""
         leader = self.leader()
-        if leader is None or leader.target not in self._heard(now):
+        heard = [n for n, health in self._health.items() if health.heard_at >= since]
+        if leader is None or leader.target not in heard:
             return False
-        under = [n for n in self._heard(now) if self._term_of(n) == leader.term]
+        under = [name for name in heard if self._term_of(name) == leader.term]
         return len(under) >= self.majority
 
     def next_probe(self, target: str) -> float:
@@ -252,7 +246,9 @@
     def _interval(self, target: str) -> float:
         leader = self.leader()
         health = self._health.get(leader.target) if leader else None
-        if health is None or health.failures or leader.target in self.leaving:
+        if health is None or health.failures:
+            return DOUBT_PROBE_S
+        if leader.target in self.leaving or self.highest_term() > leader.term:
             return DOUBT_PROBE_S
         if target != leader.target:
             return REPLICA_PROBE_S
