--- /dev/null
+++ b/lavenderstack/core/request.py
@@ -0,0 +1,57 @@
+"""A caller's request after the border has checked it, and its answer."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from lavenderstack.core.position import START
+from lavenderstack.core.token import Mark
+
+DEFAULT_DEADLINE_S = 5.0
+LONGEST_DEADLINE_S = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class Caller:
+    """Who asks: an organisation and the digest of its key; both empty if open."""
+
+    organisation: str
+    digest: str
+
+
+EVERYONE = Caller("", "")
+
+
+NO_MARK = Mark(START)
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """One statement to run. ``deadline`` is a time on ``core.clock``, in seconds.
+
+    ``once`` is the id under which the group remembers a write, so that it takes
+    effect once however often it arrives; it is empty for reads.
+    """
+
+    id: str
+    caller: Caller
+    group: str
+    statement: str
+    args: list[Any]
+    deadline: float
+    write: bool = False
+    idempotent: bool = True
+    once: str = ""
+    fresh: bool = False
+    max_age_s: float | None = None
+    mark: Mark = NO_MARK
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A request that is done: its result and what the session has now seen."""
+
+    result: Any
+    mark: Mark
+    age_s: float | None = None
+    replica: bool = False
+    repeated: bool = False
--- a/lavenderstack/node/wire.py
+++ b/lavenderstack/node/wire.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from lavenderstack.core import messages, relay_messages
+from lavenderstack.core import group_messages, messages, relay_messages
 
 MESSAGES: tuple[type, ...] = (
     messages.Execute,
@@ -19,6 +19,11 @@
     messages.Cancel,
     messages.Ping,
     messages.Pong,
+    messages.Goodbye,
+    group_messages.Look,
+    group_messages.Looked,
+    group_messages.WhoLeads,
+    group_messages.Leads,
     relay_messages.Beat,
     relay_messages.Ask,
     relay_messages.Report,
