--- /dev/null
+++ b/lavenderstack/core/allowance_messages.py
@@ -0,0 +1,133 @@
+"""Messages between a node that admits requests and the allotter of a shard.
+
+The parts of a batch carry no tag of their own; they only travel inside one. All
+times are durations in seconds.
+"""
+
+import msgspec
+
+from lavenderstack.core.messages import Message
+
+
+class ShareAsk(msgspec.Struct, array_like=True, frozen=True, gc=False):
+    """What a node holds of one organisation's plan and how much it needs.
+
+    ``number`` grows with every request of this node for the organisation; only the
+    answer to the latest one is ever taken up. ``epoch`` and ``seq`` name the share
+    held (0 for none), ``rate`` and ``capacity`` its size, ``demand`` the requests/s
+    seen lately, and ``returned`` the tokens that no longer fitted into the share.
+    """
+
+    organisation: str
+    number: int
+    epoch: int
+    seq: int
+    rate: float
+    capacity: float
+    demand: float
+    returned: float
+
+
+class ShareGrant(msgspec.Struct, array_like=True, frozen=True, gc=False):
+    """The share that replaces the one named in the request with this ``number``.
+
+    It is valid for ``valid_s`` counted from the moment of asking. ``fill`` tokens
+    come with it. ``plan_rate`` and ``plan_burst`` tell of which plan it is a share.
+    A grant ``in_place`` only prolongs what the node holds, and is void if that has
+    ended.
+    """
+
+    organisation: str
+    number: int
+    epoch: int
+    seq: int
+    rate: float
+    capacity: float
+    fill: float
+    valid_s: float
+    plan_rate: float
+    plan_burst: float
+    in_place: bool
+
+
+class AskShares(Message, tag="ask_shares"):
+    """Renew the shares of organisations of one shard; answered by ``GrantShares``.
+
+    ``node`` names the process, not the VM: a restarted one has another name.
+    """
+
+    node: str
+    shard: int
+    asks: list[ShareAsk]
+
+
+class GrantShares(Message, tag="grant_shares"):
+    """Shares granted; an organisation that the sender can't serve is left out."""
+
+    grants: list[ShareGrant]
+
+
+class AskDraw(Message, tag="ask_draw"):
+    """Ask for a few tokens at once; answered by ``GrantDraw``."""
+
+    node: str
+    shard: int
+    organisation: str
+    number: int
+    tokens: int
+    demand: float
+
+
+class GrantDraw(Message, tag="grant_draw"):
+    """``tokens`` that may be used for ``valid_s`` counted from the asking.
+
+    If there are fewer than asked, the rest will have accrued in ``retry_after_s``.
+    """
+
+    tokens: int
+    valid_s: float
+    retry_after_s: float
+
+
+class HandedEntry(msgspec.Struct, array_like=True, frozen=True, gc=False):
+    """A share that may be in force for ``left_s`` yet; see ``lessee.Entry``."""
+
+    seq: int
+    rate: float
+    capacity: float
+    basis_rate: float
+    basis_burst: float
+    left_s: float
+
+
+class HandedLessee(msgspec.Struct, array_like=True, frozen=True, gc=False):
+    """What is known of one process; see ``lessee.Lessee``."""
+
+    node: str
+    number: int
+    draw_number: int
+    drawn: float
+    drawn_left_s: float
+    demand: float
+    entries: list[HandedEntry]
+
+
+class HandedLedger(msgspec.Struct, array_like=True, frozen=True, gc=False):
+    """The books on one organisation, and the tokens that nobody was given."""
+
+    organisation: str
+    seq: int
+    level: float
+    lessees: list[HandedLessee]
+
+
+class HandOver(Message, tag="hand_over"):
+    """The owner of a shard at ``epoch`` issues nothing more; here are its books."""
+
+    shard: int
+    epoch: int
+    ledgers: list[HandedLedger]
+
+
+class HandedOver(Message, tag="handed_over"):
+    """The books have arrived."""
--- /dev/null
+++ b/lavenderstack/core/ledger.py
@@ -0,0 +1,196 @@
+"""The allotter's books on one organisation: who may hold which part of its plan.
+
+The plan's rate and burst are split into shares leased to nodes, a few tokens drawn
+at once, and the rest, which stays in the allotter's own bucket. A share or draw
+counts until its lessee says that it holds another one, or until it must have ended
+on the holder's clock. While the answer to a request may still be under way, the
+larger of the two sizes counts.
+
+A new owner of the books knows nothing of what its predecessor leased. Until all of
+that must have ended (``settled_at``), it prolongs what nodes say they hold and
+nothing else. A share whose prolongation a node has confirmed was in force when the
+predecessor had stopped, so it is a known part of the plan, and what the node then
+gives up of it may go to others.
+"""
+
+import math
+from dataclasses import dataclass, field
+
+from lavenderstack.core.allowance_messages import GrantDraw, ShareAsk, ShareGrant
+from lavenderstack.core.bucket import Bucket
+from lavenderstack.core.lessee import Entry, Lessee
+
+SHARE_VALID_S = 20.0
+DRAW_VALID_S = 2.0
+CLOCK_MARGIN_S = 1.0
+RATE_SHARED = 0.9
+BURST_SHARED = 0.6
+
+
+@dataclass(slots=True)
+class Ledger:
+    """The books on one organisation, kept by the owner of its shard at ``epoch``.
+
+    ``bucket`` holds the tokens that nobody has been given. ``earlier_epoch`` is that
+    of the predecessor who handed these books over, 0 if there was none. Times are in
+    seconds of the allotter's clock.
+    """
+
+    organisation: str
+    rate: float
+    burst: float
+    epoch: int
+    settled_at: float
+    bucket: Bucket = field(default_factory=Bucket)
+    lessees: dict[str, Lessee] = field(default_factory=dict)
+    seq: int = 0
+    earlier_epoch: int = 0
+
+    def _counted(self) -> tuple[float, float]:
+        rate = capacity = 0.0
+        for lessee in self.lessees.values():
+            lessee_rate, lessee_capacity = lessee.counted()
+            rate += lessee_rate
+            capacity += lessee_capacity
+        return rate, capacity
+
+    def _limit(self, now: float) -> tuple[float, float]:
+        if now >= self.settled_at:
+            return self.rate, self.burst
+        learned = [lessee.learned for lessee in self.lessees.values()]
+        rate = sum(size[0] for size in learned)
+        burst = sum(size[1] for size in learned)
+        return min(self.rate, rate), min(self.burst, burst)
+
+    def room(self, now: float) -> tuple[float, float]:
+        """Return the rate and capacity that are certainly in nobody's hands."""
+        limit_rate, limit_burst = self._limit(now)
+        rate, capacity = self._counted()
+        return max(0.0, limit_rate - rate), max(0.0, limit_burst - capacity)
+
+    def _balance(self, now: float) -> None:
+        self.bucket.resize(now, *self.room(now))
+
+    def refresh(self, now: float) -> None:
+        """Forget what has ended and give the allotter's own bucket the rest."""
+        for name, lessee in list(self.lessees.items()):
+            lessee.expire(now)
+            silent = now - lessee.heard_at > SHARE_VALID_S + CLOCK_MARGIN_S
+            if silent and lessee.counted() == (0.0, 0.0):
+                del self.lessees[name]
+        self._balance(now)
+
+    def idle(self, now: float) -> bool:
+        """Whether forgetting these books would lose nothing."""
+        self.refresh(now)
+        return not self.lessees and self.bucket.level >= self.burst
+
+    def set_plan(self, rate: float, burst: float, now: float) -> None:
+        """Follow a change of the plan."""
+        self.rate, self.burst = rate, burst
+        for lessee in self.lessees.values():
+            for entry in (lessee.held, lessee.offered):
+                if entry is not None:
+                    entry.basis_rate = max(entry.basis_rate, rate)
+                    entry.basis_burst = max(entry.basis_burst, burst)
+        self.refresh(now)
+
+    def ask(self, node: str, ask: ShareAsk, now: float) -> ShareGrant | None:
+        """Answer a node's request for a share; None if it is an old one.
+
+        What the node no longer holds is free from here on.
+        """
+        self.refresh(now)
+        lessee = self.lessees.setdefault(node, Lessee())
+        if ask.number <= lessee.number:
+            return None
+        lessee.number = ask.number
+        lessee.demand = ask.demand
+        lessee.heard_at = now
+        _, before = lessee.counted()
+        known = ask.epoch in (self.epoch, self.earlier_epoch)
+        lessee.confirm(ask.seq if known else 0)
+        if not known:
+            lessee.learned = (0.0, 0.0)
+        _, after = lessee.counted()
+        self._balance(now)
+        self.bucket.add(min(ask.returned, max(0.0, before - after)))
+        if not known and ask.seq and now < self.settled_at:
+            return self._prolong(lessee, ask, now)
+        return self._grant(lessee, ask, now)
+
+    def _offer(self, lessee: Lessee, size: tuple[float, float], now: float) -> Entry:
+        self.seq += 1
+        ends_at = now + SHARE_VALID_S + CLOCK_MARGIN_S
+        lessee.offered = Entry(self.seq, *size, self.rate, self.burst, ends_at)
+        return lessee.offered
+
+    def _prolong(self, lessee: Lessee, ask: ShareAsk, now: float) -> ShareGrant:
+        lessee.learned = (ask.rate, ask.capacity)
+        entry = self._offer(lessee, lessee.learned, now)
+        self._balance(now)
+        return self._answer(ask, entry, 0.0, in_place=True)
+
+    def _grant(self, lessee: Lessee, ask: ShareAsk, now: float) -> ShareGrant:
+        room_rate, room_burst = self.room(now)
+        held = (0.0, 0.0)
+        if lessee.held is not None:
+            held = lessee.held.in_force(self.rate, self.burst)
+        wanted_rate, wanted_capacity = self._wanted(lessee)
+        rate = min(wanted_rate, held[0] + room_rate)
+        capacity = min(wanted_capacity, held[1] + room_burst)
+        before = self.bucket.capacity
+        entry = self._offer(lessee, (rate, capacity), now)
+        fill = 0.0
+        counted = lessee.held.capacity if lessee.held is not None else 0.0
+        grown = max(0.0, capacity - counted)
+        if grown and before:
+            fill = self.bucket.level * min(1.0, grown / before)
+            self.bucket.level -= fill
+        self._balance(now)
+        return self._answer(ask, entry, fill, in_place=False)
+
+    def _wanted(self, lessee: Lessee) -> tuple[float, float]:
+        total = sum(other.demand for other in self.lessees.values())
+        if lessee.demand <= 0.0 or total <= 0.0:
+            return 0.0, 0.0
+        part = lessee.demand / total
+        return self.rate * RATE_SHARED * part, self.burst * BURST_SHARED * part
+
+    def _answer(
+        self, ask: ShareAsk, entry: Entry, fill: float, *, in_place: bool
+    ) -> ShareGrant:
+        return ShareGrant(
+            self.organisation,
+            ask.number,
+            self.epoch,
+            entry.seq,
+            entry.rate,
+            entry.capacity,
+            fill,
+            SHARE_VALID_S,
+            self.rate,
+            self.burst,
+            in_place,
+        )
+
+    def draw(
+        self, node: str, number: int, tokens: int, demand: float, now: float
+    ) -> GrantDraw | None:
+        """Give a node tokens at once, as many as there are; None to an old request."""
+        self.refresh(now)
+        lessee = self.lessees.setdefault(node, Lessee())
+        if number <= lessee.draw_number:
+            return None
+        lessee.draw_number = number
+        lessee.drawn = 0.0
+        lessee.demand = demand
+        lessee.heard_at = now
+        self._balance(now)
+        given = min(tokens, math.floor(self.bucket.level))
+        self.bucket.level -= given
+        lessee.drawn = float(given)
+        lessee.drawn_ends_at = now + DRAW_VALID_S + CLOCK_MARGIN_S
+        self._balance(now)
+        wait_s = (tokens - given) / self.rate if self.rate > 0 else SHARE_VALID_S
+        return GrantDraw(given, DRAW_VALID_S, wait_s)
--- /dev/null
+++ b/lavenderstack/core/ledger_test.py
@@ -0,0 +1,238 @@
+"""Tests of shares and ledgers together: no order of events exceeds the plan."""
+
+import random
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from lavenderstack.core.bucket import Bucket
+from lavenderstack.core.handover import hand_out, open_ledger, take_over
+from lavenderstack.core.ledger import CLOCK_MARGIN_S, SHARE_VALID_S
+from lavenderstack.core.share import Share
+
+RATE = 50.0
+BURST = 40.0
+NODES = 4
+EPS = 1e-6
+
+
+class Fleet:
+    """Nodes, owners and messages of one organisation, stepped by hand.
+
+    ``meter`` is one bucket of the plan: that it never runs short is the same as that
+    no window has seen more than rate * t + burst. Every node has its own clock.
+    """
+
+    def __init__(self):
+        self.t = 0.0
+        self.plan = (RATE, BURST)
+        self.meter = Bucket(RATE, BURST, BURST)
+        self.epoch = 1
+        self.ledger = open_ledger("o", self.plan, 1, 0.0, 0.0)
+        self.names = [f"n{i}.0" for i in range(NODES)]
+        self.shares = [Share("o", *self.plan) for _ in range(NODES)]
+        self.flying = []
+        self.admitted = 0
+
+    def clock(self, i):
+        """Nodes' clocks differ in offset, and in speed by up to 1 in 1,000."""
+        return 1000.0 * i + self.t * (1 + 0.0005 * (i - NODES / 2))
+
+    def arrive(self, i, count):
+        for _ in range(count):
+            if not self.shares[i].admit(self.clock(i)):
+                return
+            self.admitted += 1
+            self.meter.refill(self.t)
+            self.meter.level -= 1
+            assert self.meter.level > -EPS
+
+    def ask(self, i, releasing=False):
+        ask = self.shares[i].ask(self.clock(i), releasing)
+        self.flying.append((self.ledger, "ask", i, self.names[i], ask))
+
+    def draw(self, i, tokens):
+        number, _ = self.shares[i].ask_draw(self.clock(i), tokens)
+        body = (number, tokens)
+        self.flying.append((self.ledger, "draw", i, self.names[i], body))
+
+    def deliver(self, at, keep=False):
+        if not self.flying:
+            return
+        at %= len(self.flying)
+        ledger, kind, i, name, body = self.flying[at]
+        if not keep:
+            del self.flying[at]
+        getattr(self, "on_" + kind)(ledger, i, name, body)
+
+    def on_ask(self, ledger, i, name, ask):
+        if ledger is self.ledger and (grant := ledger.ask(name, ask, self.t)):
+            self.flying.append((ledger, "grant", i, name, grant))
+
+    def on_draw(self, ledger, i, name, body):
+        if ledger is self.ledger:
+            given = ledger.draw(name, *body, 10.0, self.t)
+            if given:
+                self.flying.append((ledger, "given", i, name, (body[0], given)))
+
+    def on_grant(self, ledger, i, name, grant):
+        if name == self.names[i]:
+            self.shares[i].adopt(grant, self.clock(i))
+
+    def on_given(self, ledger, i, name, body):
+        if name == self.names[i]:
+            self.shares[i].adopt_draw(*body, self.clock(i))
+
+    def renew(self, i):
+        """Ask and let question and answer arrive at once."""
+        self.ask(i)
+        self.deliver(-1)
+        if self.flying and self.flying[-1][1] == "grant":
+            self.deliver(-1)
+
+    def crash(self, i):
+        stem, count = self.names[i].split(".")
+        self.names[i] = f"{stem}.{int(count) + 1}"
+        self.shares[i] = Share("o", *self.plan)
+
+    def fail_over(self):
+        self.epoch += 1
+        settled_at = self.t + SHARE_VALID_S + CLOCK_MARGIN_S
+        self.ledger = open_ledger("o", self.plan, self.epoch, settled_at, self.t)
+
+    def hand_over(self):
+        if self.t >= self.ledger.settled_at:
+            self.epoch += 1
+            handed = hand_out(self.ledger, self.t)
+            self.ledger = take_over(handed, self.plan, self.epoch, self.t)
+
+    def change_plan(self, factor):
+        plan = (RATE * factor, BURST * factor)
+        self.plan = plan
+        self.ledger.set_plan(*plan, self.t)
+        for i, share in enumerate(self.shares):
+            share.set_plan(*plan, self.clock(i))
+        self.meter.resize(self.t, *plan)
+
+
+INDEX = st.integers(0, NODES - 1)
+
+
+class Conservation(RuleBasedStateMachine):
+    """Any interleaving of the fleet's events; ``Fleet.arrive`` holds the check."""
+
+    def __init__(self):
+        super().__init__()
+        self.fleet = Fleet()
+
+    @rule(seconds=st.sampled_from([0.0, 0.01, 0.3, 3.0, 11.0, 25.0]))
+    def pass_time(self, seconds):
+        self.fleet.t += seconds
+
+    @rule(i=INDEX, count=st.sampled_from([1, 10, 200]))
+    def arrive(self, i, count):
+        self.fleet.arrive(i, count)
+
+    @rule(i=INDEX, releasing=st.booleans())
+    def ask(self, i, releasing):
+        self.fleet.ask(i, releasing)
+
+    @rule(i=INDEX)
+    def renew(self, i):
+        self.fleet.renew(i)
+
+    @rule(i=INDEX, tokens=st.integers(1, 50))
+    def draw(self, i, tokens):
+        self.fleet.draw(i, tokens)
+
+    @rule(at=st.integers(0, 30), keep=st.booleans())
+    def deliver(self, at, keep):
+        self.fleet.deliver(at, keep)
+
+    @rule(at=st.integers(0, 30))
+    def lose(self, at):
+        if self.fleet.flying:
+            del self.fleet.flying[at % len(self.fleet.flying)]
+
+    @rule(i=INDEX)
+    def crash(self, i):
+        self.fleet.crash(i)
+
+    @rule()
+    def fail_over(self):
+        self.fleet.fail_over()
+
+    @rule()
+    def hand_over(self):
+        self.fleet.hand_over()
+
+    @rule(factor=st.sampled_from([0.2, 0.5, 1.0, 2.0]))
+    def change_plan(self, factor):
+        self.fleet.change_plan(factor)
+
+    @invariant()
+    def the_books_balance(self):
+        assert self.fleet.meter.level <= self.fleet.plan[1] + EPS
+
+
+Conservation.TestCase.settings = settings(
+    max_examples=120, stateful_step_count=60, derandomize=True, deadline=None
+)
+TestConservation = Conservation.TestCase
+
+
+EVENTS = {
+    "drain": 40,
+    "renew": 30,
+    "ask": 4,
+    "release": 1,
+    "draw": 8,
+    "deliver": 12,
+    "repeat": 4,
+    "lose": 3,
+    "crash": 0.1,
+    "change_plan": 0.3,
+    "fail_over": 0.06,
+    "hand_over": 0.2,
+    "wait": 0.2,
+}
+
+
+def step(fleet, rng, event):
+    i = rng.randrange(NODES)
+    match event:
+        case "drain":
+            for j in rng.sample(range(NODES), NODES):
+                fleet.arrive(j, rng.choice([3, 200]))
+        case "release":
+            fleet.ask(i, releasing=True)
+        case "draw":
+            fleet.draw(i, rng.randint(1, 30))
+            fleet.deliver(-1)
+            fleet.deliver(-1)
+        case "deliver" | "repeat":
+            fleet.deliver(rng.randrange(50), keep=event == "repeat")
+        case "lose" if fleet.flying:
+            del fleet.flying[rng.randrange(len(fleet.flying))]
+        case "change_plan":
+            fleet.change_plan(rng.choice([0.2, 0.5, 1.0, 2.0]))
+        case "wait":
+            fleet.t += rng.choice([2.0, 8.0, 19.0, 30.0])
+        case "ask" | "renew" | "crash":
+            getattr(fleet, event)(i)
+        case "fail_over" | "hand_over":
+            getattr(fleet, event)()
+
+
+class TestLongRuns:
+    @pytest.mark.parametrize("seed", range(10))
+    def test_thousands_of_random_events_stay_within_the_plan(self, seed):
+        rng = random.Random(seed)
+        fleet = Fleet()
+        names, weights = list(EVENTS), list(EVENTS.values())
+        for event in rng.choices(names, weights, k=5000):
+            fleet.t += rng.choice([0.0, 0.01, 0.2])
+            step(fleet, rng, event)
+        assert fleet.admitted > 4000
--- /dev/null
+++ b/lavenderstack/core/share.py
@@ -0,0 +1,213 @@
+"""A node's share of one organisation's rate and burst.
+
+The share is leased from the organisation's allotter (see ``ledger``) and is counted
+from the moment of asking on the node's own clock, so it ends here before the
+allotter may give it to another node. A node that was paused finds on waking that
+its share has ended, because the clock counts the pause and every request looks at
+it.
+
+Three rules keep the sum over all nodes within the plan whatever happens to the
+messages:
+
+- only the answer to the latest request is taken up, and only once;
+- a share that grows brings no tokens but those that the allotter gave away;
+- tokens that no longer fit are sent back once and are gone if that message is lost.
+"""
+
+import math
+from dataclasses import dataclass, field
+
+from lavenderstack.core.allowance_messages import GrantDraw, ShareAsk, ShareGrant
+from lavenderstack.core.bucket import Bucket
+
+DEMAND_WINDOW_S = 3.0
+SHORTEST_REFUSAL_S = 0.02
+LONGEST_REFUSAL_S = 0.5
+DRAW_AHEAD_S = 0.1
+
+_NEVER = -math.inf
+
+
+@dataclass(slots=True)
+class Demand:
+    """An exponential average of requests/s; ``arrivals`` counts since ``at``."""
+
+    per_s: float = 0.0
+    arrivals: int = 0
+    at: float = 0.0
+
+    def fold(self, now: float) -> float:
+        """Take the arrivals since the last call into the average and return it."""
+        passed_s = now - self.at
+        if passed_s <= 0:
+            return self.per_s
+        kept = math.exp(-passed_s / DEMAND_WINDOW_S)
+        self.per_s = self.per_s * kept + self.arrivals / passed_s * (1 - kept)
+        self.arrivals = 0
+        self.at = now
+        return self.per_s
+
+
+@dataclass(slots=True)
+class Share:
+    """What this process holds of one organisation's plan.
+
+    ``rate`` and ``capacity`` are as granted under a plan of ``basis_rate`` and
+    ``basis_burst``; ``bucket`` is what is in force, less if the plan has shrunk since.
+    ``drawn`` tokens may be used until ``drawn_until``. Times are in seconds of the
+    node's clock.
+    """
+
+    organisation: str
+    plan_rate: float
+    plan_burst: float
+    epoch: int = 0
+    seq: int = 0
+    rate: float = 0.0
+    capacity: float = 0.0
+    basis_rate: float = 0.0
+    basis_burst: float = 0.0
+    ends_at: float = _NEVER
+    bucket: Bucket = field(default_factory=Bucket)
+    demand: Demand = field(default_factory=Demand)
+    returned: float = 0.0
+    number: int = 0
+    answered: bool = True
+    asked_at: float = _NEVER
+    asked_plan: tuple[float, float] = (0.0, 0.0)
+    draw_number: int = 0
+    drawing: bool = False
+    drawn: float = 0.0
+    drawn_until: float = _NEVER
+    draw_asked_at: float = _NEVER
+    refuse_until: float = _NEVER
+
+    def admit(self, now: float) -> bool:
+        """Take a token for one request if the node has one at hand."""
+        self.demand.arrivals += 1
+        return self.spend(now)
+
+    def spend(self, now: float) -> bool:
+        """Take a token without counting the request as new demand."""
+        if now < self.ends_at and self.bucket.take(now):
+            return True
+        if self.drawn >= 1.0 and now < self.drawn_until:
+            self.drawn -= 1.0
+            return True
+        return False
+
+    def ask(self, now: float, releasing: bool = False) -> ShareAsk:
+        """Return the next request for a share, which voids all earlier ones.
+
+        With ``releasing`` the node drops what it has first, which is how a share is
+        given back on a planned stop.
+        """
+        if now >= self.ends_at:
+            self._drop()
+        elif releasing:
+            self.bucket.refill(now)
+            self.returned += self.bucket.level
+            self._drop()
+        self.number += 1
+        self.answered = releasing
+        self.asked_at = now
+        self.asked_plan = (self.plan_rate, self.plan_burst)
+        returned, self.returned = self.returned, 0.0
+        return ShareAsk(
+            self.organisation,
+            self.number,
+            self.epoch,
+            self.seq,
+            self.bucket.rate,
+            self.bucket.capacity,
+            0.0 if releasing else self.demand.fold(now),
+            returned,
+        )
+
+    def _drop(self) -> None:
+        self.seq = 0
+        self.rate = self.capacity = 0.0
+        self.ends_at = _NEVER
+        self.bucket = Bucket()
+
+    def adopt(self, grant: ShareGrant, now: float) -> bool:
+        """Take up a grant; return False if it is late, repeated or superseded."""
+        if grant.number != self.number or self.answered or grant.epoch < self.epoch:
+            return False
+        in_force = now < self.ends_at
+        ends_at = self.asked_at + grant.valid_s
+        if now >= ends_at or (grant.in_place and not in_force):
+            return False
+        self.answered = True
+        if not in_force:
+            self._drop()
+            self.bucket.at = now
+        self.epoch, self.seq, self.ends_at = grant.epoch, grant.seq, ends_at
+        self.rate, self.capacity = grant.rate, grant.capacity
+        basis = (grant.plan_rate, grant.plan_burst)
+        self.basis_rate, self.basis_burst = self.asked_plan if grant.in_place else basis
+        self.returned += self._fit(now)
+        self.bucket.add(grant.fill)
+        return True
+
+    @property
+    def shrunk(self) -> bool:
+        """Whether the allotter should hear soon that the node holds less."""
+        return self.returned > 0.0
+
+    def set_plan(self, rate: float, burst: float, now: float) -> None:
+        """Follow a change of the plan at once, without waiting for the allotter.
+
+        A smaller plan shrinks the share in proportion; a larger one changes nothing
+        until the next grant.
+        """
+        self.plan_rate, self.plan_burst = rate, burst
+        self.basis_rate = max(self.basis_rate, rate)
+        self.basis_burst = max(self.basis_burst, burst)
+        self._fit(now)
+
+    def _fit(self, now: float) -> float:
+        rate = self.rate * _part(self.plan_rate, self.basis_rate)
+        capacity = self.capacity * _part(self.plan_burst, self.basis_burst)
+        return self.bucket.resize(now, rate, capacity)
+
+    def may_draw(self, now: float) -> bool:
+        """Whether asking the allotter for tokens at once makes sense now."""
+        return not self.drawing and now >= self.refuse_until
+
+    def ask_draw(self, now: float, waiting: int) -> tuple[int, int]:
+        """Return number and tokens of a new draw, which voids all earlier ones."""
+        self.draw_number += 1
+        self.drawing = True
+        self.drawn = 0.0
+        self.draw_asked_at = now
+        ahead = self.demand.fold(now) * DRAW_AHEAD_S
+        return self.draw_number, waiting + int(ahead)
+
+    def adopt_draw(self, number: int, grant: GrantDraw | None, now: float) -> None:
+        """Take up the answer to a draw, or None if there was none."""
+        if number != self.draw_number or not self.drawing:
+            return
+        self.drawing = False
+        if grant is None:
+            self.refuse_until = now + SHORTEST_REFUSAL_S
+            return
+        self.drawn = float(grant.tokens)
+        self.drawn_until = self.draw_asked_at + grant.valid_s
+        if grant.retry_after_s > 0.0 and grant.tokens == 0:
+            wait_s = max(SHORTEST_REFUSAL_S, grant.retry_after_s)
+            self.refuse_until = now + min(LONGEST_REFUSAL_S, wait_s)
+
+    def retry_after_s(self, now: float) -> float:
+        """Seconds until a token is likely to be there, without jitter."""
+        bucket = self.bucket
+        waits = [self.refuse_until - now]
+        if now < self.ends_at and bucket.rate > 0.0:
+            waits.append((1.0 - bucket.level) / bucket.rate)
+        else:
+            waits.append(1.0 / max(self.plan_rate, 1.0))
+        return max(SHORTEST_REFUSAL_S, *waits)
+
+
+def _part(now: float, then: float) -> float:
+    return min(1.0, now / then) if then > 0.0 else 0.0
