--- a/lavenderstack/core/share.py
+++ b/lavenderstack/core/share.py
@@ -158,9 +158,12 @@
     def set_plan(self, rate: float, burst: float, now: float) -> None:
         """Follow a change of the plan at once, without waiting for the allotter.
 
-        A smaller plan shrinks the share in proportion; a larger one changes nothing
-        until the next grant.
+        A smaller plan shrinks the share in proportion and voids tokens drawn under
+        the larger one; a larger plan changes nothing until the next grant.
         """
+        if burst < self.plan_burst:
+            self.drawing = False
+            self.drawn = 0.0
         self.plan_rate, self.plan_burst = rate, burst
         self.basis_rate = max(self.basis_rate, rate)
         self.basis_burst = max(self.basis_burst, burst)
