--- a/lavenderstack/core/handover.py
+++ b/lavenderstack/core/handover.py
@@ -39,7 +39,7 @@
         ledger.settled_at = -math.inf
         bucket.level = burst
     elif now > settled_at:
-        bucket.level = min(burst, rate * (now - settled_at))
+        bucket.level = min(burst, ledger.room(now)[0] * (now - settled_at))
     bucket.rate, bucket.capacity = ledger.room(now)
     return ledger
 
--- a/lavenderstack/core/ledger.py
+++ b/lavenderstack/core/ledger.py
@@ -4,7 +4,8 @@
 at once, and the rest, which stays in the allotter's own bucket. A share or draw
 counts until its lessee says that it holds another one, or until it must have ended
 on the holder's clock. While the answer to a request may still be under way, the
-larger of the two sizes counts.
+larger of the two sizes counts. A little of the rate is never handed out, because a
+holder's clock may run fast.
 
 A new owner of the books knows nothing of what its predecessor leased. Until all of
 that must have ended (``settled_at``), it prolongs what nodes say they hold and
@@ -23,6 +24,7 @@
 SHARE_VALID_S = 20.0
 DRAW_VALID_S = 2.0
 CLOCK_MARGIN_S = 1.0
+CLOCK_SPEED_ERROR = 0.001
 RATE_SHARED = 0.9
 BURST_SHARED = 0.6
 
@@ -55,12 +57,13 @@
         return rate, capacity
 
     def _limit(self, now: float) -> tuple[float, float]:
+        whole_rate = self.rate * (1.0 - CLOCK_SPEED_ERROR)
         if now >= self.settled_at:
-            return self.rate, self.burst
+            return whole_rate, self.burst
         learned = [lessee.learned for lessee in self.lessees.values()]
         rate = sum(size[0] for size in learned)
         burst = sum(size[1] for size in learned)
-        return min(self.rate, rate), min(self.burst, burst)
+        return min(whole_rate, rate), min(self.burst, burst)
 
     def room(self, now: float) -> tuple[float, float]:
         """Return the rate and capacity that are certainly in nobody's hands."""
