--- a/lavenderstack/core/ledger_test.py
+++ b/lavenderstack/core/ledger_test.py
@@ -1,5 +1,6 @@
 """Tests of shares and ledgers together: no order of events exceeds the plan."""
 
+import json
 import random
 
 import pytest
@@ -41,8 +42,9 @@
         return 1000.0 * i + self.t * (1 + 0.0004 * (i - NODES / 2))
 
     def arrive(self, i, count):
-        for _ in range(count):
+        for left in range(count - 1, -1, -1):
             if not self.shares[i].admit(self.clock(i)):
+                self.shares[i].demand.arrivals += left
                 return
             self.admitted += 1
             self.meter.refill(self.t)
@@ -50,7 +52,7 @@
             assert self.meter.level > -EPS
 
     def check(self):
-        """What is in force adds up to the plan, and the tokens to the meter's."""
+        """Compare what is in force with the plan, and the tokens with the meter."""
         self.meter.refill(self.t)
         own = self.ledger.bucket
         own.refill(self.t)
@@ -71,45 +73,50 @@
 
     def ask(self, i, releasing=False):
         ask = self.shares[i].ask(self.clock(i), releasing)
-        self.flying.append((self.ledger, "ask", i, self.names[i], ask))
+        self.flying.append(("ask", i, self.names[i], ask))
 
     def draw(self, i, tokens):
         number, _ = self.shares[i].ask_draw(self.clock(i), tokens)
         body = (number, tokens)
-        self.flying.append((self.ledger, "draw", i, self.names[i], body))
+        self.flying.append(("draw", i, self.names[i], body))
 
     def deliver(self, at, keep=False):
         if not self.flying:
             return
         at %= len(self.flying)
-        ledger, kind, i, name, body = self.flying[at]
+        kind, i, name, body = self.flying[at]
         if not keep:
             del self.flying[at]
-        getattr(self, "on_" + kind)(ledger, i, name, body)
+        getattr(self, "on_" + kind)(i, name, body)
 
-    def on_ask(self, ledger, i, name, ask):
-        if ledger is self.ledger and (grant := ledger.ask(name, ask, self.t)):
-            self.flying.append((ledger, "grant", i, name, grant))
+    def on_ask(self, i, name, ask):
+        if grant := self.ledger.ask(name, ask, self.t):
+            self.flying.append(("grant", i, name, grant))
 
-    def on_draw(self, ledger, i, name, body):
-        if ledger is self.ledger:
-            given = ledger.draw(name, *body, 10.0, self.t)
-            if given:
-                self.flying.append((ledger, "given", i, name, (body[0], given)))
+    def on_draw(self, i, name, body):
+        if given := self.ledger.draw(name, *body, 10.0, self.t):
+            self.flying.append(("given", i, name, (body[0], given)))
 
-    def on_grant(self, ledger, i, name, grant):
+    def on_grant(self, i, name, grant):
         if name == self.names[i]:
             self.shares[i].adopt(grant, self.clock(i))
 
-    def on_given(self, ledger, i, name, body):
+    def on_given(self, i, name, body):
         if name == self.names[i]:
             self.shares[i].adopt_draw(*body, self.clock(i))
 
+    def wait(self, seconds):
+        self.t += seconds
+
+    def keep(self, at):
+        """Let a message arrive and keep a copy of it under way."""
+        self.deliver(at, keep=True)
+
     def renew(self, i):
         """Ask and let question and answer arrive at once."""
         self.ask(i)
         self.deliver(-1)
-        if self.flying and self.flying[-1][1] == "grant":
+        if self.flying and self.flying[-1][0] == "grant":
             self.deliver(-1)
 
     def crash(self, i):
@@ -149,7 +156,7 @@
 
     @rule(seconds=st.sampled_from([0.0, 0.01, 0.3, 3.0, 11.0, 25.0]))
     def pass_time(self, seconds):
-        self.fleet.t += seconds
+        self.fleet.wait(seconds)
 
     @rule(i=INDEX, count=st.sampled_from([1, 10, 200]))
     def arrive(self, i, count):
@@ -257,3 +264,88 @@
             step(fleet, rng, event)
             fleet.check()
         assert fleet.admitted > 2500
+
+
+FAULTS = {
+    "a grant arrives twice": """
+        arrive 0 5 | wait 1 | ask 0 | deliver -1 | keep -1 | arrive 0 200 | deliver -1
+        """,
+    "a grant arrives after fifteen seconds": """
+        arrive 0 5 | wait 1 | ask 0 | deliver -1 | wait 15 | deliver -1 | wait 7
+        arrive 1 5 | wait 0.1 | renew 1
+        """,
+    "a grant answers an earlier request": """
+        arrive 0 5 | wait 1 | ask 0 | deliver -1 | arrive 1 90 | wait 1 | ask 0
+        deliver -1 | deliver -1 | renew 1 | deliver 0
+        """,
+    "a grant is lost and the node keeps its larger share": """
+        arrive 0 90 | wait 1 | renew 0 | arrive 1 900 | renew 1 | ask 0 | deliver -1
+        renew 1
+        """,
+    "a prolongation arrives after the share has ended": """
+        arrive 0 5 | wait 1 | renew 0 | wait 19 | ask 0 | wait 2.5 | arrive 1 5
+        wait 0.1 | renew 1 | fail_over | deliver 0 | renew 1 | deliver -1
+        """,
+    "returned tokens arrive when the share has long ended": """
+        arrive 0 1 | wait 1 | renew 0 | arrive 1 90 | wait 1 | renew 1 | renew 0
+        ask 0 | wait 40 | draw 1 1 | deliver -1 | deliver -1 | wait 2 | draw 1 40
+        deliver -1 | deliver -1 | arrive 1 200 | deliver 0
+        """,
+    "a draw is answered twice": """
+        draw 0 20 | deliver -1 | keep -1 | arrive 0 200 | deliver -1
+        """,
+    "a request for a draw arrives twice": """
+        draw 0 5 | keep 0 | deliver -1 | arrive 0 200 | draw 0 30 | deliver -1
+        deliver 0 | deliver 0
+        """,
+    "a draw is used after a pause": """
+        draw 0 20 | deliver -1 | deliver -1 | wait 4 | draw 2 1 | deliver -1
+        deliver -1 | wait 2 | draw 1 40 | deliver -1 | deliver -1 | arrive 1 200
+        arrive 0 200
+        """,
+    "a new draw is asked for while the last one isn't spent": """
+        draw 0 20 | deliver -1 | deliver -1 | draw 0 5 | deliver -1
+        """,
+    "another node asks while a share has eight seconds left": """
+        arrive 0 5 | wait 1 | renew 0 | wait 12 | arrive 1 900 | wait 1 | renew 1
+        """,
+    "a node is paused and its share goes to another": """
+        arrive 0 5 | wait 1 | renew 0 | wait 23 | draw 2 1 | deliver -1 | deliver -1
+        arrive 1 5 | wait 2 | renew 1 | arrive 1 200 | arrive 0 200
+        """,
+    "a new owner hears only one of two nodes": """
+        arrive 0 5 | arrive 1 5 | wait 1 | renew 0 | renew 1 | renew 0 | renew 1
+        fail_over | renew 0 | renew 0 | arrive 2 90 | wait 1 | renew 2 | renew 2
+        """,
+    "the answer to the new owner's node is lost": """
+        arrive 0 5 | wait 1 | renew 0 | wait 18 | fail_over | ask 0 | deliver -1
+        wait 3 | arrive 1 90 | wait 0.1 | ask 0 | deliver -1 | renew 1 | renew 1
+        """,
+    "the books are handed over while a grant is under way": """
+        arrive 0 5 | wait 1 | renew 0 | arrive 1 900 | wait 1 | ask 1 | deliver -1
+        hand_over | deliver -1 | renew 0 | renew 2 | draw 2 40 | deliver -1
+        """,
+    "the plan shrinks, then one node renews": """
+        arrive 0 60 | arrive 1 40 | wait 1 | renew 0 | renew 1 | renew 0 | renew 1
+        change_plan 0.5 | arrive 0 900 | wait 1 | renew 0 | renew 0
+        """,
+    "the plan grows and shrinks within one lease": """
+        arrive 0 5 | arrive 1 5 | wait 1 | renew 0 | renew 1 | change_plan 0.5
+        renew 0 | renew 1 | renew 0 | renew 1 | change_plan 1 | renew 0
+        change_plan 0.6
+        """,
+    "the plan shrinks and the owner dies": """
+        arrive 0 5 | arrive 1 5 | wait 1 | renew 0 | renew 1 | renew 0 | renew 1
+        change_plan 0.5 | fail_over | renew 0 | change_plan 0.4 | renew 1 | renew 0
+        """,
+}
+
+
+class TestFaults:
+    @pytest.mark.parametrize("fault", FAULTS)
+    def test_stays_within_the_plan(self, fault):
+        fleet = Fleet()
+        for line in FAULTS[fault].replace("\n", "|").split("|"):
+            event, *args = line.split() or ("wait", "0")
+            getattr(fleet, event)(*(json.loads(arg) for arg in args))
+            fleet.check()
