--- /dev/null
+++ b/lavenderstack/core/gate.py
@@ -0,0 +1,66 @@
+"""Admission of one organisation's requests at one node.
+
+A request passes at once if the node has a token at hand. If not, it waits for one
+round trip while the node draws tokens from the allotter, and is refused when the
+allotter has none either. While the last draw has shown that there are none, requests
+are refused without asking again.
+"""
+
+from collections import deque
+from dataclasses import dataclass, field
+from enum import Enum, auto
+from typing import Any
+
+from lavenderstack.core.allowance_messages import GrantDraw
+from lavenderstack.core.share import Share
+
+
+class Verdict(Enum):
+    """What becomes of a request for now."""
+
+    ADMITTED = auto()
+    WAITING = auto()
+    REFUSED = auto()
+
+
+@dataclass(slots=True)
+class Gate:
+    """A share and the requests that wait for a draw. Items are the caller's own."""
+
+    share: Share
+    waiting: deque[Any] = field(default_factory=deque)
+
+    def admit(self, item: Any, now: float) -> Verdict:
+        """Decide on one request; a waiting item comes back from ``finish_draw``."""
+        share = self.share
+        if share.admit(now):
+            return Verdict.ADMITTED
+        if share.drawing or share.may_draw(now):
+            self.waiting.append(item)
+            return Verdict.WAITING
+        return Verdict.REFUSED
+
+    def start_draw(self, now: float) -> tuple[int, int] | None:
+        """Return number and tokens of a draw to ask for, or None if none is due."""
+        if not self.waiting or self.share.drawing:
+            return None
+        return self.share.ask_draw(now, len(self.waiting))
+
+    def finish_draw(
+        self, number: int, grant: GrantDraw | None, now: float
+    ) -> tuple[list[Any], list[Any]]:
+        """Take the answer to a draw, None if there was none; return who is decided.
+
+        The first list is admitted, the second refused. Who came too late for a draw
+        that was answered in full waits for the next one.
+        """
+        share = self.share
+        share.adopt_draw(number, grant, now)
+        admitted = []
+        while self.waiting and share.spend(now):
+            admitted.append(self.waiting.popleft())
+        short = grant is None or grant.retry_after_s > 0.0
+        refused = list(self.waiting) if short else []
+        if short:
+            self.waiting.clear()
+        return admitted, refused
--- a/lavenderstack/core/share.py
+++ b/lavenderstack/core/share.py
@@ -24,6 +24,10 @@
 SHORTEST_REFUSAL_S = 0.02
 LONGEST_REFUSAL_S = 0.5
 DRAW_AHEAD_S = 0.1
+SOONEST_ASK_S = 1.0
+STEADY_ASK_S = 8.0
+DRIFT_PART = 0.5
+LEAST_DEMAND_PER_S = 0.05
 
 _NEVER = -math.inf
 
@@ -81,6 +85,8 @@
     drawn_until: float = _NEVER
     draw_asked_at: float = _NEVER
     refuse_until: float = _NEVER
+    reported: float = 0.0
+    missed: bool = False
 
     def admit(self, now: float) -> bool:
         """Take a token for one request if the node has one at hand."""
@@ -94,6 +100,7 @@
         if self.drawn >= 1.0 and now < self.drawn_until:
             self.drawn -= 1.0
             return True
+        self.missed = True
         return False
 
     def ask(self, now: float, releasing: bool = False) -> ShareAsk:
@@ -112,6 +119,8 @@
         self.answered = releasing
         self.asked_at = now
         self.asked_plan = (self.plan_rate, self.plan_burst)
+        self.reported = 0.0 if releasing else self.demand.fold(now)
+        self.missed = False
         returned, self.returned = self.returned, 0.0
         return ShareAsk(
             self.organisation,
@@ -120,7 +129,7 @@
             self.seq,
             self.bucket.rate,
             self.bucket.capacity,
-            0.0 if releasing else self.demand.fold(now),
+            self.reported,
             returned,
         )
 
@@ -150,10 +159,28 @@
         self.bucket.add(grant.fill)
         return True
 
-    @property
-    def shrunk(self) -> bool:
-        """Whether the allotter should hear soon that the node holds less."""
-        return self.returned > 0.0
+    def idle(self, now: float) -> bool:
+        """Whether there is nothing here that is worth keeping."""
+        quiet = self.demand.fold(now) < LEAST_DEMAND_PER_S
+        empty = now >= self.ends_at or self.bucket.capacity == 0.0
+        return quiet and empty and self.returned == 0.0 and not self.drawing
+
+    def ask_due(self, now: float) -> bool:
+        """Whether it is time to ask for a share again.
+
+        A steady share is renewed seldom. One that is short, much too large or just
+        shrunk is renewed soon, and an unanswered request is repeated.
+        """
+        since_s = now - self.asked_at
+        if since_s < SOONEST_ASK_S:
+            return False
+        if not self.answered or self.returned > 0.0 or self.missed:
+            return True
+        if since_s >= STEADY_ASK_S:
+            return True
+        demand = self.demand.fold(now)
+        drift = abs(demand - self.reported)
+        return drift > max(LEAST_DEMAND_PER_S, DRIFT_PART * self.reported)
 
     def set_plan(self, rate: float, burst: float, now: float) -> None:
         """Follow a change of the plan at once, without waiting for the allotter.
@@ -193,7 +220,7 @@
             return
         self.drawing = False
         if grant is None:
-            self.refuse_until = now + SHORTEST_REFUSAL_S
+            self.refuse_until = now + LONGEST_REFUSAL_S
             return
         self.drawn = float(grant.tokens)
         self.drawn_until = self.draw_asked_at + grant.valid_s
