--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -24,6 +24,7 @@
     "refusals",
     "fairness",
     "allotment_cost",
+    "replica_reads",
 )
 
 
--- /dev/null
+++ b/bench/replica_reads.py
@@ -0,0 +1,172 @@
+"""The share of reads served by replicas while these lag unpredictably.
+
+A small service of each user's size runs as processes on this machine. Sessions write
+and then read what they wrote through other nodes, as fast as they are answered; the
+lag of each replica changes all the time, mostly milliseconds, sometimes seconds. A
+read that returns less than its session has written is stale, and none may be. The
+same sessions with every read sent to the primary are the plainest way.
+"""
+
+import asyncio
+import random
+import tempfile
+from collections import Counter
+from contextlib import suppress
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from hdrh.histogram import HdrHistogram
+
+from bench.measure import Bound, Result
+from lavenderstack.core import clock
+from standins.caller import Caller
+from standins.cluster import Cluster, running
+from standins.sizes import BRANDT, LIPA, Size
+
+AIM_SHARE = 0.95
+RUN_S = 8.0
+SESSIONS = 16
+READS_A_WRITE = 3
+LAG_CHANGE_S = 0.1
+LAG_MEDIAN_MS = 20.0
+LAG_SIGMA = 1.5
+LONGEST_LAG_MS = 3000.0
+HIGHEST_US = 60_000_000
+
+
+def _histogram() -> HdrHistogram:
+    return HdrHistogram(1, HIGHEST_US, 3)
+
+
+@dataclass
+class Tally:
+    """What came back; latencies in microseconds."""
+
+    reads: int = 0
+    replica: int = 0
+    stale: int = 0
+    failed: Counter[str] = field(default_factory=Counter)
+    read_us: HdrHistogram = field(default_factory=_histogram)
+    write_us: HdrHistogram = field(default_factory=_histogram)
+
+    @property
+    def share(self) -> float:
+        """The part of the reads that a replica served."""
+        return self.replica / self.reads if self.reads else 0.0
+
+
+class Session:
+    """One session: it counts up a row of its own and reads it back."""
+
+    def __init__(self, cluster: Cluster, number: int, rng: random.Random) -> None:
+        key = cluster.keys["north"]
+        self._caller = Caller(cluster.http, key)
+        self._ports = [node.callers_port for node in cluster.nodes.values()]
+        (self._group,) = cluster.size.groups
+        self._row = f"row-{number}"
+        self._rng = rng
+        self._written = 0
+
+    async def _timed(self, into: HdrHistogram, *args, **options):
+        started = clock.now()
+        port = self._rng.choice(self._ports)
+        reply = await self._caller.run(port, self._group, *args, **options)
+        into.record_value(max(1, int((clock.now() - started) * 1e6)))
+        return reply
+
+    async def write(self, tally: Tally) -> None:
+        """Write the next number; an unknown outcome leaves the least one known."""
+        value = self._written + 1
+        args = ("put", "t", self._row, value)
+        reply = await self._timed(tally.write_us, *args, write=True)
+        if reply.outcome == "done":
+            self._written = value
+        else:
+            tally.failed[f"write {reply.outcome} {reply.reason}"] += 1
+
+    async def read(self, tally: Tally, fresh: bool) -> None:
+        """Read the row and compare it with what was written."""
+        reply = await self._timed(tally.read_us, "get", "t", self._row, fresh=fresh)
+        if reply.outcome != "done":
+            tally.failed[f"read {reply.outcome} {reply.reason}"] += 1
+            return
+        tally.reads += 1
+        tally.replica += bool(reply.replica)
+        tally.stale += (reply.result or 0) < self._written
+
+    async def run(self, tally: Tally, until: float, fresh: bool) -> None:
+        """Write and read in turn until a time."""
+        while clock.now() < until:
+            await self.write(tally)
+            for _ in range(READS_A_WRITE):
+                await self.read(tally, fresh)
+
+
+async def _vary_lag(cluster: Cluster, rng: random.Random) -> None:
+    names = [name for name, _, _ in cluster.size.targets()]
+    while True:
+        lag_ms = rng.lognormvariate(0, LAG_SIGMA) * LAG_MEDIAN_MS
+        lag_ms = min(LONGEST_LAG_MS, lag_ms)
+        await cluster.target_fault(rng.choice(names), "lag_ms", lag_ms)
+        await asyncio.sleep(LAG_CHANGE_S)
+
+
+async def _measure(size: Size, seed: int, fresh: bool, folder: Path) -> Tally:
+    rng = random.Random(seed)
+    tally = Tally()
+    async with running(size, folder) as cluster:
+        lag = asyncio.create_task(_vary_lag(cluster, rng))
+        until = clock.now() + RUN_S
+        sessions = [Session(cluster, n, rng) for n in range(SESSIONS)]
+        await asyncio.gather(*(s.run(tally, until, fresh) for s in sessions))
+        lag.cancel()
+        with suppress(asyncio.CancelledError):
+            await lag
+    return tally
+
+
+def _row(size: str, way: str, tally: Tally) -> list:
+    def at(histogram: HdrHistogram, percentile: float) -> float:
+        return histogram.get_value_at_percentile(percentile) / 1000
+
+    return [
+        size,
+        way,
+        tally.reads,
+        tally.share,
+        tally.stale,
+        at(tally.read_us, 50),
+        at(tally.read_us, 99),
+        at(tally.write_us, 50),
+        at(tally.write_us, 99),
+        dict(tally.failed),
+    ]
+
+
+def run(seed: int) -> Result:
+    """Measure both sizes, each beside reads from the primary only."""
+    result = Result(
+        "reads served by replicas under unpredictable lag",
+        [
+            "size",
+            "way",
+            "reads",
+            "replica share",
+            "stale",
+            "read p50 ms",
+            "p99 ms",
+            "write p50 ms",
+            "p99 ms",
+            "failed",
+        ],
+    )
+    for name, size in (("Lipa", LIPA), ("Brandt", BRANDT)):
+        for way, fresh in (("replicas", False), ("primary only", True)):
+            with tempfile.TemporaryDirectory() as folder:
+                tally = asyncio.run(_measure(size, seed, fresh, Path(folder)))
+            result.rows.append(_row(name, way, tally))
+            result.bounds.append(Bound(f"{name} {way}: stale reads", tally.stale, 0))
+            if not fresh:
+                share = Bound(f"{name}: replica share", tally.share, AIM_SHARE, True)
+                result.bounds.append(share)
+    return result
