--- /dev/null
+++ b/lavenderstack/core/ledger_test.py
@@ -0,0 +1,351 @@
+"""Tests of shares and ledgers together: no order of events exceeds the plan."""
+
+import json
+import random
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from lavenderstack.core.bucket import Bucket
+from lavenderstack.core.handover import hand_out, open_ledger, take_over
+from lavenderstack.core.ledger import CLOCK_MARGIN_S, SHARE_VALID_S
+from lavenderstack.core.share import Share
+
+RATE = 50.0
+BURST = 40.0
+NODES = 4
+EPS = 1e-6
+
+
+class Fleet:
+    """Nodes, owners and messages of one organisation, stepped by hand.
+
+    ``meter`` is one bucket of the plan: that it never runs short is the same as that
+    no window has seen more than rate * t + burst. Every node has its own clock.
+    """
+
+    def __init__(self):
+        self.t = 0.0
+        self.plan = (RATE, BURST)
+        self.meter = Bucket(RATE, BURST, BURST)
+        self.epoch = 1
+        self.ledger = open_ledger("o", self.plan, 1, 0.0, 0.0)
+        self.names = [f"n{i}.0" for i in range(NODES)]
+        self.shares = [Share("o", *self.plan) for _ in range(NODES)]
+        self.flying = []
+        self.admitted = 0
+
+    def clock(self, i):
+        """Nodes' clocks differ in offset, and in speed by up to 1 in 1,000."""
+        return 1000.0 * i + self.t * (1 + 0.0004 * (i - NODES / 2))
+
+    def arrive(self, i, count):
+        for left in range(count - 1, -1, -1):
+            if not self.shares[i].admit(self.clock(i)):
+                self.shares[i].demand.arrivals += left
+                return
+            self.admitted += 1
+            self.meter.refill(self.t)
+            self.meter.level -= 1
+            assert self.meter.level > -EPS
+
+    def check(self):
+        """Compare what is in force with the plan, and the tokens with the meter."""
+        self.meter.refill(self.t)
+        own = self.ledger.bucket
+        own.refill(self.t)
+        rate, capacity, tokens = own.rate, own.capacity, own.level
+        for i, share in enumerate(self.shares):
+            now = self.clock(i)
+            if now < share.ends_at:
+                share.bucket.refill(now)
+                rate += share.bucket.rate
+                capacity += share.bucket.capacity
+                tokens += share.bucket.level
+            if now < share.drawn_until:
+                capacity += share.drawn
+                tokens += share.drawn
+        assert rate <= self.plan[0] + EPS
+        assert capacity <= self.plan[1] + EPS
+        assert tokens <= self.meter.level + EPS
+
+    def ask(self, i, releasing=False):
+        ask = self.shares[i].ask(self.clock(i), releasing)
+        self.flying.append(("ask", i, self.names[i], ask))
+
+    def draw(self, i, tokens):
+        number, _ = self.shares[i].ask_draw(self.clock(i), tokens)
+        body = (number, tokens)
+        self.flying.append(("draw", i, self.names[i], body))
+
+    def deliver(self, at, keep=False):
+        if not self.flying:
+            return
+        at %= len(self.flying)
+        kind, i, name, body = self.flying[at]
+        if not keep:
+            del self.flying[at]
+        getattr(self, "on_" + kind)(i, name, body)
+
+    def on_ask(self, i, name, ask):
+        if grant := self.ledger.ask(name, ask, self.t):
+            self.flying.append(("grant", i, name, grant))
+
+    def on_draw(self, i, name, body):
+        if given := self.ledger.draw(name, *body, 10.0, self.t):
+            self.flying.append(("given", i, name, (body[0], given)))
+
+    def on_grant(self, i, name, grant):
+        if name == self.names[i]:
+            self.shares[i].adopt(grant, self.clock(i))
+
+    def on_given(self, i, name, body):
+        if name == self.names[i]:
+            self.shares[i].adopt_draw(*body, self.clock(i))
+
+    def wait(self, seconds):
+        self.t += seconds
+
+    def keep(self, at):
+        """Let a message arrive and keep a copy of it under way."""
+        self.deliver(at, keep=True)
+
+    def renew(self, i):
+        """Ask and let question and answer arrive at once."""
+        self.ask(i)
+        self.deliver(-1)
+        if self.flying and self.flying[-1][0] == "grant":
+            self.deliver(-1)
+
+    def crash(self, i):
+        stem, count = self.names[i].split(".")
+        self.names[i] = f"{stem}.{int(count) + 1}"
+        self.shares[i] = Share("o", *self.plan)
+
+    def fail_over(self):
+        self.epoch += 1
+        settled_at = self.t + SHARE_VALID_S + CLOCK_MARGIN_S
+        self.ledger = open_ledger("o", self.plan, self.epoch, settled_at, self.t)
+
+    def hand_over(self):
+        if self.t >= self.ledger.settled_at:
+            self.epoch += 1
+            handed = hand_out(self.ledger, self.t)
+            self.ledger = take_over(handed, self.plan, self.epoch, self.t)
+
+    def change_plan(self, factor):
+        plan = (RATE * factor, BURST * factor)
+        self.plan = plan
+        self.ledger.set_plan(*plan, self.t)
+        for i, share in enumerate(self.shares):
+            share.set_plan(*plan, self.clock(i))
+        self.meter.resize(self.t, *plan)
+
+
+INDEX = st.integers(0, NODES - 1)
+
+
+class Conservation(RuleBasedStateMachine):
+    """Any interleaving of the fleet's events; ``Fleet.arrive`` holds the check."""
+
+    def __init__(self):
+        super().__init__()
+        self.fleet = Fleet()
+
+    @rule(seconds=st.sampled_from([0.0, 0.01, 0.3, 3.0, 11.0, 25.0]))
+    def pass_time(self, seconds):
+        self.fleet.wait(seconds)
+
+    @rule(i=INDEX, count=st.sampled_from([1, 10, 200]))
+    def arrive(self, i, count):
+        self.fleet.arrive(i, count)
+
+    @rule(i=INDEX, releasing=st.booleans())
+    def ask(self, i, releasing):
+        self.fleet.ask(i, releasing)
+
+    @rule(i=INDEX)
+    def renew(self, i):
+        self.fleet.renew(i)
+
+    @rule(i=INDEX, tokens=st.integers(1, 50))
+    def draw(self, i, tokens):
+        self.fleet.draw(i, tokens)
+
+    @rule(at=st.integers(0, 30), keep=st.booleans())
+    def deliver(self, at, keep):
+        self.fleet.deliver(at, keep)
+
+    @rule(at=st.integers(0, 30))
+    def lose(self, at):
+        if self.fleet.flying:
+            del self.fleet.flying[at % len(self.fleet.flying)]
+
+    @rule(i=INDEX)
+    def crash(self, i):
+        self.fleet.crash(i)
+
+    @rule()
+    def fail_over(self):
+        self.fleet.fail_over()
+
+    @rule()
+    def hand_over(self):
+        self.fleet.hand_over()
+
+    @rule(factor=st.sampled_from([0.2, 0.5, 1.0, 2.0]))
+    def change_plan(self, factor):
+        self.fleet.change_plan(factor)
+
+    @invariant()
+    def what_is_in_force_adds_up(self):
+        self.fleet.check()
+
+
+Conservation.TestCase.settings = settings(
+    max_examples=120, stateful_step_count=60, derandomize=True, deadline=None
+)
+TestConservation = Conservation.TestCase
+
+
+EVENTS = {
+    "drain": 40,
+    "renew": 30,
+    "ask": 4,
+    "release": 1,
+    "draw": 8,
+    "deliver": 12,
+    "repeat": 4,
+    "lose": 3,
+    "crash": 0.1,
+    "change_plan": 0.3,
+    "fail_over": 0.06,
+    "hand_over": 0.2,
+    "wait": 0.2,
+}
+
+
+def step(fleet, rng, event):
+    i = rng.randrange(NODES)
+    match event:
+        case "drain":
+            for j in rng.sample(range(NODES), NODES):
+                fleet.arrive(j, rng.choice([3, 200]))
+        case "release":
+            fleet.ask(i, releasing=True)
+        case "draw":
+            fleet.draw(i, rng.randint(1, 30))
+            fleet.deliver(-1)
+            fleet.deliver(-1)
+        case "deliver" | "repeat":
+            fleet.deliver(rng.randrange(50), keep=event == "repeat")
+        case "lose" if fleet.flying:
+            del fleet.flying[rng.randrange(len(fleet.flying))]
+        case "change_plan":
+            fleet.change_plan(rng.choice([0.2, 0.5, 1.0, 2.0]))
+        case "wait":
+            fleet.t += rng.choice([2.0, 8.0, 19.0, 30.0])
+        case "ask" | "renew" | "crash":
+            getattr(fleet, event)(i)
+        case "fail_over" | "hand_over":
+            getattr(fleet, event)()
+
+
+class TestLongRuns:
+    @pytest.mark.parametrize("seed", range(10))
+    def test_thousands_of_random_events_stay_within_the_plan(self, seed):
+        rng = random.Random(seed)
+        fleet = Fleet()
+        names, weights = list(EVENTS), list(EVENTS.values())
+        for event in rng.choices(names, weights, k=3000):
+            fleet.t += rng.choice([0.0, 0.01, 0.2])
+            step(fleet, rng, event)
+            fleet.check()
+        assert fleet.admitted > 2500
+
+
+FAULTS = {
+    "a grant arrives twice": """
+        arrive 0 5 | wait 1 | ask 0 | deliver -1 | keep -1 | arrive 0 200 | deliver -1
+        """,
+    "a grant arrives after fifteen seconds": """
+        arrive 0 5 | wait 1 | ask 0 | deliver -1 | wait 15 | deliver -1 | wait 7
+        arrive 1 5 | wait 0.1 | renew 1
+        """,
+    "a grant answers an earlier request": """
+        arrive 0 5 | wait 1 | ask 0 | deliver -1 | arrive 1 90 | wait 1 | ask 0
+        deliver -1 | deliver -1 | renew 1 | deliver 0
+        """,
+    "a grant is lost and the node keeps its larger share": """
+        arrive 0 90 | wait 1 | renew 0 | arrive 1 900 | renew 1 | ask 0 | deliver -1
+        renew 1
+        """,
+    "a prolongation arrives after the share has ended": """
+        arrive 0 5 | wait 1 | renew 0 | wait 19 | ask 0 | wait 2.5 | arrive 1 5
+        wait 0.1 | renew 1 | fail_over | deliver 0 | renew 1 | deliver -1
+        """,
+    "returned tokens arrive when the share has long ended": """
+        arrive 0 1 | wait 1 | renew 0 | arrive 1 90 | wait 1 | renew 1 | renew 0
+        ask 0 | wait 40 | draw 1 1 | deliver -1 | deliver -1 | wait 2 | draw 1 40
+        deliver -1 | deliver -1 | arrive 1 200 | deliver 0
+        """,
+    "a draw is answered twice": """
+        draw 0 20 | deliver -1 | keep -1 | arrive 0 200 | deliver -1
+        """,
+    "a request for a draw arrives twice": """
+        draw 0 5 | keep 0 | deliver -1 | arrive 0 200 | draw 0 30 | deliver -1
+        deliver 0 | deliver 0
+        """,
+    "a draw is used after a pause": """
+        draw 0 20 | deliver -1 | deliver -1 | wait 4 | draw 2 1 | deliver -1
+        deliver -1 | wait 2 | draw 1 40 | deliver -1 | deliver -1 | arrive 1 200
+        arrive 0 200
+        """,
+    "a new draw is asked for while the last one isn't spent": """
+        draw 0 20 | deliver -1 | deliver -1 | draw 0 5 | deliver -1
+        """,
+    "another node asks while a share has eight seconds left": """
+        arrive 0 5 | wait 1 | renew 0 | wait 12 | arrive 1 900 | wait 1 | renew 1
+        """,
+    "a node is paused and its share goes to another": """
+        arrive 0 5 | wait 1 | renew 0 | wait 23 | draw 2 1 | deliver -1 | deliver -1
+        arrive 1 5 | wait 2 | renew 1 | arrive 1 200 | arrive 0 200
+        """,
+    "a new owner hears only one of two nodes": """
+        arrive 0 5 | arrive 1 5 | wait 1 | renew 0 | renew 1 | renew 0 | renew 1
+        fail_over | renew 0 | renew 0 | arrive 2 90 | wait 1 | renew 2 | renew 2
+        """,
+    "the answer to the new owner's node is lost": """
+        arrive 0 5 | wait 1 | renew 0 | wait 18 | fail_over | ask 0 | deliver -1
+        wait 3 | arrive 1 90 | wait 0.1 | ask 0 | deliver -1 | renew 1 | renew 1
+        """,
+    "the books are handed over while a grant is under way": """
+        arrive 0 5 | wait 1 | renew 0 | arrive 1 900 | wait 1 | ask 1 | deliver -1
+        hand_over | deliver -1 | renew 0 | renew 2 | draw 2 40 | deliver -1
+        """,
+    "the plan shrinks, then one node renews": """
+        arrive 0 60 | arrive 1 40 | wait 1 | renew 0 | renew 1 | renew 0 | renew 1
+        change_plan 0.5 | arrive 0 900 | wait 1 | renew 0 | renew 0
+        """,
+    "the plan grows and shrinks within one lease": """
+        arrive 0 5 | arrive 1 5 | wait 1 | renew 0 | renew 1 | change_plan 0.5
+        renew 0 | renew 1 | renew 0 | renew 1 | change_plan 1 | renew 0
+        change_plan 0.6
+        """,
+    "the plan shrinks and the owner dies": """
+        arrive 0 5 | arrive 1 5 | wait 1 | renew 0 | renew 1 | renew 0 | renew 1
+        change_plan 0.5 | fail_over | renew 0 | change_plan 0.4 | renew 1 | renew 0
+        """,
+}
+
+
+class TestFaults:
+    @pytest.mark.parametrize("fault", FAULTS)
+    def test_stays_within_the_plan(self, fault):
+        fleet = Fleet()
+        for line in FAULTS[fault].replace("\n", "|").split("|"):
+            event, *args = line.split() or ("wait", "0")
+            getattr(fleet, event)(*(json.loads(arg) for arg in args))
+            fleet.check()
--- a/lavenderstack/node/main.py
+++ b/lavenderstack/node/main.py
@@ -34,7 +34,9 @@
 from lavenderstack.node.watch import Watch
 
 VIEW_POLL_S = 0.05
+PROOF_WAIT_S = 10.0
 STREAMS_STOP_S = 5.0
+PART_FAILED = 1
 
 log = structlog.get_logger()
 
@@ -124,8 +126,15 @@
 
 
 async def _wait_for_view(node: Node) -> None:
+    """Wait for a view, and a while for the proof that it is recent.
+
+    Without that proof only what is open to everyone can be served.
+    """
     while not node.relay.view.revision:
         await node.relay.news(VIEW_POLL_S)
+    until = clock.now() + PROOF_WAIT_S
+    while not node.relay.usable(clock.now()) and clock.now() < until:
+        await node.relay.news(VIEW_POLL_S)
 
 
 async def _stopped(node: Node) -> None:
@@ -169,17 +178,16 @@
 
 
 async def _run(cfg: Settings) -> int:
+    status = 0
     async with store.opened(cfg.platform.urls) as platform:
         node = build(cfg, platform)
         _on_signals(node.stop)
         try:
             await _serve(node)
         except* supervisor.PartFailed as group:
-            names = ", ".join(str(exc) for exc in group.exceptions)
-            log.error("node: a part failed too often", parts=names)
-            return 1
-    log.info("node: stopped")
-    return 0
+            log.error("node: a part failed too often", parts=str(group.exceptions))
+            status = PART_FAILED
+    return status
 
 
 def _runner() -> Callable:
