--- a/lavenderstack/core/evidence_test.py
+++ b/lavenderstack/core/evidence_test.py
@@ -1,4 +1,4 @@
-"""Tests of the rules of proof, one by one; their interplay is in promotion_test."""
+"""Tests of the rules of proof, one by one; their interplay is in safety_test."""
 
 import pytest
 
--- a/lavenderstack/core/suspicion.py
+++ b/lavenderstack/core/suspicion.py
@@ -148,6 +148,12 @@
         under = [name for name in heard if self._term_of(name) == leader.term]
         return len(under) >= self.majority
 
+    def unreachable(self) -> bool:
+        """Tell whether nobody listens any more where the primary was."""
+        leader = self.leader()
+        health = self._health.get(leader.target) if leader else None
+        return health is not None and health.refusals > 0
+
     def next_probe(self, target: str) -> float:
         """Return the time at which a target should be probed again."""
         return self._health[target].probed_at + self._interval(target)
--- a/lavenderstack/core/watchers.py
+++ b/lavenderstack/core/watchers.py
@@ -28,6 +28,13 @@
     return tuple((_hash(f"{name}\0{number}"), name) for number in range(POINTS))
 
 
+@lru_cache(maxsize=20_000)
+def _order(group: str, zones: tuple[str, ...]) -> tuple[bytes, list[str]]:
+    """Return a group's place on every ring and its order of zones."""
+    duty = f"watch/{group}"
+    return _hash(duty), rank(duty, zones)
+
+
 class Watchers:
     """The watchers of every group under one list of nodes."""
 
@@ -36,19 +43,21 @@
         for vm in nodes:
             by_zone.setdefault(vm.zone, []).extend(_points(vm.name))
         self._rings = {zone: sorted(points) for zone, points in by_zone.items()}
+        self._zones = tuple(sorted(by_zone))
 
     def of(self, group: str) -> list[str]:
         """Return the names of a group's watchers, the one that goes first first.
 
         Each is of another zone as long as there are zones left.
         """
-        zones = rank(f"watch/{group}", self._rings)
-        at = _hash(f"watch/{group}")
+        at, zones = _order(group, self._zones)
         chosen: list[str] = []
         for turn in range(WATCHERS):
             for zone in zones:
-                if len(chosen) < WATCHERS and (name := self._pick(zone, at, turn)):
+                if name := self._pick(zone, at, turn):
                     chosen.append(name)
+                if len(chosen) == WATCHERS:
+                    return chosen
         return chosen
 
     def _pick(self, zone: str, at: bytes, turn: int) -> str | None:
--- a/lavenderstack/node/group_watch.py
+++ b/lavenderstack/node/group_watch.py
@@ -82,6 +82,8 @@
             await asyncio.sleep(CHECK_TICK_S)
             if self.suspicion.healthy(since):
                 return True
+            if self.suspicion.unreachable():
+                return False
         return False
 
     async def run(self) -> None:
@@ -114,7 +116,8 @@
 
     def _probe(self, now: float) -> None:
         for name, link in self._links.items():
-            if not link.busy and now >= self.suspicion.next_probe(name):
+            due = now >= self.suspicion.next_probe(name) or link.broken
+            if due and not link.busy:
                 self.suspicion.probed(name, now)
                 link.send(Probe())
 
--- a/lavenderstack/node/target_holder.py
+++ b/lavenderstack/node/target_holder.py
@@ -238,7 +238,7 @@
         if ran.last < least:
             raise Refused(Reason.BEHIND, "the target has gone back")
         if msg.fresh:
-            await self._confirms.confirm_term(ran.term, started, deadline)
+            await self._confirms.confirm_term(term, started, deadline)
         age_s = None
         if msg.max_age_s is not None:
             until = min(deadline, clock.now() + AGE_PROOF_S)
--- a/lavenderstack/node/target_link.py
+++ b/lavenderstack/node/target_link.py
@@ -74,6 +74,11 @@
         self._orders: asyncio.Queue[Order] = asyncio.Queue()
         self._conn: TargetConn | None = None
 
+    @property
+    def broken(self) -> bool:
+        """Whether the connection was closed from the other end while it was idle."""
+        return not self.busy and self._conn is not None and self._conn.broken
+
     def send(self, order: Order) -> None:
         """Give an order; orders are carried out one after the other."""
         self.busy = True
--- a/lavenderstack/node/watch.py
+++ b/lavenderstack/node/watch.py
@@ -21,6 +21,7 @@
 
 DUTIES_INTERVAL_S = 0.25
 NODES_INTERVAL_S = 1.0
+MOST_SHARE = 0.005
 ASK_TIMEOUT_S = 0.4
 
 log = structlog.get_logger()
@@ -86,11 +87,17 @@
                 self._stop(name)
 
     def _take_duties(self) -> None:
-        """Follow a change of the view at once, one of the nodes a little later."""
+        """Follow a change of the view at once, one of the nodes a little later.
+
+        Changes of nodes take at most ``MOST_SHARE`` of a core, however many there are.
+        """
+        started = clock.now()
         view, seen = self._view(), self._seen
-        nodes_changed = self._nodes_changed(clock.now())
+        nodes_changed = self._nodes_changed(started)
         if nodes_changed or view.groups is not seen.groups:
             self._rearrange(view)
+            spent_s = clock.now() - started
+            self._nodes_at = max(self._nodes_at, started + spent_s / MOST_SHARE)
         if nodes_changed or view is not seen:
             leaving = _leaving_targets(view)
             for watch in self._watches.values():
