Serve operators: changes by compare-and-swap, keys, status, commands

An answer lost after the change took effect is resolved by the same swap again, since the value holds the change id; a raced operator gets what stands there and what differs. Accepted is said only when the readers of the zone were handed the change. A key is made by the operator's command; the service only ever gets its digest.

--- a/lavenderstack/border/documents.py
+++ b/lavenderstack/border/documents.py
@@ -90,11 +90,22 @@
 
 
 def _listed(adapter: TypeAdapter, raw: bytes) -> dict:
-    """Read a list that the administration API may have wrapped with a change id."""
+    """Read a list, wrapped by the administration API or bare."""
     document = TypeAdapter(dict[str, Any]).validate_json(raw)
-    if "change_id" in document and "entries" in document:
-        document = document["entries"]
-    return adapter.validate_python(document)
+    return adapter.validate_python(unwrapped(document))
+
+
+def unwrapped(document: Any) -> Any:
+    """Return the entries of a list, whether or not it is wrapped.
+
+    A wrapped list has the id of its last change beside its ``entries``; a plan or an
+    organisation of that name can't be taken for it, since their values differ.
+    """
+    if not isinstance(document, dict):
+        return document
+    entries = document.get("entries")
+    wrapped = isinstance(document.get("change_id"), str) and isinstance(entries, dict)
+    return entries if wrapped else document
 
 
 def _key(name: str, raw: bytes) -> view.Key:
--- /dev/null
+++ b/lavenderstack/tools/admin.py
@@ -0,0 +1,211 @@
+"""Operators' commands: the lists, keys, groups, and where a change is in force.
+
+Usage:
+  lavenderstack admin [options] plans show
+  lavenderstack admin [options] plans apply FILE
+  lavenderstack admin [options] bought show
+  lavenderstack admin [options] bought apply FILE
+  lavenderstack admin [options] keys list [--organisation NAME]
+  lavenderstack admin [options] keys grant ORGANISATION
+  lavenderstack admin [options] keys withdraw DIGEST
+  lavenderstack admin [options] groups list
+  lavenderstack admin [options] groups show NAME
+  lavenderstack admin [options] groups apply NAME FILE
+  lavenderstack admin [options] status
+  lavenderstack admin [options] revision [REVISION]
+  lavenderstack admin --help
+
+"show" prints what stands there with its revision; edit that and "apply" it. If
+another operator was faster, apply changes nothing and shows what differs. FILE may
+be "-" for standard input. "keys grant" makes the key here and prints it once: the
+service only gets its digest. "keys withdraw -" reads the key itself from standard
+input.
+
+Options:
+  --url URL            The operators' address of any node [default: $LAVENDERSTACK_URL].
+  --key-file FILE      Holds the operator's key; else $LAVENDERSTACK_KEY is taken.
+  --revision N         The revision to replace, instead of the one in FILE.
+  --change-id ID       Repeat a change whose outcome was unknown.
+  --organisation NAME  Only this organisation's keys.
+  --json               Print the node's answer as JSON.
+  --help               Show this text.
+
+Exit status: 0 done and in force in this zone; 1 not understood, nothing changed;
+2 conflict, not in force; 3 stored but not yet known in force; 4 nothing changed, try
+again; 5 may have changed, repeat it with the change id; 6 the key is no operator's.
+"""
+
+import json
+import os
+import sys
+from enum import IntEnum
+from pathlib import Path
+from typing import Any
+from urllib.parse import quote
+
+import yaml
+
+from lavenderstack.core import keys
+from lavenderstack.tools.admin_client import NO_ANSWER, NOT_SENT, Answer, Client
+
+URL_VARIABLE = "LAVENDERSTACK_URL"
+KEY_VARIABLE = "LAVENDERSTACK_KEY"
+
+
+class Exit(IntEnum):
+    """Exit statuses, as the text above tells them."""
+
+    DONE = 0
+    INVALID = 1
+    CONFLICT = 2
+    STORED = 3
+    NOT_CHANGED = 4
+    MAYBE_CHANGED = 5
+    NO_OPERATOR = 6
+
+
+_EXITS = {
+    200: Exit.DONE,
+    202: Exit.STORED,
+    401: Exit.NO_OPERATOR,
+    412: Exit.CONFLICT,
+    503: Exit.NOT_CHANGED,
+    504: Exit.MAYBE_CHANGED,
+    NOT_SENT: Exit.NOT_CHANGED,
+    NO_ANSWER: Exit.MAYBE_CHANGED,
+}
+
+_ADVICE = {
+    Exit.CONFLICT: "another operator was faster; show it again, merge, apply again",
+    Exit.STORED: 'stored, not yet known in force; ask "admin revision" again',
+    Exit.NOT_CHANGED: "nothing was changed; try again, or through another node",
+    Exit.MAYBE_CHANGED: "may have changed; repeat it with this --change-id",
+    Exit.NO_OPERATOR: "this key is no operator's; look at --key-file",
+}
+
+
+class Mistake(Exception):
+    """The command can't be carried out as it was given."""
+
+
+def run(argv: list[str]) -> int:
+    """Carry out one command; return the exit status."""
+    from docopt import docopt
+
+    args = docopt(__doc__, argv=["admin", *argv])
+    try:
+        client = _client(args)
+        answer = _command(client, args)
+    except Mistake as exc:
+        print(exc, file=sys.stderr)
+        return Exit.INVALID
+    return _told(answer, args)
+
+
+def _client(args: dict) -> Client:
+    url = args["--url"]
+    if url.startswith("$"):
+        url = os.environ.get(URL_VARIABLE, "")
+    if not url:
+        raise Mistake(f"give --url, or set {URL_VARIABLE}")
+    if args["--key-file"]:
+        key = _read(args["--key-file"]).strip()
+    else:
+        key = os.environ.get(KEY_VARIABLE, "").strip()
+    if not key:
+        raise Mistake(f"give --key-file, or set {KEY_VARIABLE}")
+    return Client(url, key)
+
+
+def _command(client: Client, args: dict) -> Answer:
+    if args["keys"]:
+        return _keys(client, args)
+    if args["status"]:
+        return client.get("/v1/status")
+    if args["revision"]:
+        at = args["REVISION"]
+        return client.get("/v1/revision" + (f"?at={quote(at)}" if at else ""))
+    if args["groups"] and args["list"]:
+        return client.get("/v1/groups")
+    path = _path(args)
+    if args["show"]:
+        return client.get(path)
+    entries, revision = _document(args)
+    return client.change("PUT", path, entries, revision, args["--change-id"])
+
+
+def _path(args: dict) -> str:
+    if args["groups"]:
+        return f"/v1/groups/{quote(args['NAME'], safe='')}"
+    return "/v1/plans" if args["plans"] else "/v1/bought"
+
+
+def _keys(client: Client, args: dict) -> Answer:
+    if args["list"]:
+        wanted = args["--organisation"]
+        query = f"?organisation={quote(wanted)}" if wanted else ""
+        return client.get("/v1/keys" + query)
+    if args["withdraw"]:
+        digest = args["DIGEST"]
+        if digest == "-":
+            digest = keys.digest_of(sys.stdin.read().strip())
+        path = f"/v1/keys/{quote(digest, safe='')}/withdraw"
+        return client.change("POST", path, {}, change_id=args["--change-id"])
+    return _grant(client, args["ORGANISATION"])
+
+
+def _grant(client: Client, organisation: str) -> Answer:
+    """Grant a new key; it is shown only if it is in the store."""
+    key = keys.generate()
+    digest = keys.digest_of(key)
+    path = f"/v1/keys/{digest}"
+    answer = client.change("PUT", path, {"organisation": organisation})
+    if answer.status in (200, 202):
+        return Answer(answer.status, answer.body | {"key": key, "digest": digest})
+    if answer.status == NO_ANSWER:
+        print(f"withdraw this key to be sure: {digest}", file=sys.stderr)
+    return answer
+
+
+def _document(args: dict) -> tuple[dict, int]:
+    """Return the entries in FILE and the revision that they replace."""
+    try:
+        document = yaml.safe_load(_read(args["FILE"]))
+    except yaml.YAMLError as exc:
+        raise Mistake(f"{args['FILE']}: neither YAML nor JSON: {exc}") from exc
+    if not isinstance(document, dict):
+        raise Mistake(f"{args['FILE']}: expected a mapping, as printed by show")
+    revision = args["--revision"]
+    if "entries" in document and "revision" in document:
+        revision = revision if revision is not None else document["revision"]
+        document = document["entries"]
+    if revision is None or not str(revision).isdecimal():
+        raise Mistake("which revision does it replace? Take it from show: --revision N")
+    if not isinstance(document, dict):
+        raise Mistake(f"{args['FILE']}: entries: expected a mapping")
+    return document, int(revision)
+
+
+def _read(name: str) -> str:
+    if name == "-":
+        return sys.stdin.read()
+    try:
+        return Path(name).read_text("utf-8")
+    except (OSError, UnicodeDecodeError) as exc:
+        raise Mistake(f"{name}: {getattr(exc, 'strerror', None) or exc}") from exc
+
+
+def _told(answer: Answer, args: dict) -> int:
+    status = _EXITS.get(answer.status, Exit.INVALID)
+    good = status in (Exit.DONE, Exit.STORED)
+    _print(answer.body, args["--json"], sys.stdout if good else sys.stderr)
+    if status in _ADVICE:
+        print(f"lavenderstack admin: {_ADVICE[status]}", file=sys.stderr)
+    return int(status)
+
+
+def _print(body: dict[str, Any], as_json: bool, file: Any) -> None:
+    if as_json:
+        print(json.dumps(body), file=file)
+    else:
+        yaml.safe_dump(body, file, sort_keys=False, allow_unicode=True)
