--- a/lavenderstack/node/main.py
+++ b/lavenderstack/node/main.py
@@ -9,10 +9,11 @@
 from collections.abc import Callable
 from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass, field
+from functools import partial
 
 import structlog
 
-from lavenderstack.border import callers, logs, store
+from lavenderstack.border import admin, callers, logs, store
 from lavenderstack.border.listener import listening
 from lavenderstack.border.settings import Settings, parse_address
 from lavenderstack.core import clock
@@ -27,6 +28,7 @@
 from lavenderstack.node.leaders import Leaders
 from lavenderstack.node.peers import Peers
 from lavenderstack.node.relay import Relay
+from lavenderstack.node.revisions import where_in_force
 from lavenderstack.node.router import Router
 from lavenderstack.node.streams import StreamPool, StreamServer
 from lavenderstack.node.supervisor import Part
@@ -125,6 +127,14 @@
     )
 
 
+def _served_operators(node: Node) -> AbstractAsyncContextManager[int]:
+    cfg, relay = node.cfg.administration, node.relay
+    where = partial(where_in_force, relay)
+    app = admin.make_app(relay.store, relay, cfg.operators, where)
+    limits = node.cfg.callers.header_timeout_s, drain.RUNNING_LIMIT_S
+    return listening(app, cfg.host, cfg.port, *limits)
+
+
 async def _wait_for_view(node: Node) -> None:
     """Wait for a view, and a while for the proof that it is recent.
 
@@ -160,7 +170,7 @@
     async with asyncio.TaskGroup() as tasks:
         control = tasks.create_task(supervisor.run(_parts(node)))
         await _wait_for_view(node)
-        async with _served_callers(node) as port:
+        async with _served_operators(node), _served_callers(node) as port:
             print(f"ready {port}", flush=True)
             log.info("node: ready", revision=node.relay.view.revision)
             await _stopped(node)
