--- a/lavenderstack/core/allowance_messages.py
+++ b/lavenderstack/core/allowance_messages.py
@@ -51,13 +51,12 @@
 
 
 class AskShares(Message, tag="ask_shares"):
-    """Renew the shares of organisations of one shard; answered by ``GrantShares``.
+    """Renew the shares of organisations; answered by ``GrantShares``.
 
     ``node`` names the process, not the VM: a restarted one has another name.
     """
 
     node: str
-    shard: int
     asks: list[ShareAsk]
 
 
@@ -71,7 +70,6 @@
     """Ask for a few tokens at once; answered by ``GrantDraw``."""
 
     node: str
-    shard: int
     organisation: str
     number: int
     tokens: int
@@ -89,6 +87,10 @@
     retry_after_s: float
 
 
+class NotAllotter(Message, tag="not_allotter"):
+    """The receiver isn't the allotter of this organisation now."""
+
+
 class HandedEntry(msgspec.Struct, array_like=True, frozen=True, gc=False):
     """A share that may be in force for ``left_s`` yet; see ``lessee.Entry``."""
 
--- /dev/null
+++ b/lavenderstack/core/fairqueue_test.py
@@ -0,0 +1,135 @@
+"""Tests of the fair queue."""
+
+from collections import Counter
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lavenderstack.core.fairqueue import FairQueue, QueueFull
+
+WEIGHTS = {"a": 1.0, "b": 2.0, "c": 0.5}
+
+
+def fill(queue, counts, deadline=9.0):
+    for organisation, count in counts.items():
+        for i in range(count):
+            item = f"{organisation}{i}"
+            queue.push(organisation, WEIGHTS[organisation], item, deadline, 10**6)
+
+
+class TestShares:
+    @settings(max_examples=60, derandomize=True, deadline=None)
+    @given(
+        extra=st.dictionaries(st.sampled_from(list(WEIGHTS)), st.integers(0, 300)),
+        served=st.integers(1, 90),
+    )
+    def test_the_backlogged_share_by_weight_within_one_item(self, extra, served):
+        queue = FairQueue()
+        fill(queue, {name: 120 + extra.get(name, 0) for name in WEIGHTS})
+        got = Counter(queue.pop(0.0)[0] for _ in range(served))
+        for one in WEIGHTS:
+            for other in WEIGHTS:
+                gap = got[one] / WEIGHTS[one] - got[other] / WEIGHTS[other]
+                assert gap <= 1 / WEIGHTS[one] + 1 / WEIGHTS[other]
+
+    def test_idle_time_earns_no_credit(self):
+        queue = FairQueue()
+        fill(queue, {"a": 100})
+        for _ in range(50):
+            queue.pop(0.0)
+        fill(queue, {"b": 100})
+        got = Counter(queue.pop(0.0)[0] for _ in range(30))
+        assert got["a"] >= 9
+
+    def test_who_was_served_without_waiting_is_behind(self):
+        queue = FairQueue()
+        for _ in range(10):
+            queue.serve_directly("a", 1.0, 1.0)
+        queue.push("a", 1.0, "a0", 9.0, 10)
+        queue.push("b", 1.0, "b0", 9.0, 10)
+        assert queue.pop(0.0) == "b0"
+
+    def test_dear_items_are_charged_for(self):
+        queue = FairQueue()
+        fill(queue, {"a": 60, "b": 60})
+        got = []
+        for _ in range(40):
+            got.append(queue.pop(0.0)[0])
+            if got[-1] == "b":
+                queue.correct("b", WEIGHTS["b"], 3.0)
+        # b has twice the weight and costs four times as much.
+        assert 10 <= got.count("b") <= 15
+
+
+class TestBounds:
+    def test_a_full_line_refuses_its_own_organisation_only(self):
+        queue = FairQueue()
+        for i in range(3):
+            queue.push("a", 1.0, i, 9.0, 3)
+        with pytest.raises(QueueFull):
+            queue.push("a", 1.0, 4, 9.0, 3)
+        queue.push("b", 1.0, 5, 9.0, 3)
+        assert queue.length_of("a") == 3
+
+    def test_late_items_are_handed_back_at_once_and_never_served(self):
+        queue = FairQueue()
+        for item, deadline in (("x", 1.0), ("y", 5.0), ("z", 2.0)):
+            queue.push("a", 1.0, item, deadline, 9)
+        assert queue.next_deadline() == 1.0
+        assert queue.expire(2.0) == ["x", "z"]
+        assert (queue.pop(2.0), queue.pop(2.0), len(queue)) == ("y", None, 0)
+
+    def test_an_item_late_at_its_turn_is_left_to_expire(self):
+        queue = FairQueue()
+        queue.push("a", 1.0, "x", 1.0, 9)
+        assert queue.pop(1.0) is None
+        assert (len(queue), queue.expire(1.0), len(queue)) == (1, ["x"], 0)
+
+
+class TestAnyOrder:
+    @settings(max_examples=150, derandomize=True, deadline=None)
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(["push", "pop", "remove", "expire", "direct"]),
+                st.sampled_from(list(WEIGHTS)),
+                st.integers(0, 40),
+            ),
+            max_size=120,
+        )
+    )
+    def test_every_item_leaves_exactly_once(self, steps):
+        queue, here, now = FairQueue(), {}, 0.0
+        for number, (what, organisation, value) in enumerate(steps):
+            now += 0.1
+            if what == "push":
+                here[number] = now + value / 10
+                queue.push(
+                    organisation, WEIGHTS[organisation], number, here[number], 99
+                )
+            elif what == "pop":
+                item = queue.pop(now)
+                servable = [one for one, deadline in here.items() if deadline > now]
+                assert (item is None) == (not servable)
+                if item is not None:
+                    assert here.pop(item) > now
+            elif what == "remove" and here:
+                item = list(here)[value % len(here)]
+                assert queue.remove(item) and not queue.remove(item)
+                del here[item]
+            elif what == "expire":
+                for item in queue.expire(now):
+                    assert here.pop(item) <= now
+                assert all(deadline > now for deadline in here.values())
+            elif what == "direct" and not here:
+                queue.serve_directly(organisation, 1.0, 1.0)
+            assert len(queue) == len(here)
+
+    def test_dead_marks_do_not_pile_up(self):
+        queue = FairQueue()
+        for i in range(5000):
+            queue.push("a", 1.0, i, 1e9, 10)
+            queue.remove(i)
+        assert len(queue._deadlines) < 200
+        assert len(queue._lines["a"].items) < 200
--- a/lavenderstack/core/handover.py
+++ b/lavenderstack/core/handover.py
@@ -12,7 +12,12 @@
     HandedLedger,
     HandedLessee,
 )
-from lavenderstack.core.ledger import Ledger
+from lavenderstack.core.ledger import (
+    CLOCK_MARGIN_S,
+    DRAW_VALID_S,
+    SHARE_VALID_S,
+    Ledger,
+)
 from lavenderstack.core.lessee import Entry, Lessee
 
 FIRST_EPOCH = 1
@@ -22,21 +27,24 @@
     organisation: str,
     plan: tuple[float, float],
     epoch: int,
-    settled_at: float,
+    owned_at: float,
     now: float,
 ) -> Ledger:
     """Open books on an organisation of which this owner has none yet.
 
     Nobody can have spent anything in the first epoch of a shard, so its bucket is
     full. Later ones have what has certainly accrued since the last lease of the
-    predecessor ended at ``settled_at``.
+    predecessor, who may have issued until ``owned_at``, must have ended.
     """
     rate, burst = plan
-    ledger = Ledger(organisation, rate, burst, epoch, settled_at)
+    reserve_at = owned_at + DRAW_VALID_S + CLOCK_MARGIN_S
+    settled_at = owned_at + SHARE_VALID_S + CLOCK_MARGIN_S
+    if epoch == FIRST_EPOCH:
+        reserve_at = settled_at = -math.inf
+    ledger = Ledger(organisation, rate, burst, epoch, reserve_at, settled_at)
     bucket = ledger.bucket
     bucket.at = now
     if epoch == FIRST_EPOCH:
-        ledger.settled_at = -math.inf
         bucket.level = burst
     elif now > settled_at:
         bucket.level = min(burst, ledger.room(now)[0] * (now - settled_at))
@@ -84,7 +92,7 @@
     What was on the way counts as in force for longer, never for shorter.
     """
     rate, burst = plan
-    ledger = Ledger(handed.organisation, rate, burst, epoch, -math.inf)
+    ledger = Ledger(handed.organisation, rate, burst, epoch, -math.inf, -math.inf)
     ledger.earlier_epoch = epoch - 1
     ledger.seq = handed.seq
     for one in handed.lessees:
--- a/lavenderstack/core/ledger.py
+++ b/lavenderstack/core/ledger.py
@@ -7,11 +7,13 @@
 larger of the two sizes counts. A little of the rate is never handed out, because a
 holder's clock may run fast.
 
-A new owner of the books knows nothing of what its predecessor leased. Until all of
-that must have ended (``settled_at``), it prolongs what nodes say they hold and
-nothing else. A share whose prolongation a node has confirmed was in force when the
-predecessor had stopped, so it is a known part of the plan, and what the node then
-gives up of it may go to others.
+A new owner of the books knows nothing of what its predecessor leased, but that its
+shares took up no more than a fixed part of the plan. So it may use the rest as soon
+as the draws must have ended (``reserve_at``). Until the shares must have ended too
+(``settled_at``), it prolongs those that nodes say they hold and grants no others. A
+share whose prolongation a node has confirmed was in force when the predecessor had
+stopped, so it is a known part of the plan, and what the node then gives up of it may
+go to others.
 """
 
 import math
@@ -25,8 +27,8 @@
 DRAW_VALID_S = 2.0
 CLOCK_MARGIN_S = 1.0
 CLOCK_SPEED_ERROR = 0.001
-RATE_SHARED = 0.9
-BURST_SHARED = 0.6
+RATE_SHARED = 0.2
+BURST_SHARED = 0.2
 
 
 @dataclass(slots=True)
@@ -42,6 +44,7 @@
     rate: float
     burst: float
     epoch: int
+    reserve_at: float
     settled_at: float
     bucket: Bucket = field(default_factory=Bucket)
     lessees: dict[str, Lessee] = field(default_factory=dict)
@@ -56,20 +59,43 @@
             capacity += lessee_capacity
         return rate, capacity
 
-    def _limit(self, now: float) -> tuple[float, float]:
-        whole_rate = self.rate * (1.0 - CLOCK_SPEED_ERROR)
+    def _shared_limit(self, now: float) -> tuple[float, float]:
+        """Return how much of the plan may be leased as shares."""
+        rate = self.rate * (1.0 - CLOCK_SPEED_ERROR) * RATE_SHARED
+        burst = self.burst * BURST_SHARED
         if now >= self.settled_at:
-            return whole_rate, self.burst
+            return rate, burst
         learned = [lessee.learned for lessee in self.lessees.values()]
-        rate = sum(size[0] for size in learned)
-        burst = sum(size[1] for size in learned)
-        return min(whole_rate, rate), min(self.burst, burst)
+        learned_rate = sum(size[0] for size in learned)
+        learned_burst = sum(size[1] for size in learned)
+        return min(rate, learned_rate), min(burst, learned_burst)
+
+    def _reserve(self, now: float) -> tuple[float, float]:
+        """Return how much of the plan is never leased as shares."""
+        if now < self.reserve_at:
+            return 0.0, 0.0
+        rate = self.rate * (1.0 - CLOCK_SPEED_ERROR) * (1.0 - RATE_SHARED)
+        return rate, self.burst * (1.0 - BURST_SHARED)
+
+    def _room_to_share(self, now: float) -> tuple[float, float]:
+        limit_rate, limit_burst = self._shared_limit(now)
+        rate, capacity = self._counted()
+        drawn = sum(lessee.drawn for lessee in self.lessees.values())
+        room_rate, room_burst = self.room(now)
+        return (
+            min(room_rate, max(0.0, limit_rate - rate)),
+            min(room_burst, max(0.0, limit_burst - (capacity - drawn))),
+        )
 
     def room(self, now: float) -> tuple[float, float]:
         """Return the rate and capacity that are certainly in nobody's hands."""
-        limit_rate, limit_burst = self._limit(now)
+        shared_rate, shared_burst = self._shared_limit(now)
+        reserve_rate, reserve_burst = self._reserve(now)
         rate, capacity = self._counted()
-        return max(0.0, limit_rate - rate), max(0.0, limit_burst - capacity)
+        return (
+            max(0.0, shared_rate + reserve_rate - rate),
+            max(0.0, shared_burst + reserve_burst - capacity),
+        )
 
     def _balance(self, now: float) -> None:
         self.bucket.resize(now, *self.room(now))
@@ -135,7 +161,7 @@
         return self._answer(ask, entry, 0.0, in_place=True)
 
     def _grant(self, lessee: Lessee, ask: ShareAsk, now: float) -> ShareGrant:
-        room_rate, room_burst = self.room(now)
+        room_rate, room_burst = self._room_to_share(now)
         held = (0.0, 0.0)
         if lessee.held is not None:
             held = lessee.held.in_force(self.rate, self.burst)
--- a/lavenderstack/core/share.py
+++ b/lavenderstack/core/share.py
@@ -21,12 +21,14 @@
 from lavenderstack.core.bucket import Bucket
 
 DEMAND_WINDOW_S = 3.0
+SHORTEST_FOLD_S = 0.02
 SHORTEST_REFUSAL_S = 0.02
 LONGEST_REFUSAL_S = 0.5
 DRAW_AHEAD_S = 0.1
 SOONEST_ASK_S = 1.0
 STEADY_ASK_S = 8.0
 DRIFT_PART = 0.5
+CUT_OFF_DRAWS = 4
 LEAST_DEMAND_PER_S = 0.05
 
 _NEVER = -math.inf
@@ -34,19 +36,36 @@
 
 @dataclass(slots=True)
 class Demand:
-    """An exponential average of requests/s; ``arrivals`` counts since ``at``."""
+    """An exponential average of requests/s since the first request.
 
-    per_s: float = 0.0
+    ``arrivals`` counts since ``at``; ``weight`` is how much of the average has been
+    seen, so that a new organisation's demand isn't taken for a small one.
+    """
+
+    total: float = 0.0
+    weight: float = 0.0
     arrivals: int = 0
-    at: float = 0.0
+    at: float = _NEVER
+
+    @property
+    def per_s(self) -> float:
+        """The average as of the last ``fold``."""
+        return self.total / self.weight if self.weight else 0.0
+
+    def note(self, now: float) -> None:
+        """Count one request."""
+        if self.at == _NEVER:
+            self.at = now
+        self.arrivals += 1
 
     def fold(self, now: float) -> float:
         """Take the arrivals since the last call into the average and return it."""
         passed_s = now - self.at
-        if passed_s <= 0:
+        if passed_s < SHORTEST_FOLD_S or self.at == _NEVER:
             return self.per_s
         kept = math.exp(-passed_s / DEMAND_WINDOW_S)
-        self.per_s = self.per_s * kept + self.arrivals / passed_s * (1 - kept)
+        self.total = self.total * kept + self.arrivals / passed_s * (1 - kept)
+        self.weight = self.weight * kept + (1 - kept)
         self.arrivals = 0
         self.at = now
         return self.per_s
@@ -87,10 +106,11 @@
     refuse_until: float = _NEVER
     reported: float = 0.0
     missed: bool = False
+    unanswered: int = 0
 
     def admit(self, now: float) -> bool:
         """Take a token for one request if the node has one at hand."""
-        self.demand.arrivals += 1
+        self.demand.note(now)
         return self.spend(now)
 
     def spend(self, now: float) -> bool:
@@ -103,6 +123,13 @@
         self.missed = True
         return False
 
+    def admit_at_hand(self, now: float) -> bool:
+        """Take a token if there is one; a request that finds none isn't counted."""
+        if not self.spend(now):
+            return False
+        self.demand.note(now)
+        return True
+
     def ask(self, now: float, releasing: bool = False) -> ShareAsk:
         """Return the next request for a share, which voids all earlier ones.
 
@@ -119,7 +146,7 @@
         self.answered = releasing
         self.asked_at = now
         self.asked_plan = (self.plan_rate, self.plan_burst)
-        self.reported = 0.0 if releasing else self.demand.fold(now)
+        self.reported = 0.0 if releasing else self._demand_to_report(now)
         self.missed = False
         returned, self.returned = self.returned, 0.0
         return ShareAsk(
@@ -133,6 +160,10 @@
             returned,
         )
 
+    def _demand_to_report(self, now: float) -> float:
+        demand = self.demand.fold(now)
+        return demand if demand >= LEAST_DEMAND_PER_S else 0.0
+
     def _drop(self) -> None:
         self.seq = 0
         self.rate = self.capacity = 0.0
@@ -201,6 +232,11 @@
         capacity = self.capacity * _part(self.plan_burst, self.basis_burst)
         return self.bucket.resize(now, rate, capacity)
 
+    @property
+    def cut_off(self) -> bool:
+        """Whether the allotter has left several draws in a row unanswered."""
+        return self.unanswered >= CUT_OFF_DRAWS
+
     def may_draw(self, now: float) -> bool:
         """Whether asking the allotter for tokens at once makes sense now."""
         return not self.drawing and now >= self.refuse_until
@@ -220,8 +256,11 @@
             return
         self.drawing = False
         if grant is None:
-            self.refuse_until = now + LONGEST_REFUSAL_S
+            self.unanswered += 1
+            wait_s = LONGEST_REFUSAL_S if self.cut_off else SHORTEST_REFUSAL_S
+            self.refuse_until = now + wait_s
             return
+        self.unanswered = 0
         self.drawn = float(grant.tokens)
         self.drawn_until = self.draw_asked_at + grant.valid_s
         if grant.retry_after_s > 0.0 and grant.tokens == 0:
--- /dev/null
+++ b/lavenderstack/node/admission_test.py
@@ -0,0 +1,241 @@
+"""Tests of admission and the allotter together, in one process without sockets."""
+
+import asyncio
+from contextlib import suppress
+
+import pytest
+
+from lavenderstack.core.allowance_messages import AskDraw, NotAllotter
+from lavenderstack.core.outcome import Reason, Refused
+from lavenderstack.core.view import Plan, View, Vm
+from lavenderstack.node import admission
+from lavenderstack.node.admission import Admission
+from lavenderstack.node.allotter import Allotter
+from lavenderstack.node.streams import NotSent, StreamPool
+
+NAMES = ("a", "b", "c")
+BURST = 60
+
+
+class Duties:
+    """Who owns the duties; ``epochs`` maps a VM to the epoch at which it does."""
+
+    def __init__(self, cluster, vm):
+        self.cluster = cluster
+        self.vm = vm
+
+    def owns(self, duty, now):
+        owner, epoch = self.cluster.owner
+        return epoch if owner == self.vm else None
+
+    async def claim(self, duty):
+        if self.cluster.owner[0] is None:
+            self.cluster.owner = (self.vm, self.cluster.owner[1] + 1)
+
+
+class Cluster:
+    """Three nodes, a clock that stands still unless told, and one owner of all."""
+
+    def __init__(self, rate=10.0):
+        self.time = 100.0
+        self.step_s = 0.0
+        self.owner = ("a", 1)
+        self.down = set()
+        self.view = None
+        self.set_plan(rate, BURST)
+        self.allotters = {
+            vm: Allotter(vm, Duties(self, vm), self.get_view, self.now) for vm in NAMES
+        }
+        self.nodes = {
+            vm: Admission(vm, self.get_view, self.call, self.now) for vm in NAMES
+        }
+
+    def set_plan(self, rate, burst):
+        vms = {vm: Vm(vm, "z", "127.0.0.1", 1) for vm in NAMES}
+        revision = self.view.revision + 1 if self.view else 1
+        plans = {"p": Plan("p", rate, burst)}
+        self.view = View(revision, plans, {"o": "p"}, vms=vms)
+
+    def get_view(self):
+        duty = {f"allotter/{i}": f"{self.owner[0] or 'c'}#1" for i in range(64)}
+        return View(self.view.revision, self.view.plans, self.view.bought,
+                    vms=self.view.vms, duties=duty)  # fmt: skip
+
+    def now(self):
+        self.time += self.step_s
+        return self.time
+
+    async def call(self, vm, body, timeout_s):
+        if vm in self.down:
+            raise NotSent("down")
+        await asyncio.sleep(0)
+        return await self.allotters[vm].handlers()[type(body)](body)
+
+    async def renew(self, vm):
+        node = self.nodes[vm]
+        node.follow_plans()
+        for owner, shares in node._due().items():
+            await node._renew(owner, shares)
+
+    async def admitted(self, vm, count):
+        async def one():
+            with suppress(Refused):
+                await self.nodes[vm].admit("o", self.time + 9.0)
+                return 1
+            return 0
+
+        return sum(await asyncio.gather(*(one() for _ in range(count))))
+
+
+class TestAdmit:
+    async def test_all_nodes_together_admit_one_burst(self):
+        cluster = Cluster()
+        counts = [await cluster.admitted(vm, 40) for vm in NAMES]
+        assert counts == [40, 20, 0]
+
+    async def test_a_share_is_spent_without_asking(self):
+        cluster = Cluster()
+        assert not cluster.nodes["b"].try_admit("o", cluster.time)
+        await cluster.admitted("b", 1)
+        cluster.time += 1.0
+        await cluster.renew("b")
+        cluster.down = set(NAMES)
+        taken = sum(cluster.nodes["b"].try_admit("o", cluster.time) for _ in range(50))
+        assert 10 <= taken <= 14
+
+    async def test_a_refusal_tells_when_to_come_back(self):
+        cluster = Cluster()
+        await cluster.admitted("a", BURST)
+        with pytest.raises(Refused) as caught:
+            await cluster.nodes["b"].admit("o", cluster.time + 9)
+        assert caught.value.reason is Reason.OVER_RATE
+        assert 0.1 <= caught.value.retry_after_s <= 1.0
+
+    async def test_a_silent_allotter_ends_in_a_refusal(self):
+        cluster = Cluster()
+        cluster.down, cluster.step_s = set(NAMES), 0.05
+        assert await cluster.admitted("b", 5) == 0
+
+    async def test_a_request_outlasts_a_short_change_of_owner(self, monkeypatch):
+        monkeypatch.setattr(admission, "DRAW_TIMEOUT_S", 0.01)
+        cluster = Cluster()
+        cluster.step_s = 0.005
+        cluster.down = {"a"}
+        asking = asyncio.ensure_future(cluster.admitted("b", 3))
+        await asyncio.sleep(0.005)
+        cluster.down = set()
+        assert await asking == 3
+
+    async def test_a_cancelled_request_takes_no_token(self):
+        cluster = Cluster()
+        asking = asyncio.ensure_future(cluster.nodes["b"].admit("o", 999.0))
+        await asyncio.sleep(0)
+        asking.cancel()
+        await asyncio.gather(asking, return_exceptions=True)
+        assert await cluster.admitted("b", 70) >= BURST - 1
+
+    async def test_no_plan_no_admission(self):
+        with pytest.raises(Refused) as caught:
+            await Cluster().nodes["a"].admit("stranger", 999.0)
+        assert caught.value.reason is Reason.NOT_ALLOWED
+
+    async def test_open_routes_have_a_budget_of_their_own(self):
+        cluster = Cluster()
+        node = cluster.nodes["a"]
+        for _ in range(int(admission.OPEN_BURST)):
+            node.admit_open(cluster.time)
+        with pytest.raises(Refused):
+            node.admit_open(cluster.time)
+        assert await cluster.admitted("a", 100) == BURST
+
+
+class TestPlans:
+    async def test_a_smaller_plan_is_in_force_without_the_allotter(self):
+        cluster = Cluster()
+        await cluster.admitted("b", 1)
+        cluster.time += 1.0
+        await cluster.renew("b")
+        cluster.down = set(NAMES)
+        cluster.set_plan(1.0, 0.0)
+        cluster.nodes["b"].follow_plans()
+        assert not cluster.nodes["b"].try_admit("o", cluster.time)
+
+    async def test_a_larger_plan_reaches_the_allotter(self):
+        cluster = Cluster()
+        assert await cluster.admitted("b", 100) == BURST
+        cluster.set_plan(1000.0, BURST)
+        for vm in NAMES:
+            await cluster.renew(vm)
+        await cluster.admitted("b", 1)
+        cluster.time += 1.0
+        assert await cluster.admitted("c", 100) > 40
+
+
+class TestOwners:
+    async def test_a_node_that_is_not_owner_gives_nothing(self):
+        cluster = Cluster()
+        ask = AskDraw("b#1", "o", 1, 5, 1.0)
+        assert await cluster.allotters["c"].on_ask_draw(ask) == NotAllotter()
+
+    async def test_a_new_owner_waits_for_the_leases_of_the_old_one(self):
+        cluster = Cluster(rate=40.0)
+        await cluster.admitted("b", 100)
+        cluster.owner = ("c", 2)
+        cluster.step_s = 0.05
+        assert await cluster.admitted("b", 5) == 0
+        cluster.time += 4.0
+        await cluster.admitted("b", 1)
+        cluster.time += 1.0
+        assert await cluster.admitted("b", 10) > 5
+
+    async def test_a_planned_stop_hands_over_all_that_is_left(self):
+        cluster = Cluster()
+        used = await cluster.admitted("b", 20)
+        cluster.time += 1.0
+        await cluster.renew("b")
+        await cluster.nodes["a"].stop()
+        cluster.owner = (None, 1)
+        heir = {}
+
+        async def call(vm, body, timeout_s):
+            cluster.owner = (None, 1)
+            heir[body.shard] = vm
+            return await cluster.allotters[vm].on_hand_over(body)
+
+        cluster.owner = ("a", 1)
+        await cluster.allotters["a"].stop(call)
+        assert heir
+        (cluster.owner,) = {(vm, 2) for vm in heir.values()}
+        left = sum([await cluster.admitted(vm, 60) for vm in ("b", "c")])
+        assert used == 20
+        assert BURST - 20 <= left + 1 <= BURST - 20 + 12
+
+    async def test_a_closed_book_issues_nothing(self):
+        cluster = Cluster()
+        await cluster.admitted("b", 1)
+
+        async def call(*_):
+            raise NotSent("gone")
+
+        await cluster.allotters["a"].stop(call)
+        ask = AskDraw("b#1", "o", 9, 5, 1.0)
+        assert await cluster.allotters["a"].on_ask_draw(ask) == NotAllotter()
+
+    async def test_the_vacant_duties_are_claimed_by_the_first_choice(self):
+        cluster = Cluster()
+        cluster.owner = (None, 0)
+        for allotter in cluster.allotters.values():
+            await allotter.claim_vacant()
+        assert cluster.owner[0] in NAMES
+
+
+class TestCaller:
+    async def test_an_unknown_vm_is_provably_not_reached(self):
+        from lavenderstack.node.allotter import caller
+
+        cluster = Cluster()
+        call = caller("a", StreamPool(), cluster.get_view, cluster.allotters["a"])
+        with pytest.raises(NotSent):
+            await call("nobody", NotAllotter(), 0.1)
+        ask = AskDraw("a#1", "o", 1, 5, 1.0)
+        assert (await call("a", ask, 0.1)).tokens == 5
--- /dev/null
+++ b/lavenderstack/node/allotter.py
@@ -0,0 +1,243 @@
+"""The allotter: splits the plans of the organisations of the shards that it owns.
+
+Every node runs one; the store says which of them owns a shard. Ownership is looked
+up for every message. A process that becomes owner opens its books empty and lets the
+leases of its predecessor end first, unless the predecessor handed its books over.
+
+When the store is down nobody can become owner: the owners of before go on, and an
+organisation whose owner has died keeps the shares that its nodes hold until they end.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Protocol
+
+import structlog
+
+from lavenderstack.core import clock
+from lavenderstack.core.allowance_messages import (
+    AskDraw,
+    AskShares,
+    GrantShares,
+    HandedLedger,
+    HandedOver,
+    HandOver,
+    NotAllotter,
+)
+from lavenderstack.core.handover import hand_out, open_ledger, take_over
+from lavenderstack.core.ledger import Ledger
+from lavenderstack.core.messages import Message
+from lavenderstack.core.shard import SHARDS, duty_of, first_choice, shard_of
+from lavenderstack.core.view import View
+from lavenderstack.node.streams import NotSent, StreamPool
+
+TICK_S = 1.0
+HAND_OVER_TIMEOUT_S = 1.0
+
+log = structlog.get_logger()
+
+
+class Duties(Protocol):
+    """Ownership of duties, proved by the freshness of this process's view."""
+
+    def owns(self, duty: str, now: float) -> int | None:
+        """Return the epoch at which this process owns the duty, or None.
+
+        The first owner ever has epoch 1 and every change of owner adds 1; another
+        process of the same VM is another owner. An epoch is only returned when no
+        earlier owner can still act.
+        """
+
+    async def claim(self, duty: str) -> None:
+        """Try to become the owner of a duty that nobody holds any more.
+
+        Changes nothing, and doesn't raise, if somebody holds it or the store is down.
+        """
+
+
+@dataclass(slots=True)
+class Books:
+    """The ledgers of one shard at one epoch; ``closed`` once handed over."""
+
+    epoch: int
+    owned_at: float
+    ledgers: dict[str, Ledger] = field(default_factory=dict)
+    closed: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Received:
+    """Books that the owner at ``epoch`` handed to this process."""
+
+    epoch: int
+    at: float
+    ledgers: list[HandedLedger]
+
+
+class Allotter:
+    """Answers requests for shares and draws of the shards that this process owns."""
+
+    def __init__(
+        self,
+        vm: str,
+        duties: Duties,
+        view: Callable[[], View],
+        now: Callable[[], float] = clock.now,
+    ):
+        self.vm = vm
+        self.books: dict[int, Books] = {}
+        self._duties = duties
+        self._view = view
+        self._now = now
+        self._received: dict[int, Received] = {}
+        self._revision = -1
+
+    def handlers(self) -> Mapping[type, Callable[[Message], Awaitable[Message]]]:
+        """Return what answers each message that is meant for an allotter."""
+        return {
+            AskShares: self.on_ask_shares,
+            AskDraw: self.on_ask_draw,
+            HandOver: self.on_hand_over,
+        }
+
+    def _books(self, shard: int, now: float) -> Books | None:
+        """Return the books of a shard if this process may issue from them now."""
+        epoch = self._duties.owns(duty_of(shard), now)
+        if epoch is None:
+            self.books.pop(shard, None)
+            return None
+        books = self.books.get(shard)
+        if books is None or books.epoch != epoch:
+            books = self.books[shard] = self._open(shard, epoch, now)
+        return None if books.closed else books
+
+    def _open(self, shard: int, epoch: int, now: float) -> Books:
+        books = Books(epoch, now)
+        received = self._received.pop(shard, None)
+        if received is None or received.epoch + 1 != epoch:
+            log.info("allotter: books opened", shard=shard, epoch=epoch)
+            return books
+        for handed in received.ledgers:
+            plan = self._plan(handed.organisation)
+            ledger = take_over(handed, plan, epoch, received.at)
+            books.ledgers[handed.organisation] = ledger
+        log.info("allotter: books taken over", shard=shard, epoch=epoch)
+        return books
+
+    def _plan(self, organisation: str) -> tuple[float, float]:
+        plan = self._view().plan_of(organisation)
+        return (plan.rate, plan.burst) if plan else (0.0, 0.0)
+
+    def _ledger(self, organisation: str, now: float) -> Ledger | None:
+        books = self._books(shard_of(organisation), now)
+        if books is None:
+            return None
+        self._follow_plans(now)
+        ledger = books.ledgers.get(organisation)
+        if ledger is None:
+            plan = self._plan(organisation)
+            ledger = open_ledger(organisation, plan, books.epoch, books.owned_at, now)
+            books.ledgers[organisation] = ledger
+        return ledger
+
+    def _follow_plans(self, now: float) -> None:
+        revision = self._view().revision
+        if revision == self._revision:
+            return
+        self._revision = revision
+        for books in self.books.values():
+            for organisation, ledger in books.ledgers.items():
+                plan = self._plan(organisation)
+                if plan != (ledger.rate, ledger.burst):
+                    ledger.set_plan(*plan, now)
+
+    async def on_ask_shares(self, message: AskShares) -> Message:
+        """Grant shares for the organisations that this process serves."""
+        now = self._now()
+        grants = []
+        for ask in message.asks:
+            ledger = self._ledger(ask.organisation, now)
+            grant = ledger.ask(message.node, ask, now) if ledger else None
+            if grant is not None:
+                grants.append(grant)
+        return GrantShares(grants)
+
+    async def on_ask_draw(self, message: AskDraw) -> Message:
+        """Give tokens at once."""
+        now = self._now()
+        ledger = self._ledger(message.organisation, now)
+        if ledger is None:
+            return NotAllotter()
+        grant = ledger.draw(
+            message.node, message.number, message.tokens, message.demand, now
+        )
+        return NotAllotter() if grant is None else grant
+
+    async def on_hand_over(self, message: HandOver) -> Message:
+        """Keep the books of a leaving owner and claim its duty."""
+        received = Received(message.epoch, self._now(), message.ledgers)
+        self._received[message.shard] = received
+        await self._duties.claim(duty_of(message.shard))
+        return HandedOver()
+
+    async def run(self) -> None:
+        """Claim the duties that should be held here, and tidy, until cancelled."""
+        while True:
+            await self.claim_vacant()
+            self._tidy(self._now())
+            await asyncio.sleep(TICK_S)
+
+    async def claim_vacant(self) -> None:
+        """Claim the shards whose first choice is this VM."""
+        view = self._view()
+        now = self._now()
+        for shard in range(SHARDS):
+            duty = duty_of(shard)
+            if self._duties.owns(duty, now) is not None:
+                self._books(shard, now)
+            elif first_choice(shard, view) == self.vm:
+                await self._duties.claim(duty)
+
+    def _tidy(self, now: float) -> None:
+        self._follow_plans(now)
+        for books in self.books.values():
+            for organisation, ledger in list(books.ledgers.items()):
+                if not books.closed and ledger.idle(now):
+                    del books.ledgers[organisation]
+
+    async def stop(self, call: Callable[..., Awaitable[Message]]) -> None:
+        """Hand every shard's books to its next owner on a planned stop."""
+        now = self._now()
+        view = self._view()
+        sends = []
+        for shard in list(self.books):
+            books = self._books(shard, now)
+            heir = first_choice(shard, view, leaving=self.vm)
+            if books is None or heir is None:
+                continue
+            books.closed = True
+            if all(now >= one.settled_at for one in books.ledgers.values()):
+                handed = [hand_out(one, now) for one in books.ledgers.values()]
+                body = HandOver(shard, books.epoch, handed)
+                sends.append(call(heir, body, HAND_OVER_TIMEOUT_S))
+        for reply in await asyncio.gather(*sends, return_exceptions=True):
+            if isinstance(reply, Exception):
+                log.warning("allotter: hand-over failed", error=repr(reply))
+
+
+def caller(
+    vm: str, pool: StreamPool, view: Callable[[], View], allotter: Allotter
+) -> Callable[[str, Message, float], Awaitable[Message]]:
+    """Return a function that sends a message to a VM by name, also to this one."""
+    handlers = allotter.handlers()
+
+    async def call(name: str, body: Message, timeout_s: float) -> Message:
+        if name == vm:
+            return await handlers[type(body)](body)
+        other = view().vms.get(name)
+        if other is None:
+            raise NotSent("the VM is not on the list")
+        return await pool.call((other.host, other.port), body, timeout_s)
+
+    return call
--- a/lavenderstack/node/wire.py
+++ b/lavenderstack/node/wire.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from lavenderstack.core import messages
+from lavenderstack.core import allowance_messages, messages
 
 MESSAGES: tuple[type, ...] = (
     messages.Execute,
@@ -19,6 +19,13 @@
     messages.Cancel,
     messages.Ping,
     messages.Pong,
+    allowance_messages.AskShares,
+    allowance_messages.GrantShares,
+    allowance_messages.AskDraw,
+    allowance_messages.GrantDraw,
+    allowance_messages.NotAllotter,
+    allowance_messages.HandOver,
+    allowance_messages.HandedOver,
 )
 
 
