--- a/lavenderstack/node/wire.py
+++ b/lavenderstack/node/wire.py
@@ -7,7 +7,12 @@
 
 import msgspec
 
-from lavenderstack.core import group_messages, messages, relay_messages
+from lavenderstack.core import (
+    allowance_messages,
+    group_messages,
+    messages,
+    relay_messages,
+)
 
 MESSAGES: tuple[type, ...] = (
     messages.Execute,
@@ -33,6 +38,13 @@
     relay_messages.Handed,
     relay_messages.WhichRevision,
     relay_messages.InForce,
+    allowance_messages.AskShares,
+    allowance_messages.GrantShares,
+    allowance_messages.AskDraw,
+    allowance_messages.GrantDraw,
+    allowance_messages.NotAllotter,
+    allowance_messages.HandOver,
+    allowance_messages.HandedOver,
 )
 
 
