Never claim a duty again that is claimed already

Cause: a node that could not act yet, its view not proved recent, claimed again and so raised its own epoch, which made every later ledger wait for a predecessor.

--- a/bench/speed.py
+++ b/bench/speed.py
@@ -124,7 +124,7 @@
 
 async def measure(folder: Path) -> Speed:
     """Start one node with its stand-ins and measure it."""
-    async with running(ONE_NODE, folder) as cluster:
+    async with running(ONE_NODE, folder, linked=False) as cluster:
         (node,) = cluster.nodes.values()
         await load(cluster, seconds=2, connections=CALLERS)
         empty = usage(node.process.pid)
--- a/lavenderstack/core/duty.py
+++ b/lavenderstack/core/duty.py
@@ -43,12 +43,16 @@
         act_at = now if held is None else now + TAKEOVER_S
         self.claims[duty] = Claim(wanted.epoch, act_at)
 
-    def pending(self, duty: str, record: Duty | None, now: float) -> bool:
-        """Tell whether the duty is claimed and its predecessor is still waited for."""
+    def pending(self, duty: str, record: Duty | None) -> bool:
+        """Tell whether this process has the duty, or will have it without a new claim.
+
+        It may not be able to act on it yet: its predecessor is still waited for, the
+        view has not brought the record yet, or it is not proved recent.
+        """
         claim = self.claims.get(duty)
-        if claim is None or record != Duty(self.node, claim.epoch):
+        if claim is None:
             return False
-        return now < claim.act_at
+        return record is None or record.epoch <= claim.epoch
 
     def epoch(self, duty: str, record: Duty | None, now: float) -> int | None:
         """Return the epoch under which the node may act, given a usable view."""
--- a/lavenderstack/node/relay.py
+++ b/lavenderstack/node/relay.py
@@ -227,7 +227,7 @@
 
     def pending(self, duty: str) -> bool:
         """Tell whether this node has claimed a duty and only waits to act on it."""
-        return self.claims.pending(duty, self.view.duties.get(duty), self.clock())
+        return self.claims.pending(duty, self.view.duties.get(duty))
 
     async def claim(self, duty: str) -> int | None:
         """Try to take a duty over; return the epoch, or None if that failed.
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -267,20 +267,30 @@
 
 @asynccontextmanager
 async def outside(
-    size: Size, folder: Path, adjust: Callable[[Entries], None] = lambda seed: None
+    size: Size,
+    folder: Path,
+    adjust: Callable[[Entries], None] = lambda seed: None,
+    linked: bool = True,
 ) -> AsyncIterator[Cluster]:
-    """Run platform and targets only; ``adjust`` may change the first entries."""
+    """Run platform and targets only; ``adjust`` may change the first entries.
+
+    Without links nothing can be cut, and none is in the way of a measurement.
+    """
     async with aiohttp.ClientSession() as http, AsyncExitStack() as stack:
-        cluster = Cluster(size, folder, http, stack=stack)
+        network = Network(linked)
+        cluster = Cluster(size, folder, http, network, stack=stack)
         await _start_outside(cluster, adjust)
         yield cluster
 
 
 @asynccontextmanager
 async def running(
-    size: Size, folder: Path, adjust: Callable[[Entries], None] = lambda seed: None
+    size: Size,
+    folder: Path,
+    adjust: Callable[[Entries], None] = lambda seed: None,
+    linked: bool = True,
 ) -> AsyncIterator[Cluster]:
-    """Run a whole service until the block ends."""
-    async with outside(size, folder, adjust) as cluster:
+    """Run a whole service until the block ends; see ``outside``."""
+    async with outside(size, folder, adjust, linked) as cluster:
         await _start_nodes(cluster)
         yield cluster
--- a/standins/network.py
+++ b/standins/network.py
@@ -7,6 +7,7 @@
 
 from collections.abc import AsyncIterator, Iterable
 from contextlib import asynccontextmanager
+from dataclasses import dataclass
 
 from standins.link import Link, Way, open_link
 from standins.sockets import holds, inode_of
@@ -14,12 +15,24 @@
 OUTSIDE = "outside"
 
 
+@dataclass(frozen=True)
+class Direct:
+    """Stands where a link would, for measurements: callers reach the process itself."""
+
+    port: int
+
+
 class Network:
-    """The ways between zones; ``zones`` maps the id of a process to its zone."""
+    """The ways between zones; ``zones`` maps the id of a process to its zone.
+
+    If it is not ``linked``, nothing stands between the processes and nothing can be
+    cut; so the links' own work is in no measurement.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, linked: bool = True) -> None:
+        self.linked = linked
         self.zones: dict[int, str] = {}
-        self.links: dict[str, Link] = {}
+        self.links: dict[str, Link | Direct] = {}
         self._ways: dict[tuple[str, str], Way] = {}
 
     def way(self, source: str, destination: str) -> Way:
@@ -34,13 +47,19 @@
         return next(holders, OUTSIDE)
 
     @asynccontextmanager
-    async def listen(self, name: str, zone: str, port: int) -> AsyncIterator[Link]:
+    async def listen(
+        self, name: str, zone: str, port: int
+    ) -> AsyncIterator[Link | Direct]:
         """Put a link in front of a process in a zone."""
 
         def way_of(source_port: int) -> Way:
             source = self._zone_behind(source_port, self.links[name].port)
             return self.way(source, zone)
 
+        if not self.linked:
+            self.links[name] = Direct(port)
+            yield self.links[name]
+            return
         async with open_link("127.0.0.1", port, way_of) as link:
             self.links[name] = link
             yield link
