--- a/lavenderstack/core/shard.py
+++ b/lavenderstack/core/shard.py
@@ -16,7 +16,7 @@
 
 def duty_of(shard: int) -> str:
     """Return the name of the duty to allot the plans of a shard."""
-    return f"allotter/{shard}"
+    return f"allotter-{shard}"
 
 
 def first_choice(shard: int, view: View, leaving: str = "") -> str | None:
--- a/lavenderstack/node/admission_test.py
+++ b/lavenderstack/node/admission_test.py
@@ -66,7 +66,7 @@
 
     def get_view(self):
         owner, epoch = self.owner
-        duty = {f"allotter/{i}": Duty(owner, epoch) for i in range(64) if owner}
+        duty = {f"allotter-{i}": Duty(owner, epoch) for i in range(64) if owner}
         return View(self.view.revision, self.view.plans, self.view.bought,
                     vms=self.view.vms, duties=duty)  # fmt: skip
 
