Spend less on a quiet group

A quiet group is looked at four times a second in place of ten, and what its targets told is worked out when they tell it.

--- a/lavenderstack/core/suspicion.py
+++ b/lavenderstack/core/suspicion.py
@@ -86,6 +86,7 @@
         self._opinion_at = -1e9
         self._held_from: float | None = None
         self._fault_from: float | None = None
+        self._leader: Leader | None = None
         self._written_before = START
         self._marks = (START, START)
         self._marked_at = now
@@ -93,7 +94,7 @@
 
     def heard(self, seen: Observation, now: float) -> None:
         """Take in a target's answer; those of one target come in their order."""
-        before = self.leader()
+        before = self._leader
         known = self.seen.get(seen.target)
         if known is not None and known.leads:
             self._written_before = known.last
@@ -104,8 +105,8 @@
         if seen.leads and now - self._marked_at > STALL_S:
             self._marked_at = now
             self._marks = (self._marks[1], seen.last)
-        after = self.leader()
-        if after != before:
+        self._leader = self._find_leader()
+        if self._leader != before:
             self._quiet_from = now
 
     def answered(self, target: str, now: float) -> None:
@@ -125,15 +126,15 @@
 
         One that is known to have adopted a later term leads no more.
         """
-        told = [
-            Leader(seen.term, seen.target if seen.leads else seen.primary)
-            for seen in self.seen.values()
-            if seen.leads or seen.primary
-        ]
-        leader = max(told, key=lambda leader: leader.term, default=None)
-        if leader is None or self._term_of(leader.target) > leader.term:
+        return self._leader
+
+    def _find_leader(self) -> Leader | None:
+        told = [seen for seen in self.seen.values() if seen.leads or seen.primary]
+        if not told:
             return None
-        return leader
+        seen = max(told, key=lambda seen: seen.term)
+        leader = seen.target if seen.leads else seen.primary
+        return None if self._term_of(leader) > seen.term else Leader(seen.term, leader)
 
     def highest_term(self) -> int:
         """Return the highest term that any target has told of."""
@@ -154,9 +155,22 @@
         health = self._health.get(leader.target) if leader else None
         return health is not None and health.refusals > 0
 
-    def next_probe(self, target: str) -> float:
-        """Return the time at which a target should be probed again."""
-        return self._health[target].probed_at + self._interval(target)
+    def due(self, now: float) -> list[str]:
+        """Return the targets that should be probed now."""
+        in_doubt = self.in_doubt()
+        return [
+            name
+            for name, health in self._health.items()
+            if now - health.probed_at >= self._interval(name, in_doubt)
+        ]
+
+    def in_doubt(self) -> bool:
+        """Tell whether there is no primary or something is wrong with it."""
+        leader = self._leader
+        health = self._health.get(leader.target) if leader else None
+        if health is None or health.failures or leader.target in self.leaving:
+            return True
+        return self.highest_term() > leader.term or self._stalled(leader)
 
     def probed(self, target: str, now: float) -> None:
         """Note that a probe of a target leaves."""
@@ -276,14 +290,9 @@
             if now - health.heard_at <= SILENT_S
         }
 
-    def _interval(self, target: str) -> float:
-        leader = self.leader()
-        health = self._health.get(leader.target) if leader else None
-        if health is None or health.failures:
-            return DOUBT_PROBE_S
-        faulty = self.highest_term() > leader.term or self._stalled(leader)
-        if faulty or leader.target in self.leaving:
+    def _interval(self, target: str, in_doubt: bool) -> float:
+        if in_doubt:
             return DOUBT_PROBE_S
-        if target != leader.target:
+        if target != self._leader.target:
             return REPLICA_PROBE_S
         return LOWER_RANK_PROBE_S if self.rank else PRIMARY_PROBE_S
--- a/lavenderstack/core/suspicion_test.py
+++ b/lavenderstack/core/suspicion_test.py
@@ -26,14 +26,14 @@
         self.opinion = opinion
         self.suspicion = Suspicion(NAMES, rank, 0.0)
         self.leaving = frozenset(leaving)
-        self.due = {}
+        self.late = {}
         self.probes = 0
         self.asked = 0
 
     def answer(self, name):
         fault = self.faults.get(name, "") if self.now >= FAULT_AT else ""
         if fault == "silent":
-            self.due[name] = self.now + PROBE_S
+            self.late[name] = self.now + PROBE_S
         elif fault == "refused":
             self.suspicion.failed(name, refused=True)
         else:
@@ -44,12 +44,13 @@
             self.suspicion.heard(seen, self.now)
 
     def probe(self):
+        due = self.suspicion.due(self.now)
         for name in NAMES:
-            if name in self.due:
-                if self.now >= self.due[name]:
-                    del self.due[name]
+            if name in self.late:
+                if self.now >= self.late[name]:
+                    del self.late[name]
                     self.suspicion.failed(name, refused=False)
-            elif self.now >= self.suspicion.next_probe(name):
+            elif name in due:
                 self.probes += 1
                 self.suspicion.probed(name, self.now)
                 self.answer(name)
--- a/lavenderstack/node/group_watch.py
+++ b/lavenderstack/node/group_watch.py
@@ -36,6 +36,7 @@
 from lavenderstack.node.target_link import Probe, Report, TargetLink
 
 TICK_S = 0.1
+QUIET_TICK_S = 0.25
 CHECK_TIMEOUT_S = 0.25
 CHECK_TICK_S = 0.02
 FOLLOW_INTERVAL_S = 1.0
@@ -94,11 +95,15 @@
                     tasks.create_task(link.run())
                 while True:
                     self._step(clock.now())
-                    await asyncio.sleep(TICK_S)
+                    await asyncio.sleep(self._pause_s())
         finally:
             if self._asking is not None:
                 self._asking.cancel()
 
+    def _pause_s(self) -> float:
+        idle = self.proposer.stage is Stage.IDLE
+        return QUIET_TICK_S if idle and not self.suspicion.in_doubt() else TICK_S
+
     def _step(self, now: float) -> None:
         self._probe(now)
         self._make_follow(now)
@@ -115,9 +120,9 @@
             )
 
     def _probe(self, now: float) -> None:
+        due = self.suspicion.due(now)
         for name, link in self._links.items():
-            due = now >= self.suspicion.next_probe(name) or link.broken
-            if due and not link.busy:
+            if (name in due or link.broken) and not link.busy:
                 self.suspicion.probed(name, now)
                 link.send(Probe())
 
