--- /dev/null
+++ b/tests/freshness_test.py
@@ -0,0 +1,78 @@
+"""Keys and lists over whole nodes: processes, streams, and the store's gateway."""
+
+import asyncio
+import json
+from pathlib import Path
+
+from lavenderstack.core import keys
+from lavenderstack.tools import admin
+from standins.caller import Caller, http_session
+from standins.cluster import Cluster, eventually, running
+from standins.sizes import BRANDT
+
+GROUP = "fleet"
+NODES = ("n1", "n2", "n3")
+
+
+class Operator:
+    """Runs the operators' commands against a node."""
+
+    def __init__(self, cluster: Cluster, capsys, folder: Path) -> None:
+        self.cluster, self.capsys = cluster, capsys
+        self.key_file = folder / "operator-key"
+        self.key_file.write_text(cluster.operator_key)
+
+    async def run(self, node, *argv):
+        url = f"http://127.0.0.1:{self.cluster.nodes[node].admin_port}"
+        options = ["--json", "--url", url, "--key-file", str(self.key_file)]
+        status = await asyncio.to_thread(admin.run, [*options, *argv])
+        out = self.capsys.readouterr().out
+        return status, json.loads(out) if out else {}
+
+
+async def read(cluster, caller, node):
+    port = cluster.nodes[node].callers_port
+    return await caller.run(port, GROUP, "get", "t", "k")
+
+
+async def all_say(cluster, caller, nodes, *expected):
+    async def said():
+        replies = [await read(cluster, caller, node) for node in nodes]
+        return all((r.outcome, r.reason) == expected for r in replies)
+
+    await eventually(said)
+
+
+class TestKeysOverNodes:
+    async def test_a_key_through_grant_outage_cut_and_withdrawal(
+        self, tmp_path, capsys
+    ):
+        async with running(BRANDT, tmp_path) as cluster, http_session() as http:
+            operator = Operator(cluster, capsys, tmp_path)
+            status, granted = await operator.run("n1", "keys", "grant", "north")
+            assert status == admin.Exit.DONE
+            caller = Caller(http, granted["key"])
+            for node in NODES:
+                # A node that has not heard of the key yet asks before it refuses.
+                assert (await read(cluster, caller, node)).outcome == "done"
+
+            await cluster.platform_fault("outage")
+            status, _ = await operator.run("n2", "keys", "grant", "north")
+            assert status == admin.Exit.NOT_CHANGED
+            cluster.network.isolate("ko-3", {"ko-1", "ko-2"})
+            await all_say(cluster, caller, NODES, "refused", "stale_view")
+            cluster.network.mend()
+            await all_say(cluster, caller, NODES, "done", "")
+            await cluster.platform_fault("none")
+
+            cluster.isolate("ko-3")
+            digest = keys.digest_of(granted["key"])
+
+            async def withdrawn():
+                return (await operator.run("n1", "keys", "withdraw", digest))[0] == 0
+
+            await eventually(withdrawn)
+            await all_say(cluster, caller, ["n1", "n2"], "refused", "key_refused")
+            await all_say(cluster, caller, ["n3"], "refused", "stale_view")
+            cluster.network.mend()
+            await all_say(cluster, caller, NODES, "refused", "key_refused")
