--- a/lavenderstack/core/duty.py
+++ b/lavenderstack/core/duty.py
@@ -43,6 +43,13 @@
         act_at = now if held is None else now + TAKEOVER_S
         self.claims[duty] = Claim(wanted.epoch, act_at)
 
+    def pending(self, duty: str, record: Duty | None, now: float) -> bool:
+        """Tell whether the duty is claimed and its predecessor is still waited for."""
+        claim = self.claims.get(duty)
+        if claim is None or record != Duty(self.node, claim.epoch):
+            return False
+        return now < claim.act_at
+
     def epoch(self, duty: str, record: Duty | None, now: float) -> int | None:
         """Return the epoch under which the node may act, given a usable view."""
         claim = self.claims.get(duty)
--- a/lavenderstack/node/main.py
+++ b/lavenderstack/node/main.py
@@ -20,6 +20,7 @@
 from lavenderstack.core.members import Members
 from lavenderstack.core.view import Group, Target
 from lavenderstack.node import drain, metrics, supervisor
+from lavenderstack.node.admission import Admission
 from lavenderstack.node.allotter import Allotter
 from lavenderstack.node.confirmers import Confirmers
 from lavenderstack.node.control import NodeControl
@@ -56,6 +57,7 @@
     confirmers: Confirmers
     watch: Watch
     allotter: Allotter
+    admission: Admission
     entry: Entry
     metrics: metrics.Metrics
     stop: asyncio.Event = field(default_factory=asyncio.Event)
@@ -68,8 +70,9 @@
     relay = Relay(cfg.name, cfg.availability_zone, platform, pool, seeds)
     members = Members(cfg.name)
     peers = Peers(cfg.name, lambda: relay.view, pool, members)
-    allotter = Allotter(cfg.name, relay, peers)
-    control = NodeControl(relay, allotter)
+    allotter = Allotter(cfg.name, relay, lambda: relay.view, peers.call)
+    admission = Admission(cfg.name, lambda: relay.view, peers.call)
+    control = NodeControl(relay, admission)
     confirmers = Confirmers(peers)
 
     def make(target: Target, group: Group) -> TargetHolder:
@@ -97,6 +100,7 @@
         confirmers=confirmers,
         watch=watch,
         allotter=allotter,
+        admission=admission,
         entry=entry,
         metrics=counted,
     )
@@ -110,6 +114,7 @@
         Part("confirm", node.confirmers.run),
         Part("watch", node.watch.run),
         Part("allotter", node.allotter.run),
+        Part("admission", node.admission.run),
     ]
     statsd = node.cfg.statsd
     if statsd is not None:
@@ -162,7 +167,8 @@
     open_ones = node.holders.open_transactions
     if not await drain.wait_idle(open_ones, limit_s):
         log.warning("node: transactions still open at the limit")
-    await node.allotter.retire()
+    await node.admission.stop()
+    await node.allotter.stop(node.peers.call)
 
 
 async def _serve(node: Node) -> None:
--- a/lavenderstack/node/relay.py
+++ b/lavenderstack/node/relay.py
@@ -225,6 +225,10 @@
             return None
         return self.claims.epoch(duty, self.view.duties.get(duty), now)
 
+    def pending(self, duty: str) -> bool:
+        """Tell whether this node has claimed a duty and only waits to act on it."""
+        return self.claims.pending(duty, self.view.duties.get(duty), self.clock())
+
     async def claim(self, duty: str) -> int | None:
         """Try to take a duty over; return the epoch, or None if that failed.
 
