--- a/lavenderstack/core/fairqueue.py
+++ b/lavenderstack/core/fairqueue.py
@@ -4,8 +4,10 @@
 the one with the smallest tag is served next. Serving an item advances the tag by
 the item's cost over the organisation's weight, so while several have work waiting
 they are served in proportion to their weights, however much more one of them sends.
-A tag never lies before the virtual time, which is the start tag served last; so
-time spent idle earns no credit.
+A tag never lies far before the virtual time, which is the start tag served last. So
+idle time earns no more credit than for a few items, however long it lasts. Without
+those few, an organisation with a small weight would wait long when two of its
+requests happen to come together.
 
 An item that was removed or is late stays as a dead mark in the containers until it
 is reached or the marks outnumber the living.
@@ -18,6 +20,7 @@
 from itertools import count
 
 MOST_MARKS = 64
+CREDIT_ITEMS = 4
 
 
 class QueueFull(Exception):
@@ -28,8 +31,7 @@
 class _Waiting:
     item: Hashable
     line: "_Line"
-    weight: float
-    cost: float
+    step: float
     deadline: float
     live: bool = True
 
@@ -107,7 +109,7 @@
         line = self._line(organisation)
         if line.length >= longest:
             raise QueueFull(organisation)
-        waiting = _Waiting(item, line, weight, cost, deadline)
+        waiting = _Waiting(item, line, cost / weight, deadline)
         self._waiting[item] = waiting
         heapq.heappush(self._deadlines, (deadline, next(self._order), waiting))
         line.items.append(waiting)
@@ -117,11 +119,18 @@
     def _tag(self, line: _Line) -> None:
         if line.tagged or not line.length:
             return
+        while not line.items[0].live:
+            line.items.popleft()
         line.tagged = True
-        start = max(self._virtual, line.finish + line.debt)
-        line.debt = 0.0
+        start = self._start(line, line.items[0].step)
         heapq.heappush(self._tags, (start, next(self._order), line))
 
+    def _start(self, line: _Line, step: float) -> float:
+        """Return the tag at which the line's next item starts."""
+        start = max(self._virtual - CREDIT_ITEMS * step, line.finish + line.debt)
+        line.debt = 0.0
+        return start
+
     def pop(self, now: float) -> Hashable | None:
         """Return the item to serve next, or None; late items are left to ``expire``."""
         while self._tags:
@@ -132,7 +141,7 @@
                 continue
             self._remove(waiting)
             self._virtual = max(self._virtual, start)
-            line.advance(start, waiting.cost / waiting.weight)
+            line.advance(start, waiting.step)
             self._tag(line)
             return waiting.item
         return None
@@ -143,9 +152,9 @@
             line.tagged = False
         self._tags.clear()
         line = self._line(organisation)
-        self._virtual = max(self._virtual, line.finish + line.debt)
-        line.debt = 0.0
-        line.advance(self._virtual, cost / weight)
+        start = self._start(line, cost / weight)
+        self._virtual = max(self._virtual, start)
+        line.advance(start, cost / weight)
 
     def correct(self, organisation: str, weight: float, cost: float) -> None:
         """Charge what a served item cost beyond, or short of, what was expected."""
