--- a/bench/refusals.py
+++ b/bench/refusals.py
@@ -204,6 +204,8 @@
         self.ledgers: dict[str, Ledger | None] = {}
         self.messages = 0
         self.draws = 0
+        self.recalls = 0
+        self.recalled_at: dict[str, float] = {}
         for name, (rate, burst, _) in PLANS.items():
             self.ledgers[name] = open_ledger(name, (rate, burst), 1, 0.0, 0.0)
         fleet.later(0.0, self.tick)
@@ -265,9 +267,17 @@
         self.draws += 1
 
         def arrive() -> None:
+            ledger = self.ledgers[organisation]
+            if ledger is None:
+                self.fleet.later(HOP_S, lambda: finish(None))
+                return
+            wait_s = self.recall(organisation, ledger, tokens)
+            self.fleet.later(wait_s, give)
+
+        def give() -> None:
             ledger = self.ledgers[organisation]
             given = None
-            if ledger:
+            if ledger is not None:
                 given = ledger.draw(process, number, tokens, per_s, self.fleet.now)
             self.fleet.later(HOP_S, lambda: finish(given))
 
@@ -286,6 +296,32 @@
 
         self.fleet.later(HOP_S, arrive)
 
+    def recall(self, organisation: str, ledger: Ledger, tokens: int) -> float:
+        """Recall tokens for a draw if need be; return how long the draw waits."""
+        now = self.fleet.now
+        for process in ledger.recall(tokens, now):
+            node = process.partition(".")[0]
+            self.recalls += 1
+            back = partial(self.give_back, organisation, node, process)
+            self.fleet.later(HOP_S, back)
+            self.recalled_at[organisation] = now
+        since_s = now - self.recalled_at.get(organisation, -1.0)
+        return max(0.0, 2 * HOP_S - since_s)
+
+    def give_back(self, organisation: str, node: str, process: str) -> None:
+        """Give a node's tokens back to the allotter."""
+        gate = self.gates.get((node, organisation))
+        if gate is None or self.process(node) != process:
+            return
+        ask = gate.share.recall(self.fleet.now)
+
+        def arrive() -> None:
+            ledger = self.ledgers[organisation]
+            if ledger is not None:
+                ledger.give_back(process, ask, self.fleet.now)
+
+        self.fleet.later(HOP_S, arrive)
+
     def node_changed(self, change: Change) -> None:
         """Move the duties of a node that goes; a planned stop hands them over."""
         if change.comes:
@@ -386,7 +422,8 @@
             result.bounds.append(Bound("tokens over the plan", over, 1e-6))
             count_s = f"{allot.messages / RUN_S:.1f} renewals/s"
             draws_s = f"{allot.draws / RUN_S:.1f} draws/s"
-            result.rows.append([name, count_s, draws_s, "", "", ""])
+            recalls_s = f"{allot.recalls / RUN_S:.1f} recalls/s"
+            result.rows.append([name, count_s, draws_s, recalls_s, "", ""])
     result.bounds += [
         Bound("refused inside the rate", shares["leased"], AIM_REFUSED),
         Bound("leased less than static", shares["leased"], shares["static"]),
--- a/lavenderstack/core/allowance_messages.py
+++ b/lavenderstack/core/allowance_messages.py
@@ -14,8 +14,9 @@
 
     ``number`` grows with every request of this node for the organisation; only the
     answer to the latest one is ever taken up. ``epoch`` and ``seq`` name the share
-    held (0 for none), ``rate`` and ``capacity`` its size, ``demand`` the requests/s
-    seen lately, and ``returned`` the tokens that no longer fitted into the share.
+    held (0 for none), ``rate`` and ``capacity`` its size under the plan that the node
+    knows, ``granted`` its capacity under the plan of the grant, ``demand`` the
+    requests/s seen lately, and ``returned`` tokens that the node gives back.
     """
 
     organisation: str
@@ -24,6 +25,7 @@
     seq: int
     rate: float
     capacity: float
+    granted: float
     demand: float
     returned: float
 
@@ -87,6 +89,22 @@
     retry_after_s: float
 
 
+class Recall(Message, tag="recall"):
+    """Ask a node for the tokens of its share; answered by ``Recalled``."""
+
+    organisation: str
+
+
+class Recalled(Message, tag="recalled"):
+    """The share as it is after giving its tokens back; no grant follows.
+
+    ``asks`` is empty if the node has no share of the organisation.
+    """
+
+    node: str
+    asks: list[ShareAsk]
+
+
 class NotAllotter(Message, tag="not_allotter"):
     """The receiver isn't the allotter of this organisation now."""
 
--- a/lavenderstack/core/ledger.py
+++ b/lavenderstack/core/ledger.py
@@ -27,6 +27,9 @@
 DRAW_VALID_S = 2.0
 CLOCK_MARGIN_S = 1.0
 CLOCK_SPEED_ERROR = 0.001
+SOONEST_RECALL_S = 0.02
+EMPTY_RECALL_S = 0.3
+MOST_RECALLED = 16
 RATE_SHARED = 0.2
 BURST_SHARED = 0.2
 
@@ -50,6 +53,7 @@
     lessees: dict[str, Lessee] = field(default_factory=dict)
     seq: int = 0
     earlier_epoch: int = 0
+    recall_at: float = -math.inf
 
     def _counted(self) -> tuple[float, float]:
         rate = capacity = 0.0
@@ -129,6 +133,26 @@
 
         What the node no longer holds is free from here on.
         """
+        lessee = self._hear(node, ask, now)
+        if lessee is None:
+            return None
+        if not self._known(ask) and ask.seq and now < self.settled_at:
+            return self._prolong(lessee, ask, now)
+        return self._grant(lessee, ask, now)
+
+    def give_back(self, node: str, ask: ShareAsk, now: float) -> None:
+        """Take the tokens that a node gave back when they were recalled."""
+        before = self.bucket.level
+        self._hear(node, ask, now)
+        brought = self.bucket.level - before
+        if brought >= 1.0:
+            self.recall_at = min(self.recall_at, now + SOONEST_RECALL_S)
+
+    def _known(self, ask: ShareAsk) -> bool:
+        return ask.epoch in (self.epoch, self.earlier_epoch)
+
+    def _hear(self, node: str, ask: ShareAsk, now: float) -> Lessee | None:
+        """Note what a node says it holds; return None if the message is an old one."""
         self.refresh(now)
         lessee = self.lessees.setdefault(node, Lessee())
         if ask.number <= lessee.number:
@@ -137,16 +161,32 @@
         lessee.demand = ask.demand
         lessee.heard_at = now
         _, before = lessee.counted()
-        known = ask.epoch in (self.epoch, self.earlier_epoch)
-        lessee.confirm(ask.seq if known else 0)
+        known = self._known(ask)
+        lessee.confirm(ask.seq if known else 0, ask.granted)
         if not known:
             lessee.learned = (0.0, 0.0)
         _, after = lessee.counted()
         self._balance(now)
         self.bucket.add(min(ask.returned, max(0.0, before - after)))
-        if not known and ask.seq and now < self.settled_at:
-            return self._prolong(lessee, ask, now)
-        return self._grant(lessee, ask, now)
+        return lessee
+
+    def recall(self, tokens: int, now: float) -> list[str]:
+        """Return the nodes whose tokens to recall before a draw of that many.
+
+        There are none if the draw can be met without, or if a recall was tried just
+        now. The largest shares come first.
+        """
+        self.refresh(now)
+        if self.bucket.level >= tokens or now < self.recall_at:
+            return []
+        self.recall_at = now + EMPTY_RECALL_S
+        sizes = {
+            name: lessee.counted()[1] - lessee.drawn
+            for name, lessee in self.lessees.items()
+        }
+        names = [name for name, size in sizes.items() if size > 0.0]
+        names.sort(key=sizes.__getitem__, reverse=True)
+        return names[:MOST_RECALLED]
 
     def _offer(self, lessee: Lessee, size: tuple[float, float], now: float) -> Entry:
         self.seq += 1
@@ -173,7 +213,7 @@
         fill = 0.0
         counted = lessee.held.capacity if lessee.held is not None else 0.0
         grown = max(0.0, capacity - counted)
-        if grown and before:
+        if grown and before and now >= self.recall_at:
             fill = self.bucket.level * min(1.0, grown / before)
             self.bucket.level -= fill
         self._balance(now)
--- a/lavenderstack/core/ledger_test.py
+++ b/lavenderstack/core/ledger_test.py
@@ -100,6 +100,13 @@
         if grant := self.ledger.ask(name, ask, self.t):
             self.flying.append(("grant", i, name, grant))
 
+    def recall(self, i):
+        ask = self.shares[i].recall(self.clock(i))
+        self.flying.append(("back", i, self.names[i], ask))
+
+    def on_back(self, i, name, ask):
+        self.ledger.give_back(name, ask, self.t)
+
     def on_draw(self, i, name, body):
         if given := self.ledger.draw(name, *body, 10.0, self.t):
             self.flying.append(("given", i, name, (body[0], given)))
@@ -115,6 +122,9 @@
     def wait(self, seconds):
         self.t += seconds
 
+    def lose(self, at):
+        del self.flying[at]
+
     def keep(self, at):
         """Let a message arrive and keep a copy of it under way."""
         self.deliver(at, keep=True)
@@ -176,6 +186,10 @@
     def renew(self, i):
         self.fleet.renew(i)
 
+    @rule(i=INDEX)
+    def recall(self, i):
+        self.fleet.recall(i)
+
     @rule(i=INDEX, tokens=st.integers(1, 50))
     def draw(self, i, tokens):
         self.fleet.draw(i, tokens)
@@ -222,6 +236,7 @@
     "ask": 4,
     "release": 1,
     "draw": 8,
+    "recall": 4,
     "deliver": 12,
     "repeat": 4,
     "lose": 3,
@@ -253,7 +268,7 @@
             fleet.change_plan(rng.choice([0.2, 0.5, 1.0, 2.0]))
         case "wait":
             fleet.t += rng.choice([2.0, 8.0, 19.0, 30.0])
-        case "ask" | "renew" | "crash":
+        case "ask" | "renew" | "crash" | "recall":
             getattr(fleet, event)(i)
         case "fail_over" | "hand_over":
             getattr(fleet, event)()
@@ -295,8 +310,21 @@
     "returned tokens arrive when the share has long ended": """
         arrive 0 1 | wait 1 | renew 0 | arrive 1 90 | wait 1 | renew 1 | renew 0
         ask 0 | wait 40 | draw 1 1 | deliver -1 | deliver -1 | wait 2 | draw 1 40
+        deliver -1 | deliver -1 | arrive 1 200 | draw 1 1 | deliver -1 | deliver -1
+        deliver 0
+        """,
+    "recalled tokens arrive twice": """
+        arrive 0 5 | wait 1 | renew 0 | recall 0 | keep 0 | arrive 1 1 | draw 1 40
         deliver -1 | deliver -1 | arrive 1 200 | deliver 0
         """,
+    "recalled tokens arrive after the next grant": """
+        arrive 0 5 | wait 1 | renew 0 | recall 0 | wait 1 | renew 0 | wait 1 | draw 1 40
+        deliver -1 | deliver -1 | arrive 1 200 | arrive 0 200 | deliver 0
+        """,
+    "recalled tokens are lost": """
+        arrive 0 5 | wait 1 | renew 0 | recall 0 | lose 0 | wait 1 | arrive 0 200
+        renew 0 | arrive 0 200 | draw 0 40 | deliver -1 | deliver -1 | arrive 0 200
+        """,
     "a draw is answered twice": """
         draw 0 20 | deliver -1 | keep -1 | arrive 0 200 | deliver -1
         """,
@@ -336,9 +364,16 @@
         change_plan 0.5 | arrive 0 900 | wait 1 | renew 0 | renew 0
         """,
     "the plan grows and shrinks within one lease": """
-        arrive 0 5 | arrive 1 5 | wait 1 | renew 0 | renew 1 | change_plan 0.5
-        renew 0 | renew 1 | renew 0 | renew 1 | change_plan 1 | renew 0
-        change_plan 0.6
+        arrive 1 90 | wait 1 | change_plan 0.5 | renew 1 | renew 1 | change_plan 1
+        arrive 0 900 | wait 1 | renew 0 | renew 0 | change_plan 0.6
+        """,
+    "the plan shrinks while a prolongation is under way": """
+        arrive 0 5 | wait 1 | renew 0 | fail_over | ask 0 | change_plan 0.5
+        deliver -1 | deliver -1
+        """,
+    "a new owner hears of a share that had ended": """
+        arrive 0 5 | wait 1 | renew 0 | wait 19 | ask 0 | wait 2.5 | arrive 1 5
+        wait 0.1 | renew 1 | fail_over | deliver 0 | wait 0.1 | renew 0
         """,
     "the plan shrinks and the owner dies": """
         arrive 0 5 | arrive 1 5 | wait 1 | renew 0 | renew 1 | renew 0 | renew 1
--- a/lavenderstack/core/lessee.py
+++ b/lavenderstack/core/lessee.py
@@ -59,8 +59,13 @@
         if now >= self.drawn_ends_at:
             self.drawn = 0.0
 
-    def confirm(self, seq: int) -> None:
-        """Keep the share that the process says it holds, and only that."""
+    def confirm(self, seq: int, granted: float) -> None:
+        """Keep the share that the process says it holds, and only that.
+
+        ``granted`` is its capacity, which is less than granted after a recall.
+        """
         entries = (self.held, self.offered)
         self.held = next((e for e in entries if e is not None and e.seq == seq), None)
         self.offered = None
+        if self.held is not None:
+            self.held.capacity = min(self.held.capacity, granted)
--- a/lavenderstack/core/share.py
+++ b/lavenderstack/core/share.py
@@ -156,10 +156,30 @@
             self.seq,
             self.bucket.rate,
             self.bucket.capacity,
+            self.capacity,
             self.reported,
             returned,
         )
 
+    def recall(self, now: float) -> ShareAsk:
+        """Give the tokens back, with the room for them, and return how to say so.
+
+        The room comes back with the next grant, which is asked for soon.
+        """
+        if now < self.ends_at:
+            self.bucket.refill(now)
+            given = self.bucket.level
+            part = _part(self.plan_burst, self.basis_burst)
+            if part > 0.0:
+                self.capacity = max(0.0, self.capacity - given / part)
+                self.bucket.level = 0.0
+                self.returned += given
+            self._fit(now)
+        ask = self.ask(now)
+        self.answered = True
+        self.asked_at = _NEVER
+        return ask
+
     def _demand_to_report(self, now: float) -> float:
         demand = self.demand.fold(now)
         return demand if demand >= LEAST_DEMAND_PER_S else 0.0
