--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -25,6 +25,7 @@
     "fairness",
     "allotment_cost",
     "replica_reads",
+    "control",
 )
 
 
--- /dev/null
+++ b/lavenderstack/border/figures.py
@@ -0,0 +1,49 @@
+"""Figures of a running node for operators: histograms, targets held, traffic.
+
+==================  ==========================================================
+``GET /v1/metrics``  latencies and outcomes by organisation and class; traffic
+``GET /v1/targets``  the targets that this node holds
+==================  ==========================================================
+"""
+
+from collections.abc import Callable, Sequence
+from dataclasses import asdict, dataclass
+from typing import Any
+
+from aiohttp import web
+
+from lavenderstack.border.traffic import TRAFFIC
+
+
+@dataclass(frozen=True, slots=True)
+class HeldTarget:
+    """A target as its holder sees it; term and position are the last ones heard."""
+
+    name: str
+    group: str
+    role: str
+    term: int
+    position: tuple[int, int]
+    slots: int
+    slots_free: int
+    queued: int
+    connections_lent: int
+    transactions: int
+
+
+def add_routes(
+    app: web.Application,
+    summaries: Callable[[], Sequence[Any]],
+    targets: Callable[[], Sequence[HeldTarget]],
+) -> None:
+    """Add the routes to the operators' application."""
+
+    async def get_metrics(_: web.Request) -> web.Response:
+        series = [asdict(summary) for summary in summaries()]
+        return web.json_response({"series": series, "traffic": asdict(TRAFFIC)})
+
+    async def get_targets(_: web.Request) -> web.Response:
+        return web.json_response({"targets": [asdict(one) for one in targets()]})
+
+    app.router.add_get("/v1/metrics", get_metrics)
+    app.router.add_get("/v1/targets", get_targets)
--- a/lavenderstack/border/target.py
+++ b/lavenderstack/border/target.py
@@ -32,6 +32,7 @@
 
 import msgpack
 
+from lavenderstack.border.traffic import TRAFFIC
 from lavenderstack.core.position import Position
 
 _REQUEST = 0
@@ -108,6 +109,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Hand the answer to the call in flight; all else breaks the connection."""
+        TRAFFIC.targets_received_b += len(data)
         self._unpacker.feed(data)
         try:
             for kind, number, error, result in self._unpacker:
@@ -138,8 +140,9 @@
             raise RuntimeError("a connection carries one call at a time")
         self._number += 1
         self._fut = asyncio.get_running_loop().create_future()
-        request = [_REQUEST, self._number, method, params]
-        self._transport.write(msgpack.packb(request))
+        request = msgpack.packb([_REQUEST, self._number, method, params])
+        TRAFFIC.targets_sent_b += len(request)
+        self._transport.write(request)
         try:
             async with asyncio.timeout(timeout_s):
                 return await self._fut
--- a/lavenderstack/node/holder.py
+++ b/lavenderstack/node/holder.py
@@ -11,6 +11,7 @@
 
 import structlog
 
+from lavenderstack.border.figures import HeldTarget
 from lavenderstack.border.target import (
     State,
     TargetLost,
@@ -130,6 +131,10 @@
             return Looked(answered=False)
         return Looked(True, state.term, state.last, state.role, state.primary)
 
+    def figures(self) -> list[HeldTarget]:
+        """Return what operators are shown of the targets held."""
+        return [held.figures() for held in self._held.values()]
+
     def open_transactions(self) -> int:
         """Return how many transactions are open on this node."""
         return sum(len(held.transactions) for held in self._held.values())
--- a/lavenderstack/node/main.py
+++ b/lavenderstack/node/main.py
@@ -13,7 +13,7 @@
 
 import structlog
 
-from lavenderstack.border import admin, callers, logs, store
+from lavenderstack.border import admin, callers, figures, logs, store
 from lavenderstack.border.listener import listening
 from lavenderstack.border.settings import Settings, parse_address
 from lavenderstack.core import clock
@@ -136,6 +136,7 @@
     cfg, relay = node.cfg.administration, node.relay
     where = partial(where_in_force, relay)
     app = admin.make_app(relay.store, relay, cfg.operators, where)
+    figures.add_routes(app, node.metrics.summaries, node.holders.figures)
     limits = node.cfg.callers.header_timeout_s, drain.RUNNING_LIMIT_S
     return listening(app, cfg.host, cfg.port, *limits)
 
--- a/lavenderstack/node/streams.py
+++ b/lavenderstack/node/streams.py
@@ -17,6 +17,7 @@
 import msgspec
 import structlog
 
+from lavenderstack.border.traffic import TRAFFIC
 from lavenderstack.core import clock
 from lavenderstack.core.messages import Cancel, Goodbye, Message, Ping, Pong
 from lavenderstack.node import wire
@@ -59,6 +60,7 @@
 
     def data_received(self, data: bytes) -> None:
         self.heard_at = clock.now()
+        TRAFFIC.nodes_received_b += len(data)
         buffer = self._buffer
         buffer += data
         start = 0
@@ -92,6 +94,7 @@
     def send(self, frame: wire.Frame) -> None:
         """Write a frame; a transport that is closing drops it."""
         body = wire.encode(frame)
+        TRAFFIC.nodes_sent_b += _LENGTH.size + len(body)
         self.transport.write(_LENGTH.pack(len(body)) + body)
 
 
--- a/lavenderstack/node/target_holder.py
+++ b/lavenderstack/node/target_holder.py
@@ -15,6 +15,7 @@
 
 import structlog
 
+from lavenderstack.border.figures import HeldTarget
 from lavenderstack.border.target import (
     Code,
     Ran,
@@ -411,6 +412,22 @@
 
     # Upkeep.
 
+    def figures(self) -> HeldTarget:
+        """Return what operators are shown of the target."""
+        state = self.state
+        return HeldTarget(
+            name=self.target.name,
+            group=self.group.name,
+            role=state.role if state else "",
+            term=state.term if state else 0,
+            position=tuple(self._last),
+            slots=self._slots.slots,
+            slots_free=self._slots.free,
+            queued=len(self._slots.queue),
+            connections_lent=self._pool.lent,
+            transactions=len(self.transactions),
+        )
+
     def sweep(self, now: float) -> None:
         """Drop transactions that were left alone and connections that are idle."""
         for name in self.transactions.idle(now):
