--- a/tests/freshness_test.py
+++ b/tests/freshness_test.py
@@ -4,6 +4,8 @@
 import json
 from pathlib import Path
 
+import pytest
+
 from lavenderstack.core import keys
 from lavenderstack.tools import admin
 from standins.caller import Caller, http_session
@@ -36,11 +38,16 @@
 
 
 async def all_say(cluster, caller, nodes, *expected):
+    replies = []
+
     async def said():
-        replies = [await read(cluster, caller, node) for node in nodes]
+        replies[:] = [await read(cluster, caller, node) for node in nodes]
         return all((r.outcome, r.reason) == expected for r in replies)
 
-    await eventually(said)
+    try:
+        await eventually(said)
+    except TimeoutError:
+        pytest.fail(f"expected {expected}, got {replies}")
 
 
 class TestKeysOverNodes:
@@ -49,12 +56,16 @@
     ):
         async with running(BRANDT, tmp_path) as cluster, http_session() as http:
             operator = Operator(cluster, capsys, tmp_path)
+            # The shares of rate are only handed out once nodes are up.
+            known = Caller(http, cluster.keys["north"])
+            await all_say(cluster, known, NODES, "done", "")
             status, granted = await operator.run("n1", "keys", "grant", "north")
             assert status == admin.Exit.DONE
             caller = Caller(http, granted["key"])
             for node in NODES:
                 # A node that has not heard of the key yet asks before it refuses.
-                assert (await read(cluster, caller, node)).outcome == "done"
+                reply = await read(cluster, caller, node)
+                assert reply.outcome == "done", reply
 
             await cluster.platform_fault("outage")
             status, _ = await operator.run("n2", "keys", "grant", "north")
