Recall tokens that lie at other nodes before a draw falls short

Also: a draw of tokens that fell short of a whole number by rounding gave one too few (test_tokens_that_lie_elsewhere saw 59 of 60); the measure of refusals sent the shares of a stopping node back under another name, which blocked them for a lease.

--- a/bench/refusals.py
+++ b/bench/refusals.py
@@ -12,7 +12,7 @@
 import heapq
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 from itertools import count
 
@@ -210,6 +210,10 @@
             self.ledgers[name] = open_ledger(name, (rate, burst), 1, 0.0, 0.0)
         fleet.later(0.0, self.tick)
 
+    def per_s(self) -> float:
+        """Return the questions that the whole fleet sent, a second."""
+        return (self.messages + self.draws + self.recalls) / RUN_S
+
     def process(self, node: str) -> str:
         """Return the name of the process that runs on a node now."""
         return f"{node}.{self.fleet.live.get(node, -1)}"
@@ -271,7 +275,7 @@
             if ledger is None:
                 self.fleet.later(HOP_S, lambda: finish(None))
                 return
-            wait_s = self.recall(organisation, ledger, tokens)
+            wait_s = self.recall(organisation, ledger, process, tokens)
             self.fleet.later(wait_s, give)
 
         def give() -> None:
@@ -296,10 +300,12 @@
 
         self.fleet.later(HOP_S, arrive)
 
-    def recall(self, organisation: str, ledger: Ledger, tokens: int) -> float:
+    def recall(
+        self, organisation: str, ledger: Ledger, drawing: str, tokens: int
+    ) -> float:
         """Recall tokens for a draw if need be; return how long the draw waits."""
         now = self.fleet.now
-        for process in ledger.recall(tokens, now):
+        for process in ledger.recall(drawing, tokens, now):
             node = process.partition(".")[0]
             self.recalls += 1
             back = partial(self.give_back, organisation, node, process)
@@ -370,11 +376,11 @@
     allot = way(fleet, tallies)
 
     def apply(change: Change) -> None:
+        allot.node_changed(change)
         if change.comes:
             fleet.live[change.node] = int(change.at * 1000)
         else:
             fleet.live.pop(change.node, None)
-        allot.node_changed(change)
         delay_s = 0.0 if change.planned else TAKE_TARGET_S
         fleet.later(delay_s, fleet.settle_targets)
 
@@ -404,28 +410,35 @@
     """Compare the ways on one draw of demand and of changes."""
     rng = random.Random(seed)
     requests, moves = demand(rng), changes(rng)
+    planned = [replace(move, planned=True) for move in moves]
+    deaths = sum(not move.planned for move in moves)
+    stops = sum(not move.comes for move in moves)
     result = Result(
-        f"{NODES} nodes, {len(PLANS)} organisations, {RUN_S:.0f} s, {OVER} at 5 times",
+        f"{NODES} nodes, {len(PLANS)} organisations, {RUN_S:.0f} s, {OVER} at 5 times,"
+        f" {stops} nodes stop, or {deaths} of them die",
         ["way", "organisation", "inside", "refused inside", "admitted/inside", "over"],
     )
     shares = {}
-    for name, way in (("static", Static), ("leased", Leased)):
-        tallies, allot = drive(way, requests, moves)
+    over = 0.0
+    runs = (
+        ("static", Static, planned),
+        ("leased", Leased, planned),
+        ("leased, deaths", Leased, moves),
+    )
+    for name, way, change in runs:
+        tallies, allot = drive(way, requests, change)
         result.rows += [_row(name, tallies, organisation) for organisation in PLANS]
         within = [tally for key, tally in tallies.items() if key != OVER]
         inside = sum(tally.inside for tally in within)
-        wrong = sum(tally.wrongly_refused for tally in within)
-        shares[name] = wrong / inside
-        result.rows.append([name, "all within", inside, shares[name], "", ""])
+        shares[name] = sum(tally.wrongly_refused for tally in within) / inside
+        result.rows.append([name, "all but " + OVER, inside, shares[name], "", ""])
         if way is Leased:
-            over = max(tally.exceeded for tally in tallies.values())
-            result.bounds.append(Bound("tokens over the plan", over, 1e-6))
-            count_s = f"{allot.messages / RUN_S:.1f} renewals/s"
-            draws_s = f"{allot.draws / RUN_S:.1f} draws/s"
-            recalls_s = f"{allot.recalls / RUN_S:.1f} recalls/s"
-            result.rows.append([name, count_s, draws_s, recalls_s, "", ""])
-    result.bounds += [
+            over = max(over, *(tally.exceeded for tally in tallies.values()))
+            result.rows.append([name, "messages/s", allot.per_s(), "", "", ""])
+    result.bounds = [
+        Bound("tokens over the plan", over, 1e-6),
         Bound("refused inside the rate", shares["leased"], AIM_REFUSED),
-        Bound("leased less than static", shares["leased"], shares["static"]),
+        Bound("the same with deaths", shares["leased, deaths"], AIM_REFUSED),
+        Bound("leased against static", shares["leased"], shares["static"]),
     ]
     return result
--- a/lavenderstack/core/ledger.py
+++ b/lavenderstack/core/ledger.py
@@ -20,18 +20,19 @@
 from dataclasses import dataclass, field
 
 from lavenderstack.core.allowance_messages import GrantDraw, ShareAsk, ShareGrant
-from lavenderstack.core.bucket import Bucket
+from lavenderstack.core.bucket import ROUNDING_TOKENS, Bucket
 from lavenderstack.core.lessee import Entry, Lessee
 
 SHARE_VALID_S = 20.0
-DRAW_VALID_S = 2.0
-CLOCK_MARGIN_S = 1.0
+DRAW_VALID_S = 0.5
+CLOCK_MARGIN_S = 0.1
 CLOCK_SPEED_ERROR = 0.001
 SOONEST_RECALL_S = 0.02
 EMPTY_RECALL_S = 0.3
 MOST_RECALLED = 16
-RATE_SHARED = 0.2
-BURST_SHARED = 0.2
+LEAST_CAPACITY = 3.0
+RATE_SHARED = 0.5
+BURST_SHARED = 0.3
 
 
 @dataclass(slots=True)
@@ -170,8 +171,8 @@
         self.bucket.add(min(ask.returned, max(0.0, before - after)))
         return lessee
 
-    def recall(self, tokens: int, now: float) -> list[str]:
-        """Return the nodes whose tokens to recall before a draw of that many.
+    def recall(self, node: str, tokens: int, now: float) -> list[str]:
+        """Return the nodes whose tokens to recall before ``node`` draws that many.
 
         There are none if the draw can be met without, or if a recall was tried just
         now. The largest shares come first.
@@ -183,6 +184,7 @@
         sizes = {
             name: lessee.counted()[1] - lessee.drawn
             for name, lessee in self.lessees.items()
+            if name != node
         }
         names = [name for name, size in sizes.items() if size > 0.0]
         names.sort(key=sizes.__getitem__, reverse=True)
@@ -224,7 +226,10 @@
         if lessee.demand <= 0.0 or total <= 0.0:
             return 0.0, 0.0
         part = lessee.demand / total
-        return self.rate * RATE_SHARED * part, self.burst * BURST_SHARED * part
+        capacity = self.burst * BURST_SHARED * part
+        if capacity < LEAST_CAPACITY:
+            return 0.0, 0.0
+        return self.rate * RATE_SHARED * part, capacity
 
     def _answer(
         self, ask: ShareAsk, entry: Entry, fill: float, *, in_place: bool
@@ -256,8 +261,8 @@
         lessee.demand = demand
         lessee.heard_at = now
         self._balance(now)
-        given = min(tokens, math.floor(self.bucket.level))
-        self.bucket.level -= given
+        given = min(tokens, math.floor(self.bucket.level + ROUNDING_TOKENS))
+        self.bucket.level = max(0.0, self.bucket.level - given)
         lessee.drawn = float(given)
         lessee.drawn_ends_at = now + DRAW_VALID_S + CLOCK_MARGIN_S
         self._balance(now)
--- a/lavenderstack/core/share.py
+++ b/lavenderstack/core/share.py
@@ -28,6 +28,7 @@
 SOONEST_ASK_S = 1.0
 STEADY_ASK_S = 8.0
 DRIFT_PART = 0.5
+SHRUNK_PART = 0.8
 CUT_OFF_DRAWS = 4
 LEAST_DEMAND_PER_S = 0.05
 
@@ -106,6 +107,7 @@
     refuse_until: float = _NEVER
     reported: float = 0.0
     missed: bool = False
+    shrunk: bool = False
     unanswered: int = 0
 
     def admit(self, now: float) -> bool:
@@ -147,7 +149,7 @@
         self.asked_at = now
         self.asked_plan = (self.plan_rate, self.plan_burst)
         self.reported = 0.0 if releasing else self._demand_to_report(now)
-        self.missed = False
+        self.missed = self.shrunk = False
         returned, self.returned = self.returned, 0.0
         return ShareAsk(
             self.organisation,
@@ -202,6 +204,8 @@
         if not in_force:
             self._drop()
             self.bucket.at = now
+        smaller = grant.rate < SHRUNK_PART * self.rate
+        self.shrunk = smaller or grant.capacity < SHRUNK_PART * self.capacity
         self.epoch, self.seq, self.ends_at = grant.epoch, grant.seq, ends_at
         self.rate, self.capacity = grant.rate, grant.capacity
         basis = (grant.plan_rate, grant.plan_burst)
@@ -225,7 +229,7 @@
         since_s = now - self.asked_at
         if since_s < SOONEST_ASK_S:
             return False
-        if not self.answered or self.returned > 0.0 or self.missed:
+        if not self.answered or self.shrunk or self.missed:
             return True
         if since_s >= STEADY_ASK_S:
             return True
--- a/lavenderstack/node/admission.py
+++ b/lavenderstack/node/admission.py
@@ -9,7 +9,7 @@
 import asyncio
 import random
 from collections import defaultdict
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from uuid import uuid4
 
 import structlog
@@ -20,6 +20,8 @@
     AskShares,
     GrantDraw,
     GrantShares,
+    Recall,
+    Recalled,
 )
 from lavenderstack.core.bucket import Bucket
 from lavenderstack.core.gate import Gate, Verdict
@@ -28,6 +30,7 @@
 from lavenderstack.core.shard import owner_of, shard_of
 from lavenderstack.core.share import Share
 from lavenderstack.core.view import View
+from lavenderstack.node.peers import Call
 from lavenderstack.node.streams import NotSent, StreamLost
 
 TICK_S = 0.25
@@ -39,14 +42,12 @@
 
 log = structlog.get_logger()
 
-Call = Callable[[str, Message, float], Awaitable[Message]]
-
 
 class Admission:
     """Admits requests of all organisations on this node.
 
     ``vm`` is this VM's name, ``view`` returns the view in force, and ``call`` sends a
-    message to a VM by name and returns the answer (see ``allotter.caller``).
+    message to a VM by name and returns the answer (see ``peers``).
     """
 
     def __init__(
@@ -65,6 +66,16 @@
         self._draws: dict[str, asyncio.Task] = {}
         self._open = Bucket(OPEN_RATE_PER_S, OPEN_BURST, OPEN_BURST, now())
 
+    def handlers(self) -> Mapping[type, Callable[[Message], Awaitable[Message]]]:
+        """Return what answers the messages that allotters send."""
+        return {Recall: self.on_recall}
+
+    async def on_recall(self, message: Recall) -> Message:
+        """Give back the tokens of a share."""
+        gate = self.gates.get(message.organisation)
+        asks = [gate.share.recall(self._now())] if gate is not None else []
+        return Recalled(self.process, asks)
+
     def try_admit(self, organisation: str, now: float) -> bool:
         """Admit a request without waiting, or return False: then use ``admit``."""
         gate = self.gates.get(organisation)
--- a/lavenderstack/node/admission_test.py
+++ b/lavenderstack/node/admission_test.py
@@ -6,11 +6,13 @@
 import pytest
 
 from lavenderstack.core.allowance_messages import AskDraw, NotAllotter
+from lavenderstack.core.ledger import BURST_SHARED
 from lavenderstack.core.outcome import Reason, Refused
 from lavenderstack.core.view import Plan, View, Vm
 from lavenderstack.node import admission
 from lavenderstack.node.admission import Admission
 from lavenderstack.node.allotter import Allotter
+from lavenderstack.node.peers import Peers
 from lavenderstack.node.streams import NotSent, StreamPool
 
 NAMES = ("a", "b", "c")
@@ -44,7 +46,8 @@
         self.view = None
         self.set_plan(rate, BURST)
         self.allotters = {
-            vm: Allotter(vm, Duties(self, vm), self.get_view, self.now) for vm in NAMES
+            vm: Allotter(vm, Duties(self, vm), self.get_view, self.call, self.now)
+            for vm in NAMES
         }
         self.nodes = {
             vm: Admission(vm, self.get_view, self.call, self.now) for vm in NAMES
@@ -69,7 +72,8 @@
         if vm in self.down:
             raise NotSent("down")
         await asyncio.sleep(0)
-        return await self.allotters[vm].handlers()[type(body)](body)
+        handlers = {**self.allotters[vm].handlers(), **self.nodes[vm].handlers()}
+        return await handlers[type(body)](body)
 
     async def renew(self, vm):
         node = self.nodes[vm]
@@ -101,7 +105,7 @@
         await cluster.renew("b")
         cluster.down = set(NAMES)
         taken = sum(cluster.nodes["b"].try_admit("o", cluster.time) for _ in range(50))
-        assert 10 <= taken <= 14
+        assert BURST * BURST_SHARED - 1 <= taken <= BURST * BURST_SHARED
 
     async def test_a_refusal_tells_when_to_come_back(self):
         cluster = Cluster()
@@ -194,16 +198,14 @@
         cluster.time += 1.0
         await cluster.renew("b")
         await cluster.nodes["a"].stop()
-        cluster.owner = (None, 1)
         heir = {}
 
         async def call(vm, body, timeout_s):
-            cluster.owner = (None, 1)
             heir[body.shard] = vm
             return await cluster.allotters[vm].on_hand_over(body)
 
-        cluster.owner = ("a", 1)
-        await cluster.allotters["a"].stop(call)
+        cluster.allotters["a"]._call = call
+        await cluster.allotters["a"].stop()
         assert heir
         (cluster.owner,) = {(vm, 2) for vm in heir.values()}
         left = sum([await cluster.admitted(vm, 60) for vm in ("b", "c")])
@@ -214,10 +216,9 @@
         cluster = Cluster()
         await cluster.admitted("b", 1)
 
-        async def call(*_):
-            raise NotSent("gone")
-
-        await cluster.allotters["a"].stop(call)
+        cluster.down = set(NAMES)
+        await cluster.allotters["a"].stop()
+        cluster.down = set()
         ask = AskDraw("b#1", "o", 9, 5, 1.0)
         assert await cluster.allotters["a"].on_ask_draw(ask) == NotAllotter()
 
@@ -229,13 +230,23 @@
         assert cluster.owner[0] in NAMES
 
 
-class TestCaller:
-    async def test_an_unknown_vm_is_provably_not_reached(self):
-        from lavenderstack.node.allotter import caller
+class TestRecall:
+    async def test_tokens_that_lie_elsewhere_are_fetched_before_a_refusal(self):
+        cluster = Cluster(rate=20.0)
+        await cluster.admitted("b", 1)
+        cluster.time += 1.0
+        await cluster.renew("b")
+        assert cluster.nodes["b"].gates["o"].share.bucket.level > 10
+        assert await cluster.admitted("c", 100) == BURST
+        assert not cluster.nodes["b"].try_admit("o", cluster.time)
+
 
+class TestPeers:
+    async def test_a_vm_is_called_by_name(self):
         cluster = Cluster()
-        call = caller("a", StreamPool(), cluster.get_view, cluster.allotters["a"])
+        peers = Peers("a", StreamPool(), cluster.get_view)
+        peers.serve(cluster.allotters["a"].handlers())
         with pytest.raises(NotSent):
-            await call("nobody", NotAllotter(), 0.1)
+            await peers.call("nobody", NotAllotter(), 0.1)
         ask = AskDraw("a#1", "o", 1, 5, 1.0)
-        assert (await call("a", ask, 0.1)).tokens == 5
+        assert (await peers.call("a", ask, 0.1)).tokens == 5
--- a/lavenderstack/node/allotter.py
+++ b/lavenderstack/node/allotter.py
@@ -24,16 +24,20 @@
     HandedOver,
     HandOver,
     NotAllotter,
+    Recall,
+    Recalled,
 )
 from lavenderstack.core.handover import hand_out, open_ledger, take_over
 from lavenderstack.core.ledger import Ledger
 from lavenderstack.core.messages import Message
 from lavenderstack.core.shard import SHARDS, duty_of, first_choice, shard_of
 from lavenderstack.core.view import View
-from lavenderstack.node.streams import NotSent, StreamPool
+from lavenderstack.node.peers import Call
+from lavenderstack.node.streams import NotSent, StreamLost
 
 TICK_S = 1.0
 HAND_OVER_TIMEOUT_S = 1.0
+RECALL_WAIT_S = 0.03
 
 log = structlog.get_logger()
 
@@ -83,13 +87,16 @@
         vm: str,
         duties: Duties,
         view: Callable[[], View],
+        call: Call,
         now: Callable[[], float] = clock.now,
     ):
         self.vm = vm
         self.books: dict[int, Books] = {}
         self._duties = duties
         self._view = view
+        self._call = call
         self._now = now
+        self._recalls: dict[str, asyncio.Task] = {}
         self._received: dict[int, Received] = {}
         self._revision = -1
 
@@ -164,9 +171,14 @@
         return GrantShares(grants)
 
     async def on_ask_draw(self, message: AskDraw) -> Message:
-        """Give tokens at once."""
+        """Give tokens at once, after a recall if there are too few."""
+        organisation = message.organisation
         now = self._now()
-        ledger = self._ledger(message.organisation, now)
+        ledger = self._ledger(organisation, now)
+        if ledger is not None:
+            await self._recall(ledger, message, now)
+            now = self._now()
+            ledger = self._ledger(organisation, now)
         if ledger is None:
             return NotAllotter()
         grant = ledger.draw(
@@ -174,6 +186,30 @@
         )
         return NotAllotter() if grant is None else grant
 
+    async def _recall(self, ledger: Ledger, message: AskDraw, now: float) -> None:
+        """Recall tokens from other nodes if a draw needs it; wait for a recall."""
+        organisation = message.organisation
+        names = ledger.recall(message.node, message.tokens, now)
+        if names:
+            calls = [self._recall_from(name, organisation) for name in names]
+            task = asyncio.ensure_future(asyncio.wait_for(_all(calls), RECALL_WAIT_S))
+            self._recalls[organisation] = task
+            task.add_done_callback(lambda _: self._recalls.pop(organisation, None))
+        if organisation in self._recalls:
+            await asyncio.wait([self._recalls[organisation]], timeout=RECALL_WAIT_S)
+
+    async def _recall_from(self, process: str, organisation: str) -> None:
+        try:
+            vm = process.partition("#")[0]
+            reply = await self._call(vm, Recall(organisation), RECALL_WAIT_S)
+        except (NotSent, StreamLost, TimeoutError):
+            return
+        now = self._now()
+        ledger = self._ledger(organisation, now)
+        if ledger is not None and isinstance(reply, Recalled):
+            for ask in reply.asks:
+                ledger.give_back(reply.node, ask, now)
+
     async def on_hand_over(self, message: HandOver) -> Message:
         """Keep the books of a leaving owner and claim its duty."""
         received = Received(message.epoch, self._now(), message.ledgers)
@@ -206,7 +242,7 @@
                 if not books.closed and ledger.idle(now):
                     del books.ledgers[organisation]
 
-    async def stop(self, call: Callable[..., Awaitable[Message]]) -> None:
+    async def stop(self) -> None:
         """Hand every shard's books to its next owner on a planned stop."""
         now = self._now()
         view = self._view()
@@ -220,24 +256,11 @@
             if all(now >= one.settled_at for one in books.ledgers.values()):
                 handed = [hand_out(one, now) for one in books.ledgers.values()]
                 body = HandOver(shard, books.epoch, handed)
-                sends.append(call(heir, body, HAND_OVER_TIMEOUT_S))
+                sends.append(self._call(heir, body, HAND_OVER_TIMEOUT_S))
         for reply in await asyncio.gather(*sends, return_exceptions=True):
             if isinstance(reply, Exception):
                 log.warning("allotter: hand-over failed", error=repr(reply))
 
 
-def caller(
-    vm: str, pool: StreamPool, view: Callable[[], View], allotter: Allotter
-) -> Callable[[str, Message, float], Awaitable[Message]]:
-    """Return a function that sends a message to a VM by name, also to this one."""
-    handlers = allotter.handlers()
-
-    async def call(name: str, body: Message, timeout_s: float) -> Message:
-        if name == vm:
-            return await handlers[type(body)](body)
-        other = view().vms.get(name)
-        if other is None:
-            raise NotSent("the VM is not on the list")
-        return await pool.call((other.host, other.port), body, timeout_s)
-
-    return call
+async def _all(calls: list[Awaitable[None]]) -> None:
+    await asyncio.gather(*calls)
--- a/lavenderstack/node/wire.py
+++ b/lavenderstack/node/wire.py
@@ -23,6 +23,8 @@
     allowance_messages.GrantShares,
     allowance_messages.AskDraw,
     allowance_messages.GrantDraw,
+    allowance_messages.Recall,
+    allowance_messages.Recalled,
     allowance_messages.NotAllotter,
     allowance_messages.HandOver,
     allowance_messages.HandedOver,
