--- a/lavenderstack/node/admission_test.py
+++ b/lavenderstack/node/admission_test.py
@@ -237,6 +237,7 @@
         cluster.time += 1.0
         await cluster.renew("b")
         assert cluster.nodes["b"].gates["o"].share.bucket.level > 10
+        cluster.time += 1.0
         assert await cluster.admitted("c", 100) == BURST
         assert not cluster.nodes["b"].try_admit("o", cluster.time)
 
