--- a/lavenderstack/core/ledger.py
+++ b/lavenderstack/core/ledger.py
@@ -23,7 +23,7 @@
 from lavenderstack.core.bucket import ROUNDING_TOKENS, Bucket
 from lavenderstack.core.lessee import Entry, Lessee
 
-SHARE_VALID_S = 20.0
+SHARE_VALID_S = 30.0
 DRAW_VALID_S = 0.5
 CLOCK_MARGIN_S = 0.1
 CLOCK_SPEED_ERROR = 0.001
--- a/lavenderstack/core/share.py
+++ b/lavenderstack/core/share.py
@@ -19,14 +19,14 @@
 
 from lavenderstack.core.allowance_messages import GrantDraw, ShareAsk, ShareGrant
 from lavenderstack.core.bucket import Bucket
+from lavenderstack.core.demand import Demand
 
-DEMAND_WINDOW_S = 3.0
-SHORTEST_FOLD_S = 0.02
 SHORTEST_REFUSAL_S = 0.02
 LONGEST_REFUSAL_S = 0.5
 DRAW_AHEAD_S = 0.1
-SOONEST_ASK_S = 1.0
-STEADY_ASK_S = 8.0
+REPEAT_ASK_S = 1.0
+SHORT_ASK_S = 2.0
+STEADY_ASK_S = 24.0
 DRIFT_PART = 0.5
 SHRUNK_PART = 0.8
 CUT_OFF_DRAWS = 4
@@ -35,43 +35,6 @@
 _NEVER = -math.inf
 
 
-@dataclass(slots=True)
-class Demand:
-    """An exponential average of requests/s since the first request.
-
-    ``arrivals`` counts since ``at``; ``weight`` is how much of the average has been
-    seen, so that a new organisation's demand isn't taken for a small one.
-    """
-
-    total: float = 0.0
-    weight: float = 0.0
-    arrivals: int = 0
-    at: float = _NEVER
-
-    @property
-    def per_s(self) -> float:
-        """The average as of the last ``fold``."""
-        return self.total / self.weight if self.weight else 0.0
-
-    def note(self, now: float) -> None:
-        """Count one request."""
-        if self.at == _NEVER:
-            self.at = now
-        self.arrivals += 1
-
-    def fold(self, now: float) -> float:
-        """Take the arrivals since the last call into the average and return it."""
-        passed_s = now - self.at
-        if passed_s < SHORTEST_FOLD_S or self.at == _NEVER:
-            return self.per_s
-        kept = math.exp(-passed_s / DEMAND_WINDOW_S)
-        self.total = self.total * kept + self.arrivals / passed_s * (1 - kept)
-        self.weight = self.weight * kept + (1 - kept)
-        self.arrivals = 0
-        self.at = now
-        return self.per_s
-
-
 @dataclass(slots=True)
 class Share:
     """What this process holds of one organisation's plan.
@@ -223,16 +186,19 @@
     def ask_due(self, now: float) -> bool:
         """Whether it is time to ask for a share again.
 
-        A steady share is renewed seldom. One that is short, much too large or just
-        shrunk is renewed soon, and an unanswered request is repeated.
+        A steady share is renewed seldom, and so is none: draws tell the demand then.
+        A share that is short, much too large or just shrunk is renewed soon, and an
+        unanswered request is repeated.
         """
         since_s = now - self.asked_at
-        if since_s < SOONEST_ASK_S:
-            return False
-        if not self.answered or self.shrunk or self.missed:
-            return True
         if since_s >= STEADY_ASK_S:
             return True
+        if not self.answered or self.shrunk:
+            return since_s >= REPEAT_ASK_S
+        if self.capacity == 0.0 or since_s < SHORT_ASK_S:
+            return False
+        if self.missed:
+            return True
         demand = self.demand.fold(now)
         drift = abs(demand - self.reported)
         return drift > max(LEAST_DEMAND_PER_S, DRIFT_PART * self.reported)
