--- a/lavenderstack/node/admission_test.py
+++ b/lavenderstack/node/admission_test.py
@@ -192,6 +192,15 @@
         cluster.time += 1.0
         assert await cluster.admitted("b", 10) > 5
 
+    async def test_an_owner_that_was_unsure_for_a_while_keeps_its_books(self):
+        cluster = Cluster()
+        assert await cluster.admitted("b", 100) == BURST
+        cluster.owner = (None, 1)
+        ask = AskDraw("b#1", "o", 1, 5, 1.0)
+        assert await cluster.allotters["a"].on_ask_draw(ask) == NotAllotter()
+        cluster.owner = ("a", 1)
+        assert await cluster.admitted("c", 10) == 0
+
     async def test_a_planned_stop_hands_over_all_that_is_left(self):
         cluster = Cluster()
         used = await cluster.admitted("b", 20)
--- a/lavenderstack/node/allotter.py
+++ b/lavenderstack/node/allotter.py
@@ -109,10 +109,13 @@
         }
 
     def _books(self, shard: int, now: float) -> Books | None:
-        """Return the books of a shard if this process may issue from them now."""
+        """Return the books of a shard if this process may issue from them now.
+
+        Books outlast a time in which the process can't prove its ownership: if it is
+        still the owner at the same epoch, its leases are still out.
+        """
         epoch = self._duties.owns(duty_of(shard), now)
         if epoch is None:
-            self.books.pop(shard, None)
             return None
         books = self.books.get(shard)
         if books is None or books.epoch != epoch:
@@ -192,7 +195,7 @@
         names = ledger.recall(message.node, message.tokens, now)
         if names:
             calls = [self._recall_from(name, organisation) for name in names]
-            task = asyncio.ensure_future(asyncio.wait_for(_all(calls), RECALL_WAIT_S))
+            task = asyncio.ensure_future(_all(calls))
             self._recalls[organisation] = task
             task.add_done_callback(lambda _: self._recalls.pop(organisation, None))
         if organisation in self._recalls:
