--- a/lavenderstack/node/main.py
+++ b/lavenderstack/node/main.py
@@ -85,7 +85,7 @@
     router = Router(cfg.availability_zone, lambda: relay.view, peers, leaders)
     counted = metrics.Metrics()
     entry = Entry(relay, router, counted)
-    parts = (holders, relay, watch, allotter)
+    parts = (holders, relay, watch, allotter, admission)
     handlers = {}
     for part in parts:
         handlers |= part.handlers()
@@ -169,7 +169,7 @@
     if not await drain.wait_idle(open_ones, limit_s):
         log.warning("node: transactions still open at the limit")
     await node.admission.stop()
-    await node.allotter.stop(node.peers.call)
+    await node.allotter.stop()
 
 
 async def _serve(node: Node) -> None:
