--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -102,9 +102,11 @@
         """Let a paused process go on."""
         self.processes[name].signal(signal.SIGCONT)
 
-    def isolate(self, zone: str) -> None:
-        """Cut a zone off from all others and from the platform."""
-        others = {PLATFORM, *self.size.zones} - {zone}
+    def isolate(self, zone: str, store: bool = True) -> None:
+        """Cut a zone off from all others, and from the store if asked."""
+        others = {*self.size.zones} - {zone}
+        if store:
+            others.add(PLATFORM)
         self.network.isolate(zone, others)
 
     async def platform_fault(self, kind: str, **options: Any) -> None:
--- a/tests/whole_test.py
+++ b/tests/whole_test.py
@@ -13,7 +13,9 @@
 from dataclasses import dataclass, field
 
 import aiohttp
+import pytest
 
+from lavenderstack.core.freshness import USABLE_S
 from standins.caller import Caller, Reply, http_session
 from standins.cluster import Cluster, eventually, running
 from standins.seeds import digest
@@ -125,8 +127,10 @@
 class TestSessions:
     async def test_a_session_reads_its_write_through_every_node(self, tmp_path):
         async with service(tmp_path, "studio") as made:
-            for target in made.cluster.target_ports:
-                await made.cluster.target_fault(target, "lag_ms", 40)
+            primary = await made.cluster.primary(made.group)
+            replicas = [t for t in made.cluster.target_ports if t != primary]
+            for target, lag_ms in zip(replicas, (10, 300), strict=True):
+                await made.cluster.target_fault(target, "lag_ms", lag_ms)
             names = made.nodes()
             for i in range(24):
                 assert await made.book(names[i % len(names)]) == "done"
@@ -169,6 +173,15 @@
             await eventually(lambda: made.booked(paused))
 
 
+async def cut_off(made: Service, store: str) -> tuple[str, str]:
+    """Cut the primary's zone off; return the node beside it and another one."""
+    primary = await made.cluster.primary(made.group)
+    zone = made.zone_of(primary)
+    beside = made.node_in(zone)
+    made.cluster.isolate(zone, store=store == "store cut off")
+    return beside, next(name for name in made.nodes() if name != beside)
+
+
 class TestFailover:
     async def test_a_killed_primary_is_replaced_and_nothing_is_lost(self, tmp_path):
         async with service(tmp_path) as made:
@@ -181,27 +194,43 @@
                 await eventually(lambda name=name: made.booked(name))
             assert await made.cluster.primary(made.group) != primary
 
-    async def test_a_primary_cut_off_with_callers_acknowledges_nothing(self, tmp_path):
+    @pytest.mark.parametrize("store", ["store in reach", "store cut off"])
+    async def test_a_primary_cut_off_with_callers_acknowledges_nothing(
+        self, tmp_path, store
+    ):
         async with service(tmp_path) as made:
-            primary = await made.cluster.primary(made.group)
-            zone = made.zone_of(primary)
-            beside = made.node_in(zone)
-            others = [n for n in made.nodes() if n != beside]
-            made.cluster.isolate(zone)
-            outcomes = [await made.book(beside) for _ in range(3)]
+            beside, other = await cut_off(made, store)
+            outcomes = [await made.book(beside) for _ in range(2)]
+            await eventually(lambda: made.booked(other))
+            outcomes.append(await made.book(beside))
             assert "done" not in outcomes
-            await eventually(lambda: made.booked(others[0]))
-            assert await made.book(beside) != "done"
-            assert (await made.get(beside, made.done[-1], fresh=True)).outcome != "done"
             made.cluster.network.mend()
             await eventually(lambda: made.booked(beside))
 
+    async def test_a_primary_cut_off_serves_no_fresh_read(self, tmp_path):
+        async with service(tmp_path) as made:
+            beside, other = await cut_off(made, "store in reach")
+            await eventually(lambda: made.booked(other))
+            # Another session, which has seen nothing that would refuse it earlier.
+            made.caller = Caller(made.caller.http, made.caller.key)
+            reply = await made.get(beside, made.done[-1], fresh=True)
+            assert reply.outcome == "refused"
+            made.cluster.network.mend()
+
+            async def read():
+                reply = await made.get(beside, made.done[-1], fresh=True)
+                return reply.result == made.count
+
+            await eventually(read)
+
     async def test_it_needs_no_store(self, tmp_path):
         async with service(tmp_path) as made:
             await made.cluster.platform_fault("outage")
             names = made.nodes()
+            # Longer than a view is usable that nothing proves current.
+            await asyncio.sleep(1.5 * USABLE_S)
             for name in names:
-                await eventually(lambda name=name: made.booked(name))
+                assert await made.book(name) == "done"
             made.cluster.kill(await made.cluster.primary(made.group))
             for name in names:
                 await eventually(lambda name=name: made.booked(name))
