--- a/lavenderstack/core/allowance_messages.py
+++ b/lavenderstack/core/allowance_messages.py
@@ -14,8 +14,9 @@
 
     ``number`` grows with every request of this node for the organisation; only the
     answer to the latest one is ever taken up. ``epoch`` and ``seq`` name the share
-    held (0 for none), ``rate`` and ``capacity`` its size, ``demand`` the requests/s
-    seen lately, and ``returned`` the tokens that no longer fitted into the share.
+    held (0 for none), ``rate`` and ``capacity`` its size under the plan that the node
+    knows, ``granted`` its capacity under the plan of the grant, ``demand`` the
+    requests/s seen lately, and ``returned`` tokens that the node gives back.
     """
 
     organisation: str
@@ -24,6 +25,7 @@
     seq: int
     rate: float
     capacity: float
+    granted: float
     demand: float
     returned: float
 
@@ -51,13 +53,12 @@
 
 
 class AskShares(Message, tag="ask_shares"):
-    """Renew the shares of organisations of one shard; answered by ``GrantShares``.
+    """Renew the shares of organisations; answered by ``GrantShares``.
 
     ``node`` names the process, not the VM: a restarted one has another name.
     """
 
     node: str
-    shard: int
     asks: list[ShareAsk]
 
 
@@ -71,7 +72,6 @@
     """Ask for a few tokens at once; answered by ``GrantDraw``."""
 
     node: str
-    shard: int
     organisation: str
     number: int
     tokens: int
@@ -89,6 +89,26 @@
     retry_after_s: float
 
 
+class Recall(Message, tag="recall"):
+    """Ask a node for the tokens of its share; answered by ``Recalled``."""
+
+    organisation: str
+
+
+class Recalled(Message, tag="recalled"):
+    """The share as it is after giving its tokens back; no grant follows.
+
+    ``asks`` is empty if the node has no share of the organisation.
+    """
+
+    node: str
+    asks: list[ShareAsk]
+
+
+class NotAllotter(Message, tag="not_allotter"):
+    """The receiver isn't the allotter of this organisation now."""
+
+
 class HandedEntry(msgspec.Struct, array_like=True, frozen=True, gc=False):
     """A share that may be in force for ``left_s`` yet; see ``lessee.Entry``."""
 
--- a/lavenderstack/node/peers.py
+++ b/lavenderstack/node/peers.py
@@ -42,6 +42,13 @@
             self._members.suspect(vm.name, clock.now())
             raise
 
+    async def call(self, name: str, msg: Message, timeout_s: float) -> Message:
+        """Send a message to a VM by name; see ``ask``."""
+        vm = self._view().vms.get(name)
+        if vm is None:
+            raise NotSent("the VM is not on the list")
+        return await self.ask(vm, msg, timeout_s)
+
     def live(self) -> list[Vm]:
         """Return the entry VMs that are taken for live."""
         return self._members.live(self._view(), clock.now())
