Find holders, watchers and allotters on rings instead of ranking all nodes

Cause: ranking every node for each target, and 64 shards each second, grows with the fleet: at 3,100 nodes about 3 ms for a target of the own zone and 0.2 s each second for the shards, on every node. Ruled out: caching the rankings, which a change of the list throws away: 12,300 of them would be made anew every 40 s.

--- a/lavenderstack/core/members.py
+++ b/lavenderstack/core/members.py
@@ -6,12 +6,46 @@
 a target bounds the connections it accepts and says itself which term it leads.
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
+from itertools import islice
 
-from lavenderstack.core import rendezvous
+from lavenderstack.core.ring import Latest, Ring, place
 from lavenderstack.core.view import Target, View, Vm
 
 SUSPECT_FOR_S = 2.0
+CANDIDATES = 3
+
+
+@dataclass(slots=True)
+class _Rings:
+    """The live entry VMs, all together and by availability zone.
+
+    ``chosen`` keeps the candidates of each target that was asked for.
+    """
+
+    everywhere: Ring
+    by_zone: dict[str, Ring]
+    chosen: dict[str, list[Vm]] = field(default_factory=dict)
+
+    def candidates(self, view: View, target: Target) -> list[Vm]:
+        """Return the VMs for a target, those of its own zone first."""
+        found = self.chosen.get(target.name)
+        if found is None:
+            at = place(f"target/{target.name}")
+            near = self.by_zone.get(target.zone)
+            names = list(islice(near.after(at), CANDIDATES)) if near else []
+            names += islice(self.everywhere.after(at), CANDIDATES)
+            found = [view.vms[name] for name in dict.fromkeys(names)]
+            self.chosen[target.name] = found
+        return found
+
+
+def _rings(vms: Mapping[str, Vm]) -> _Rings:
+    live = View(vms=vms).entry_vms()
+    zones = {vm.zone for vm in live}
+    by_zone = {z: Ring(vm.name for vm in live if vm.zone == z) for z in zones}
+    return _Rings(Ring(vm.name for vm in live), by_zone)
 
 
 @dataclass(slots=True)
@@ -20,6 +54,7 @@
 
     name: str
     suspect_until: dict[str, float] = field(default_factory=dict)
+    _latest: Latest[_Rings] = field(default_factory=lambda: Latest(_rings))
 
     def suspect(self, name: str, now: float) -> None:
         """Pass over a VM that did not answer."""
@@ -34,16 +69,13 @@
         return self.suspect_until.get(name, 0.0) > now
 
     def holders(self, view: View, target: Target, now: float) -> list[Vm]:
-        """Return the VMs to ask for a target, the first choice first.
+        """Return a few VMs to ask for a target, the first choice first.
 
         VMs of the target's own availability zone come first, so that the hop to
         the holder replaces the crossing between zones instead of adding one. VMs
         that are passed over come last: one of them may be all there is.
         """
-        vms = {vm.name: vm for vm in view.entry_vms()}
-        ranked = rendezvous.rank(f"target/{target.name}", vms)
-
-        def distance(name: str) -> tuple[bool, bool]:
-            return self._suspected(name, now), vms[name].zone != target.zone
-
-        return [vms[name] for name in sorted(ranked, key=distance)]
+        found = self._latest.of(view.vms).candidates(view, target)
+        if not self.suspect_until:
+            return found
+        return sorted(found, key=lambda vm: self._suspected(vm.name, now))
--- a/lavenderstack/core/shard.py
+++ b/lavenderstack/core/shard.py
@@ -1,13 +1,21 @@
 """Shards: groups of organisations whose allotment is one duty in the store."""
 
+from collections.abc import Mapping
 from hashlib import blake2b
 
-from lavenderstack.core import rendezvous
-from lavenderstack.core.view import View
+from lavenderstack.core.ring import Latest, Ring, place
+from lavenderstack.core.view import View, Vm
 
 SHARDS = 64
 
 
+def _live(vms: Mapping[str, Vm]) -> Ring:
+    return Ring(vm.name for vm in View(vms=vms).entry_vms())
+
+
+_ring = Latest(_live)
+
+
 def shard_of(organisation: str) -> int:
     """Return the shard to which an organisation belongs."""
     digest = blake2b(organisation.encode(), digest_size=4).digest()
@@ -21,8 +29,8 @@
 
 def first_choice(shard: int, view: View, leaving: str = "") -> str | None:
     """Return the VM that should hold the duty, not counting the one that leaves."""
-    names = [vm.name for vm in view.entry_vms() if vm.name != leaving]
-    return rendezvous.first(duty_of(shard), names)
+    names = _ring.of(view.vms).after(place(duty_of(shard)))
+    return next((name for name in names if name != leaving), None)
 
 
 def holder_of(shard: int, view: View) -> str | None:
