--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -24,6 +24,8 @@
     "refusals",
     "fairness",
     "allotment_cost",
+    "replica_reads",
+    "control",
 )
 
 
--- /dev/null
+++ b/lavenderstack/core/promotion_test.py
@@ -0,0 +1,96 @@
+"""Tests of the proposer, event by event; its interplay is in safety_test."""
+
+import random
+
+import pytest
+
+from lavenderstack.core.evidence import Observation
+from lavenderstack.core.position import START, Position
+from lavenderstack.core.promotion import (
+    Adopted,
+    Done,
+    Leading,
+    Lost,
+    Proposer,
+    RefusedTerm,
+    SendAdopt,
+    SendFollow,
+    SendLead,
+    Tick,
+    TimedOut,
+    stragglers,
+)
+
+NAMES = "abc"
+
+
+class TestProposer:
+    def adopting(self):
+        proposer = Proposer(NAMES, random.Random(1))
+        proposer.propose(4, 0.0)
+        return proposer
+
+    def test_the_most_advanced_by_term_leads_and_the_others_follow(self):
+        proposer = self.adopting()
+        assert proposer.absorb(Adopted("a", 5, Position(2, 900)), 0.1) == []
+        lead, _ = proposer.absorb(Adopted("b", 5, Position(3, 1)), 0.1)
+        assert lead == SendLead("b", 5, ("a", "c"))
+        done, *follows = proposer.absorb(Leading("b", 5), 0.2)
+        assert done == Done(5, "b")
+        assert follows == [SendFollow("a", 5, "b"), SendFollow("c", 5, "b")]
+
+    def test_a_lost_answer_to_lead_takes_a_new_term(self):
+        proposer = self.adopting()
+        proposer.absorb(Adopted("a", 5, Position(2, 1)), 0.1)
+        proposer.absorb(Adopted("b", 5, Position(2, 1)), 0.1)
+        (lost,) = proposer.absorb(TimedOut("b", 5), 0.2)
+        assert proposer.propose(4, lost.again_at - 0.01) == []
+        assert SendAdopt("a", 6) in proposer.propose(4, lost.again_at)
+
+    @pytest.mark.parametrize(
+        "events",
+        [
+            [RefusedTerm("a", 5, 9), RefusedTerm("b", 5, 8)],
+            [RefusedTerm("a", 5, 9), TimedOut("b", 5)],
+            [RefusedTerm("a", 5, 9), Tick()],
+        ],
+    )
+    def test_a_lost_proposal_backs_off_and_goes_above_the_known_term(self, events):
+        proposer = self.adopting()
+        for event, now in zip(events, (0.1, 5.0), strict=True):
+            actions = proposer.absorb(event, now)
+        (lost,) = actions
+        assert lost.again_at > 5.0
+        assert proposer.propose(0, lost.again_at)[0] == SendAdopt("a", 10)
+
+    def test_a_paused_proposer_sends_nothing_more(self):
+        proposer = self.adopting()
+        proposer.absorb(Adopted("a", 5, START), 0.1)
+        (lost,) = proposer.absorb(Adopted("b", 5, START), 30.0)
+        assert isinstance(lost, Lost)
+
+    def test_a_shunned_target_leads_only_if_it_is_the_most_advanced(self):
+        for last, choice in [(Position(1, 1), "a"), (Position(1, 2), "c")]:
+            proposer = Proposer(NAMES, random.Random(1))
+            proposer.propose(4, 0.0, shunned={"c"})
+            proposer.absorb(Adopted("a", 5, Position(1, 1)), 0.1)
+            lead, _ = proposer.absorb(Adopted("c", 5, last), 0.1)
+            assert lead.target == choice
+
+
+class TestStragglers:
+    @pytest.mark.parametrize(
+        ("term", "primary", "told"),
+        [
+            (5, "a", False),
+            (5, "", True),
+            (4, "a", True),
+            (5, "c", True),
+            (6, "", False),
+        ],
+    )
+    def test_whoever_can_follow_is_told_to(self, term, primary, told):
+        leader = Observation("a", 5, START, 0.0, "primary", "a")
+        other = Observation("b", term, START, 0.0, "replica", primary)
+        calls = [SendFollow("b", 5, "a")] if told else []
+        assert stragglers({"a": leader, "b": other}, leader) == calls
--- a/lavenderstack/core/shard.py
+++ b/lavenderstack/core/shard.py
@@ -16,7 +16,7 @@
 
 def duty_of(shard: int) -> str:
     """Return the name of the duty to allot the plans of a shard."""
-    return f"allotter/{shard}"
+    return f"allotter-{shard}"
 
 
 def first_choice(shard: int, view: View, leaving: str = "") -> str | None:
@@ -25,10 +25,12 @@
     return rendezvous.first(duty_of(shard), names)
 
 
-def owner_of(shard: int, view: View) -> str | None:
-    """Return the VM that holds the duty by the view, else the one that should.
+def holder_of(shard: int, view: View) -> str | None:
+    """Return the VM that holds the duty by the view, or None."""
+    duty = view.duties.get(duty_of(shard))
+    return duty.node if duty else None
+
 
-    The store's value is the VM's name, with the process's own part after a ``#``.
-    """
-    owner = view.duties.get(duty_of(shard), "").partition("#")[0]
-    return owner or first_choice(shard, view)
+def owner_of(shard: int, view: View) -> str | None:
+    """Return the VM that holds the duty by the view, else the one that should."""
+    return holder_of(shard, view) or first_choice(shard, view)
--- a/lavenderstack/node/admission_test.py
+++ b/lavenderstack/node/admission_test.py
@@ -7,13 +7,16 @@
 
 from lavenderstack.core.allowance_messages import AskDraw, NotAllotter
 from lavenderstack.core.ledger import BURST_SHARED
+from lavenderstack.core.members import Members
+from lavenderstack.core.messages import Ping, Pong
 from lavenderstack.core.outcome import Reason, Refused
-from lavenderstack.core.view import Plan, View, Vm
+from lavenderstack.core.view import Duty, Plan, View, Vm
 from lavenderstack.node import admission
 from lavenderstack.node.admission import Admission
 from lavenderstack.node.allotter import Allotter
 from lavenderstack.node.peers import Peers
 from lavenderstack.node.streams import NotSent, StreamPool
+from lavenderstack.node.succession import SILENT_AFTER_S
 
 NAMES = ("a", "b", "c")
 BURST = 60
@@ -30,6 +33,9 @@
         owner, epoch = self.cluster.owner
         return epoch if owner == self.vm else None
 
+    def pending(self, duty):
+        return False
+
     async def claim(self, duty):
         if self.cluster.owner[0] is None:
             self.cluster.owner = (self.vm, self.cluster.owner[1] + 1)
@@ -60,7 +66,8 @@
         self.view = View(revision, plans, {"o": "p"}, vms=vms)
 
     def get_view(self):
-        duty = {f"allotter/{i}": f"{self.owner[0] or 'c'}#1" for i in range(64)}
+        owner, epoch = self.owner
+        duty = {f"allotter-{i}": Duty(owner, epoch) for i in range(64) if owner}
         return View(self.view.revision, self.view.plans, self.view.bought,
                     vms=self.view.vms, duties=duty)  # fmt: skip
 
@@ -72,6 +79,8 @@
         if vm in self.down:
             raise NotSent("down")
         await asyncio.sleep(0)
+        if isinstance(body, Ping):
+            return Pong()
         handlers = {**self.allotters[vm].handlers(), **self.nodes[vm].handlers()}
         return await handlers[type(body)](body)
 
@@ -248,6 +257,21 @@
             await allotter.claim_vacant()
         assert cluster.owner[0] in NAMES
 
+    async def test_a_silent_holder_is_succeeded_and_a_working_one_is_not(self):
+        cluster = Cluster()
+        succession = cluster.allotters["b"]._succession
+        deputy = succession if await looks_after(succession, cluster) else None
+        deputy = deputy or cluster.allotters["c"]._succession
+        assert not await deputy.vacant(cluster.get_view(), 100.0)
+        cluster.down = {"a"}
+        assert not await deputy.vacant(cluster.get_view(), 101.0)
+        assert await deputy.vacant(cluster.get_view(), 100.0 + SILENT_AFTER_S)
+
+
+async def looks_after(succession, cluster):
+    await succession.vacant(cluster.get_view(), 99.0)
+    return "a" in succession.heard_at
+
 
 class TestRecall:
     async def test_tokens_that_lie_elsewhere_are_fetched_before_a_refusal(self):
@@ -262,9 +286,9 @@
 
 
 class TestPeers:
-    async def test_a_vm_is_called_by_name(self):
+    async def test_an_unknown_vm_is_provably_not_reached(self):
         cluster = Cluster()
-        peers = Peers("a", StreamPool(), cluster.get_view)
+        peers = Peers("a", cluster.get_view, StreamPool(), Members("a"))
         peers.serve(cluster.allotters["a"].handlers())
         with pytest.raises(NotSent):
             await peers.call("nobody", NotAllotter(), 0.1)
--- a/lavenderstack/node/allotter.py
+++ b/lavenderstack/node/allotter.py
@@ -30,10 +30,11 @@
 from lavenderstack.core.handover import hand_out, open_ledger, take_over
 from lavenderstack.core.ledger import Ledger
 from lavenderstack.core.messages import Message
-from lavenderstack.core.shard import SHARDS, duty_of, first_choice, shard_of
+from lavenderstack.core.shard import duty_of, first_choice, shard_of
 from lavenderstack.core.view import View
 from lavenderstack.node.peers import Call
 from lavenderstack.node.streams import NotSent, StreamLost
+from lavenderstack.node.succession import Succession
 
 TICK_S = 1.0
 HAND_OVER_TIMEOUT_S = 1.0
@@ -53,6 +54,9 @@
         earlier owner can still act.
         """
 
+    def pending(self, duty: str) -> bool:
+        """Tell whether this process has claimed the duty and only waits to act."""
+
     async def claim(self, duty: str) -> None:
         """Try to become the owner of a duty that nobody holds any more.
 
@@ -91,6 +95,7 @@
         now: Callable[[], float] = clock.now,
     ):
         self.vm = vm
+        self._succession = Succession(vm, call)
         self.books: dict[int, Books] = {}
         self._duties = duties
         self._view = view
@@ -228,14 +233,13 @@
             await asyncio.sleep(TICK_S)
 
     async def claim_vacant(self) -> None:
-        """Claim the shards whose first choice is this VM."""
-        view = self._view()
+        """Claim the shards that this VM should take over."""
         now = self._now()
-        for shard in range(SHARDS):
+        for shard in await self._succession.vacant(self._view(), now):
             duty = duty_of(shard)
             if self._duties.owns(duty, now) is not None:
                 self._books(shard, now)
-            elif first_choice(shard, view) == self.vm:
+            elif not self._duties.pending(duty):
                 await self._duties.claim(duty)
 
     def _tidy(self, now: float) -> None:
--- a/lavenderstack/node/peers.py
+++ b/lavenderstack/node/peers.py
@@ -1,44 +1,60 @@
-"""Messages to VMs by their names, also to this one.
+"""The other nodes, as the parts of this one reach them.
 
-A message for this VM is handed to its handler directly, so the parts that send it
-need not know where a duty is held.
+A message to this node itself takes no stream: its handler is called at once. A node
+that can't be reached is passed over for a short time.
 """
 
 from collections.abc import Awaitable, Callable, Mapping
 
+from lavenderstack.core import clock
+from lavenderstack.core.members import Members
 from lavenderstack.core.messages import Message
-from lavenderstack.core.view import View
-from lavenderstack.node.streams import Handler, NotSent, StreamPool
+from lavenderstack.core.view import Target, View, Vm
+from lavenderstack.node.streams import NotSent, StreamLost, StreamPool
 
 Call = Callable[[str, Message, float], Awaitable[Message]]
 
 
 class Peers:
-    """Calls a VM by name; ``serve`` adds handlers for messages to this one.
+    """Sends messages to nodes by their entry in the platform's list."""
 
-    >>> peers = Peers("vm-1", StreamPool(), View)
-    >>> peers.serve({})
-    """
-
-    def __init__(self, vm: str, pool: StreamPool, view: Callable[[], View]):
-        self.vm = vm
-        self.handlers: dict[type, Handler] = {}
-        self._pool = pool
+    def __init__(
+        self, name: str, view: Callable[[], View], pool: StreamPool, members: Members
+    ) -> None:
+        self.name = name
+        self.pool = pool
         self._view = view
+        self._members = members
+        self._handlers: Mapping[type, Callable] = {}
 
-    def serve(self, handlers: Mapping[type, Handler]) -> None:
-        """Answer these messages when this VM is called."""
-        self.handlers.update(handlers)
+    def serve(self, handlers: Mapping[type, Callable]) -> None:
+        """Name what answers messages that this node sends to itself."""
+        self._handlers = handlers
 
-    async def call(self, name: str, body: Message, timeout_s: float) -> Message:
-        """Send a message to a VM and return its answer.
+    async def ask(self, vm: Vm, msg: Message, timeout_s: float) -> Message:
+        """Send a message and return its answer.
 
-        Raises ``NotSent``, ``StreamLost`` or ``TimeoutError`` as a stream does; a VM
-        that isn't on the list is provably not reached.
+        Raises ``NotSent``, ``StreamLost`` or ``TimeoutError``.
         """
-        if name == self.vm:
-            return await self.handlers[type(body)](body)
+        if vm.name == self.name:
+            return await self._handlers[type(msg)](msg)
+        try:
+            return await self.pool.call((vm.host, vm.port), msg, timeout_s)
+        except (NotSent, StreamLost):
+            self._members.suspect(vm.name, clock.now())
+            raise
+
+    async def call(self, name: str, msg: Message, timeout_s: float) -> Message:
+        """Send a message to a VM by name; see ``ask``."""
         vm = self._view().vms.get(name)
         if vm is None:
             raise NotSent("the VM is not on the list")
-        return await self._pool.call((vm.host, vm.port), body, timeout_s)
+        return await self.ask(vm, msg, timeout_s)
+
+    def live(self) -> list[Vm]:
+        """Return the entry VMs that are taken for live."""
+        return self._members.live(self._view(), clock.now())
+
+    def holders(self, target: Target) -> list[Vm]:
+        """Return the VMs to ask for a target, the first choice first."""
+        return self._members.holders(self._view(), target, clock.now())
--- a/lavenderstack/node/wire.py
+++ b/lavenderstack/node/wire.py
@@ -7,7 +7,12 @@
 
 import msgspec
 
-from lavenderstack.core import allowance_messages, messages
+from lavenderstack.core import (
+    allowance_messages,
+    group_messages,
+    messages,
+    relay_messages,
+)
 
 MESSAGES: tuple[type, ...] = (
     messages.Execute,
@@ -19,6 +24,20 @@
     messages.Cancel,
     messages.Ping,
     messages.Pong,
+    messages.Goodbye,
+    group_messages.Look,
+    group_messages.Looked,
+    group_messages.WhoLeads,
+    group_messages.Leads,
+    relay_messages.Beat,
+    relay_messages.Ask,
+    relay_messages.Report,
+    relay_messages.Fetch,
+    relay_messages.Page,
+    relay_messages.Hand,
+    relay_messages.Handed,
+    relay_messages.WhichRevision,
+    relay_messages.InForce,
     allowance_messages.AskShares,
     allowance_messages.GrantShares,
     allowance_messages.AskDraw,
