--- a/lavenderstack/node/main.py
+++ b/lavenderstack/node/main.py
@@ -13,7 +13,7 @@
 
 import structlog
 
-from lavenderstack.border import admin, callers, logs, store
+from lavenderstack.border import admin, callers, figures, logs, store
 from lavenderstack.border.listener import listening
 from lavenderstack.border.settings import Settings, parse_address
 from lavenderstack.core import clock
@@ -85,7 +85,7 @@
     router = Router(cfg.availability_zone, lambda: relay.view, peers, leaders)
     counted = metrics.Metrics()
     entry = Entry(relay, router, counted)
-    parts = (holders, relay, watch, allotter)
+    parts = (holders, relay, watch, allotter, admission)
     handlers = {}
     for part in parts:
         handlers |= part.handlers()
@@ -136,6 +136,7 @@
     cfg, relay = node.cfg.administration, node.relay
     where = partial(where_in_force, relay)
     app = admin.make_app(relay.store, relay, cfg.operators, where)
+    figures.add_routes(app, node.metrics.summaries, node.holders.figures)
     limits = node.cfg.callers.header_timeout_s, drain.RUNNING_LIMIT_S
     return listening(app, cfg.host, cfg.port, *limits)
 
@@ -168,7 +169,7 @@
     if not await drain.wait_idle(open_ones, limit_s):
         log.warning("node: transactions still open at the limit")
     await node.admission.stop()
-    await node.allotter.stop(node.peers.call)
+    await node.allotter.stop()
 
 
 async def _serve(node: Node) -> None:
