Close the callers' listener once the balancer has had its notice

Cause: callers that never stop sending held a stopping node's listener open until the limit of 35 s, and the kernel reset what it had accepted at that moment. Red before: a connection after the close was accepted.

--- a/bench/control.py
+++ b/bench/control.py
@@ -26,7 +26,7 @@
 RUN_S = 15.0
 ZONES = ("z1", "z2", "z3", "z4")
 # Nodes and groups; the target size has 4 groups for 3 nodes.
-SIZES = ((4, 5), (8, 3))
+SIZES = ((4, 5), (8, 3), (8, 11), (16, 21))
 
 
 @dataclass(frozen=True)
--- a/lavenderstack/border/callers_test.py
+++ b/lavenderstack/border/callers_test.py
@@ -40,10 +40,11 @@
     service = FakeService()
     app = make_app(service, LIMITS)
     async with (
-        listening(app, "127.0.0.1", 0, header_timeout_s, 1.0) as port,
-        aiohttp.ClientSession(f"http://127.0.0.1:{port}") as http,
+        listening(app, "127.0.0.1", 0, header_timeout_s, 1.0) as listener,
+        aiohttp.ClientSession(f"http://127.0.0.1:{listener.port}") as http,
     ):
-        yield service, http, port
+        service.listener = listener
+        yield service, http, listener.port
 
 
 async def post(http, path="/v1/groups/g/statements", **options):
@@ -149,3 +150,12 @@
             assert resp.headers["Connection"] == "close"
             async with http.get("/v1/ready") as resp:
                 assert resp.status == 503
+
+    async def test_a_closed_listener_keeps_its_open_connections(self):
+        async with served() as (service, http, port):
+            await post(http, json=BODY)
+            service.listener.close()
+            _, answer = await post(http, json=BODY)
+            assert answer["outcome"] == "done"
+            with pytest.raises(ConnectionRefusedError):
+                await asyncio.open_connection("127.0.0.1", port)
--- a/lavenderstack/border/listener.py
+++ b/lavenderstack/border/listener.py
@@ -6,8 +6,9 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from dataclasses import dataclass
 
 from aiohttp import web
 
@@ -41,6 +42,14 @@
             protocol.transport.abort()
 
 
+@dataclass(frozen=True, slots=True)
+class Listener:
+    """An open listener. ``close`` refuses new connections and keeps the open ones."""
+
+    port: int
+    close: Callable[[], None]
+
+
 @asynccontextmanager
 async def listening(
     app: web.Application,
@@ -48,8 +57,8 @@
     port: int,
     header_timeout_s: float,
     shutdown_timeout_s: float,
-) -> AsyncIterator[int]:
-    """Serve ``app`` for the length of the block; yields the port.
+) -> AsyncIterator[Listener]:
+    """Serve ``app`` for the length of the block.
 
     At the end no new connection is accepted, and running requests have
     ``shutdown_timeout_s`` seconds to end.
@@ -72,7 +81,7 @@
     loop = asyncio.get_running_loop()
     server = await loop.create_server(accept, host, port)
     try:
-        yield server.sockets[0].getsockname()[1]
+        yield Listener(server.sockets[0].getsockname()[1], server.close)
     finally:
         server.close()
         await runner.cleanup()
--- a/lavenderstack/node/main.py
+++ b/lavenderstack/node/main.py
@@ -14,7 +14,7 @@
 import structlog
 
 from lavenderstack.border import admin, callers, figures, logs, store
-from lavenderstack.border.listener import listening
+from lavenderstack.border.listener import Listener, listening
 from lavenderstack.border.settings import Settings, parse_address
 from lavenderstack.core import clock
 from lavenderstack.core.members import Members
@@ -124,7 +124,7 @@
     return parts
 
 
-def _served_callers(node: Node) -> AbstractAsyncContextManager[int]:
+def _served_callers(node: Node) -> AbstractAsyncContextManager[Listener]:
     cfg = node.cfg.callers
     app = callers.make_app(node.entry, cfg)
     return listening(
@@ -132,7 +132,7 @@
     )
 
 
-def _served_operators(node: Node) -> AbstractAsyncContextManager[int]:
+def _served_operators(node: Node) -> AbstractAsyncContextManager[Listener]:
     cfg, relay = node.cfg.administration, node.relay
     where = partial(where_in_force, relay)
     app = admin.make_app(relay.store, relay, cfg.operators, where)
@@ -153,8 +153,8 @@
         await node.relay.news(VIEW_POLL_S)
 
 
-async def _stopped(node: Node) -> None:
-    """Serve until told to stop, then end what runs."""
+async def _told_to_stop(node: Node) -> None:
+    """Serve until told to stop, and until the balancer must have noticed."""
     await node.stop.wait()
     log.info("node: stopping", running=node.entry.running)
     node.entry.stopping = True
@@ -177,10 +177,11 @@
     async with asyncio.TaskGroup() as tasks:
         control = tasks.create_task(supervisor.run(_parts(node)))
         await _wait_for_view(node)
-        async with _served_operators(node), _served_callers(node) as port:
-            print(f"ready {port}", flush=True)
+        async with _served_operators(node), _served_callers(node) as listener:
+            print(f"ready {listener.port}", flush=True)
             log.info("node: ready", revision=node.relay.view.revision)
-            await _stopped(node)
+            await _told_to_stop(node)
+            listener.close()
             await _drained(node)
         # Requests of other nodes still need the control parts to end.
         await node.server.stop(STREAMS_STOP_S)
