--- a/lavenderstack/border/answers.py
+++ b/lavenderstack/border/answers.py
@@ -15,6 +15,7 @@
 from lavenderstack.core.outcome import Reason, Refused, Unknown
 
 RETRY_JITTER_SHARE = 0.25
+DEFAULT_RETRY_S = 0.25
 
 STATUS_OF_REFUSAL: dict[Reason, int] = {
     Reason.BAD_REQUEST: 400,
@@ -38,6 +39,9 @@
 }
 STATUS_OF_UNKNOWN = 504
 
+# Refusals after which the same request may well be served a little later.
+_COME_BACK = frozenset({429, 503})
+
 _encoder = msgspec.json.Encoder()
 
 
@@ -92,14 +96,18 @@
 
 def refused(request_id: str, exc: Refused) -> web.Response:
     """Return the response of a request that was not run."""
-    retry_after_s = _jittered(exc.retry_after_s)
+    status = STATUS_OF_REFUSAL.get(exc.reason, 503)
+    wait_s = exc.retry_after_s
+    if wait_s is None and status in _COME_BACK:
+        wait_s = DEFAULT_RETRY_S
+    retry_after_s = _jittered(wait_s)
     body = RefusedAnswer(
         request_id=request_id,
         reason=exc.reason,
         detail=exc.detail,
         retry_after_s=retry_after_s,
     )
-    resp = _response(STATUS_OF_REFUSAL.get(exc.reason, 503), body)
+    resp = _response(status, body)
     if retry_after_s is not None:
         # The header only takes whole seconds; the body is exact.
         resp.headers["Retry-After"] = str(math.ceil(retry_after_s))
--- a/lavenderstack/border/callers_test.py
+++ b/lavenderstack/border/callers_test.py
@@ -133,12 +133,26 @@
             assert (resp.status, answer["outcome"]) == (status, told)
             assert answer["reason"] == outcome.reason
 
-    async def test_a_refusal_says_when_to_come_back(self):
+    @pytest.mark.parametrize(
+        ("outcome", "least", "most"),
+        [
+            (Refused(Reason.OVER_RATE, "", 0.4), 0.4, 0.5),
+            (Refused(Reason.DEADLINE), 0.25, 0.32),
+        ],
+    )
+    async def test_a_refusal_says_when_to_come_back(self, outcome, least, most):
         async with served() as (service, http, _):
-            service.outcome = Refused(Reason.OVER_RATE, "", 0.4)
+            service.outcome = outcome
             resp, answer = await post(http, json=BODY)
             assert resp.headers["Retry-After"] == "1"
-            assert 0.4 <= answer["retry_after_s"] <= 0.5
+            assert least <= answer["retry_after_s"] <= most
+
+    async def test_what_will_not_change_names_no_time(self):
+        async with served() as (service, http, _):
+            service.outcome = Refused(Reason.NOT_ALLOWED)
+            resp, answer = await post(http, json=BODY)
+            assert answer["retry_after_s"] is None
+            assert "Retry-After" not in resp.headers
 
 
 class TestStop:
--- a/lavenderstack/tools/admin.py
+++ b/lavenderstack/tools/admin.py
@@ -12,6 +12,8 @@
   lavenderstack admin [options] groups show NAME
   lavenderstack admin [options] groups apply NAME FILE
   lavenderstack admin [options] status
+  lavenderstack admin [options] metrics
+  lavenderstack admin [options] targets
   lavenderstack admin [options] revision [REVISION]
   lavenderstack admin --help
 
@@ -19,7 +21,8 @@
 another operator was faster, apply changes nothing and shows what differs. FILE may
 be "-" for standard input. "keys grant" makes the key here and prints it once: the
 service only gets its digest. "keys withdraw -" reads the key itself from standard
-input.
+input. "metrics" has latencies and outcomes by organisation and class, "targets" the
+targets that the node holds: term, position, slots, connections.
 
 Options:
   --url URL            The operators' address of any node [default: $LAVENDERSTACK_URL].
@@ -120,8 +123,9 @@
 def _command(client: Client, args: dict) -> Answer:
     if args["keys"]:
         return _keys(client, args)
-    if args["status"]:
-        return client.get("/v1/status")
+    for figures in ("status", "metrics", "targets"):
+        if args[figures]:
+            return client.get(f"/v1/{figures}")
     if args["revision"]:
         at = args["REVISION"]
         return client.get("/v1/revision" + (f"?at={quote(at)}" if at else ""))
