--- a/lavenderstack/core/relay_messages.py
+++ b/lavenderstack/core/relay_messages.py
@@ -12,7 +12,8 @@
     """Ask for news; answered by ``Report`` as soon as there are some, or in a second.
 
     ``revision`` is that up to which the asker is complete, ``newest`` its latest
-    change and ``age_s`` how long ago its view was proved current.
+    change and ``age_s`` how long ago its view was proved current; 0 if it needs no
+    proof.
     """
 
     revision: int
--- a/lavenderstack/core/relay_tree.py
+++ b/lavenderstack/core/relay_tree.py
@@ -14,6 +14,8 @@
 
 READERS = 2
 CHILDREN = 4
+UNCLES = 3
+SPREAD = (5**0.5 - 1) / 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,6 +65,15 @@
     return (place - READERS) // CHILDREN
 
 
+def _spread(vms: list[Vm], place: int) -> list[Vm]:
+    """Return a few of the nodes, others for each place.
+
+    Nodes that lose their parents at the same time must not all ask the same one.
+    """
+    start = int(place * SPREAD % 1 * len(vms))
+    return [vms[(start + turn) % len(vms)] for turn in range(min(UNCLES, len(vms)))]
+
+
 def _far_readers(view: View, zone: str, turn: int) -> list[Vm]:
     far = [vm for z in zones(view) if z != zone for vm in readers(view, z)]
     turn = turn % len(far) if far else 0
@@ -82,9 +93,9 @@
         return _reader_links(view, zone, order, place)
     first = order[_parent(place)] if order and place >= READERS else None
     near = [vm for vm in order[:READERS] if vm != first]
-    uncles = [vm for vm in order[READERS:place] if vm != first][:CHILDREN]
+    uncles = [vm for vm in _spread(order[READERS:place], place) if vm != first]
     far = _far_readers(view, zone, place)
-    candidates = [*([first] if first else []), *near, *uncles, *far]
+    candidates = [*([first] if first else []), *uncles, *near, *far]
     return (Link("parent", tuple(candidates)),) if candidates else ()
 
 
--- a/lavenderstack/node/relay.py
+++ b/lavenderstack/node/relay.py
@@ -26,6 +26,7 @@
 from lavenderstack.node.streams import NotSent, StreamLost, StreamPool
 
 BOOT_S = 0.5
+OWN_PROOF_S = 1.5
 RECONCILE_S = 1.0
 NEWER_MEMORY_S = 0.5
 HAND_TIMEOUT_S = 1.0
@@ -108,6 +109,18 @@
         names = [vm.name for vm in self.tree.readers]
         return self.name in names or not self.tree.links
 
+    @property
+    def proves_itself(self) -> bool:
+        """Whether this node is a reader whose store has just proved its view.
+
+        It needs no proof of other nodes then, and spares them and its children the
+        messages.
+        """
+        age_s = self.age_s(self.clock())
+        return (
+            age_s <= OWN_PROOF_S and self.is_reader and not self.freshness.unreachable
+        )
+
     async def news(self, timeout_s: float) -> None:
         """Wait until something has changed here, no longer than ``timeout_s``."""
         event = self._news
--- a/lavenderstack/node/relay_links.py
+++ b/lavenderstack/node/relay_links.py
@@ -30,7 +30,7 @@
 LEAST_BETWEEN_BEATS_S = 0.1
 RETRY_S = 0.2
 AGED_S = 2.5
-RETURN_S = 30.0
+RETURN_S = 10.0
 LONGEST_AGE_S = 1e9
 SEEDS = "seeds"
 
@@ -83,7 +83,7 @@
     beat = Beat(
         revision=relay.snapshot.revision,
         newest=relay.snapshot.newest,
-        age_s=min(relay.age_s(sent), LONGEST_AGE_S),
+        age_s=0.0 if relay.proves_itself else min(relay.age_s(sent), LONGEST_AGE_S),
     )
     try:
         report = await relay.pool.call(addr, beat, BEAT_TIMEOUT_S)
@@ -125,7 +125,8 @@
         return False
     if relay.snapshot.revision < report.revision:
         return False
-    relay.prove(bound(sent, report.held_s, report.age_s))
+    if not relay.proves_itself:
+        relay.prove(bound(sent, report.held_s, report.age_s))
     if zone and report.reader:
         statement = Statement(sent + report.held_s, report.unreachable)
         relay.freshness.heard(zone, statement)
