--- a/lavenderstack/node/relay_test.py
+++ b/lavenderstack/node/relay_test.py
@@ -209,6 +209,16 @@
 
 
 class TestOutage:
+    @fleet_test()
+    async def test_a_store_too_slow_to_answer_counts_as_out_of_reach(self, fleet):
+        for store in fleet.stores.values():
+            store.lose_answer = True
+        await fleet.pass_s(20)
+        assert all(fleet.usable())
+        fleet.cut_zone("z1")
+        await fleet.pass_s(USABLE_S + 1.5)
+        assert not any(fleet.usable())
+
     @fleet_test()
     async def test_an_outage_alone_stops_nothing(self, fleet):
         fleet.stores_down(fleet.names)
