--- a/lavenderstack/border/callers_test.py
+++ b/lavenderstack/border/callers_test.py
@@ -40,10 +40,11 @@
     service = FakeService()
     app = make_app(service, LIMITS)
     async with (
-        listening(app, "127.0.0.1", 0, header_timeout_s, 1.0) as port,
-        aiohttp.ClientSession(f"http://127.0.0.1:{port}") as http,
+        listening(app, "127.0.0.1", 0, header_timeout_s, 1.0) as listener,
+        aiohttp.ClientSession(f"http://127.0.0.1:{listener.port}") as http,
     ):
-        yield service, http, port
+        service.listener = listener
+        yield service, http, listener.port
 
 
 async def post(http, path="/v1/groups/g/statements", **options):
@@ -132,12 +133,26 @@
             assert (resp.status, answer["outcome"]) == (status, told)
             assert answer["reason"] == outcome.reason
 
-    async def test_a_refusal_says_when_to_come_back(self):
+    @pytest.mark.parametrize(
+        ("outcome", "least", "most"),
+        [
+            (Refused(Reason.OVER_RATE, "", 0.4), 0.4, 0.5),
+            (Refused(Reason.DEADLINE), 0.25, 0.32),
+        ],
+    )
+    async def test_a_refusal_says_when_to_come_back(self, outcome, least, most):
         async with served() as (service, http, _):
-            service.outcome = Refused(Reason.OVER_RATE, "", 0.4)
+            service.outcome = outcome
             resp, answer = await post(http, json=BODY)
             assert resp.headers["Retry-After"] == "1"
-            assert 0.4 <= answer["retry_after_s"] <= 0.5
+            assert least <= answer["retry_after_s"] <= most
+
+    async def test_what_will_not_change_names_no_time(self):
+        async with served() as (service, http, _):
+            service.outcome = Refused(Reason.NOT_ALLOWED)
+            resp, answer = await post(http, json=BODY)
+            assert answer["retry_after_s"] is None
+            assert "Retry-After" not in resp.headers
 
 
 class TestStop:
@@ -149,3 +164,12 @@
             assert resp.headers["Connection"] == "close"
             async with http.get("/v1/ready") as resp:
                 assert resp.status == 503
+
+    async def test_a_closed_listener_keeps_its_open_connections(self):
+        async with served() as (service, http, port):
+            await post(http, json=BODY)
+            service.listener.close()
+            _, answer = await post(http, json=BODY)
+            assert answer["outcome"] == "done"
+            with pytest.raises(ConnectionRefusedError):
+                await asyncio.open_connection("127.0.0.1", port)
--- a/lavenderstack/node/peers.py
+++ b/lavenderstack/node/peers.py
@@ -4,7 +4,7 @@
 that can't be reached is passed over for a short time.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 
 from lavenderstack.core import clock
 from lavenderstack.core.members import Members
@@ -12,6 +12,8 @@
 from lavenderstack.core.view import Target, View, Vm
 from lavenderstack.node.streams import NotSent, StreamLost, StreamPool
 
+Call = Callable[[str, Message, float], Awaitable[Message]]
+
 
 class Peers:
     """Sends messages to nodes by their entry in the platform's list."""
--- a/tests/whole_test.py
+++ b/tests/whole_test.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import base64
+import itertools
 import json
 import signal
 from collections.abc import AsyncIterator
@@ -13,12 +14,16 @@
 from dataclasses import dataclass, field
 
 import aiohttp
+import pytest
 
+from lavenderstack.core.freshness import USABLE_S
 from standins.caller import Caller, Reply, http_session
 from standins.cluster import Cluster, eventually, running
 from standins.seeds import digest
 from standins.sizes import BRANDT, LIPA
 
+# How far a balancer's knowledge of a node lags behind.
+READY_INTERVAL_S = 1.0
 GROUPS = {"fleet": BRANDT, "studio": LIPA}
 
 
@@ -125,8 +130,10 @@
 class TestSessions:
     async def test_a_session_reads_its_write_through_every_node(self, tmp_path):
         async with service(tmp_path, "studio") as made:
-            for target in made.cluster.target_ports:
-                await made.cluster.target_fault(target, "lag_ms", 40)
+            primary = await made.cluster.primary(made.group)
+            replicas = [t for t in made.cluster.target_ports if t != primary]
+            for target, lag_ms in zip(replicas, (10, 300), strict=True):
+                await made.cluster.target_fault(target, "lag_ms", lag_ms)
             names = made.nodes()
             for i in range(24):
                 assert await made.book(names[i % len(names)]) == "done"
@@ -169,6 +176,15 @@
             await eventually(lambda: made.booked(paused))
 
 
+async def cut_off(made: Service, store: str) -> tuple[str, str]:
+    """Cut the primary's zone off; return the node beside it and another one."""
+    primary = await made.cluster.primary(made.group)
+    zone = made.zone_of(primary)
+    beside = made.node_in(zone)
+    made.cluster.isolate(zone, store=store == "store cut off")
+    return beside, next(name for name in made.nodes() if name != beside)
+
+
 class TestFailover:
     async def test_a_killed_primary_is_replaced_and_nothing_is_lost(self, tmp_path):
         async with service(tmp_path) as made:
@@ -181,27 +197,43 @@
                 await eventually(lambda name=name: made.booked(name))
             assert await made.cluster.primary(made.group) != primary
 
-    async def test_a_primary_cut_off_with_callers_acknowledges_nothing(self, tmp_path):
+    @pytest.mark.parametrize("store", ["store in reach", "store cut off"])
+    async def test_a_primary_cut_off_with_callers_acknowledges_nothing(
+        self, tmp_path, store
+    ):
         async with service(tmp_path) as made:
-            primary = await made.cluster.primary(made.group)
-            zone = made.zone_of(primary)
-            beside = made.node_in(zone)
-            others = [n for n in made.nodes() if n != beside]
-            made.cluster.isolate(zone)
-            outcomes = [await made.book(beside) for _ in range(3)]
+            beside, other = await cut_off(made, store)
+            outcomes = [await made.book(beside) for _ in range(2)]
+            await eventually(lambda: made.booked(other))
+            outcomes.append(await made.book(beside))
             assert "done" not in outcomes
-            await eventually(lambda: made.booked(others[0]))
-            assert await made.book(beside) != "done"
-            assert (await made.get(beside, made.done[-1], fresh=True)).outcome != "done"
             made.cluster.network.mend()
             await eventually(lambda: made.booked(beside))
 
+    async def test_a_primary_cut_off_serves_no_fresh_read(self, tmp_path):
+        async with service(tmp_path) as made:
+            beside, other = await cut_off(made, "store in reach")
+            await eventually(lambda: made.booked(other))
+            # Another session, which has seen nothing that would refuse it earlier.
+            made.caller = Caller(made.caller.http, made.caller.key)
+            reply = await made.get(beside, made.done[-1], fresh=True)
+            assert reply.outcome == "refused"
+            made.cluster.network.mend()
+
+            async def read():
+                reply = await made.get(beside, made.done[-1], fresh=True)
+                return reply.result == made.count
+
+            await eventually(read)
+
     async def test_it_needs_no_store(self, tmp_path):
         async with service(tmp_path) as made:
             await made.cluster.platform_fault("outage")
             names = made.nodes()
+            # Longer than a view is usable that nothing proves current.
+            await asyncio.sleep(1.5 * USABLE_S)
             for name in names:
-                await eventually(lambda name=name: made.booked(name))
+                assert await made.book(name) == "done"
             made.cluster.kill(await made.cluster.primary(made.group))
             for name in names:
                 await eventually(lambda name=name: made.booked(name))
@@ -242,35 +274,64 @@
             assert reply.outcome == "done"
 
 
+@dataclass
+class Balancer:
+    """Sends callers to the nodes that were ready when it last asked."""
+
+    made: Service
+    nodes: list[str]
+    answered: int = 0
+    cut: list[str] = field(default_factory=list)
+
+    async def watch(self) -> None:
+        names = list(self.nodes)
+        while True:
+            ready = [name for name in names if await self.made.cluster.ready(name)]
+            self.nodes = ready
+            await asyncio.sleep(READY_INTERVAL_S)
+
+    async def keep_asking(self, http: aiohttp.ClientSession) -> None:
+        caller = Caller(http, self.made.cluster.keys["south"])
+        for i in itertools.count():
+            port = self.made.port(self.nodes[i % len(self.nodes)])
+            try:
+                reply = await caller.run(port, self.made.group, "sleep", 20)
+            except (aiohttp.ClientError, TimeoutError) as exc:
+                self.cut.append(repr(exc))
+            else:
+                self.answered += reply.outcome == "done"
+
+    async def reached(self, count: int) -> None:
+        async def enough():
+            return self.answered >= count
+
+        await eventually(enough)
+
+
+@asynccontextmanager
+async def balanced(made: Service, callers: int) -> AsyncIterator[Balancer]:
+    """Run callers behind a balancer for the length of the block."""
+    balancer = Balancer(made, made.nodes())
+    async with http_session() as http:
+        tasks = [asyncio.create_task(balancer.watch())]
+        for _ in range(callers):
+            tasks.append(asyncio.create_task(balancer.keep_asking(http)))
+        try:
+            yield balancer
+        finally:
+            for task in tasks:
+                task.cancel()
+            results = await asyncio.gather(*tasks, return_exceptions=True)
+        assert all(isinstance(r, asyncio.CancelledError) for r in results)
+
+
 class TestPlannedStop:
     async def test_it_cuts_off_no_request_and_exits_cleanly(self, tmp_path):
-        async with service(tmp_path, "studio") as made:
-            name = made.nodes()[0]
-            port = made.port(name)
-            cut: list[str] = []
-            answered = 0
-
-            async def keep_asking(http):
-                nonlocal answered
-                caller = Caller(http, made.cluster.keys["south"])
-                while True:
-                    try:
-                        await caller.run(port, made.group, "sleep", 20)
-                        answered += 1
-                    except aiohttp.ClientConnectorError:
-                        return
-                    except aiohttp.ClientError as exc:
-                        cut.append(repr(exc))
-
-            async with http_session() as http, asyncio.TaskGroup() as tasks:
-                for _ in range(6):
-                    tasks.create_task(keep_asking(http))
-
-                async def some():
-                    return answered >= 20
-
-                await eventually(some)
+        async with service(tmp_path, "studio") as made, balanced(made, 12) as balancer:
+            for name in made.nodes()[:2]:
+                await balancer.reached(balancer.answered + 50)
                 process = made.cluster.processes[name]
                 process.signal(signal.SIGTERM)
                 assert await process.ended() == 0
-            assert cut == []
+            await balancer.reached(balancer.answered + 50)
+            assert balancer.cut == []
