--- a/lavenderstack/node/control.py
+++ b/lavenderstack/node/control.py
@@ -2,7 +2,9 @@
 
 from typing import Protocol
 
+from lavenderstack.core import clock
 from lavenderstack.core.view import View
+from lavenderstack.node.admission import Admission
 
 
 class ViewSource(Protocol):
@@ -14,13 +16,6 @@
         """Tell whether the view is proved recent enough for keyed work."""
 
 
-class Admission(Protocol):
-    """The node's side of the allotment of rate and burst."""
-
-    async def admit(self, organisation: str, deadline: float) -> None:
-        """Count a request against its organisation's rate, or refuse it."""
-
-
 class NodeControl:
     """Implements ``node.target_holder.Control``."""
 
@@ -39,4 +34,8 @@
 
     async def admit(self, organisation: str, deadline: float) -> None:
         """Count a request against its organisation's rate, or refuse it."""
-        await self._admission.admit(organisation, deadline)
+        now = clock.now()
+        if not organisation:
+            self._admission.admit_open(now)
+        elif not self._admission.try_admit(organisation, now):
+            await self._admission.admit(organisation, deadline)
--- a/lavenderstack/node/main.py
+++ b/lavenderstack/node/main.py
@@ -9,16 +9,18 @@
 from collections.abc import Callable
 from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass, field
+from functools import partial
 
 import structlog
 
-from lavenderstack.border import callers, logs, store
+from lavenderstack.border import admin, callers, logs, store
 from lavenderstack.border.listener import listening
 from lavenderstack.border.settings import Settings, parse_address
 from lavenderstack.core import clock
 from lavenderstack.core.members import Members
 from lavenderstack.core.view import Group, Target
 from lavenderstack.node import drain, metrics, supervisor
+from lavenderstack.node.admission import Admission
 from lavenderstack.node.allotter import Allotter
 from lavenderstack.node.confirmers import Confirmers
 from lavenderstack.node.control import NodeControl
@@ -27,6 +29,7 @@
 from lavenderstack.node.leaders import Leaders
 from lavenderstack.node.peers import Peers
 from lavenderstack.node.relay import Relay
+from lavenderstack.node.revisions import where_in_force
 from lavenderstack.node.router import Router
 from lavenderstack.node.streams import StreamPool, StreamServer
 from lavenderstack.node.supervisor import Part
@@ -54,6 +57,7 @@
     confirmers: Confirmers
     watch: Watch
     allotter: Allotter
+    admission: Admission
     entry: Entry
     metrics: metrics.Metrics
     stop: asyncio.Event = field(default_factory=asyncio.Event)
@@ -66,8 +70,9 @@
     relay = Relay(cfg.name, cfg.availability_zone, platform, pool, seeds)
     members = Members(cfg.name)
     peers = Peers(cfg.name, lambda: relay.view, pool, members)
-    allotter = Allotter(cfg.name, relay, peers)
-    control = NodeControl(relay, allotter)
+    allotter = Allotter(cfg.name, relay, lambda: relay.view, peers.call)
+    admission = Admission(cfg.name, lambda: relay.view, peers.call)
+    control = NodeControl(relay, admission)
     confirmers = Confirmers(peers)
 
     def make(target: Target, group: Group) -> TargetHolder:
@@ -95,6 +100,7 @@
         confirmers=confirmers,
         watch=watch,
         allotter=allotter,
+        admission=admission,
         entry=entry,
         metrics=counted,
     )
@@ -108,6 +114,7 @@
         Part("confirm", node.confirmers.run),
         Part("watch", node.watch.run),
         Part("allotter", node.allotter.run),
+        Part("admission", node.admission.run),
     ]
     statsd = node.cfg.statsd
     if statsd is not None:
@@ -125,6 +132,14 @@
     )
 
 
+def _served_operators(node: Node) -> AbstractAsyncContextManager[int]:
+    cfg, relay = node.cfg.administration, node.relay
+    where = partial(where_in_force, relay)
+    app = admin.make_app(relay.store, relay, cfg.operators, where)
+    limits = node.cfg.callers.header_timeout_s, drain.RUNNING_LIMIT_S
+    return listening(app, cfg.host, cfg.port, *limits)
+
+
 async def _wait_for_view(node: Node) -> None:
     """Wait for a view, and a while for the proof that it is recent.
 
@@ -152,7 +167,8 @@
     open_ones = node.holders.open_transactions
     if not await drain.wait_idle(open_ones, limit_s):
         log.warning("node: transactions still open at the limit")
-    await node.allotter.retire()
+    await node.admission.stop()
+    await node.allotter.stop(node.peers.call)
 
 
 async def _serve(node: Node) -> None:
@@ -160,7 +176,7 @@
     async with asyncio.TaskGroup() as tasks:
         control = tasks.create_task(supervisor.run(_parts(node)))
         await _wait_for_view(node)
-        async with _served_callers(node) as port:
+        async with _served_operators(node), _served_callers(node) as port:
             print(f"ready {port}", flush=True)
             log.info("node: ready", revision=node.relay.view.revision)
             await _stopped(node)
