Let a change of the store cost the same however many entries there are

Ruled out: layers of dictionaries, which need folding now and then; persistent maps of a library do without. The last 1,000 changes are kept in order besides.

--- a/lavenderstack/border/documents_test.py
+++ b/lavenderstack/border/documents_test.py
@@ -48,8 +48,8 @@
         assert view.plan_of("o1") == Plan("p", 5, 6)
         assert view.keys["aa"] == Key("aa", "o1")
         assert view.groups["g"].targets[0].connections == 9
-        assert view.duties == {"d": Duty("n", 2)}
-        assert view.secrets == {"s": "x" * 16}
+        assert dict(view.duties) == {"d": Duty("n", 2)}
+        assert dict(view.secrets) == {"s": "x" * 16}
         assert [vm.name for vm in view.entry_vms()] == ["n"]
         assert view.revision == 8
 
@@ -100,7 +100,7 @@
     def test_a_deleted_key_does_not_come_back(self):
         gone = Change("lavenderstack/keys/aa", None, 4)
         snapshot = built(key(2), gone)
-        assert built(key(3), snapshot=snapshot).view.keys == {}
+        assert dict(built(key(3), snapshot=snapshot).view.keys) == {}
 
     def test_a_store_restarted_with_older_answers_changes_nothing(self):
         snapshot = built(key(3), key(6, True), revision=6)
@@ -127,7 +127,7 @@
         assert listed.since(8) is None
         assert listed.since(9) == ()
         late = key(5, name="bb")
-        assert built(late, snapshot=listed).view.keys.keys() == {"aa"}
+        assert set(built(late, snapshot=listed).view.keys) == {"aa"}
 
     def test_forgotten_deletions_are_said_so(self, monkeypatch):
         monkeypatch.setattr(documents, "DELETIONS_KEPT", 1)
@@ -172,3 +172,22 @@
         part = built(*delta, snapshot=part, revision=whole.revision)
         assert part.view.keys == whole.view.keys
         assert part.revision == whole.revision
+
+
+class TestRecent:
+    @pytest.mark.parametrize("kept", [1, 3, 1000])
+    @pytest.mark.parametrize("order", [1, -1])
+    def test_the_changes_since_are_the_same_however_many_are_kept(
+        self, monkeypatch, kept, order
+    ):
+        monkeypatch.setattr(documents, "RECENT_KEPT", kept)
+        changes = [key(n, name=f"k{n % 4}") for n in range(2, 12)]
+        changes.append(Change("lavenderstack/keys/k1", None, 12))
+        snapshot = built(*changes[:3])
+        for change in changes[3:][::order]:
+            snapshot = built(change, snapshot=snapshot)
+        last = {change.key: change for change in changes}
+        for revision in range(13):
+            expected = [c for c in last.values() if c.revision > revision]
+            expected.sort(key=lambda change: change.revision)
+            assert list(snapshot.since(revision)) == expected
--- a/lavenderstack/core/documents.py
+++ b/lavenderstack/core/documents.py
@@ -9,18 +9,23 @@
 or one that was made anew) are refused.
 
 A document that can't be parsed leaves the one before it in force and is reported.
+
+Entries and documents are in persistent maps, so that a change costs the same however
+many there are.
 """
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
-from types import MappingProxyType
 from typing import Any
 
+from immutables import Map, MapMutation
+
 from lavenderstack.core.entry import Change
 from lavenderstack.core.view import View
 
 PREFIXES = ("lavenderstack/", "platform/vms/")
 DELETIONS_KEPT = 1000
+RECENT_KEPT = 1000
 
 _SINGLE = {"lavenderstack/plans": "plans", "lavenderstack/bought": "bought"}
 _FOLDERS = {
@@ -69,17 +74,20 @@
 
     ``newest`` is the highest revision of any change applied. ``deletions`` are the
     last ones, so that another node can be told of them; those up to ``floor`` have
-    been forgotten.
+    been forgotten. ``recent`` are the last changes of all kinds, which saves looking
+    through the entries for them; it has all changes after ``recent_floor``.
     """
 
     lineage: str = ""
     revision: int = 0
     newest: int = 0
-    entries: Mapping[str, Change] = field(default_factory=dict)
+    entries: Map[str, Change] = field(default_factory=Map)
     deletions: tuple[Change, ...] = ()
     floor: int = 0
     view: View = View()
     rejected: tuple[Rejected, ...] = ()
+    recent: tuple[Change, ...] = ()
+    recent_floor: int = 0
 
     @property
     def count(self) -> int:
@@ -97,10 +105,19 @@
             return None
         if revision >= self.newest:
             return ()
+        if revision >= self.recent_floor:
+            return self._recent_since(revision)
         later = [e for e in self.entries.values() if e.revision > revision]
         later += [d for d in self.deletions if d.revision > revision]
         return tuple(sorted(later, key=lambda change: change.revision))
 
+    def _recent_since(self, revision: int) -> tuple[Change, ...]:
+        later = [change for change in self.recent if change.revision > revision]
+        later.sort(key=lambda change: change.revision)
+        # Of several changes of one key only the last one is in force.
+        last = {change.key: change for change in later}
+        return tuple(change for change in later if last[change.key] is change)
+
 
 EMPTY = Snapshot()
 
@@ -123,11 +140,12 @@
 
     def __init__(self, snapshot: Snapshot, parse: Parse) -> None:
         self.snapshot = snapshot
-        self.entries = dict(snapshot.entries)
+        self.entries = snapshot.entries.mutate()
         self.deletions = list(snapshot.deletions)
         self._deleted = {d.key: d.revision for d in snapshot.deletions}
         self.newest = snapshot.newest
-        self.fields: dict[str, dict] = {}
+        self.fields: dict[str, MapMutation] = {}
+        self.recent = list(snapshot.recent)
         self.rejected: dict[str, Rejected] = {r.key: r for r in snapshot.rejected}
         self._parse = parse
 
@@ -141,6 +159,7 @@
     def put(self, change: Change) -> None:
         """Bring a change in force."""
         self.newest = max(self.newest, change.revision)
+        self.recent.append(change)
         if change.value is None:
             self.entries.pop(change.key, None)
             self.deletions.append(change)
@@ -163,31 +182,35 @@
                 return
         self.rejected.pop(change.key, None)
         if not place.name:
-            self.fields[place.field] = document or {}
+            self.fields[place.field] = Map(document or {}).mutate()
         elif document is None:
             self._copy(place.field).pop(place.name, None)
         else:
             self._copy(place.field)[place.name] = document
 
-    def _copy(self, name: str) -> dict:
+    def _copy(self, name: str) -> MapMutation:
         if name not in self.fields:
-            self.fields[name] = dict(getattr(self.snapshot.view, name))
+            self.fields[name] = Map(getattr(self.snapshot.view, name)).mutate()
         return self.fields[name]
 
     def done(self, lineage: str, revision: int) -> Snapshot:
         """Return the finished snapshot."""
-        fields = {k: MappingProxyType(v) for k, v in self.fields.items()}
+        fields = {name: made.finish() for name, made in self.fields.items()}
+        dropped = self.recent[:-RECENT_KEPT]
+        recent_floor = max((change.revision for change in dropped), default=0)
         forgotten = self.deletions[:-DELETIONS_KEPT]
         floor = max((d.revision for d in forgotten), default=self.snapshot.floor)
         return Snapshot(
             lineage=lineage,
             revision=revision,
             newest=self.newest,
-            entries=MappingProxyType(self.entries),
+            entries=self.entries.finish(),
             deletions=tuple(self.deletions[-DELETIONS_KEPT:]),
             floor=floor,
             view=replace(self.snapshot.view, revision=self.newest, **fields),
             rejected=tuple(self.rejected.values()),
+            recent=tuple(self.recent[-RECENT_KEPT:]),
+            recent_floor=max(recent_floor, self.snapshot.recent_floor),
         )
 
 
