--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -26,6 +26,8 @@
     "allotment_cost",
     "replica_reads",
     "control",
+    "speed",
+    "withdrawal",
     "failover",
 )
 
