--- a/lavenderstack/node/entry.py
+++ b/lavenderstack/node/entry.py
@@ -61,18 +61,22 @@
     async def _caller(self, key: str) -> Caller:
         if not key:
             raise Refused(Reason.NO_KEY, "send Authorization: Bearer KEY")
-        if not self._relay.usable(clock.now()):
-            raise Refused(Reason.STALE_VIEW, "this zone is cut off", STALE_RETRY_S)
+        self._check_usable()
         digest = digest_of(key)
         found = self._relay.view.keys.get(digest)
         if found is None:
             # The key may have been granted a moment ago.
             await self._relay.newer(self._relay.view.revision, NEWER_TIMEOUT_S)
+            self._check_usable()
             found = self._relay.view.keys.get(digest)
         if found is None or found.withdrawn:
             raise Refused(Reason.KEY_REFUSED, "the key is not known or was withdrawn")
         return Caller(found.organisation, digest)
 
+    def _check_usable(self) -> None:
+        if not self._relay.usable(clock.now()):
+            raise Refused(Reason.STALE_VIEW, "this zone is cut off", STALE_RETRY_S)
+
     def _allowed_group(self, name: str, caller: Caller) -> Group:
         group = self._relay.view.groups.get(name)
         if group is None:
