Give what a holder knows of its target a module of its own

Cause: node/target_holder.py had grown to 442 lines with two jobs: what is known of the target's log, and what passes to it. A reason that nothing gave is gone as well. Behaviour unchanged; the tests of holder, router and callers pass as they are.

--- a/lavenderstack/border/answers.py
+++ b/lavenderstack/border/answers.py
@@ -32,7 +32,6 @@
     Reason.BEHIND: 503,
     Reason.NO_PRIMARY: 503,
     Reason.NOT_PRIMARY: 503,
-    Reason.NOT_HOLDER: 503,
     Reason.LEAVING: 503,
     Reason.UNREACHABLE: 503,
     Reason.STALE_VIEW: 503,
--- a/lavenderstack/core/outcome.py
+++ b/lavenderstack/core/outcome.py
@@ -23,7 +23,6 @@
     BEHIND = "behind"
     NO_PRIMARY = "no_primary"
     NOT_PRIMARY = "not_primary"
-    NOT_HOLDER = "not_holder"
     LEAVING = "leaving"
     UNREACHABLE = "unreachable"
     STALE_VIEW = "stale_view"
--- a/lavenderstack/node/holder.py
+++ b/lavenderstack/node/holder.py
@@ -121,12 +121,12 @@
 
     def _state_of(self, msg: Message) -> State | None:
         held = self._held.get(getattr(msg, "target", ""))
-        return held.state if held else None
+        return held.known.state if held else None
 
     async def look(self, msg: Look) -> Message:
         """Answer what a target says of itself, asked after this message came."""
         try:
-            state = await self._find(msg.group, msg.target).look()
+            state = await self._find(msg.group, msg.target).known.look()
         except (Refused, TargetLost, TargetRefused, TargetUnreachable):
             return Looked(answered=False)
         return Looked(True, state.term, state.last, state.role, state.primary)
--- a/lavenderstack/node/target_holder.py
+++ b/lavenderstack/node/target_holder.py
@@ -7,7 +7,6 @@
 by a majority that holds it, a fresh read by a majority that keeps its term.
 """
 
-import asyncio
 from collections.abc import Awaitable
 from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass
@@ -19,7 +18,6 @@
 from lavenderstack.border.target import (
     Code,
     Ran,
-    State,
     TargetConn,
     TargetLost,
     TargetRefused,
@@ -31,14 +29,11 @@
 from lavenderstack.core.position import START, Position
 from lavenderstack.core.view import Group, Target, View
 from lavenderstack.node.pool import CONTROL_CONNECTIONS, Pool, PoolExhausted
-from lavenderstack.node.probe import Probe
 from lavenderstack.node.slots import Slots
+from lavenderstack.node.target_log import NO_PRIMARY_RETRY_S, TargetLog
 from lavenderstack.node.transactions import TransactionName, Transactions
 
 CROWDED_RETRY_S = 0.2
-NO_PRIMARY_RETRY_S = 0.5
-FIRST_PAUSE_S = 0.001
-LONGEST_PAUSE_S = 0.02
 PINNED_SHARE = 0.5
 AGE_PROOF_S = 0.03
 OPEN_QUEUE = 50
@@ -96,57 +91,16 @@
     ) -> None:
         self.target = target
         self.group = group
-        self.state: State | None = None
+        self.known = TargetLog(target, group.name)
         self._node = node
         self._control = control
         self._confirms: Confirms = confirms
         limit = max(1, target.connections - CONTROL_CONNECTIONS)
         self._pool = Pool(target, group.name, limit)
         self._slots = Slots(target.slots)
-        self._probe = Probe(target, group.name)
         self.transactions = Transactions()
-        self._last = START
         self._leaving_since: float | None = None
 
-    # What is known of the target.
-
-    async def look(self) -> State:
-        """Ask the target for its state; raises the errors of ``border.target``."""
-        state = await self._probe.ask()
-        self.state = state
-        self._note(state.last)
-        return state
-
-    async def _look_or_refuse(self) -> None:
-        try:
-            await self.look()
-        except (TargetLost, TargetRefused, TargetUnreachable) as exc:
-            raise Refused(Reason.UNREACHABLE, str(exc)) from exc
-
-    def _note(self, last: Position) -> None:
-        if last > self._last:
-            self._last = last
-
-    async def _leading_term(self) -> int:
-        """Return the term that the target leads, or refuse."""
-        if self.state is None or self.state.role != "primary":
-            await self._look_or_refuse()
-        if self.state.role != "primary":
-            raise Refused(Reason.NOT_PRIMARY, retry_after_s=NO_PRIMARY_RETRY_S)
-        return self.state.term
-
-    async def _reach(self, least: Position, until: float) -> None:
-        """Wait until the target's log has reached a position, or refuse."""
-        pause_s = FIRST_PAUSE_S
-        while self._last < least:
-            await self._look_or_refuse()
-            if self._last >= least:
-                return
-            if clock.now() + pause_s > until:
-                raise Refused(Reason.BEHIND, "the replica has not caught up")
-            await asyncio.sleep(pause_s)
-            pause_s = min(pause_s * 2, LONGEST_PAUSE_S)
-
     # The gates.
 
     def _check_leaving(self, write: bool) -> None:
@@ -204,7 +158,7 @@
         return await self._read(msg, deadline)
 
     async def _write(self, msg: Execute, deadline: float) -> Executed:
-        term = await self._leading_term()
+        term = await self.known.leading_term()
         async with self._slot(msg, deadline):
             self._check_key(msg.key_digest)
             ran = await self._run(msg, term, deadline)
@@ -221,10 +175,10 @@
         started = clock.now()
         least = msg.least
         until = min(deadline, started + msg.wait_s)
-        await self._reach(least, until)
+        await self.known.reach(least, until)
         if msg.max_age_s is not None:
             await self._grow_young(msg.max_age_s, until)
-        term = await self._leading_term() if msg.fresh else 0
+        term = await self.known.leading_term() if msg.fresh else 0
         async with self._slot(msg, deadline):
             self._check_key(msg.key_digest)
             ran = await self._run(msg, term, deadline)
@@ -248,12 +202,14 @@
         while True:
             proof_until = min(until, clock.now() + AGE_PROOF_S)
             try:
-                await self._confirms.confirm_age(self._last, max_age_s, proof_until)
+                await self._confirms.confirm_age(
+                    self.known.last, max_age_s, proof_until
+                )
                 return
             except Refused:
                 if clock.now() >= until:
                     raise
-            await self._look_or_refuse()
+            await self.known.look_or_refuse()
 
     async def _run(self, msg: Execute, term: int, deadline: float) -> Ran:
         try:
@@ -284,19 +240,19 @@
             ran = await running
         except TargetLost as exc:
             self._pool.drop_idle()
-            self.state = None
+            self.known.doubt()
             raise Unknown(Reason.CONNECTION_LOST, str(exc)) from exc
         except TargetRefused as exc:
             if once and exc.code == Code.ALREADY_RUN:
                 return await self._already_run()
             raise
-        self._note(ran.last)
+        self.known.note(ran.last)
         return ran
 
     async def _already_run(self) -> Ran:
         """Answer a repeated request: it is done as soon as the log is confirmed."""
         try:
-            state = await self.look()
+            state = await self.known.look()
         except (TargetLost, TargetRefused, TargetUnreachable) as exc:
             raise Unknown(Reason.CONNECTION_LOST, str(exc)) from exc
         return Ran(_REPEATED, state.term, state.last)
@@ -309,7 +265,7 @@
             return Refused(Reason.CROWDED, "no connection", CROWDED_RETRY_S)
         if exc.code == Code.NO_TRANSACTION:
             return Refused(Reason.TRANSACTION_LOST, exc.detail)
-        self.state = None
+        self.known.doubt()
         return Refused(Reason.NOT_PRIMARY, exc.detail, NO_PRIMARY_RETRY_S)
 
     # Transactions.
@@ -321,7 +277,7 @@
         await self._control.admit(msg.organisation, deadline)
         if len(self.transactions) >= self._pool.limit * PINNED_SHARE:
             raise Refused(Reason.CROWDED, "too many open transactions", 1.0)
-        term = await self._leading_term()
+        term = await self.known.leading_term()
         async with self._slot(msg, deadline):
             self._check_key(msg.key_digest)
             conn = await self._begin_on_new(term, deadline)
@@ -409,13 +365,13 @@
 
     def figures(self) -> HeldTarget:
         """Return what operators are shown of the target."""
-        state = self.state
+        state = self.known.state
         return HeldTarget(
             name=self.target.name,
             group=self.group.name,
             role=state.role if state else "",
             term=state.term if state else 0,
-            position=tuple(self._last),
+            position=tuple(self.known.last),
             slots=self._slots.slots,
             slots_free=self._slots.free,
             queued=len(self._slots.queue),
@@ -435,7 +391,7 @@
         for name in self.transactions.names():
             self.drop(name)
         self._pool.close()
-        self._probe.close()
+        self.known.close()
 
     def close(self) -> None:
         """Close every connection."""
