Look a transaction up again once it is free; never call a sent commit lost

Cause, found by reading: a statement that waited while its transaction was committed ran on the connection afterwards, which may serve another transaction by then; and a commit that was sent again after a lost answer was refused as not run, though the first one may have taken effect. Only a target's own check of the term had kept such a late write from taking effect.

--- a/lavenderstack/node/holder_test.py
+++ b/lavenderstack/node/holder_test.py
@@ -333,6 +333,24 @@
             held = it.holders._held["a"].transactions._open.values()
             assert len({id(each.conn) for each in held}) == 4
 
+    async def test_a_statement_that_waited_for_the_commit_does_not_run(self):
+        async with bench(run_ms=30) as it:
+            begun = await it.begin()
+            ending = asyncio.ensure_future(it.end(begun.transaction))
+            await asyncio.sleep(0)
+            late = await it.run("get", "t", "k", transaction=begun.transaction)
+            assert isinstance(await ending, Executed)
+            assert isinstance(late, Failed)
+
+    async def test_a_commit_that_was_sent_before_is_not_called_lost(self):
+        async with bench() as it:
+            begun = await it.begin()
+            it.targets["a"].fault("lost_answer", 1)
+            for _ in range(2):
+                failed = await it.end(begun.transaction)
+                assert failed.run
+            assert not (await it.end(begun.transaction, organisation="x")).run
+
     async def test_another_organisation_does_not_find_the_transaction(self):
         async with bench() as it:
             begun = await it.begin()
--- a/lavenderstack/node/target_holder.py
+++ b/lavenderstack/node/target_holder.py
@@ -312,9 +312,10 @@
     async def _execute_pinned(
         self, msg: Execute, deadline: float, gate: Gate
     ) -> Executed:
-        transaction = self.transactions.find(msg.transaction, msg.organisation)
+        self.transactions.find(msg.transaction, msg.organisation)
         await self._admit(msg, deadline, gate)
-        async with transaction.lock, self._slot(msg, deadline):
+        held = self.transactions.held(msg.transaction, msg.organisation)
+        async with held as transaction, self._slot(msg, deadline):
             self._check_key(msg.key_digest)
             try:
                 ran = await self._run_on(transaction.conn, msg, 0, deadline)
@@ -329,8 +330,8 @@
     async def end(self, msg: End) -> Executed:
         """Commit a transaction or roll it back, and free its connection."""
         deadline = clock.now() + msg.left_s
-        transaction = self.transactions.find(msg.transaction, msg.organisation)
-        async with transaction.lock:
+        held = self.transactions.held(msg.transaction, msg.organisation)
+        async with held as transaction:
             if not msg.commit:
                 self.drop(msg.transaction)
                 return Executed(result=None, position=START)
@@ -344,6 +345,7 @@
         left_s = deadline - clock.now()
         if left_s <= 0:
             raise Refused(Reason.DEADLINE, "no time left", 0.0)
+        self.transactions.commit_sent(msg.transaction)
         try:
             return await self._outcome(conn.commit(left_s, msg.once), msg.once)
         except TargetUnreachable as exc:
--- a/lavenderstack/node/transactions.py
+++ b/lavenderstack/node/transactions.py
@@ -7,13 +7,16 @@
 
 import asyncio
 import secrets
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
 from lavenderstack.border.target import TargetConn
 from lavenderstack.core import clock
-from lavenderstack.core.outcome import Reason, Refused
+from lavenderstack.core.outcome import Reason, Refused, Unknown
 
 IDLE_LIMIT_S = 10.0
+COMMITS_KEPT = 10_000
 PARTS = 4
 
 
@@ -54,6 +57,7 @@
 
     def __init__(self) -> None:
         self._open: dict[str, Transaction] = {}
+        self._committing: dict[str, str] = {}
 
     def __len__(self) -> int:
         return len(self._open)
@@ -63,7 +67,13 @@
         self._open[name] = Transaction(name, organisation, conn, clock.now())
 
     def find(self, name: str, organisation: str) -> Transaction:
-        """Return an open transaction; refuse one that is gone or of another's."""
+        """Return an open transaction; refuse one that is gone or of another's.
+
+        Raises ``Unknown`` for one whose commit was sent before: to say that it was
+        not run could be taken for the transaction.
+        """
+        if self._committing.get(name) == organisation:
+            raise Unknown(Reason.TRANSACTION_LOST, "a commit was sent before")
         transaction = self._open.get(name)
         if transaction is None or transaction.organisation != organisation:
             raise Refused(Reason.TRANSACTION_LOST, "no such transaction is open")
@@ -72,6 +82,22 @@
         transaction.used_at = clock.now()
         return transaction
 
+    @asynccontextmanager
+    async def held(self, name: str, organisation: str) -> AsyncIterator[Transaction]:
+        """Have an open transaction to oneself for the length of a block.
+
+        It is looked up again once it is free: whoever had it before may have ended
+        it, and its connection may serve another transaction by now.
+        """
+        async with self.find(name, organisation).lock:
+            yield self.find(name, organisation)
+
+    def commit_sent(self, name: str) -> None:
+        """Remember that a commit is sent, so that another one is not called lost."""
+        self._committing[name] = self._open[name].organisation
+        if len(self._committing) > COMMITS_KEPT:
+            del self._committing[next(iter(self._committing))]
+
     def remove(self, name: str) -> TargetConn | None:
         """Forget a transaction and return its connection."""
         transaction = self._open.pop(name, None)
