Ask the view and the group where three places asked for themselves; drop dead code

Found by reading the whole change: whether a VM is leaving and which target has a name were each worked out in two or three places, opening a transaction had its own copy of the rule and the wait for a repeat, and two things were called by nothing (an error of the streams, listeners of the relay). Behaviour and tests unchanged.

--- a/lavenderstack/core/retry.py
+++ b/lavenderstack/core/retry.py
@@ -52,11 +52,16 @@
     return not req.write or req.idempotent
 
 
+def is_passing(failed: Failed) -> bool:
+    """Tell whether nothing ran, for a reason that may be gone a little later."""
+    return not failed.run and failed.reason in _PASSING
+
+
 def may_repeat(req: Request, failed: Failed) -> bool:
     """Tell whether the request may be tried again after this answer."""
     if failed.run:
         return is_idempotent(req)
-    return failed.reason in _PASSING
+    return is_passing(failed)
 
 
 def pause_s(attempt: int) -> float:
--- a/lavenderstack/core/view.py
+++ b/lavenderstack/core/view.py
@@ -67,6 +67,10 @@
         """The number of targets that is more than half of the group."""
         return len(self.targets) // 2 + 1
 
+    def target(self, name: str) -> Target | None:
+        """Return the target of this name, or None."""
+        return next((target for target in self.targets if target.name == name), None)
+
 
 @dataclass(frozen=True, slots=True)
 class Vm:
@@ -109,6 +113,11 @@
         """Return the plan that the organisation bought, or None."""
         return self.plans.get(self.bought.get(organisation, ""))
 
+    def is_leaving(self, name: str) -> bool:
+        """Tell whether the platform's list calls a VM leaving."""
+        vm = self.vms.get(name)
+        return vm is not None and vm.state == "leaving"
+
     def entry_vms(self) -> list[Vm]:
         """Return the live entry VMs on the platform's list."""
         vms = self.vms.values()
--- a/lavenderstack/node/holder.py
+++ b/lavenderstack/node/holder.py
@@ -87,7 +87,7 @@
 
     def _find(self, group_name: str, target_name: str) -> TargetHolder:
         group = self._control.view.groups.get(group_name)
-        target = _target(group, target_name) if group else None
+        target = group.target(target_name) if group else None
         if target is None:
             raise Refused(Reason.UNKNOWN_GROUP, f"no target {target_name}", 0.5)
         held = self._held.get(target_name)
@@ -150,7 +150,3 @@
         finally:
             for held in self._held.values():
                 held.close()
-
-
-def _target(group: Group, name: str) -> Target | None:
-    return next((t for t in group.targets if t.name == name), None)
--- a/lavenderstack/node/relay.py
+++ b/lavenderstack/node/relay.py
@@ -34,7 +34,6 @@
 log = structlog.get_logger()
 
 Addr = tuple[str, int]
-Listener = Callable[[View, View], None]
 
 
 class Relay:
@@ -64,7 +63,6 @@
         self.reader = StoreReader(self)
         self.flips = 0
         self._news = asyncio.Event()
-        self._listeners: list[Listener] = []
         self._started_at = clock()
         self._asked_at = -NEWER_MEMORY_S
         self._asking: asyncio.Future | None = None
@@ -84,10 +82,6 @@
         """Return the seconds since the view was proved current."""
         return self.freshness.age_s(now)
 
-    def subscribe(self, listener: Listener) -> None:
-        """Call ``listener(old, new)`` after each change of the view."""
-        self._listeners.append(listener)
-
     def handlers(self) -> dict:
         """Return the handlers of this part's messages, for the stream server."""
         return relay_answers.handlers(self)
@@ -162,8 +156,6 @@
         if snapshot.newest == old.newest:
             return
         self.tell()
-        for listener in self._listeners:
-            listener(old.view, snapshot.view)
 
     def prove(self, at: float) -> None:
         """Note that the view is current as of ``at``, a time of this node's clock."""
--- a/lavenderstack/node/router.py
+++ b/lavenderstack/node/router.py
@@ -22,7 +22,13 @@
 from lavenderstack.core.outcome import Reason, Refused, Unknown
 from lavenderstack.core.position import START, Position
 from lavenderstack.core.request import Answer, Caller, Request
-from lavenderstack.core.retry import RetryBudget, is_idempotent, may_repeat, pause_s
+from lavenderstack.core.retry import (
+    RetryBudget,
+    is_idempotent,
+    is_passing,
+    may_repeat,
+    pause_s,
+)
 from lavenderstack.core.routing import needs_primary, read_order
 from lavenderstack.core.token import Mark, later
 from lavenderstack.core.view import Group, Target, View, Vm
@@ -76,10 +82,6 @@
             raise Refused(Reason.UNKNOWN_GROUP, f"no database group {name!r}")
         return group
 
-    def _leaving(self, target: Target) -> bool:
-        vm = self._view().vms.get(target.name)
-        return vm is not None and vm.state == "leaving"
-
     async def run(self, req: Request) -> Answer:
         """Run one statement; raises ``Refused`` or ``Unknown``."""
         self._budget.note_request()
@@ -118,7 +120,8 @@
         self, req: Request, group: Group, attempts: _Attempts
     ) -> Target | None:
         knowledge = self._leaders.of(group.name)
-        leaving = {t.name for t in group.targets if self._leaving(t)}
+        view: View = self._view()
+        leaving = {t.name for t in group.targets if view.is_leaving(t.name)}
         avoid = attempts.avoid | leaving
         order = read_order(group, req.mark, self._zone, knowledge, avoid)
         return order[0] if order else None
@@ -129,7 +132,7 @@
             attempts.last = _no_primary()
             attempts.count += 1
             return None
-        return next((t for t in group.targets if t.name == leader.target), None)
+        return group.target(leader.target)
 
     # One attempt.
 
@@ -224,9 +227,7 @@
         if not self._budget.take():
             raise _final(attempts)
         pause = 0.0 if failed.reason == Reason.BEHIND else pause_s(attempts.count)
-        if clock.now() + pause >= req.deadline:
-            raise _final(attempts)
-        await asyncio.sleep(pause)
+        await _pause(attempts, pause, req.deadline)
 
     # Transactions.
 
@@ -241,13 +242,9 @@
                 if isinstance(reply, Begun):
                     return reply.transaction
                 self._note_failure(group, target, reply, attempts, write=False)
-            failed = attempts.last
-            if failed.run or not may_repeat_begin(failed):
-                raise _final(attempts)
-            pause = pause_s(attempts.count)
-            if clock.now() + pause >= deadline:
+            if not is_passing(attempts.last):
                 raise _final(attempts)
-            await asyncio.sleep(pause)
+            await _pause(attempts, pause_s(attempts.count), deadline)
 
     async def _begin_on(
         self, request: str, caller: Caller, group: Group, target: Target, deadline
@@ -323,10 +320,11 @@
             return Failed(run=True, reason=Reason.CONNECTION_LOST, detail="holder lost")
 
 
-def may_repeat_begin(failed: Failed) -> bool:
-    """Tell whether opening a transaction may be tried again."""
-    passing = (Reason.NOT_PRIMARY, Reason.NO_PRIMARY, Reason.UNREACHABLE)
-    return failed.reason in passing or failed.reason == Reason.LEAVING
+async def _pause(attempts: _Attempts, pause: float, deadline: float) -> None:
+    """Wait before the next attempt; raise the final outcome if there is no time."""
+    if clock.now() + pause >= deadline:
+        raise _final(attempts)
+    await asyncio.sleep(pause)
 
 
 def _no_primary() -> Failed:
--- a/lavenderstack/node/streams.py
+++ b/lavenderstack/node/streams.py
@@ -43,10 +43,6 @@
     """The stream broke or fell silent after the request had been sent."""
 
 
-class FrameTooLong(Exception):
-    """A frame is longer than the limit."""
-
-
 class _Framed(asyncio.Protocol):
     """Cuts the byte stream into frames; subclasses act on each."""
 
--- a/lavenderstack/node/target_holder.py
+++ b/lavenderstack/node/target_holder.py
@@ -108,8 +108,7 @@
 
         Single writes still pass for a short while, until another target leads.
         """
-        vm = self._control.view.vms.get(self.target.name)
-        if vm is None or vm.state != "leaving":
+        if not self._control.view.is_leaving(self.target.name):
             self._leaving_since = None
             return
         now = clock.now()
