Take a leader that has left the group for no primary

Cause, found by reading: with a leader known that is no target of the group any more, opening a transaction ended in an internal error and a statement in a refusal that named the deadline. Red before, green after.

--- a/lavenderstack/node/router.py
+++ b/lavenderstack/node/router.py
@@ -128,11 +128,11 @@
 
     async def _primary(self, group: Group, attempts: _Attempts) -> Target | None:
         leader = await self._leaders.find(group.name)
-        if leader is None:
+        target = group.target(leader.target) if leader else None
+        if target is None:
             attempts.last = _no_primary()
             attempts.count += 1
-            return None
-        return group.target(leader.target)
+        return target
 
     # One attempt.
 
--- a/lavenderstack/node/router_test.py
+++ b/lavenderstack/node/router_test.py
@@ -153,6 +153,13 @@
         assert [type(msg) for _, msg in peers.sent] == [Begin, Begin]
         assert peers.sent[1][1].target == "b"
 
+    async def test_a_leader_that_left_the_group_is_no_primary(self):
+        router, peers = bench(leader="gone")
+        with pytest.raises(Refused) as caught:
+            await router.begin("r", CALLER, "g", clock.now() + 0.1)
+        assert caught.value.reason == Reason.NO_PRIMARY
+        assert not peers.sent
+
     @pytest.mark.parametrize(
         ("answer", "outcome"),
         [(LOST, Unknown), (NEVER, Refused), (NO_ANSWER, Unknown), (BROKEN, Refused)],
