Share one attempt to connect to a node; let patience end every wait

Rounds went on to further nodes and targets after the patience of 0.6 s, and a read waited up to 0.5 s for a position at each target.

Ruled out: the wait for positions as the main cause (one line of BEHIND at most in each of the longest requests); lines lost to the budget (lines of a life are always written, those of tries left gaps of 0.3 s only).

The two loops of dispatch became one on the way.

--- a/lavenderstack/core/work_messages.py
+++ b/lavenderstack/core/work_messages.py
@@ -41,7 +41,8 @@
     session's values, ``prepared`` what an execution refers to. ``least`` is the
     position that an aged read must see, ``max_age_s`` how old it may be. ``aim_s`` is
     the time in which answers should come, 0 if there is none, ``aim_left_s`` what is
-    left of it. ``tx`` names the open transaction in which to run.
+    left of it. ``patience_s`` is how long it may wait for a position to be known before
+    another way is tried. ``tx`` names the open transaction in which to run.
     """
 
     request: str
@@ -55,6 +56,7 @@
     left_s: float
     aim_s: float = 0.0
     aim_left_s: float = 0.0
+    patience_s: float = 0.0
     priority: int = 0
     prepared: Prepared | None = None
     values: dict[str, str] = {}
--- a/lavenderstack/node/backend_fake.py
+++ b/lavenderstack/node/backend_fake.py
@@ -36,6 +36,7 @@
     silent: bool = False
     lose_answers: bool = False
     work_s: float = 0.0
+    connect_s: float = 0.0
     ran: list = field(default_factory=list)
     orders: list = field(default_factory=list)
     connects: int = 0
@@ -186,6 +187,7 @@
         """Open a connection unless the target can't be reached."""
         fake = self.group.targets[target.name]
         fake.connects += 1
+        await asyncio.sleep(fake.connect_s)
         if not fake.reachable:
             raise ConnectFailed(Reason.UNREACHABLE, "no answer")
         return FakeConnection(self.group, fake, organisation)
--- a/lavenderstack/node/dispatch.py
+++ b/lavenderstack/node/dispatch.py
@@ -34,6 +34,8 @@
 # and in seconds: less than that is rarely enough, more is rarely of use to the caller.
 PATIENCE_SHARE = 0.6
 PATIENCE_S = 0.6
+# A holder that is asked late may still wait so long for a primary's position.
+SHORTEST_WAIT_S = 0.05
 # Rounds over all targets come further and further apart: what is wrong lasts for a
 # failover's time, and many callers wait for it at once.
 SHORTEST_PAUSE_S = 0.02
@@ -83,6 +85,12 @@
     opens: Opens = Opens.NOTHING
     began_at: float = field(default_factory=clock.now)
 
+    @property
+    def patient_until(self) -> float:
+        """Until when it may be tried again, in seconds on the clock."""
+        patience_s = min(self.route.timeout_s * PATIENCE_SHARE, PATIENCE_S)
+        return self.began_at + patience_s
+
     @property
     def repeatable(self) -> bool:
         """Whether running it twice has the effect of running it once."""
@@ -107,42 +115,28 @@
         self._peers = peers
 
     async def run(self, call: Call) -> Placed:
-        """Run the first or only statement of an operation."""
-        if call.access is Access.AGED_READ:
-            return await self._read(call)
-        return await self._on_primary(call)
+        """Run the first or only statement of an operation, waiting a little for news.
 
-    async def _on_primary(self, call: Call) -> Placed:
-        """Run what only the primary may run, waiting a little for one."""
-        until = call.began_at + self._patience_s(call)
+        A round asks all that may serve it; the next one follows when something has
+        changed or a pause is over, as long as the call's patience lasts.
+        """
         pause_s = FIRST_PAUSE_S
         while True:
-            leader = self._directory.leader(call.route.group)
-            placed = Placed(Failed(run=False, reason=Reason.NO_PRIMARY))
-            if leader is not None:
-                if call.repeatable and not call.opens:
-                    placed = await self._hedged(call, [(leader, call.access)] * 2)
-                else:
-                    placed = await self._attempt(call, leader, call.access)
-            if not _passing(call, placed.answer):
-                return placed
-            left_s = until - clock.now()
-            if left_s <= 0:
+            placed = await self._round(call)
+            left_s = call.patient_until - clock.now()
+            if left_s <= 0 or not _passing(call, placed.answer):
                 return placed
             pause_s = await self._pause(pause_s, left_s)
 
-    def _patience_s(self, call: Call) -> float:
-        return min(call.route.timeout_s * PATIENCE_SHARE, PATIENCE_S)
-
-    async def _read(self, call: Call) -> Placed:
-        until = call.began_at + self._patience_s(call)
-        pause_s = FIRST_PAUSE_S
-        while True:
-            placed = await self._hedged(call, self._choices(call))
-            left_s = until - clock.now()
-            if not _passing(call, placed.answer) or left_s <= 0:
-                return placed
-            pause_s = await self._pause(pause_s, left_s)
+    async def _round(self, call: Call) -> Placed:
+        if call.access is Access.AGED_READ:
+            return await self._hedged(call, self._choices(call))
+        leader = self._directory.leader(call.route.group)
+        if leader is None:
+            return Placed(Failed(run=False, reason=Reason.NO_PRIMARY))
+        if call.repeatable and not call.opens:
+            return await self._hedged(call, [(leader, call.access)] * 2)
+        return await self._attempt(call, leader, call.access)
 
     async def _pause(self, pause_s: float, left_s: float) -> float:
         """Wait for news, but not less than a little; return the next longest wait."""
@@ -197,6 +191,8 @@
                     failure = placed
                     if not _passing(call, placed.answer) and not running:
                         return placed
+                if call.patient_until <= clock.now():
+                    left.clear()
         finally:
             for task in running:
                 # It may go on: only its answer is not needed any more.
@@ -217,6 +213,8 @@
             left_s = call.deadline - clock.now()
             if left_s <= 0:
                 return Placed(Failed(run=False, reason=Reason.DEADLINE))
+            if failure.node and call.patient_until <= clock.now():
+                break
             answer = await self._ask(vm, self._work(call, target.name, access, left_s))
             failure = Placed(answer, vm.name, target.name)
             if not isinstance(answer, Failed):
@@ -257,6 +255,7 @@
             left_s=left_s,
             aim_s=call.route.aim_s,
             aim_left_s=call.route.aim_s - (clock.now() - call.began_at),
+            patience_s=max(SHORTEST_WAIT_S, call.patient_until - clock.now()),
             priority=call.route.priority,
             prepared=call.prepared,
             values=call.values,
--- a/lavenderstack/node/dispatch_test.py
+++ b/lavenderstack/node/dispatch_test.py
@@ -1,6 +1,7 @@
 """Tests of what is tried again, where, and what is not."""
 
 import asyncio
+from dataclasses import dataclass
 
 import pytest
 
@@ -33,6 +34,14 @@
     return Failed(run=True, reason=reason)
 
 
+@dataclass(frozen=True)
+class Slow:
+    """An answer that comes after so many seconds."""
+
+    after_s: float
+    answer: Failed
+
+
 class Bench:
     """An entry in ``z1``; leader ``t1`` in z1, replicas ``t2``, ``t3`` in z2, z3.
 
@@ -63,6 +72,9 @@
             answer = self.answers.get(work.target, DONE)
         if isinstance(answer, list):
             answer = answer.pop(0) if len(answer) > 1 else answer[0]
+        if isinstance(answer, Slow):
+            await asyncio.sleep(answer.after_s)
+            return answer.answer
         if isinstance(answer, float):
             await asyncio.sleep(answer)
             return DONE
@@ -152,6 +164,29 @@
         assert clock.now() - began < 0.5
 
 
+class TestPatience:
+    async def test_no_further_node_is_tried_once_it_is_over(self):
+        """Found on inc-60c6: a statement tried on to the end of its time."""
+        bench = Bench(t1=Slow(0.2, refused(Reason.UNREACHABLE)))
+        answer = await bench.run(WRITE, Access.WRITE)
+        assert answer.reason is Reason.UNREACHABLE
+        assert len(bench.asked) == 2
+
+    async def test_no_further_target_is_tried_either(self):
+        slow = Slow(0.2, refused(Reason.UNREACHABLE))
+        bench = Bench(t1=slow, t2=slow, t3=slow)
+        await bench.run(READ, Access.AGED_READ)
+        assert len(bench.asked) <= 6
+
+    async def test_a_holder_learns_how_long_it_may_wait_for_a_position(self):
+        bench = Bench(
+            t1=Slow(0.2, refused(Reason.UNREACHABLE)), t2=refused(Reason.BEHIND)
+        )
+        await bench.run(READ, Access.AGED_READ)
+        waits = [work.patience_s for work in bench.asked]
+        assert all(0.0 < wait_s <= 0.36 for wait_s in waits)
+
+
 class TestPauses:
     async def test_rounds_come_further_apart_however_much_changes(self):
         """Found on brandt scale-2: 900 lines of retries a second at one node."""
--- a/lavenderstack/node/executor.py
+++ b/lavenderstack/node/executor.py
@@ -56,7 +56,7 @@
 URGENT = 1
 URGENT_WEIGHT = 4.0
 
-LeastFor = Callable[[str, float, float], Awaitable[Position]]
+LeastFor = Callable[[str, float, float, float], Awaitable[Position]]
 
 # Errors of a target by which it promises that the statement did not run.
 _NOT_RUN = frozenset(
@@ -198,13 +198,17 @@
         """Return the position that the target's log must hold for this work."""
         if work.access is not Access.AGED_READ:
             return START
-        aged = await self._least_for(work.group, work.max_age_s, clock.now())
+        aged = await self._least_for(
+            work.group, work.max_age_s, clock.now(), work.patience_s
+        )
         return max(aged, work.least)
 
     async def _run_in_slot(
         self, work: Work, least: Position, deadline: float
     ) -> Message:
         for fresh in (False, True):
+            if self.reach.lost:
+                return _failed(False, Reason.UNREACHABLE, self.reach.lost)
             try:
                 held = await self.connections.lend(
                     work.organisation, work.values, fresh
--- a/lavenderstack/node/executor_test.py
+++ b/lavenderstack/node/executor_test.py
@@ -39,7 +39,7 @@
             self.directory.put_target(target, "g", False, name == "t1", revision)
         self.least = least
 
-        async def least_for(group, max_age_s, now):
+        async def least_for(group, max_age_s, now, within_s):
             return self.least
 
         self.executors = Executors(
@@ -149,6 +149,17 @@
         await bench.run(WRITE)
         assert bench.targets["t1"].connects == tried
 
+    async def test_those_in_the_queue_of_a_lost_target_make_no_tries_of_their_own(self):
+        """Found on inc-60c6: one after the other waited for a connection."""
+        bench = Bench(slots=1)
+        bench.targets["t1"].reachable = False
+        bench.targets["t1"].connect_s = 0.01
+        works = [bench.run(WRITE, request=f"r{n}") for n in range(6)]
+        answers = await asyncio.gather(*works)
+        assert {answer.reason for answer in answers} == {Reason.UNREACHABLE}
+        assert not any(answer.run for answer in answers)
+        assert bench.targets["t1"].connects == 1
+
     async def test_a_write_is_not_trusted_to_a_connection_that_fell_silent(self):
         bench = Bench()
         await bench.run(WRITE)
@@ -195,7 +206,7 @@
     async def test_waiting_for_a_mark_keeps_no_slot(self):
         bench = Bench(slots=1)
 
-        async def never(group, max_age_s, now):
+        async def never(group, max_age_s, now, within_s):
             await asyncio.sleep(5.0)
 
         bench.executors.of("t2")._least_for = never
--- a/lavenderstack/node/primary_marks.py
+++ b/lavenderstack/node/primary_marks.py
@@ -53,10 +53,12 @@
         self._own_marks = own_marks
         self._groups: dict[str, _Group] = defaultdict(_Group)
 
-    async def least_for(self, group: str, max_age_s: float, now: float) -> Position:
+    async def least_for(
+        self, group: str, max_age_s: float, now: float, within_s: float
+    ) -> Position:
         """Return a position that a read of at most this age must see.
 
-        Raises ``Refused`` with ``BEHIND`` while no primary can be asked.
+        Raises ``Refused`` with ``BEHIND`` if none is known after ``within_s`` seconds.
         """
         kept = self._groups[group]
         kept.wanted_at = now
@@ -67,7 +69,7 @@
         if mark is None:
             kept.news.clear()
             try:
-                async with asyncio.timeout(ASK_TIMEOUT_S):
+                async with asyncio.timeout(within_s):
                     await kept.news.wait()
             except TimeoutError:
                 raise Refused(Reason.BEHIND, "no primary to ask") from None
--- /dev/null
+++ b/lavenderstack/node/primary_marks_test.py
@@ -0,0 +1,74 @@
+"""Tests of the positions that aged reads must see."""
+
+import asyncio
+
+import pytest
+
+from lavenderstack.core import clock
+from lavenderstack.core.marks import Marks
+from lavenderstack.core.members import Members
+from lavenderstack.core.outcome import Reason, Refused
+from lavenderstack.core.position import Position
+from lavenderstack.core.proof import Proof
+from lavenderstack.core.view import Target, Vm
+from lavenderstack.core.work_messages import Mark
+from lavenderstack.node.directory import Directory
+from lavenderstack.node.peers import Peers
+from lavenderstack.node.primary_marks import PrimaryMarks
+from lavenderstack.node.streams import StreamPool
+
+LATE_S = 3600.0
+
+
+class Bench:
+    """A node whose primary is held elsewhere and answers after ``answer_s``."""
+
+    def __init__(self, answer_s=0.0, age_s=0.0):
+        directory = Directory("n1", "z1", Proof(limit_s=5.0))
+        directory.put_member(Vm("n2", "z2", "10.0.0.1", 2))
+        target = Target("t1", "z2", "10.0.0.1", 1, 2, 30)
+        directory.put_target(target, "g", False, True, 1)
+        self.answer_s, self.age_s = answer_s, age_s
+        self.asked = 0
+        self.own = Marks()
+        peers = Peers("n1", lambda: directory.view, StreamPool(), Members("n1"))
+        peers.ask = self.ask
+        self.marks = PrimaryMarks(directory, peers, lambda _: self.own)
+
+    async def ask(self, vm, msg, timeout_s):
+        self.asked += 1
+        async with asyncio.timeout(timeout_s):
+            await asyncio.sleep(self.answer_s)
+        return Mark(Position(1, 7), self.age_s)
+
+    async def least(self, max_age_s=2.0, within_s=0.5):
+        return await self.marks.least_for("g", max_age_s, clock.now(), within_s)
+
+
+class TestLeast:
+    async def test_the_first_read_waits_for_the_first_answer(self):
+        assert await Bench().least() == Position(1, 7)
+
+    async def test_reads_share_the_questions(self):
+        bench = Bench()
+        await asyncio.gather(*(bench.least() for _ in range(20)))
+        assert bench.asked == 1
+
+    async def test_marks_made_at_this_node_need_no_question_first(self):
+        bench = Bench(answer_s=LATE_S)
+        bench.own.add(Position(1, 3), clock.now())
+        assert await bench.least() == Position(1, 3)
+
+    async def test_a_mark_older_than_the_read_allows_is_refused(self):
+        bench = Bench(age_s=9.0)
+        with pytest.raises(Refused) as refusal:
+            await bench.least()
+        assert refusal.value.reason is Reason.BEHIND
+
+    async def test_without_an_answer_it_waits_no_longer_than_it_may(self):
+        """Found on inc-60c6: rounds waited half a second for each target."""
+        bench = Bench(answer_s=LATE_S)
+        reads = asyncio.ensure_future(bench.least(within_s=0.01))
+        done, _ = await asyncio.wait([reads], timeout=0.25)
+        assert done
+        assert reads.exception().reason is Reason.BEHIND
--- a/lavenderstack/node/streams.py
+++ b/lavenderstack/node/streams.py
@@ -13,6 +13,7 @@
 from collections.abc import Awaitable, Callable, Mapping
 from contextlib import suppress
 from dataclasses import dataclass
+from functools import partial
 from typing import Any
 
 import msgspec
@@ -269,7 +270,7 @@
     def __init__(self, limits: StreamLimits = DEFAULT_LIMITS) -> None:
         self._limits = limits
         self._streams: dict[tuple[str, int], _Stream] = {}
-        self._locks: dict[tuple[str, int], asyncio.Lock] = {}
+        self._opening: dict[tuple[str, int], asyncio.Task[_Stream]] = {}
 
     def close(self) -> None:
         """Abandon every stream."""
@@ -288,20 +289,35 @@
                     del self._streams[addr]
 
     async def _stream(self, addr: tuple[str, int], timeout_s: float) -> _Stream:
+        """Return an open stream; all that need a new one wait for the same attempt."""
         stream = self._streams.get(addr)
         if stream is not None and stream.open:
             return stream
-        lock = self._locks.setdefault(addr, asyncio.Lock())
-        async with lock:
-            stream = self._streams.get(addr)
-            if stream is not None and stream.open:
-                return stream
-            loop = asyncio.get_running_loop()
-            opening = loop.create_connection(_Stream, *addr)
-            limit_s = min(timeout_s, self._limits.connect_s)
-            _, stream = await asyncio.wait_for(opening, limit_s)
-            self._streams[addr] = stream
-            return stream
+        opening = self._opening.get(addr)
+        if opening is None:
+            opening = asyncio.ensure_future(self._open(addr))
+            self._opening[addr] = opening
+            opening.add_done_callback(partial(self._opened, addr))
+        async with asyncio.timeout(timeout_s):
+            return await asyncio.shield(opening)
+
+    async def _open(self, addr: tuple[str, int]) -> _Stream:
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(self._limits.connect_s):
+                _, stream = await loop.create_connection(_Stream, *addr)
+        except TimeoutError as exc:
+            raise NotSent("no connection in time") from exc
+        except OSError as exc:
+            raise NotSent(str(exc)) from exc
+        self._streams[addr] = stream
+        return stream
+
+    def _opened(self, addr: tuple[str, int], opening: asyncio.Task) -> None:
+        del self._opening[addr]
+        if not opening.cancelled():
+            # Whoever waited has the exception; nobody may be left who does.
+            opening.exception()
 
     async def call(
         self, addr: tuple[str, int], body: Message, timeout_s: float
@@ -314,8 +330,8 @@
         """
         try:
             stream = await self._stream(addr, timeout_s)
-        except (OSError, TimeoutError) as exc:
-            raise NotSent(str(exc)) from exc
+        except TimeoutError as exc:
+            raise NotSent("no connection in the time of the request") from exc
         if not stream.open:
             raise NotSent("stream closed")
         number, fut = stream.ask(body)
--- a/lavenderstack/node/streams_test.py
+++ b/lavenderstack/node/streams_test.py
@@ -7,7 +7,13 @@
 
 from lavenderstack.core.messages import Begin, Begun, Ping, Pong
 from lavenderstack.node import streams
-from lavenderstack.node.streams import NotSent, StreamLost, StreamPool, StreamServer
+from lavenderstack.node.streams import (
+    NotSent,
+    StreamLimits,
+    StreamLost,
+    StreamPool,
+    StreamServer,
+)
 
 BEGIN = Begin(
     request="r", organisation="o", key_digest="", group="g", target="t", left_s=1.0
@@ -70,6 +76,58 @@
             await asyncio.wait_for(ended.wait(), 2)
 
 
+class TestConnecting:
+    async def test_requests_that_wait_for_one_connection_share_its_failure(
+        self, monkeypatch
+    ):
+        """Found on inc-60c6: each tried for itself, one after the other, for 3 s."""
+        tries = []
+
+        async def unanswered(*_):
+            tries.append(1)
+            await asyncio.sleep(3600)
+
+        loop = asyncio.get_running_loop()
+        monkeypatch.setattr(loop, "create_connection", unanswered)
+        pool = StreamPool(StreamLimits(connect_s=0.05))
+        addr = ("127.0.0.1", 1)
+        calls = [pool.call(addr, BEGIN, 1.0) for _ in range(20)]
+        answers = await asyncio.gather(*calls, return_exceptions=True)
+        assert all(isinstance(answer, NotSent) for answer in answers)
+        assert len(tries) == 1
+
+    async def test_one_that_gives_up_leaves_the_connection_to_the_others(self):
+        async def handler(message):
+            return Begun(message.request)
+
+        async with served(handler) as (pool, addr, _):
+            first = asyncio.ensure_future(pool.call(addr, BEGIN, 1.0))
+            second = asyncio.ensure_future(pool.call(addr, BEGIN, 1.0))
+            await asyncio.sleep(0)
+            first.cancel()
+            assert await second == Begun(BEGIN.request)
+
+    async def test_after_a_failure_the_next_request_tries_anew(self):
+        pool = StreamPool(StreamLimits(connect_s=0.05))
+        server = StreamServer({Begin: None})
+        port = await server.start("127.0.0.1", 0)
+        await server.stop(0.0)
+        addr = ("127.0.0.1", port)
+        with pytest.raises(NotSent):
+            await pool.call(addr, BEGIN, 1.0)
+
+        async def handler(message):
+            return Begun(message.request)
+
+        server = StreamServer({Begin: handler})
+        await server.start(*addr)
+        try:
+            assert await pool.call(addr, BEGIN, 1.0) == Begun(BEGIN.request)
+        finally:
+            pool.close()
+            await server.stop(0.1)
+
+
 class TestSilence:
     async def test_a_silent_stream_is_given_up_and_the_next_call_opens_a_new_one(
         self, monkeypatch
