End the import circle around the relay

Cause: the parts of the relay took the Relay that is made of them. A test says that no module needs one that needs it; it fails on the code before with CycleError.

Ruled out: leaving it to imports for types only, as before: a reader still had to know five modules to understand one.

--- a/lavenderstack/node/duties.py
+++ b/lavenderstack/node/duties.py
@@ -3,26 +3,29 @@
 import asyncio
 import json
 from dataclasses import asdict
-from typing import TYPE_CHECKING
 
 import structlog
 
 from lavenderstack.border.documents import parse
 from lavenderstack.border.store import StoreError, StoreUnknown, SwapDone
 from lavenderstack.core.documents import BadDocument, Place
+from lavenderstack.core.duty import Claims
 from lavenderstack.core.entry import Change
+from lavenderstack.core.relay_messages import Hand, Handed
 from lavenderstack.core.view import Duty
-
-if TYPE_CHECKING:
-    from lavenderstack.node.relay import Relay
+from lavenderstack.node.relay_state import Addr, RelayState
+from lavenderstack.node.streams import NotSent, StreamLost
 
 ANNOUNCE_TRIES = 3
 ANNOUNCE_RETRY_S = 0.5
+HAND_TIMEOUT_S = 1.0
 
 log = structlog.get_logger()
 
 
-async def claim(relay: "Relay", duty: str, stopped: int = 0) -> int | None:
+async def claim(
+    relay: RelayState, claims: Claims, duty: str, stopped: int = 0
+) -> int | None:
     """Write this node as the holder; return the epoch, or None if that failed.
 
     The claim counts only after the readers of the zone know it, since the wait for
@@ -32,14 +35,14 @@
     try:
         entry = await relay.store.get(key)
         held = _duty(duty, entry)
-        wanted = relay.claims.wanted(held)
+        wanted = claims.wanted(held)
         change = await _write(relay, key, wanted, entry)
     except (StoreError, BadDocument) as exc:
         log.info("duty: claim failed", duty=duty, error=repr(exc))
         return None
     if change is None or not await _announced(relay, change):
         return None
-    relay.claims.accepted(duty, wanted, held, relay.clock(), stopped)
+    claims.accepted(duty, wanted, held, relay.clock(), stopped)
     log.info("duty: claimed", duty=duty, epoch=wanted.epoch)
     return wanted.epoch
 
@@ -49,7 +52,7 @@
 
 
 async def _write(
-    relay: "Relay", key: str, wanted: Duty, entry: Change | None
+    relay: RelayState, key: str, wanted: Duty, entry: Change | None
 ) -> Change | None:
     value = json.dumps(asdict(wanted)).encode()
     expected = entry.revision if entry else 0
@@ -63,9 +66,38 @@
     return None
 
 
-async def _announced(relay: "Relay", change: Change) -> bool:
+async def _announced(relay: RelayState, change: Change) -> bool:
     for _ in range(ANNOUNCE_TRIES):
-        if await relay.announce(change):
+        if await announce(relay, change):
             return True
         await asyncio.sleep(ANNOUNCE_RETRY_S)
     return False
+
+
+async def announce(relay: RelayState, change: Change) -> bool:
+    """Bring a change in force that the store has just accepted from this node.
+
+    Returns whether every reader of this zone has it too. Until then the change
+    must not be called accepted: other zones may hold an outage for proved.
+    """
+    lineage = relay.snapshot.lineage
+    if not lineage:
+        return False
+    relay.take([change], 0, lineage)
+    if not relay.snapshot.holds(change):
+        return False
+    readers = relay.tree.readers
+    if not readers and relay.tree.links:
+        return False
+    hand = Hand(lineage=lineage, change=change)
+    addrs = [(vm.host, vm.port) for vm in readers if vm.name != relay.name]
+    asks = [_hand(relay, addr, hand) for addr in addrs]
+    return all(await asyncio.gather(*asks))
+
+
+async def _hand(relay: RelayState, addr: Addr, hand: Hand) -> bool:
+    try:
+        answer = await relay.pool.call(addr, hand, HAND_TIMEOUT_S)
+    except (NotSent, StreamLost, TimeoutError):
+        return False
+    return isinstance(answer, Handed) and answer.known and answer.reader
--- a/lavenderstack/node/relay_answers.py
+++ b/lavenderstack/node/relay_answers.py
@@ -1,6 +1,6 @@
 """The answering end of the relay: other nodes ask, this node reports."""
 
-from typing import TYPE_CHECKING
+from collections.abc import Awaitable, Callable
 
 from lavenderstack.core.documents import OtherLineage
 from lavenderstack.core.entry import Change
@@ -15,9 +15,7 @@
     Report,
     WhichRevision,
 )
-
-if TYPE_CHECKING:
-    from lavenderstack.node.relay import Relay
+from lavenderstack.node.relay_state import RelayState
 
 HOLD_S = 1.0
 NEWS_STEP_S = 0.25
@@ -25,8 +23,8 @@
 LONGEST_REPORT_B = 1024 * 1024
 
 
-def handlers(relay: "Relay") -> dict:
-    """Return the handler of each message type."""
+def handlers(relay: RelayState, look: Callable[[], Awaitable[None]]) -> dict:
+    """Return the handler of each message type; ``look`` looks in the store now."""
 
     async def beat(message: Beat) -> Report:
         return await _beat(relay, message)
@@ -34,7 +32,7 @@
     async def ask(message: Ask) -> Report:
         received = relay.clock()
         if relay.is_reader:
-            await relay.reader.look()
+            await look()
         return report(relay, message.revision, received)
 
     async def fetch(message: Fetch) -> Page:
@@ -53,7 +51,7 @@
     return {Beat: beat, Ask: ask, Fetch: fetch, Hand: hand, WhichRevision: which}
 
 
-async def _beat(relay: "Relay", message: Beat) -> Report:
+async def _beat(relay: RelayState, message: Beat) -> Report:
     """Keep the question until there are news for the asker, or for ``HOLD_S``."""
     received = relay.clock()
     flips = relay.flips
@@ -67,7 +65,7 @@
         await relay.news(left_s)
 
 
-def report(relay: "Relay", revision: int, received: float) -> Report:
+def report(relay: RelayState, revision: int, received: float) -> Report:
     """Return what a node lacks that is complete up to ``revision``."""
     snapshot = relay.snapshot
     now = relay.clock()
@@ -89,7 +87,7 @@
     return sum(len(c.key) + len(c.value or b"") for c in changes)
 
 
-def page(relay: "Relay", after: str) -> Page:
+def page(relay: RelayState, after: str) -> Page:
     """Return the entries that follow a key, as many as fit into a page."""
     snapshot = relay.snapshot
     keys = sorted(key for key in snapshot.entries if key > after)
@@ -109,7 +107,7 @@
     )
 
 
-def _hand(relay: "Relay", message: Hand) -> Handed:
+def _hand(relay: RelayState, message: Hand) -> Handed:
     try:
         relay.take([message.change], 0, message.lineage)
     except OtherLineage:
--- a/lavenderstack/node/relay_links.py
+++ b/lavenderstack/node/relay_links.py
@@ -10,7 +10,6 @@
 import random
 from collections.abc import Awaitable, Callable
 from functools import partial
-from typing import TYPE_CHECKING
 
 import structlog
 
@@ -19,11 +18,9 @@
 from lavenderstack.core.freshness import Statement, bound
 from lavenderstack.core.relay_messages import Ask, Beat, Fetch, Page, Report
 from lavenderstack.core.relay_tree import Link
+from lavenderstack.node.relay_state import Addr, RelayState
 from lavenderstack.node.streams import NotSent, StreamLost
 
-if TYPE_CHECKING:
-    from lavenderstack.node.relay import Addr, Relay
-
 BEAT_TIMEOUT_S = 1.5
 ASK_TIMEOUT_S = 1.5
 FETCH_TIMEOUT_S = 5.0
@@ -37,7 +34,7 @@
 log = structlog.get_logger()
 
 
-def wanted(relay: "Relay") -> dict[str, Callable[[], Awaitable[None]]]:
+def wanted(relay: RelayState) -> dict[str, Callable[[], Awaitable[None]]]:
     """Return the tasks that the relay's links need, by label."""
     if not relay.snapshot.revision:
         return {SEEDS: partial(_follow_seeds, relay)} if relay.seeds else {}
@@ -46,18 +43,18 @@
     }
 
 
-def _link(relay: "Relay", label: str) -> Link | None:
+def _link(relay: RelayState, label: str) -> Link | None:
     return next((link for link in relay.tree.links if link.label == label), None)
 
 
-async def _follow_seeds(relay: "Relay") -> None:
+async def _follow_seeds(relay: RelayState) -> None:
     while True:
         for addr in relay.seeds:
             await _beat(relay, addr, "")
         await asyncio.sleep(RETRY_S * random.uniform(0.5, 1.5))
 
 
-async def _follow(relay: "Relay", label: str) -> None:
+async def _follow(relay: RelayState, label: str) -> None:
     turn, turned_at = 0, relay.clock()
     vms, link = None, None
     while True:
@@ -77,7 +74,7 @@
         await asyncio.sleep(max(0.0, sent + LEAST_BETWEEN_BEATS_S - relay.clock()))
 
 
-async def _beat(relay: "Relay", addr: "Addr", zone: str) -> bool:
+async def _beat(relay: RelayState, addr: Addr, zone: str) -> bool:
     """Exchange one beat; tell whether the other end was of use."""
     sent = relay.clock()
     beat = Beat(
@@ -94,7 +91,7 @@
         return False
 
 
-async def ask(relay: "Relay") -> None:
+async def ask(relay: RelayState) -> None:
     """Have a reader of the zone look in the store, and take over what it has."""
     for vm in relay.tree.readers:
         sent = relay.clock()
@@ -110,7 +107,7 @@
 
 
 async def learn(
-    relay: "Relay", addr: "Addr", report: Report, sent: float, zone: str
+    relay: RelayState, addr: Addr, report: Report, sent: float, zone: str
 ) -> bool:
     """Take over a report; what it proves counts only once its changes are in force."""
     if not report.lineage:
@@ -134,7 +131,7 @@
     return True
 
 
-async def _fetch(relay: "Relay", addr: "Addr") -> None:
+async def _fetch(relay: RelayState, addr: Addr) -> None:
     """Fetch all entries, page by page; complete up to the oldest page's revision."""
     entries: list[Change] = []
     revisions: list[int] = []
--- a/lavenderstack/node/relay_store.py
+++ b/lavenderstack/node/relay_store.py
@@ -10,16 +10,13 @@
 from collections.abc import Awaitable, Callable
 from contextlib import aclosing
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
 import structlog
 
 from lavenderstack.border.store import Compacted, Probe, StoreError
 from lavenderstack.core.documents import PREFIXES, OtherLineage
 from lavenderstack.core.freshness import complete
-
-if TYPE_CHECKING:
-    from lavenderstack.node.relay import Relay
+from lavenderstack.node.relay_state import RelayState
 
 PROBE_EVERY_S = 1.0
 WATCH_RETRY_S = 0.3
@@ -44,8 +41,9 @@
 class StoreReader:
     """Follows the store for a relay while that is a reader."""
 
-    def __init__(self, relay: "Relay") -> None:
+    def __init__(self, relay: RelayState) -> None:
         self._relay = relay
+        relay.when_adopted = self.settle
         self._pending: list[_Asked] = []
         self._lock = asyncio.Lock()
         self._probed_at = -1.0
--- a/lavenderstack/node/revisions.py
+++ b/lavenderstack/node/revisions.py
@@ -6,28 +6,25 @@
 
 import asyncio
 import random
-from typing import TYPE_CHECKING
 
 from lavenderstack.core.relay_messages import InForce, WhichRevision
 from lavenderstack.core.relay_tree import ranked
 from lavenderstack.core.view import Vm
+from lavenderstack.node.relay_state import RelayState
 from lavenderstack.node.streams import NotSent, StreamLost
 
-if TYPE_CHECKING:
-    from lavenderstack.node.relay import Relay
-
 MOST_ASKED = 32
 TIMEOUT_S = 1.0
 
 
-async def where_in_force(relay: "Relay", revision: int) -> dict[str, dict[str, int]]:
+async def where_in_force(relay: RelayState, revision: int) -> dict[str, dict[str, int]]:
     """Return counts by zone: listed, asked, in_force, behind, unusable, silent."""
     zones = relay.tree.zones
     counts = await asyncio.gather(*(_zone(relay, z, revision) for z in zones))
     return dict(zip(zones, counts, strict=True))
 
 
-async def _zone(relay: "Relay", zone: str, revision: int) -> dict[str, int]:
+async def _zone(relay: RelayState, zone: str, revision: int) -> dict[str, int]:
     vms = ranked(relay.view, zone)
     asked = random.sample(vms, min(MOST_ASKED, len(vms)))
     answers = await asyncio.gather(*(_ask(relay, vm) for vm in asked))
@@ -43,7 +40,7 @@
     }
 
 
-async def _ask(relay: "Relay", vm: Vm) -> InForce | None:
+async def _ask(relay: RelayState, vm: Vm) -> InForce | None:
     if vm.name == relay.name:
         now = relay.clock()
         usable = relay.usable(now)
--- a/tests/layers_test.py
+++ b/tests/layers_test.py
@@ -1,6 +1,7 @@
 """Imports only go towards core, and the product knows nothing of what is outside."""
 
 import ast
+from graphlib import TopologicalSorter
 from pathlib import Path
 
 import pytest
@@ -113,3 +114,24 @@
             if any(name == n or name.startswith(f"{n}.") for n in names)
         ]
         assert found == []
+
+
+def module_name(path):
+    name = ".".join(path.relative_to(ROOT).with_suffix("").parts)
+    return name.removesuffix(".__init__")
+
+
+def module_imports(path, known):
+    """Return the modules of the product that a module imports, for types too."""
+    found = set()
+    for name in imports(path):
+        found |= {name, name.rpartition(".")[0]} & known
+    return found - {module_name(path)}
+
+
+class TestCircles:
+    def test_no_module_needs_one_that_needs_it(self):
+        paths = modules(PACKAGE)
+        known = {module_name(path) for path in paths} - {PACKAGE}
+        needs = {module_name(path): module_imports(path, known) for path in paths}
+        TopologicalSorter(needs).prepare()
