Leave a dead allotter at once, a planned one without a gap, a serving one not

An entry that tried a dead one counted that as a change and tried no other for 2.5 s. When the first came back, entries that a successor served stopped asking it and used their own part until they might change; then all moved to a node whose buckets were empty. And a bucket that nobody asked about went on filling at its last rate (found by the new property test: 419 of 416 allowed; one that filled while nobody was attached was in the old code too).

Now: a question that certainly never left attaches to nobody, and the next node is asked at once. An allotter that serves is asked until it may be left, and is told when it is, so there is no gap. The owner of the record stays the allotter; a node takes the record over once half of all nodes are attached to it. Buckets fill by the time for which entries were attached (core/attachment.py), whenever they are looked at, so no pass over all plans for each question is needed.

Tests replaced: four that let a bucket fill while nobody asked now let a node ask all the while, with the same bounds.

--- a/lavenderstack/core/allotment.py
+++ b/lavenderstack/core/allotment.py
@@ -11,25 +11,15 @@
 allotter does not hand it out until it has withdrawn the record, and its successor,
 which withdraws it first, may. Whoever changes the record does so under the condition
 that nobody else has, so the reserve is handed out once.
-
-An attachment ends ``ATTACHED_S`` after the entry's last question. The entry counts from
-when it sent the question and attaches to another allotter only after that, so it is
-never counted twice for longer than a message takes.
 """
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from lavenderstack.core.attachment import Attached
 from lavenderstack.core.bucket import Bucket
 from lavenderstack.core.view import Plan
 
-ATTACHED_S = 0.4
-# An allotter that may still serve others is left again only after this long, so that
-# few attachments are counted twice within a window of some seconds.
-CHANGE_S = 2.5
-# The part of a rate handed out while some nodes are attached elsewhere; the rest
-# covers attachments counted twice.
-HANDED_OUT = 0.96
 # Tokens for operations that have not come are handed out only from a bucket as full as
 # this: they may end unused, which an organisation at its limit would miss.
 AHEAD_LEVEL = 0.5
@@ -62,48 +52,47 @@
     return min(plan.burst, FIRST_TOKENS + plan.rate * FIRST_RATE_S)
 
 
-def _sized(bucket: Bucket, now: float, plan: Plan, part: float) -> Bucket:
-    # The capacity does not follow the part: who is attached varies from one moment to
-    # the next, and what was saved would be lost each time. The rate does.
-    capacity = max(1.0, first_tokens(plan), plan.burst)
-    rate = plan.rate if part >= 1.0 else plan.rate * part * HANDED_OUT
-    bucket.resize(now, rate, capacity)
-    return bucket
-
-
 @dataclass(slots=True)
 class Allotment:
-    """The books of an allotter: who is attached, and each organisation's bucket."""
+    """The books of an allotter: who is attached, and each organisation's bucket.
+
+    The buckets fill by the time that ``attached`` counts, so they hold exactly what the
+    entries that were attached here brought along, whenever they are looked at.
+    """
 
-    attached: dict[str, float] = field(default_factory=dict)
+    attached: Attached = field(default_factory=Attached)
     buckets: dict[str, Bucket] = field(default_factory=dict)
     reserved: dict[str, float] = field(default_factory=dict)
     withdrawn_at: dict[str, float] = field(default_factory=dict)
+    _prepared: Mapping[str, Plan] | None = None
 
-    def attach(self, node: str, now: float) -> None:
-        """Note a question of a node."""
-        self.attached[node] = now
+    def attach(self, node: str, nodes: int, now: float) -> None:
+        """Note a question of a node; ``nodes`` is how many there are in all."""
+        self.attached.note(node, nodes, now)
 
-    def part(self, nodes: int, now: float) -> float:
-        """Return the part of every rate that may be handed out here."""
-        for name, at in list(self.attached.items()):
-            if now - at > ATTACHED_S:
-                del self.attached[name]
-        return min(1.0, len(self.attached) / max(1, nodes))
+    def detach(self, node: str, nodes: int, now: float) -> None:
+        """Note that a node asks here no longer."""
+        self.attached.drop(node, nodes, now)
 
-    def prepare(self, plans: Mapping[str, Plan], nodes: int, now: float) -> None:
-        """Let the buckets of all organisations fill before they are asked for."""
-        part = self.part(nodes, now)
+    def prepare(self, plans: Mapping[str, Plan]) -> None:
+        """Let the buckets of new plans fill before they are asked for."""
+        if plans is self._prepared:
+            return
+        self._prepared = plans
         for name, plan in plans.items():
-            self._bucket(name, plan, part, now)
+            self._bucket(name, plan)
 
-    def _bucket(self, organisation: str, plan: Plan, part: float, now: float) -> Bucket:
+    def _bucket(self, organisation: str, plan: Plan) -> Bucket:
+        filled_s = self.attached.filled_s
         bucket = self.buckets.get(organisation)
         if bucket is None:
-            bucket = self.buckets[organisation] = Bucket(at=now)
-            _sized(bucket, now, plan, part)
+            bucket = self.buckets[organisation] = Bucket(at=filled_s)
             bucket.level = first_tokens(plan)
-        return _sized(bucket, now, plan, part)
+        # The capacity does not follow the part: who is attached varies from one moment
+        # to the next, and what was saved would be lost each time.
+        capacity = max(1.0, first_tokens(plan), plan.burst)
+        bucket.resize(filled_s, plan.rate, capacity)
+        return bucket
 
     def draw(
         self,
@@ -115,7 +104,8 @@
         ahead: int = 0,
     ) -> Granted:
         """Hand out up to ``wanted`` tokens of an organisation, and some ahead."""
-        bucket = self._bucket(organisation, plan, self.part(nodes, now), now)
+        self.attached.advance(nodes, now)
+        bucket = self._bucket(organisation, plan)
         level = bucket.level - self.reserved.get(organisation, 0.0)
         tokens = max(0, min(wanted, int(level + 1e-9)))
         spare = bucket.level - tokens - bucket.capacity * AHEAD_LEVEL
@@ -124,8 +114,8 @@
         if tokens > 0:
             bucket.level -= tokens
             return Granted(tokens)
-        missing = 1.0 - level
-        retry_s = missing / bucket.rate if bucket.rate > 0 else LONGEST_RETRY_S
+        rate = bucket.rate * self.attached.share(nodes)
+        retry_s = (1.0 - level) / rate if rate > 0 else LONGEST_RETRY_S
         return Granted(0, min(LONGEST_RETRY_S, retry_s))
 
     def is_short(self, organisation: str, wanted: int) -> bool:
@@ -148,36 +138,40 @@
             return False
         return now - self.withdrawn_at.get(name, float("-inf")) >= RESERVE_AGAIN_S
 
-    def to_reserve(self, plans: Mapping[str, Plan], now: float) -> dict[str, float]:
+    def to_reserve(
+        self, plans: Mapping[str, Plan], nodes: int, now: float
+    ) -> dict[str, float]:
         """Return the reserves of all organisations whose buckets are nearly full.
 
         They are in force here from now on, whether or not they get recorded.
         """
+        self.attached.advance(nodes, now)
         for name, plan in plans.items():
-            bucket = self.buckets.get(name)
-            if bucket is None or not self._may_reserve(name, plan, now):
+            if not self._may_reserve(name, plan, now):
                 continue
+            bucket = self._bucket(name, plan)
             if bucket.level >= plan.burst * RESERVE_FROM:
                 self.reserved[name] = max(
                     self.reserved.get(name, 0.0), plan.burst * RESERVED
                 )
         return dict(self.reserved)
 
-    def take_over(self, tokens: Mapping[str, float], now: float) -> None:
+    def take_over(self, tokens: Mapping[str, float], nodes: int, now: float) -> None:
         """Add what a predecessor had reserved, once its record is withdrawn.
 
         What had been reserved here was another's to hand out meanwhile.
         """
+        self.attached.advance(nodes, now)
         for name, reserved in self.reserved.items():
             bucket = self.buckets[name]
-            bucket.refill(now)
+            bucket.refill(self.attached.filled_s)
             bucket.level = max(0.0, bucket.level - reserved)
         self.reserved.clear()
         for name, reserved in tokens.items():
             bucket = self.buckets.get(name)
             if bucket is not None:
-                bucket.refill(now)
-                bucket.level = min(bucket.capacity, bucket.level + reserved)
+                bucket.refill(self.attached.filled_s)
+                bucket.add(reserved)
 
 
 @dataclass(slots=True)
@@ -201,33 +195,6 @@
         return Granted(0, min(LONGEST_RETRY_S, retry_s))
 
 
-@dataclass(slots=True)
-class Attachment:
-    """Which allotter an entry is attached to, and since which question."""
-
-    allotter: str = ""
-    asked_at: float = float("-inf")
-    changed_at: float = float("-inf")
-
-    def may_ask(self, allotter: str, now: float, ended: bool = False) -> bool:
-        """Tell whether the entry may attach to this allotter now.
-
-        ``ended`` says that the present one is known to serve nobody any more.
-        """
-        if allotter == self.allotter:
-            return True
-        if not ended and now - self.changed_at <= CHANGE_S:
-            return False
-        return now - self.asked_at > ATTACHED_S
-
-    def ask(self, allotter: str, now: float) -> None:
-        """Note that the entry sends a question to an allotter."""
-        if allotter != self.allotter:
-            self.changed_at = now
-        self.allotter = allotter
-        self.asked_at = now
-
-
 @dataclass(slots=True)
 class Stock:
     """Tokens that an entry has drawn ahead; they end, so that none pile up.
--- a/lavenderstack/core/allotment_messages.py
+++ b/lavenderstack/core/allotment_messages.py
@@ -9,6 +9,12 @@
     node: str
 
 
+class Detach(Message, tag="detach"):
+    """Count this node no longer, as it asks elsewhere now; answered by ``Drawn``."""
+
+    node: str
+
+
 class DrawTokens(Message, tag="draw_tokens"):
     """Ask for tokens of an organisation; also attaches. Answered by ``Drawn``.
 
--- a/lavenderstack/core/allotment_test.py
+++ b/lavenderstack/core/allotment_test.py
@@ -2,18 +2,19 @@
 
 from bisect import bisect_left
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from lavenderstack.core.allotment import (
+from lavenderstack.core.allotment import Allotment, OwnPart, Stock, first_tokens
+from lavenderstack.core.attachment import (
     ATTACHED_S,
     CHANGE_S,
-    Allotment,
+    Attached,
     Attachment,
-    OwnPart,
-    Stock,
-    first_tokens,
+    Present,
 )
+from lavenderstack.core.members import SUSPECT_FOR_S
 from lavenderstack.core.view import Plan
 
 PLAN = Plan("org", rate=60.0, burst=60.0)
@@ -27,6 +28,12 @@
     return (plan.rate * WINDOW_S + plan.burst) * 1.1 + 20
 
 
+def stay(allotment, node, nodes, start, end):
+    """Let a node ask again and again from one moment to another."""
+    for step in range(1 + round((end - start) / STEP_S)):
+        allotment.attach(node, nodes, start + step * STEP_S)
+
+
 class Fleet:
     """Entries that want as much as they can get, and two allotters."""
 
@@ -35,6 +42,7 @@
         self.allotters = {"a": Allotment(), "b": Allotment()}
         self.attachments = [Attachment() for _ in range(NODES)]
         self.own = [OwnPart() for _ in range(NODES)]
+        self.silent_until = [0.0] * NODES
         self.admitted = []
 
     def step(self, chosen):
@@ -43,15 +51,39 @@
         for number, name in enumerate(chosen):
             self.admitted += [self.now] * self.draw(number, name)
 
-    def draw(self, number, name):
+    def draw(self, number, name, present=Present.SILENT):
+        """Ask ``name``, as far as the entry may.
+
+        The question is lost where ``-`` stands before the name, and the answer where it
+        stands after it; one that gave no answer is passed over for a while.
+        """
         attachment = self.attachments[number]
-        if name is None or not attachment.may_ask(name, self.now):
-            return self.own[number].take("org", PLAN, NODES, self.now).tokens
-        attachment.ask(name, self.now)
-        allotment = self.allotters[name]
-        allotment.attach(f"n{number}", self.now)
+        if name is None or self.now < self.silent_until[number]:
+            return self.own_part(number)
+        first = name.strip("-")
+        if not attachment.allotter:
+            present = Present.ENDED
+        if attachment.may_leave(first, present, self.now):
+            self.allotters[attachment.allotter].detach(f"n{number}", NODES, self.now)
+            attachment.detached()
+        chosen = attachment.choose(first, present, self.now)
+        if not chosen:
+            return self.own_part(number)
+        attachment.ask(chosen, self.now)
+        if name.startswith("-"):
+            attachment.not_sent(chosen)
+            return self.own_part(number)
+        attachment.arrived()
+        allotment = self.allotters[chosen]
+        allotment.attach(f"n{number}", NODES, self.now)
+        if name.endswith("-"):
+            self.silent_until[number] = self.now + SUSPECT_FOR_S
+            return self.own_part(number)
         return allotment.draw("org", PLAN, 3, NODES, self.now, ahead=2).tokens
 
+    def own_part(self, number):
+        return self.own[number].take("org", PLAN, NODES, self.now).tokens
+
     def most_in_a_window(self):
         times = self.admitted
         ends = (bisect_left(times, at + WINDOW_S) for at in times)
@@ -90,14 +122,56 @@
                 fleet.step(chosen)
         assert fleet.most_in_a_window() <= allowed(PLAN)
 
+    @settings(max_examples=60, deadline=None)
+    @given(
+        st.lists(
+            st.tuples(
+                st.integers(2, 80),
+                st.lists(
+                    st.tuples(
+                        st.sampled_from(["a", "b", "-a", "-b", "a-", "b-", None]),
+                        st.sampled_from([Present.SERVES, Present.SILENT]),
+                    ),
+                    min_size=6,
+                    max_size=6,
+                ),
+            ),
+            min_size=1,
+            max_size=8,
+        )
+    )
+    def test_nor_do_entries_whose_questions_and_answers_get_lost(self, phases):
+        fleet = Fleet()
+        for steps, chosen in phases:
+            for _ in range(steps):
+                fleet.now += STEP_S
+                for number, (name, present) in enumerate(chosen):
+                    drawn = fleet.draw(number, name, present)
+                    fleet.admitted += [fleet.now] * drawn
+        assert fleet.most_in_a_window() <= allowed(PLAN)
+
+    @settings(max_examples=60, deadline=None)
+    @given(st.lists(st.integers(1, 60), min_size=1, max_size=4), st.booleans())
+    def test_a_planned_change_never_passes_it(self, phases, told):
+        """Allotters that leave one after the other, each known to do so or not."""
+        fleet = Fleet()
+        present = Present.LEAVING if told else Present.SERVES
+        for phase, steps in enumerate(phases):
+            for _ in range(steps + 50 * (not told)):
+                fleet.now += STEP_S
+                for number in range(NODES):
+                    drawn = fleet.draw(number, "ab"[phase % 2], present)
+                    fleet.admitted += [fleet.now] * drawn
+        assert fleet.most_in_a_window() <= allowed(PLAN)
+
     def test_a_lowered_limit_binds_at_once(self):
         allotment = Allotment()
-        allotment.attach("n1", 0.0)
+        allotment.attach("n1", 1, 0.0)
         allotment.draw("org", PLAN, 5, 1, 0.0)
         smaller = Plan("org", rate=2.0, burst=2.0)
         drawn = 0
         for step in range(1, 100):
-            allotment.attach("n1", step * 0.1)
+            allotment.attach("n1", 1, step * 0.1)
             drawn += allotment.draw("org", smaller, 5, 1, step * 0.1).tokens
         # One start of unknown state, and two a second over ten seconds.
         assert drawn <= first_tokens(smaller) + 2.0 * 10
@@ -105,16 +179,40 @@
 
 class TestAllotment:
     def test_a_node_that_stopped_asking_takes_its_part_along(self):
+        attached = Attached()
+        attached.note("n1", 4, 0.0)
+        attached.note("n2", 4, 0.0)
+        assert attached.part(4) == 0.5
+        attached.note("n1", 4, ATTACHED_S)
+        attached.advance(4, ATTACHED_S + 0.1)
+        assert attached.part(4) == 0.25
+
+    def test_it_counts_to_the_moment_at_which_it_ended(self):
+        attached = Attached()
+        attached.note("n1", 2, 0.0)
+        attached.note("n2", 2, 0.0)
+        attached.advance(2, 100.0)
+        assert attached.filled_s == pytest.approx(ATTACHED_S)
+
+    def test_one_that_takes_leave_counts_no_longer(self):
+        attached = Attached()
+        attached.note("n1", 1, 0.0)
+        attached.drop("n1", 1, 0.1)
+        attached.advance(1, 100.0)
+        assert attached.filled_s == pytest.approx(0.1)
+
+    def test_nothing_accrues_while_nobody_is_attached(self):
+        """Found by the test of planned changes: 419 of 416 allowed."""
         allotment = Allotment()
-        allotment.attach("n1", 0.0)
-        allotment.attach("n2", 0.0)
-        assert allotment.part(4, 0.0) == 0.5
-        allotment.attach("n1", ATTACHED_S)
-        assert allotment.part(4, ATTACHED_S + 0.1) == 0.25
+        allotment.attach("n1", 1, 0.0)
+        allotment.draw("org", PLAN, 100, 1, 0.0)
+        allotment.detach("n1", 1, 0.0)
+        allotment.attach("n1", 1, 100.0)
+        assert allotment.draw("org", PLAN, 100, 1, 100.0).tokens == 0
 
     def test_a_refusal_tells_when_a_token_will_be_there(self):
         allotment = Allotment()
-        allotment.attach("n1", 0.0)
+        allotment.attach("n1", 1, 0.0)
         plan = Plan("org", rate=10.0, burst=1.0)
         allotment.draw("org", plan, 50, 1, 0.0)
         granted = allotment.draw("org", plan, 1, 1, 0.0)
@@ -124,18 +222,18 @@
     def test_an_organisation_at_its_limit_gets_no_tokens_ahead(self):
         """Found on brandt quiet-1: tokens drawn ahead ended unused."""
         allotment = Allotment()
-        allotment.attach("n1", 0.0)
+        allotment.attach("n1", 1, 0.0)
         plan = Plan("org", rate=10.0, burst=10.0)
         granted = allotment.draw("org", plan, 1, 1, 0.0, ahead=50)
         assert granted.tokens == 1
-        allotment.attach("n1", 10.0)
+        stay(allotment, "n1", 1, 0.0, 10.0)
         full = allotment.draw("org", plan, 1, 1, 10.0, ahead=50)
         assert full.tokens == 5
 
     def test_after_a_start_callers_are_not_refused_what_is_theirs(self):
         """Found on lipa scale-1: buckets began with a seventh of a few tokens."""
         allotment = Allotment()
-        allotment.attach("n1", 0.0)
+        allotment.attach("n1", 1, 0.0)
         assert allotment.draw("org", PLAN, 100, 7, 0.0).tokens >= 10
 
 
@@ -144,24 +242,23 @@
 
     def allotter(self, now, full=True):
         made = Allotment()
-        made.attach("n1", now)
-        made.prepare({"org": PLAN}, 1, now)
+        made.attach("n1", 1, now)
+        made.prepare({"org": PLAN})
         if full:
-            made.attach("n1", now + 5.0)
-            made.prepare({"org": PLAN}, 1, now + 5.0)
+            stay(made, "n1", 1, now, now + 5.0)
         return made
 
     def test_a_successor_starts_with_what_was_reserved(self):
         """Found on lipa trouble-2: after a restart callers were refused their own."""
         first = self.allotter(0.0)
-        recorded = first.to_reserve({"org": PLAN}, 0.0)
+        recorded = first.to_reserve({"org": PLAN}, 1, 5.0)
         second = self.allotter(10.0, full=False)
-        second.take_over(recorded, 10.0)
+        second.take_over(recorded, 1, 10.0)
         assert second.draw("org", PLAN, 100, 1, 10.0).tokens >= 0.6 * PLAN.burst
 
     def test_what_is_reserved_is_not_handed_out_before_it_is_withdrawn(self):
         first = self.allotter(0.0)
-        recorded = first.to_reserve({"org": PLAN}, 0.0)["org"]
+        recorded = first.to_reserve({"org": PLAN}, 1, 5.0)["org"]
         granted = first.draw("org", PLAN, 100, 1, 5.0)
         assert granted.tokens <= PLAN.burst - recorded
         assert first.is_short("org", 1)
@@ -171,25 +268,24 @@
     def test_a_small_burst_is_not_reserved(self):
         """Found at 73 nodes: the record changed with each operation."""
         first = Allotment()
-        first.attach("n1", 0.0)
+        first.attach("n1", 1, 0.0)
         small = {"org": Plan("org", 3.0, 3.0)}
-        first.prepare(small, 1, 0.0)
-        first.attach("n1", 5.0)
-        first.prepare(small, 1, 5.0)
-        assert first.to_reserve(small, 5.0) == {}
+        first.prepare(small)
+        stay(first, "n1", 1, 0.0, 5.0)
+        assert first.to_reserve(small, 1, 5.0) == {}
 
     def test_one_that_was_withdrawn_is_left_alone_for_a_while(self):
         first = self.allotter(0.0)
-        first.to_reserve({"org": PLAN}, 5.0)
+        assert first.to_reserve({"org": PLAN}, 1, 5.0) != {}
         first.withdraw("org", 5.0)
-        assert first.to_reserve({"org": PLAN}, 6.0) == {}
-        assert first.to_reserve({"org": PLAN}, 16.0) != {}
+        assert first.to_reserve({"org": PLAN}, 1, 6.0) == {}
+        assert first.to_reserve({"org": PLAN}, 1, 16.0) != {}
 
     def test_one_that_was_overtaken_counts_its_reserve_as_spent(self):
         first = self.allotter(0.0)
-        first.to_reserve({"org": PLAN}, 0.0)
+        first.to_reserve({"org": PLAN}, 1, 5.0)
         before = first.buckets["org"].level
-        first.take_over({}, 5.0)
+        first.take_over({}, 1, 5.0)
         assert first.buckets["org"].level <= before - 0.6 * PLAN.burst
 
     @settings(max_examples=60, deadline=None)
@@ -200,19 +296,19 @@
         recorded = {}
         for step in range(calm * 10 + alive):
             now += STEP_S
-            first.attach("n1", now)
+            first.attach("n1", 1, now)
             demand = wanted if step >= calm * 10 else 0
             if demand and first.is_short("org", demand):
                 recorded = {}
                 first.withdraw("org", now)
             admitted += [now] * first.draw("org", PLAN, demand, 1, now).tokens
             if step % 20 == 0:
-                recorded = first.to_reserve({"org": PLAN}, now)
+                recorded = first.to_reserve({"org": PLAN}, 1, now)
         second = self.allotter(now, full=False)
-        second.take_over(recorded, now)
+        second.take_over(recorded, 1, now)
         for _ in range(100):
             now += STEP_S
-            second.attach("n1", now)
+            second.attach("n1", 1, now)
             admitted += [now] * second.draw("org", PLAN, wanted, 1, now).tokens
         fleet = Fleet()
         fleet.admitted = admitted
@@ -220,18 +316,57 @@
 
 
 class TestAttachment:
-    def test_another_allotter_is_asked_only_after_the_first_forgot_us(self):
+    def attached(self, allotter="a", at=0.0):
         attachment = Attachment()
-        attachment.ask("a", 0.0)
-        assert attachment.may_ask("a", 0.5)
-        assert not attachment.may_ask("b", CHANGE_S)
-        assert attachment.may_ask("b", CHANGE_S + 0.01)
+        attachment.ask(allotter, at)
+        attachment.arrived()
+        return attachment
+
+    def test_another_allotter_is_asked_only_after_the_first_forgot_us(self):
+        attachment = self.attached()
+        assert attachment.choose("a", present=Present.SERVES, now=0.5) == "a"
+        chosen = attachment.choose("b", present=Present.SILENT, now=CHANGE_S)
+        assert chosen == ""
+        chosen = attachment.choose("b", present=Present.SILENT, now=CHANGE_S + 0.01)
+        assert chosen == "b"
 
     def test_one_that_has_ended_is_left_as_soon_as_it_forgot_us(self):
-        attachment = Attachment()
-        attachment.ask("a", 0.0)
-        assert not attachment.may_ask("b", ATTACHED_S, ended=True)
-        assert attachment.may_ask("b", ATTACHED_S + 0.01, ended=True)
+        attachment = self.attached()
+        chosen = attachment.choose("b", present=Present.ENDED, now=ATTACHED_S)
+        assert chosen == ""
+        chosen = attachment.choose("b", present=Present.ENDED, now=ATTACHED_S + 0.01)
+        assert chosen == "b"
+
+    def test_one_that_serves_is_kept_until_it_may_be_left(self):
+        """Found on grown scale-1: the own part was used beside an allotter."""
+        attachment = self.attached()
+        chosen = attachment.choose("b", present=Present.SERVES, now=ATTACHED_S + 0.1)
+        assert chosen == "a"
+
+    def test_one_that_was_told_is_left_at_once(self):
+        attachment = self.attached()
+        assert attachment.may_leave("b", Present.SERVES, CHANGE_S + 0.01)
+        assert not attachment.may_leave("b", Present.SERVES, CHANGE_S)
+        assert not attachment.may_leave("a", Present.SERVES, CHANGE_S + 0.01)
+        assert not attachment.may_leave("b", Present.SILENT, CHANGE_S + 0.01)
+        assert attachment.may_leave("b", Present.LEAVING, 0.1)
+        attachment.detached()
+        assert attachment.choose("b", Present.LEAVING, 0.1) == "b"
+
+    def test_a_question_that_never_left_attaches_to_nobody(self):
+        """Found on grown scale-1: dead allotters were kept for 2.5 s each."""
+        attachment = self.attached()
+        attachment.ask("b", 1.0)
+        attachment.not_sent("b")
+        assert attachment.choose("c", Present.ENDED, 1.0) == "c"
+
+    def test_one_that_may_have_arrived_does(self):
+        attachment = self.attached()
+        attachment.ask("b", 5.0)
+        attachment.arrived()
+        attachment.ask("b", 5.1)
+        attachment.not_sent("b")
+        assert attachment.choose("c", Present.SILENT, 5.2 + ATTACHED_S) == ""
 
 
 class TestStock:
--- a/lavenderstack/core/catalog.py
+++ b/lavenderstack/core/catalog.py
@@ -88,6 +88,11 @@
     tokens: Mapping[str, float] = field(default_factory=dict)
     revision: int = 0
 
+    @property
+    def node(self) -> str:
+        """The name of the node; the owner is one process of it, as ``name#process``."""
+        return self.owner.partition("#")[0]
+
 
 @dataclass(frozen=True, slots=True)
 class Claim:
--- a/lavenderstack/node/admitter.py
+++ b/lavenderstack/node/admitter.py
@@ -13,8 +13,9 @@
 import structlog
 
 from lavenderstack.core import clock
-from lavenderstack.core.allotment import Allotment, Attachment, OwnPart, Stock
-from lavenderstack.core.allotment_messages import Attach, Drawn, DrawTokens
+from lavenderstack.core.allotment import Allotment, OwnPart, Stock
+from lavenderstack.core.allotment_messages import Attach, Detach, Drawn, DrawTokens
+from lavenderstack.core.attachment import Attachment, Present
 from lavenderstack.core.messages import Failed, Message
 from lavenderstack.core.outcome import Reason
 from lavenderstack.core.ring import Latest, Ring, place
@@ -28,6 +29,7 @@
 
 # A round trip between zones takes milliseconds; an operation that waits pays for more.
 DRAW_TIMEOUT_S = 0.15
+ALLOTTERS_TRIED = 4
 ATTACH_EVERY_S = 0.15
 RETRY_S = 0.1
 RESERVE_EVERY_S = 2.0
@@ -35,6 +37,8 @@
 RECORD_AGAIN_S = 1.0
 # While nodes disagree on who the allotter is, the record must not go back and forth.
 TAKE_OVER_EVERY_S = 5.0
+# Nor may a few nodes that can't reach the owner take it away from all others.
+TAKE_OVER_PART = 0.5
 # Tokens are drawn ahead for this long, and are good for a little longer.
 AHEAD_S = 0.25
 STOCK_S = 0.5
@@ -70,6 +74,7 @@
         self._allotment = Allotment()
         self._own = OwnPart()
         self._attachment = Attachment()
+        self._leaving: asyncio.Task | None = None
         self._tasks: set[asyncio.Task] = set()
         self._rings: Latest[Ring] = Latest(_ring)
 
@@ -83,8 +88,15 @@
         return len(self._directory.view.vms)
 
     def _allotter(self) -> Vm | None:
-        """Return the first node of the ring that isn't passed over."""
+        """Return the owner of the record, else the first node of the ring.
+
+        So a node that comes back leaves the rates with its successor, whose buckets
+        are full. One that is passed over or stops is neither.
+        """
         live = {vm.name: vm for vm in self._peers.live()}
+        owner = live.get(self._directory.reserve.node)
+        if owner is not None:
+            return owner
         ring = self._rings.of(self._directory.view.vms)
         names = ring.after(place("allotment"))
         return next((live[name] for name in names if name in live), None)
@@ -166,32 +178,92 @@
             _answer(fut, refusal)
 
     async def _ask_allotter(self, msg: Message) -> Drawn | None:
-        """Ask the allotter; None if there is none to ask or it is silent."""
-        vm = self._allotter()
-        now = clock.now()
-        if vm is None:
-            return None
-        before = self._directory.view.vms.get(self._attachment.allotter)
-        ended = before is None or before.state != "live"
-        if not self._attachment.may_ask(vm.name, now, ended):
+        """Ask the allotter; None if there is none to ask or it is silent.
+
+        One that can't be reached at all has not counted this node, so the next one
+        is asked at once.
+        """
+        until = clock.now() + DRAW_TIMEOUT_S
+        for _ in range(ALLOTTERS_TRIED):
+            if clock.now() > until:
+                break
+            vm = await self._to_ask()
+            if vm is None:
+                return None
+            if vm.name != self._attachment.allotter:
+                log.info("admission: allotter", holder=vm.name)
+            self._attachment.ask(vm.name, clock.now())
+            try:
+                answer = await self._peers.ask(vm, msg, DRAW_TIMEOUT_S)
+            except NotSent as exc:
+                self._note_silent(vm, exc)
+                self._attachment.not_sent(vm.name)
+                continue
+            except (StreamLost, TimeoutError) as exc:
+                self._note_silent(vm, exc)
+                self._attachment.arrived()
+                return None
+            self._attachment.arrived()
+            return answer if isinstance(answer, Drawn) else None
+        return None
+
+    def _note_silent(self, vm: Vm, exc: Exception) -> None:
+        log.info("admission: allotter silent", holder=vm.name, error=repr(exc))
+        self._peers.suspect(vm.name)
+
+    async def _to_ask(self) -> Vm | None:
+        """Return the allotter that this node may ask now, leaving another for it."""
+        first = self._allotter()
+        if first is None:
             return None
-        if vm.name != self._attachment.allotter:
-            log.info("admission: allotter", holder=vm.name)
-        self._attachment.ask(vm.name, now)
+        present = self._present()
+        if self._attachment.may_leave(first.name, present, clock.now()):
+            await self._leave_present()
+        name = self._attachment.choose(first.name, present, clock.now())
+        return self._directory.view.vms.get(name)
+
+    def _present(self) -> Present:
+        name = self._attachment.allotter
+        vm = self._directory.view.vms.get(name)
+        if vm is None:
+            return Present.ENDED
+        if vm.state != "live":
+            return Present.LEAVING
+        reached = any(one.name == name for one in self._peers.live())
+        return Present.SERVES if reached else Present.SILENT
+
+    async def _leave_present(self) -> None:
+        """Tell the present allotter that this node asks elsewhere from now on.
+
+        Whoever else wants to ask meanwhile waits for the same answer.
+        """
+        if self._leaving is None:
+            self._leaving = asyncio.ensure_future(self._detach())
+        await asyncio.shield(self._leaving)
+
+    async def _detach(self) -> None:
+        name = self._attachment.allotter
+        vm = self._directory.view.vms.get(name)
         try:
-            answer = await self._peers.ask(vm, msg, DRAW_TIMEOUT_S)
+            if vm is not None:
+                msg = Detach(self._directory.name)
+                await self._peers.ask(vm, msg, DRAW_TIMEOUT_S)
+                self._attachment.detached()
         except (NotSent, StreamLost, TimeoutError) as exc:
-            log.info("admission: allotter silent", holder=vm.name, error=repr(exc))
-            self._peers.suspect(vm.name)
-            return None
-        return answer if isinstance(answer, Drawn) else None
+            self._note_silent(vm, exc)
+        finally:
+            self._leaving = None
+
+    async def detach(self, msg: Detach) -> Message:
+        """Handle ``Detach``."""
+        self._allotment.detach(msg.node, self._nodes(), clock.now())
+        return Drawn(0)
 
     async def attach(self, msg: Attach) -> Message:
         """Handle ``Attach``."""
         now = clock.now()
-        self._allotment.attach(msg.node, now)
-        plans = self._directory.catalog.plans
-        self._allotment.prepare(plans, self._nodes(), now)
+        self._allotment.attach(msg.node, self._nodes(), now)
+        self._allotment.prepare(self._directory.catalog.plans)
         if self._may_take_over(now):
             await self._briefly(self._take_over)
         return Drawn(0)
@@ -199,7 +271,7 @@
     async def draw(self, msg: DrawTokens) -> Message:
         """Handle ``DrawTokens``."""
         now = clock.now()
-        self._allotment.attach(msg.node, now)
+        self._allotment.attach(msg.node, self._nodes(), now)
         plan = self._directory.catalog.plans.get(msg.organisation)
         if plan is None:
             return Drawn(msg.wanted)
@@ -211,7 +283,7 @@
         granted = self._allotment.draw(
             msg.organisation, plan, msg.wanted, self._nodes(), now, msg.ahead
         )
-        part = self._allotment.part(self._nodes(), now)
+        part = self._allotment.attached.part(self._nodes())
         return Drawn(granted.tokens, granted.retry_after_s, part)
 
     @property
@@ -224,6 +296,8 @@
     def _may_take_over(self, now: float) -> bool:
         if self._directory.reserve.owner == self._reserves.identity:
             return False
+        if self._allotment.attached.part(self._nodes()) < TAKE_OVER_PART:
+            return False
         recently = now - self._taken_over_at < TAKE_OVER_EVERY_S
         return not recently and self._may_record(now)
 
@@ -244,10 +318,8 @@
         async with self._recording:
             self._taken_over_at = clock.now()
             if await self._record({}, reserve.revision):
-                self._allotment.prepare(
-                    self._directory.catalog.plans, self._nodes(), clock.now()
-                )
-                self._allotment.take_over(reserve.tokens, clock.now())
+                self._allotment.prepare(self._directory.catalog.plans)
+                self._allotment.take_over(reserve.tokens, self._nodes(), clock.now())
                 log.info(
                     "admission: reserve taken over",
                     owner=reserve.owner,
@@ -269,7 +341,9 @@
         if not self._owns_reserve or self._recording.locked():
             return
         before = dict(self._allotment.reserved)
-        tokens = self._allotment.to_reserve(self._directory.catalog.plans, clock.now())
+        tokens = self._allotment.to_reserve(
+            self._directory.catalog.plans, self._nodes(), clock.now()
+        )
         if tokens != before:
             async with self._recording:
                 await self._record(tokens, self._owned_revision)
--- a/lavenderstack/node/admitter_test.py
+++ b/lavenderstack/node/admitter_test.py
@@ -3,11 +3,12 @@
 import asyncio
 
 from lavenderstack.core import clock
-from lavenderstack.core.allotment_messages import Attach, DrawTokens
+from lavenderstack.core.allotment_messages import Attach, Detach, DrawTokens
 from lavenderstack.core.catalog import Catalog, Reserve
 from lavenderstack.core.members import Members
 from lavenderstack.core.outcome import Reason
 from lavenderstack.core.proof import Proof
+from lavenderstack.core.ring import Ring, place
 from lavenderstack.core.view import Plan, Vm
 from lavenderstack.node.admitter import RECORD_WAIT_S, Admitter
 from lavenderstack.node.backend import ClaimLost
@@ -20,7 +21,7 @@
     """The record of the reserves; ``silent`` makes the store answer nothing."""
 
     def __init__(self, directory):
-        self.identity = "n1#1"
+        self.identity = f"{directory.name}#1"
         self.silent = False
         self.records = []
         self._directory = directory
@@ -100,6 +101,132 @@
         assert await Bench().admitter.admit("") is None
 
 
+class Fleet:
+    """Three nodes that ask each other; ``dead`` ones refuse every connection."""
+
+    NAMES = ("n1", "n2", "n3")
+
+    def __init__(self):
+        self.dead = set()
+        self.silent = set()
+        self.asked = []
+        self.directories = {name: self.directory(name) for name in self.NAMES}
+        self.admitters = {name: self.admitter(name) for name in self.NAMES}
+        self.entry = self.admitters["n1"]
+
+    def directory(self, name):
+        directory = Directory(name, "z1", Proof(limit_s=5.0))
+        plans = {"org": Plan("org", 60.0, 60.0)}
+        directory.take_catalog(Catalog(version=1, plans=plans))
+        for one in self.NAMES:
+            directory.put_member(Vm(one, "z1", "10.0.0.1", 1))
+        return directory
+
+    def admitter(self, name):
+        directory = self.directories[name]
+        peers = Peers(name, lambda: directory.view, StreamPool(), Members(name))
+        peers.ask = self.ask
+        return Admitter(directory, peers, FakeReserves(directory))
+
+    async def ask(self, vm, msg, timeout_s):
+        if vm.name in self.dead:
+            raise NotSent("refused")
+        if vm.name in self.silent:
+            raise TimeoutError
+        self.asked.append((vm.name, type(msg)))
+        admitter = self.admitters[vm.name]
+        match msg:
+            case Attach():
+                return await admitter.attach(msg)
+            case Detach():
+                return await admitter.detach(msg)
+        return await admitter.draw(msg)
+
+    def order(self):
+        """Return the names in the order in which they become the allotter."""
+        ring = Ring(self.NAMES)
+        return list(ring.after(place("allotment")))
+
+
+class TestSuccession:
+    async def test_dead_allotters_are_passed_over_at_once(self):
+        """Found on grown scale-1: each was kept for 2.5 s."""
+        fleet = Fleet()
+        fleet.dead = set(fleet.order()[:2])
+        assert await fleet.entry.admit("org") is None
+        assert fleet.asked[-1] == (fleet.order()[2], DrawTokens)
+
+    async def test_one_that_leaves_is_told_and_the_next_one_is_asked_at_once(self):
+        fleet = Fleet()
+        first, second, _ = fleet.order()
+        assert await fleet.entry.admit("org") is None
+        leaving = Vm(first, "z1", "10.0.0.1", 1, state="leaving")
+        fleet.directories["n1"].put_member(leaving)
+        fleet.entry._lines["org"].stock.tokens = 0
+        assert await fleet.entry.admit("org") is None
+        assert fleet.asked[-2:] == [(first, Detach), (second, DrawTokens)]
+        assert fleet.admitters[first]._allotment.attached.asked_at == {}
+
+    async def test_one_that_serves_is_used_while_it_may_not_be_left(self):
+        """Found on grown scale-1: the own part was used beside it."""
+        fleet = Fleet()
+        first, second, _ = fleet.order()
+        fleet.dead = {first}
+        assert await fleet.entry.admit("org") is None
+        fleet.dead = set()
+        fleet.entry._peers._members.suspect_until.clear()
+        fleet.entry._lines["org"].stock.tokens = 0
+        assert await fleet.entry.admit("org") is None
+        assert fleet.asked[-1] == (second, DrawTokens)
+
+    async def test_who_owns_the_record_stays_the_allotter(self):
+        """Found on grown scale-1: all went back to a node that had just started."""
+        fleet = Fleet()
+        *_, last = fleet.order()
+        fleet.directories["n1"].put_reserve(Reserve(f"{last}#1", {}, 4))
+        assert await fleet.entry.admit("org") is None
+        assert fleet.asked == [(last, DrawTokens)]
+
+    async def test_an_owner_that_is_silent_is_not_waited_for(self):
+        fleet = Fleet()
+        first, second, last = fleet.order()
+        owner = last if last != "n1" else second
+        fleet.directories["n1"].put_reserve(Reserve(f"{owner}#1", {}, 4))
+        fleet.dead = {owner}
+        assert await fleet.entry.admit("org") is None
+        assert fleet.asked == [(first, DrawTokens)]
+
+    async def test_a_few_nodes_dont_take_the_record_away(self):
+        fleet = Fleet()
+        first, second, last = fleet.order()
+        fleet.directories[first].put_reserve(Reserve(f"{last}#1", {"org": 9.0}, 4))
+        allotter = fleet.admitters[first]
+        await allotter.attach(Attach(second))
+        assert fleet.directories[first].reserve.node == last
+        await allotter.attach(Attach("n1"))
+        assert fleet.directories[first].reserve.node == first
+
+    async def test_one_that_may_have_heard_is_not_left_at_once(self):
+        fleet = Fleet()
+        first = fleet.order()[0]
+        fleet.silent = {first}
+        assert await fleet.entry.admit("org") is None
+        fleet.entry._lines["org"].stock.tokens = 0
+        await fleet.entry.admit("org")
+        assert fleet.asked == []
+
+    async def test_those_who_draw_while_it_is_told_wait_for_the_answer(self):
+        fleet = Fleet()
+        first, second, _ = fleet.order()
+        await fleet.entry.admit("org")
+        leaving = Vm(first, "z1", "10.0.0.1", 1, state="leaving")
+        fleet.directories["n1"].put_member(leaving)
+        asks = [fleet.entry._ask_allotter(Attach("n1")) for _ in range(5)]
+        assert all(await asyncio.gather(*asks))
+        assert [one for one in fleet.asked if one[1] is Detach] == [(first, Detach)]
+        assert {one[0] for one in fleet.asked[2:]} == {second}
+
+
 class TestReserve:
     async def test_a_silent_store_delays_no_draw(self):
         """Found in the incident of brandt: the allotter was taken for silent."""
--- a/lavenderstack/node/wire.py
+++ b/lavenderstack/node/wire.py
@@ -59,6 +59,7 @@
     work_messages.LeadTaken,
     work_messages.Noted,
     allotment_messages.Attach,
+    allotment_messages.Detach,
     allotment_messages.DrawTokens,
     allotment_messages.Drawn,
     news_messages.AskNews,
--- a/lavenderstack/platform/main.py
+++ b/lavenderstack/platform/main.py
@@ -15,7 +15,7 @@
 from lavenderstack.border.address import parse_address
 from lavenderstack.border.http import Answer
 from lavenderstack.core import clock
-from lavenderstack.core.allotment_messages import Attach, DrawTokens
+from lavenderstack.core.allotment_messages import Attach, Detach, DrawTokens
 from lavenderstack.core.catalog import TargetState
 from lavenderstack.core.line_budget import LineBudget
 from lavenderstack.core.marks import Marks
@@ -137,6 +137,7 @@
         EndWork: executors.end,
         AskMark: executors.mark,
         Attach: admitter.attach,
+        Detach: admitter.detach,
         DrawTokens: admitter.draw,
     }
     peers.serve(handlers)
