Let a first allotter be no change, and use a silent one again when it answers

Now: a first attachment is no change, and an allotter that is silent but may not be left is asked again where nobody waits for the answer; one that answers is passed over no longer.

Ruled out: a slow allotter as such (five answers of some thousands came late).

--- a/lavenderstack/core/attachment.py
+++ b/lavenderstack/core/attachment.py
@@ -105,10 +105,13 @@
         """When it was last asked, in seconds on the clock."""
         return self._held.asked_at
 
-    def choose(self, first: str, present: Present, now: float) -> str:
+    def choose(
+        self, first: str, present: Present, now: float, probing: bool = False
+    ) -> str:
         """Return which allotter to ask now, empty if none may be asked.
 
-        ``first`` is the one that all entries should use at this moment.
+        ``first`` is the one that all entries should use at this moment. ``probing``
+        says that nobody waits for the answer, so a silent one may be tried again.
         """
         held = self._held
         if first == held.allotter:
@@ -117,7 +120,7 @@
         if present is Present.SERVES and recent:
             return held.allotter
         if present is Present.SILENT and recent:
-            return ""
+            return held.allotter if probing else ""
         return first if now - held.asked_at > ATTACHED_S else ""
 
     def may_leave(self, first: str, present: Present, now: float) -> bool:
@@ -134,7 +137,8 @@
             self._held = replace(self._held, asked_at=now)
             return
         self._before = self._held
-        self._held = _Held(allotter, now, now)
+        changed_at = now if self._held.allotter else float("-inf")
+        self._held = _Held(allotter, now, changed_at)
 
     def arrived(self) -> None:
         """Note that a question to the present allotter may have arrived."""
--- a/lavenderstack/core/members.py
+++ b/lavenderstack/core/members.py
@@ -61,6 +61,10 @@
         if name != self.name:
             self.suspect_until[name] = now + SUSPECT_FOR_S
 
+    def trust(self, name: str) -> None:
+        """Pass over a VM no longer, as it has answered."""
+        self.suspect_until.pop(name, None)
+
     def live(self, view: View, now: float) -> list[Vm]:
         """Return the entry VMs that are listed as live and not passed over."""
         return [vm for vm in view.entry_vms() if not self._suspected(vm.name, now)]
--- a/lavenderstack/node/admitter.py
+++ b/lavenderstack/node/admitter.py
@@ -177,7 +177,7 @@
                 refusal = _over_rate(granted.retry_after_s, said)
             _answer(fut, refusal)
 
-    async def _ask_allotter(self, msg: Message) -> Drawn | None:
+    async def _ask_allotter(self, msg: Message, probing: bool = False) -> Drawn | None:
         """Ask the allotter; None if there is none to ask or it is silent.
 
         One that can't be reached at all has not counted this node, so the next one
@@ -187,7 +187,7 @@
         for _ in range(ALLOTTERS_TRIED):
             if clock.now() > until:
                 break
-            vm = await self._to_ask()
+            vm = await self._to_ask(probing)
             if vm is None:
                 return None
             if vm.name != self._attachment.allotter:
@@ -204,6 +204,7 @@
                 self._attachment.arrived()
                 return None
             self._attachment.arrived()
+            self._peers.trust(vm.name)
             return answer if isinstance(answer, Drawn) else None
         return None
 
@@ -211,7 +212,7 @@
         log.info("admission: allotter silent", holder=vm.name, error=repr(exc))
         self._peers.suspect(vm.name)
 
-    async def _to_ask(self) -> Vm | None:
+    async def _to_ask(self, probing: bool) -> Vm | None:
         """Return the allotter that this node may ask now, leaving another for it."""
         first = self._allotter()
         if first is None:
@@ -219,7 +220,8 @@
         present = self._present()
         if self._attachment.may_leave(first.name, present, clock.now()):
             await self._leave_present()
-        name = self._attachment.choose(first.name, present, clock.now())
+        now = clock.now()
+        name = self._attachment.choose(first.name, present, now, probing)
         return self._directory.view.vms.get(name)
 
     def _present(self) -> Present:
@@ -378,7 +380,7 @@
             attached = True
             if idle_s >= ATTACH_EVERY_S:
                 msg = Attach(self._directory.name)
-                attached = await self._ask_allotter(msg) is not None
+                attached = await self._ask_allotter(msg, probing=True) is not None
             await asyncio.sleep(ATTACH_EVERY_S if attached else RETRY_S)
 
 
--- a/lavenderstack/node/peers.py
+++ b/lavenderstack/node/peers.py
@@ -48,6 +48,10 @@
         """Pass over a node for a short time, as one that did not answer."""
         self._members.suspect(name, clock.now())
 
+    def trust(self, name: str) -> None:
+        """Pass over a node no longer, as it has answered."""
+        self._members.trust(name)
+
     async def call(self, name: str, msg: Message, timeout_s: float) -> Message:
         """Send a message to a VM by name; see ``ask``."""
         vm = self._view().vms.get(name)
