Move open transactions out of the executor; one way to make a call

What becomes of a connection after use is node/lent_connections.py, the open transactions of a target are node/open_transactions.py; session and dispatch build one kind of message, the call. How many connections a node may hold and when it lets them go is core/ownership.py.

--- a/lavenderstack/core/events_test.py
+++ b/lavenderstack/core/events_test.py
@@ -17,6 +17,8 @@
     "directory",
     "dispatch",
     "executor",
+    "lent_connections",
+    "open_transactions",
     "primary_marks",
     "replacer",
     "session",
--- a/lavenderstack/node/dispatch.py
+++ b/lavenderstack/node/dispatch.py
@@ -106,6 +106,14 @@
     target: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Where a transaction is open: a target, through a node."""
+
+    node: str
+    target: str
+
+
 class Dispatcher:
     """Sends statements to the holders of targets."""
 
@@ -241,7 +249,9 @@
             detail=failed.detail,
         )
 
-    def _work(self, call: Call, target: str, access: Access, left_s: float) -> Work:
+    def _work(
+        self, call: Call, target: str, access: Access, left_s: float, tx: str = ""
+    ) -> Work:
         aged = access is Access.AGED_READ
         return Work(
             request=call.request,
@@ -262,6 +272,7 @@
             least=call.least if aged else START,
             max_age_s=call.route.max_age_s if aged else 0.0,
             opens=call.opens,
+            tx=tx,
         )
 
     async def _ask(self, vm, work: Work) -> Message:
@@ -275,12 +286,13 @@
         except TimeoutError:
             return Failed(run=True, reason=Reason.TIMED_OUT, detail="holder silent")
 
-    async def step(self, node: str, work: Work) -> Message:
-        """Run a statement of an open transaction at the node that holds it."""
-        vm = self._directory.view.vms.get(node)
+    async def step(self, call: Call, at: Place, tx: str) -> Message:
+        """Run a statement of an open transaction where the transaction is open."""
+        vm = self._directory.view.vms.get(at.node)
         if vm is None:
             return Failed(run=False, reason=Reason.TRANSACTION_LOST, detail="node gone")
-        return await self._ask(vm, work)
+        left_s = call.deadline - clock.now()
+        return await self._ask(vm, self._work(call, at.target, call.access, left_s, tx))
 
 
 def _passing(call: Call, answer: Message) -> bool:
--- a/lavenderstack/node/dispatch_test.py
+++ b/lavenderstack/node/dispatch_test.py
@@ -17,7 +17,7 @@
 from lavenderstack.core.work_messages import Access, Opens, Work, WorkDone
 from lavenderstack.node.counters import Counters
 from lavenderstack.node.directory import Directory
-from lavenderstack.node.dispatch import Call, Dispatcher
+from lavenderstack.node.dispatch import Call, Dispatcher, Place
 from lavenderstack.node.peers import Peers
 from lavenderstack.node.streams import NotSent, StreamLost, StreamPool
 
@@ -83,9 +83,13 @@
         return answer
 
     async def run(self, statement, access, opens=Opens.NOTHING, wrote_s_ago=60.0):
+        call = self.call(statement, access, opens, wrote_s_ago)
+        return (await self.dispatcher.run(call)).answer
+
+    def call(self, statement, access, opens=Opens.NOTHING, wrote_s_ago=60.0):
         route = Route("db", "g", Freshness.SESSION, 0.6, 0.2, 2, 2.5)
         now = clock.now()
-        call = Call(
+        return Call(
             request="r1",
             route=route,
             organisation="org",
@@ -98,7 +102,6 @@
             wrote_at=now - wrote_s_ago,
             opens=opens,
         )
-        return (await self.dispatcher.run(call)).answer
 
     @property
     def targets(self):
@@ -203,6 +206,28 @@
         assert len(bench.asked) <= 20
 
 
+class TestSteps:
+    async def test_a_statement_goes_where_its_transaction_is_open(self):
+        bench = Bench()
+        call = bench.call(WRITE, Access.WRITE)
+        answer = await bench.dispatcher.step(call, Place("n3", "t2"), "n3/t2/7")
+        assert answer == DONE
+        work = bench.asked[0]
+        assert (bench.nodes, work.target, work.tx) == (["n3"], "t2", "n3/t2/7")
+
+    async def test_it_is_sent_once_whatever_the_answer(self):
+        bench = Bench(t2=refused(Reason.UNREACHABLE))
+        call = bench.call(READ, Access.CURRENT_READ)
+        await bench.dispatcher.step(call, Place("n3", "t2"), "n3/t2/7")
+        assert len(bench.asked) == 1
+
+    async def test_it_is_lost_with_its_node(self):
+        bench = Bench()
+        call = bench.call(WRITE, Access.WRITE)
+        answer = await bench.dispatcher.step(call, Place("gone", "t2"), "gone/t2/7")
+        assert (answer.run, answer.reason) == (False, Reason.TRANSACTION_LOST)
+
+
 class TestReads:
     async def test_an_aged_read_goes_to_a_replica(self):
         bench = Bench()
--- a/lavenderstack/node/executor.py
+++ b/lavenderstack/node/executor.py
@@ -11,8 +11,6 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
-from itertools import count
 
 import structlog
 
@@ -23,34 +21,31 @@
 from lavenderstack.core.messages import Failed, Message
 from lavenderstack.core.outcome import Reason, Refused
 from lavenderstack.core.position import START, Position
-from lavenderstack.core.reply import Reply, TxState
+from lavenderstack.core.reply import TxState
 from lavenderstack.core.statement import Kind
 from lavenderstack.core.work_messages import (
     Access,
-    EndWork,
     Opens,
     Work,
-    WorkDone,
-    WorkEnded,
 )
 from lavenderstack.node.backend import (
     Backend,
     Command,
     ConnectFailed,
-    Connection,
     ConnectionLost,
 )
 from lavenderstack.node.connection_setup import setup, shared
 from lavenderstack.node.directory import Directory
+from lavenderstack.node.lent_connections import LentConnections, failed, result
+from lavenderstack.node.open_transactions import OpenTransactions
 from lavenderstack.node.slots import Slots
 from lavenderstack.node.target_connections import Held, TargetConnections
-from lavenderstack.node.target_reach import OWN_STATEMENT_TIMEOUT_S, TargetReach
+from lavenderstack.node.target_reach import TargetReach
 
 log = structlog.get_logger()
 
 # A connection that was idle for longer is asked before a write is trusted to it.
 TRUSTED_IDLE_S = 1.0
-TX_ENDS_AFTER_IDLE_S = 0.5
 LONGEST_QUEUE = 400
 # Routes of this priority or a higher one (0 is the highest) get more of the slots.
 URGENT = 1
@@ -58,31 +53,6 @@
 
 LeastFor = Callable[[str, float, float, float], Awaitable[Position]]
 
-# Errors of a target by which it promises that the statement did not run.
-_NOT_RUN = frozenset(
-    {
-        Reason.CROWDED,
-        Reason.NO_PREPARED,
-        Reason.BEHIND,
-        Reason.NOT_PRIMARY,
-        Reason.WRONG_TARGET,
-        Reason.NO_CONNECTION,
-        Reason.BAD_REQUEST,
-    }
-)
-
-
-@dataclass(slots=True)
-class _Transaction:
-    held: Held
-    organisation: str
-    used_at: float
-    busy: bool = False
-
-
-def _failed(run: bool, reason: Reason, detail: str = "") -> Failed:
-    return Failed(run=run, reason=reason, detail=detail)
-
 
 class TargetExecutor:
     """The queue, connections and open transactions of one target."""
@@ -102,10 +72,11 @@
         )
         self._directory = directory
         self._least_for = least_for
-        self._transactions: dict[str, _Transaction] = {}
-        self._numbers = count(1)
         self.reach = TargetReach(state.target, self.connections, directory)
-        self._tasks: set[asyncio.Task] = set()
+        self._lent = LentConnections(self.connections)
+        self.transactions = OpenTransactions(
+            directory.name, self.connections, self._lent, self.slots, self.reach.marks
+        )
 
     def follow(self, state: TargetState) -> bool:
         """Take over changed limits; False if the target has moved."""
@@ -124,11 +95,6 @@
         """Return how far the target's log went while it led."""
         return self.reach.marks
 
-    @property
-    def open_transactions(self) -> int:
-        """Return how many transactions are open here."""
-        return len(self._transactions)
-
     def _refusal(self, work: Work) -> Failed | None:
         """Return why the work may not be sent to the target now, or None."""
         known = self._directory.may_work(
@@ -138,7 +104,7 @@
             return None
         holds = self._directory.proof.holds(clock.now())
         reason = Reason.KEY_REFUSED if holds else Reason.STALE_VIEW
-        return _failed(False, reason)
+        return failed(False, reason)
 
     async def run(self, work: Work) -> Message:
         """Run one statement; answer with ``WorkDone`` or ``Failed``."""
@@ -146,9 +112,9 @@
         if refusal is not None:
             return refusal
         if work.tx:
-            return await self._step(work)
+            return await self.transactions.step(work)
         if self.reach.lost:
-            return _failed(False, Reason.UNREACHABLE, self.reach.lost)
+            return failed(False, Reason.UNREACHABLE, self.reach.lost)
         deadline = clock.now() + work.left_s
         retry_s = refused_for_s(
             self.slots.crowding(work.organisation),
@@ -208,7 +174,7 @@
     ) -> Message:
         for fresh in (False, True):
             if self.reach.lost:
-                return _failed(False, Reason.UNREACHABLE, self.reach.lost)
+                return failed(False, Reason.UNREACHABLE, self.reach.lost)
             try:
                 held = await self.connections.lend(
                     work.organisation, work.values, fresh
@@ -216,7 +182,7 @@
             except ConnectFailed as exc:
                 if exc.reason is Reason.UNREACHABLE:
                     self.reach.note_lost(exc.detail)
-                return _failed(False, exc.reason, exc.detail)
+                return failed(False, exc.reason, exc.detail)
             try:
                 if not await self._open_transaction(work, held, least):
                     # The connection was lost or silent before anything of the
@@ -225,12 +191,12 @@
                     continue
             except Refused as exc:
                 self.connections.give_back(held)
-                return _failed(False, exc.reason, exc.detail)
+                return failed(False, exc.reason, exc.detail)
             except asyncio.CancelledError:
                 self.connections.discard(held)
                 raise
             return await self._send(work, held, least, deadline)
-        return _failed(False, Reason.UNREACHABLE, "no answer on a new connection")
+        return failed(False, Reason.UNREACHABLE, "no answer on a new connection")
 
     async def _open_transaction(self, work: Work, held: Held, least: Position) -> bool:
         """Begin a transaction where the work needs one; False if there's no answer.
@@ -254,7 +220,7 @@
         else:
             return True
         asked_at = clock.now()
-        reply = await self._own(held.conn, commands)
+        reply = await self._lent.own(held, commands)
         if reply is None:
             return False
         if commands[-1].statement.kind is Kind.ROLLBACK:
@@ -265,28 +231,13 @@
             self.marks.add(reply.position, asked_at)
         return True
 
-    async def _own(self, conn: Connection, commands: list[Command]) -> Reply | None:
-        """Send statements of the service; return the last answer, None if lost."""
-        try:
-            futs = conn.send(commands)
-            async with asyncio.timeout(OWN_STATEMENT_TIMEOUT_S):
-                reply = await futs[-1]
-        except (ConnectionLost, TimeoutError) as exc:
-            log.info(
-                "executor: connection given up",
-                target=self.target.name,
-                error=str(exc) or "no answer",
-            )
-            return None
-        return reply
-
     async def _send(
         self, work: Work, held: Held, least: Position, deadline: float
     ) -> Message:
         """Send the caller's statement on a connection that is ready for it."""
         refusal = self._refusal(work)
         if refusal is not None:
-            self._abandon(held)
+            self._lent.abandon(held)
             return refusal
         commands = setup(work, held)
         at = len(commands)
@@ -300,163 +251,30 @@
             futs = held.conn.send(commands)
         except ConnectionLost as exc:
             self.connections.discard(held)
-            return _failed(False, Reason.UNREACHABLE, str(exc))
-        reply = await self._answer(work, held, futs[at], deadline)
+            return failed(False, Reason.UNREACHABLE, str(exc))
+        reply = await self._lent.answer(held, futs[at], deadline)
         if isinstance(reply, Failed):
             return reply
         if guarded:
-            self._give_back_after(held, futs[-1])
+            self._lent.give_back_after(held, futs[-1])
             reply.state = TxState.NONE
-            return self._result(work, reply)
+            return result(reply)
         if reply.reason is None and work.access is Access.WRITE and not work.opens:
             self.marks.add(reply.position, sent_at)
         if work.opens and reply.state is not TxState.NONE:
-            return self._opened(work, held, reply)
+            return self.transactions.keep(work, held, reply)
         if reply.reason is Reason.NO_PREPARED and work.prepared is not None:
             held.prepared.discard(work.prepared.shared_name)
-        self._give_back_clean(held, reply)
-        return self._result(work, reply)
-
-    async def _answer(
-        self, work: Work, held: Held, fut: asyncio.Future, deadline: float
-    ) -> Reply | Failed:
-        """Wait for the answer to a statement that has been sent."""
-        try:
-            async with asyncio.timeout(max(0.0, deadline - clock.now())):
-                return await fut
-        except ConnectionLost as exc:
-            self.connections.discard(held)
-            return _failed(True, Reason.CONNECTION_LOST, str(exc))
-        except TimeoutError:
-            self.connections.discard(held)
-            return _failed(True, Reason.TIMED_OUT, "no answer in the statement's time")
-        except asyncio.CancelledError:
-            self.connections.discard(held)
-            raise
-
-    def _result(self, work: Work, reply: Reply) -> Message:
-        if reply.reason is None:
-            return WorkDone(
-                rows=reply.rows,
-                receipt=reply.receipt,
-                position=reply.position,
-                state=reply.state,
-            )
-        return _failed(reply.reason not in _NOT_RUN, reply.reason, reply.detail)
-
-    def _give_back_clean(self, held: Held, reply: Reply) -> None:
-        """Take a connection back, rolling back what is still open on it."""
-        if reply.state is TxState.NONE:
-            self.connections.give_back(held)
-        else:
-            self._abandon(held)
-
-    def _abandon(self, held: Held) -> None:
-        """Roll back whatever is open on a connection, then take it back."""
-        try:
-            futs = held.conn.send([Command(statement.ROLLBACK)])
-        except ConnectionLost:
-            self.connections.discard(held)
-            return
-        self._give_back_after(held, futs[-1])
-
-    def _give_back_after(self, held: Held, fut: "asyncio.Future[Reply]") -> None:
-        """Take a connection back once its rollback is answered."""
-        task = asyncio.ensure_future(self._rolled_back(held, fut))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    async def _rolled_back(self, held: Held, fut: "asyncio.Future[Reply]") -> None:
-        try:
-            async with asyncio.timeout(OWN_STATEMENT_TIMEOUT_S):
-                reply = await fut
-        except (ConnectionLost, TimeoutError):
-            self.connections.discard(held)
-            return
-        if reply.state is TxState.NONE:
-            self.connections.give_back(held)
-        else:
-            self.connections.discard(held)
-
-    def _opened(self, work: Work, held: Held, reply: Reply) -> Message:
-        """Keep the connection for the transaction, or end it if its first failed."""
-        if reply.reason is not None:
-            self._abandon(held)
-            return self._result(work, reply)
-        name = f"{self._directory.name}/{self.target.name}/{next(self._numbers)}"
-        now = clock.now()
-        self._transactions[name] = _Transaction(held, work.organisation, now)
-        return WorkDone(
-            rows=reply.rows,
-            receipt=reply.receipt,
-            position=reply.position,
-            state=reply.state,
-            tx=name,
-        )
-
-    async def _step(self, work: Work) -> Message:
-        """Run a statement of an open transaction."""
-        tx = self._transactions.get(work.tx)
-        if tx is None or tx.organisation != work.organisation or tx.busy:
-            return _failed(False, Reason.TRANSACTION_LOST, "not open here")
-        tx.busy = True
-        try:
-            async with self.slots.take_at_once():
-                return await self._step_in_slot(work, tx)
-        finally:
-            tx.busy = False
-            tx.used_at = clock.now()
-
-    async def _step_in_slot(self, work: Work, tx: _Transaction) -> Message:
-        held = tx.held
-        commands = setup(work, held)
-        at = len(commands)
-        commands.append(Command(shared(work), work.request))
-        sent_at = clock.now()
-        try:
-            futs = held.conn.send(commands)
-        except ConnectionLost as exc:
-            self._forget(work.tx)
-            self.connections.discard(held)
-            return _failed(False, Reason.TRANSACTION_LOST, str(exc))
-        reply = await self._answer(work, held, futs[at], sent_at + work.left_s)
-        if isinstance(reply, Failed):
-            self._forget(work.tx)
-            return reply
-        if work.statement.kind is Kind.COMMIT:
-            self._forget(work.tx)
-            if reply.reason is None and work.access is Access.WRITE:
-                self.marks.add(reply.position, sent_at)
-            self._give_back_clean(held, reply)
-        elif reply.reason is not None:
-            self._forget(work.tx)
-            self._abandon(held)
-        return self._result(work, reply)
-
-    def _forget(self, name: str) -> None:
-        self._transactions.pop(name, None)
-
-    def end(self, msg: EndWork) -> Message:
-        """Roll back a transaction that its session has given up."""
-        tx = self._transactions.pop(msg.tx, None)
-        if tx is not None:
-            self._abandon(tx.held)
-        return WorkEnded()
+        self._lent.give_back_clean(held, reply)
+        return result(reply)
 
     def sweep(self, now: float, first_choice: bool) -> None:
         """End transactions that rest too long; close what this node need not hold."""
-        idle_s = self._directory.catalog.tx_idle_s + TX_ENDS_AFTER_IDLE_S
-        for name, tx in list(self._transactions.items()):
-            if not tx.busy and now - tx.used_at > idle_s:
-                log.info("executor: idle transaction ended", tx=name)
-                self._forget(name)
-                self._abandon(tx.held)
-        if not first_choice:
-            self.connections.close_idle(1.0)
+        self.transactions.sweep(now, self._directory.catalog.tx_idle_s)
+        self.connections.let_go(first_choice)
 
     def close(self) -> None:
         """Give everything up."""
-        for task in self._tasks:
-            task.cancel()
+        self._lent.close()
         self.reach.close()
         self.connections.close()
--- a/lavenderstack/node/executors.py
+++ b/lavenderstack/node/executors.py
@@ -54,7 +54,7 @@
     async def end(self, msg: EndWork) -> Message:
         """Handle ``EndWork``."""
         executor = self.kept.get(msg.tx.split("/")[1])
-        return executor.end(msg) if executor else WorkEnded()
+        return executor.transactions.end(msg) if executor else WorkEnded()
 
     async def mark(self, msg: AskMark) -> Message:
         """Handle ``AskMark``."""
@@ -66,7 +66,7 @@
     @property
     def open_transactions(self) -> int:
         """Return how many transactions are open at this node."""
-        return sum(one.open_transactions for one in self.kept.values())
+        return sum(len(one.transactions) for one in self.kept.values())
 
     async def run(self) -> None:
         """Look after the executors until cancelled."""
@@ -75,7 +75,7 @@
             now = clock.now()
             for name, executor in list(self.kept.items()):
                 state = self.directory.targets.get(name)
-                if state is None and not executor.open_transactions:
+                if state is None and not executor.transactions:
                     executor.close()
                     del self.kept[name]
                     continue
--- a/lavenderstack/node/session.py
+++ b/lavenderstack/node/session.py
@@ -17,11 +17,11 @@
 from lavenderstack.core.position import START, Position
 from lavenderstack.core.reply import Reply, TxState
 from lavenderstack.core.statement import Kind, Prepared, Statement
-from lavenderstack.core.work_messages import Access, EndWork, Opens, Work, WorkDone
+from lavenderstack.core.work_messages import Access, EndWork, Opens, WorkDone
 from lavenderstack.node.admitter import Admitter
 from lavenderstack.node.counters import Counters
 from lavenderstack.node.directory import Directory
-from lavenderstack.node.dispatch import Call, Dispatcher, Placed
+from lavenderstack.node.dispatch import Call, Dispatcher, Place, Placed
 from lavenderstack.node.peers import Peers
 from lavenderstack.node.streams import NotSent, StreamLost
 
@@ -201,30 +201,41 @@
             return Reason.KEY_REFUSED, "the key is not in force"
         return Reason.STALE_VIEW, "withdrawn keys can't be told here now"
 
-    async def _first(
+    def _call(
         self,
         request: str,
+        route: Route,
         statement: Statement,
         prepared: Prepared | None,
-        route: Route,
-        tx: _Transaction | None,
-    ) -> Reply:
-        """Run a single statement, or the first of a transaction."""
-        call = Call(
+        access: Access,
+    ) -> Call:
+        return Call(
             request=request,
             route=route,
             organisation=self.organisation,
             key_digest=self.key_digest,
             version=self.services.directory.catalog.version,
             statement=statement,
-            access=_access(route, statement, tx),
+            access=access,
             deadline=clock.now() + route.timeout_s,
             values=self.values,
             prepared=prepared,
             least=self.mark,
             wrote_at=self.wrote_at,
-            opens=_opens(route, tx),
         )
+
+    async def _first(
+        self,
+        request: str,
+        statement: Statement,
+        prepared: Prepared | None,
+        route: Route,
+        tx: _Transaction | None,
+    ) -> Reply:
+        """Run a single statement, or the first of a transaction."""
+        access = _access(route, statement, tx)
+        call = self._call(request, route, statement, prepared, access)
+        call.opens = _opens(route, tx)
         placed = await self.services.dispatcher.run(call)
         reply = self._first_reply(placed, call, tx)
         reply.target, reply.holder = placed.target, placed.node
@@ -261,23 +272,11 @@
     ) -> Reply:
         """Run a later statement of a transaction."""
         wrote = tx.wrote or statement.writes
-        work = Work(
-            request=request,
-            organisation=self.organisation,
-            key_digest=self.key_digest,
-            version=self.services.directory.catalog.version,
-            group=route.group,
-            target=tx.target,
-            statement=statement,
-            access=Access.WRITE if wrote else Access.CURRENT_READ,
-            left_s=route.timeout_s,
-            priority=route.priority,
-            prepared=prepared,
-            values=self.values,
-            tx=tx.name,
-        )
+        access = Access.WRITE if wrote else Access.CURRENT_READ
+        call = self._call(request, route, statement, prepared, access)
         tx.wrote = wrote
-        answer = await self.services.dispatcher.step(tx.node, work)
+        at = Place(tx.node, tx.target)
+        answer = await self.services.dispatcher.step(call, at, tx.name)
         if isinstance(answer, Failed):
             reply = self._failure(answer, statement)
         else:
--- a/lavenderstack/node/session_test.py
+++ b/lavenderstack/node/session_test.py
@@ -44,8 +44,8 @@
         opened = "n1/t1/1" if call.opens and call.statement.kind != Kind.COMMIT else ""
         return Placed(self._next(opened), "n1", "t1")
 
-    async def step(self, node, work):
-        self.steps.append(work)
+    async def step(self, call, at, tx):
+        self.steps.append((call, at, tx))
         return self._next("")
 
     async def admit(self, organisation):
--- a/lavenderstack/node/target_connections.py
+++ b/lavenderstack/node/target_connections.py
@@ -11,15 +11,13 @@
 
 import structlog
 
-from lavenderstack.core import clock
+from lavenderstack.core import clock, ownership
 from lavenderstack.core.outcome import Reason
 from lavenderstack.core.view import Target
 from lavenderstack.node.backend import Backend, ConnectFailed, Connection
 
 log = structlog.get_logger()
 
-# The rest is left to the node that holds the target next, while both have some open.
-OWN_SHARE = 0.66
 # A new connection waits for a slot of the target, so this is more than a handshake.
 CONNECT_TIMEOUT_S = 0.4
 RELEASE_WAIT_S = 0.3
@@ -55,7 +53,7 @@
 
     def allow(self, allowed: int) -> None:
         """Set how many connections the target allows to all nodes together."""
-        self.most = max(1, int(allowed * OWN_SHARE))
+        self.most = ownership.most(allowed)
 
     def __len__(self) -> int:
         return len(self._open) + self._opening
@@ -159,12 +157,13 @@
             self.discard(held)
         return None
 
-    def close_idle(self, longer_than_s: float) -> None:
-        """Close the connections that have been idle for longer than this."""
-        until = clock.now() - longer_than_s
-        for held in [one for one in self._idle if one.used_at < until]:
-            self._idle.remove(held)
-            self.discard(held)
+    def let_go(self, first_choice: bool) -> None:
+        """Close unused connections where this node is not the first choice."""
+        now = clock.now()
+        for held in list(self._idle):
+            if ownership.lets_go(first_choice, now - held.used_at):
+                self._idle.remove(held)
+                self.discard(held)
 
     def close(self) -> None:
         """Close every connection."""
