--- a/lavenderstack/core/proof_test.py
+++ b/lavenderstack/core/proof_test.py
@@ -10,10 +10,12 @@
 import pytest
 
 from lavenderstack.core.proof import MARGIN_S, Proof
+from tests.explore import depth
 
 LIMIT_S = 5.0
 TICK_S = 0.5
 TICKS = 16
+SHORT_DEPTH = 7
 
 
 def last_sent(withdrawn_at, questions, counts_from):
@@ -37,9 +39,16 @@
     return last
 
 
+# Every second and third moment by itself, every one when asked for more steps.
+EVERY = 2 if depth(SHORT_DEPTH) == SHORT_DEPTH else 1
 SCHEDULES = [
     ((a, a + da), (b, b + db))
-    for a, da, b, db in product(range(0, 14, 2), (0, 1, 5, 9), range(1, 14, 3), (0, 6))
+    for a, da, b, db in product(
+        range(0, 14, EVERY),
+        (0, 1, 5, 9),
+        range(1, 14, 2 * EVERY - 1),
+        (0, 6),
+    )
 ]
 
 
--- a/lavenderstack/core/replacement_test.py
+++ b/lavenderstack/core/replacement_test.py
@@ -19,9 +19,10 @@
     most_advanced,
     successor,
 )
+from tests.explore import depth, explore
 
 REPLICAS = ("b", "c")
-DEPTH = 7
+SHORT_DEPTH = 7
 
 
 @dataclass(frozen=True)
@@ -77,16 +78,7 @@
         yield replace(state, reachable=put(state.reachable, at, False))
 
 
-def explore():
-    """Return every state within ``DEPTH`` steps."""
-    found, edge = {State()}, {State()}
-    for _ in range(DEPTH):
-        edge = {after for state in edge for after in steps(state)} - found
-        found |= edge
-    return found
-
-
-STATES = explore()
+STATES = explore(State(), steps, depth(SHORT_DEPTH))
 
 
 def followers(state):
--- /dev/null
+++ b/scripts/explore.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# Explores the state machines on which safety rests, deeper than the tests do:
+# who may be promoted, until when a key counts, who owns a target's connections.
+# Usage: scripts/explore.sh [STEPS]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+bash scripts/setup.sh
+export LAVENDERSTACK_DEPTH="${1:-10}"
+.venv/bin/python -m pytest -q \
+  lavenderstack/core/replacement_test.py \
+  lavenderstack/core/proof_test.py \
+  lavenderstack/core/ownership_test.py
