Let the nodes of a large zone form a tree under one that reads the store

Two nodes of each zone read the store, the second one only for the case that the first is gone.

Now one reads, the others ask the node above them (sixteen below each); whoever gets no news or old ones goes up the tree, then to the second of the zone, then to the store, and only ever asks nodes that stand before it. A newer proof is passed on at once, so a step adds a round trip to its age.

--- a/lavenderstack/core/readers.py
+++ b/lavenderstack/core/readers.py
@@ -1,8 +1,13 @@
-"""Which nodes of a zone read the store, and whom the others ask.
+"""Whom a node of a zone asks for what is new in the store.
 
 Each call to the store costs, a waiting one as well, and its rates grow more slowly than
-the number of nodes. In a large zone two nodes read it and the rest ask one of these. In
-a small one all read, since a hop saves little there and costs a moment.
+the number of nodes. In a large zone the nodes form a tree: the first one reads the
+store, the others ask the node above them. In a small zone all read, since a hop saves
+little there and costs a moment.
+
+A node that gets no news, or old ones, goes on to the nodes further up, then to the
+second of the zone, which does the same, and then to the store. It only asks nodes that
+stand before it, so no two ever wait for each other.
 """
 
 from collections.abc import Iterable
@@ -10,24 +15,37 @@
 from lavenderstack.core.ring import Ring, place
 from lavenderstack.core.view import Vm
 
-READERS = 2
 SMALL_ZONE = 5
-# What a reader passes on is no use if it is older than this; the store is asked then.
+# With 390 nodes in a zone the tree has three steps, each of a round trip.
+FAN_OUT = 16
+# What a node passes on is no use if it is older than this; another one is asked then.
 OLDEST_PROOF_S = 2.4
-# A reader that gave no or old news is passed over for so long.
+# A node that gave no or old news is passed over for so long.
 PASSED_OVER_S = 2.0
 
 
-def readers(vms: Iterable[Vm], zone: str) -> list[Vm]:
-    """Return the readers of a zone in the order in which they are asked.
+def sources(vms: Iterable[Vm], zone: str, name: str) -> list[Vm]:
+    """Return the nodes that a node asks, the best first; the store comes after them.
 
-    Empty in a small zone, where every node reads the store.
+    Empty for the node that reads the store, for one that isn't known yet, and in a
+    small zone.
     """
     here = {vm.name: vm for vm in vms if vm.zone == zone and vm.state == "live"}
-    if len(here) <= SMALL_ZONE:
+    if len(here) <= SMALL_ZONE or name not in here:
         return []
-    names = Ring(here).after(place(f"readers/{zone}"))
-    return [here[name] for name, _ in zip(names, range(READERS), strict=False)]
+    order = list(Ring(here).after(place(f"readers/{zone}")))
+    at = order.index(name)
+    above = list(_above(at))
+    if at > 1 and 1 not in above:
+        above.append(1)
+    return [here[order[one]] for one in above]
+
+
+def _above(at: int) -> Iterable[int]:
+    """Yield the places on the way to the first node."""
+    while at > 0:
+        at = (at - 1) // FAN_OUT
+        yield at
 
 
 def proved_at(asked_at: float, held_s: float, age_s: float) -> float:
--- a/lavenderstack/platform/loader.py
+++ b/lavenderstack/platform/loader.py
@@ -6,8 +6,8 @@
 sent. Where the store has dropped its history, everything is listed anew; a listing is
 no snapshot, so what is newer than its first page is taken from the next watch.
 
-In a large zone most nodes ask one of its readers instead, which passes on the entries
-as they are, with the age of its own proof.
+In a large zone most nodes ask another node instead (``core/readers.py``), which passes
+on the entries as they are, with the age of its own proof.
 """
 
 import asyncio
@@ -23,7 +23,7 @@
     OLDEST_PROOF_S,
     PASSED_OVER_S,
     proved_at,
-    readers,
+    sources,
 )
 from lavenderstack.core.view import Target, Vm
 from lavenderstack.node.directory import Directory
@@ -86,7 +86,7 @@
         """Follow the store until cancelled."""
         while True:
             try:
-                if await self._ask_reader():
+                if await self._ask_node():
                     continue
                 if not self._listed:
                     await self._list()
@@ -110,21 +110,20 @@
             log.info("loader: store regained", after_s=gone_s)
             self._lost_at = None
 
-    def _reader(self) -> Vm | None:
+    def _source(self) -> Vm | None:
         """Return the node to ask, None if this one reads the store itself."""
         if self._peers is None:
             return None
-        vms = self._directory.view.vms.values()
-        found = readers(vms, self._directory.zone)
-        if any(vm.name == self._directory.name for vm in found):
-            return None
+        directory = self._directory
+        vms = directory.view.vms.values()
+        found = sources(vms, directory.zone, directory.name)
         now = clock.now()
         fit = [vm for vm in found if self._passed_over.get(vm.name, 0.0) < now]
         return fit[0] if fit else None
 
-    async def _ask_reader(self) -> bool:
-        """Learn from a reader of the zone; False if there is none to learn from."""
-        vm = self._reader() if self._listed else None
+    async def _ask_node(self) -> bool:
+        """Learn from another node of the zone; False if none has news."""
+        vm = self._source() if self._listed else None
         if vm is None:
             return False
         asked_at = clock.now()
@@ -139,8 +138,7 @@
             self._passed_over[vm.name] = clock.now() + PASSED_OVER_S
             return False
         self._take_news(answer)
-        at = proved_at(asked_at, answer.held_s, answer.age_s)
-        self._directory.proof.prove(at)
+        self._prove(proved_at(asked_at, answer.held_s, answer.age_s))
         return True
 
     def _take_news(self, news: News) -> None:
@@ -158,21 +156,27 @@
     def _move(self, as_of: int) -> None:
         """Note up to which revision everything is known."""
         self._as_of = max(self._as_of, as_of)
+        self._tell()
+
+    def _prove(self, at: float) -> None:
+        self._directory.proof.prove(at)
+        self._tell()
+
+    def _tell(self) -> None:
+        """Wake those who wait for news here."""
         self._moved.set()
         self._moved = asyncio.Event()
 
     async def news(self, msg: AskNews) -> Message:
-        """Handle ``AskNews`` of another node of the zone."""
+        """Handle ``AskNews`` of another node of the zone.
+
+        A newer proof is news as well: passed on at once, it is hardly older at the end
+        of the tree than at its beginning.
+        """
         came_at = clock.now()
         if not self._listed:
             return Failed(run=False, reason=Reason.STALE_VIEW)
-        if self._as_of <= msg.after:
-            try:
-                async with asyncio.timeout(msg.wait_s):
-                    while self._as_of <= msg.after:
-                        await self._moved.wait()
-            except TimeoutError:
-                pass
+        await self._wait_for_news(msg.after, msg.wait_s)
         whole = msg.after < self._recent_after
         found = self._entries.values() if whole else self._recent
         entries = [
@@ -184,6 +188,17 @@
         age_s = self._directory.proof.age_s(now)
         return News(entries, self._as_of, whole, now - came_at, age_s)
 
+    async def _wait_for_news(self, after: int, wait_s: float) -> None:
+        proof = self._directory.proof
+        proved = proof.at
+        try:
+            async with asyncio.timeout(wait_s):
+                while self._as_of <= after and proof.at <= proved:
+                    await self._moved.wait()
+        except TimeoutError:
+            # That nothing is new is an answer as well.
+            return
+
     async def _list(self) -> None:
         page = await self._store.list("")
         as_of = page.as_of
@@ -218,7 +233,7 @@
             self._take(item)
         self._move(changes.as_of)
         if len(changes.events) <= MOST_EVENTS:
-            self._directory.proof.prove(asked_at)
+            self._prove(asked_at)
 
     def _take(self, item: Item) -> None:
         """Take over a change unless a later one of the same entry is known."""
--- a/lavenderstack/platform/loader_test.py
+++ b/lavenderstack/platform/loader_test.py
@@ -9,6 +9,7 @@
 from lavenderstack.core import clock
 from lavenderstack.core.news_messages import AskNews
 from lavenderstack.core.proof import Proof
+from lavenderstack.core.readers import sources
 from lavenderstack.core.view import Vm
 from lavenderstack.node.backend import ClaimLost
 from lavenderstack.node.directory import Directory
@@ -195,9 +196,16 @@
 class TestReaders:
     """A follower that asks a reader of its zone, which asks the store."""
 
-    def zone(self, directory, number=7):
-        for name in (f"n{one}" for one in range(1, number + 1)):
-            directory.put_member(Vm(name, "z1", "10.0.0.1", 1))
+    ZONE = tuple(Vm(f"n{one}", "z1", "10.0.0.1", 1) for one in range(1, 8))
+
+    def zone(self, directory):
+        for vm in self.ZONE:
+            directory.put_member(vm)
+
+    def follower(self):
+        """Return the name of a node that asks another one."""
+        names = [vm.name for vm in self.ZONE]
+        return next(name for name in names if sources(self.ZONE, "z1", name))
 
     @asynccontextmanager
     async def pair(self, kept):
@@ -205,7 +213,7 @@
         async with serving(kept) as addr, store.opened(addr) as client:
             first = Directory("reader", "z1", Proof(limit_s=5.0))
             reader = Loader(client, first)
-            directory = Directory("n0", "z1", Proof(limit_s=5.0))
+            directory = Directory(self.follower(), "z1", Proof(limit_s=5.0))
             state = {"on": True, "asked": 0}
 
             class FakePeers:
@@ -250,6 +258,20 @@
                 assert directory.proof.at <= first.proof.at + 0.02
                 await asyncio.sleep(0.02)
 
+    async def test_a_proof_is_passed_on_as_soon_as_there_is_one(self):
+        """So that a tree of nodes adds round trips to its age, not seconds."""
+        kept = MetadataStore()
+        kept.put("op/config", config(1))
+        async with self.pair(kept) as (first, directory, state):
+            await until(lambda: directory.proof.holds(clock.now()))
+            self.zone(directory)
+            await until(lambda: state["asked"] > 2)
+            behind = 0
+            for _ in range(50):
+                behind += directory.proof.at < first.proof.at - 0.1
+                await asyncio.sleep(0.04)
+            assert behind <= 10
+
     async def test_without_a_reader_the_store_is_asked(self):
         kept = MetadataStore()
         kept.put("op/config", config(1))
