Let an entry change its allotter after one second

The allotter's zone was cut off, the next on the ring lay in the same zone, and whoever had tried that one might change again after 2.5 s only. The 2.5 s come from a time when a bucket filled while nobody was attached; since it does not, the property tests hold with 1.0 s (800 examples each, also with 0.5 s and with 1.5 s).

--- a/lavenderstack/core/attachment.py
+++ b/lavenderstack/core/attachment.py
@@ -12,7 +12,7 @@
 ATTACHED_S = 0.4
 # An allotter that may still serve others is left again only after this long, so that
 # few attachments are counted twice within a window of some seconds.
-CHANGE_S = 2.5
+CHANGE_S = 1.0
 # The part of a rate handed out while some nodes are attached elsewhere; the rest
 # covers attachments counted twice.
 HANDED_OUT = 0.96
