Ask nodes of other zones first when the allotter falls silent

Nodes of the silent owner's zone come last now; all who lost it still agree on the same order.

With it: two failures of a read are told as such, whatever a third target lacks.

--- a/lavenderstack/node/admitter.py
+++ b/lavenderstack/node/admitter.py
@@ -91,15 +91,20 @@
         """Return the owner of the record, else the first node of the ring.
 
         So a node that comes back leaves the rates with its successor, whose buckets
-        are full. One that is passed over or stops is neither.
+        are full. One that is passed over or stops is neither, and then the nodes of
+        its zone come last, which may be cut off with it.
         """
         live = {vm.name: vm for vm in self._peers.live()}
         owner = live.get(self._directory.reserve.node)
         if owner is not None:
             return owner
-        ring = self._rings.of(self._directory.view.vms)
-        names = ring.after(place("allotment"))
-        return next((live[name] for name in names if name in live), None)
+        vms = self._directory.view.vms
+        lost = vms.get(self._directory.reserve.node)
+        names = self._rings.of(vms).after(place("allotment"))
+        found = [live[name] for name in names if name in live]
+        if lost is not None:
+            found.sort(key=lambda vm: vm.zone == lost.zone)
+        return found[0] if found else None
 
     async def admit(self, organisation: str) -> Failed | None:
         """Return None if an operation may run, else the refusal."""
--- a/lavenderstack/node/admitter_test.py
+++ b/lavenderstack/node/admitter_test.py
@@ -203,6 +203,22 @@
         assert await fleet.entry.admit("org") is None
         assert fleet.asked == [(first, DrawTokens)]
 
+    async def test_with_a_silent_owner_its_zone_comes_last(self):
+        """Found on grown lipa trouble-2: the next ones lay in the same cut-off zone."""
+        fleet = Fleet()
+        first, second, last = fleet.order()
+        owner, same, other = (
+            (first, second, last) if first != "n1" else (second, last, first)
+        )
+        if same == "n1":
+            same, other = other, same
+        directory = fleet.directories["n1"]
+        directory.put_member(Vm(other, "z2", "10.0.0.1", 1))
+        directory.put_reserve(Reserve(f"{owner}#1", {}, 4))
+        fleet.dead = {owner}
+        assert await fleet.entry.admit("org") is None
+        assert fleet.asked == [(other, DrawTokens)]
+
     async def test_a_few_nodes_dont_take_the_record_away(self):
         fleet = Fleet()
         first, second, last = fleet.order()
--- a/lavenderstack/node/dispatch.py
+++ b/lavenderstack/node/dispatch.py
@@ -181,7 +181,7 @@
         running: set[asyncio.Task] = set()
         left = list(choices)
         tried: list[str] = []
-        failed = 0
+        failed: list[Placed] = []
         try:
             while left or running:
                 if left:
@@ -199,9 +199,10 @@
                     failure = task.result()
                     if isinstance(failure.answer, WorkDone):
                         return failure
-                    failed += _failed_by_itself(failure.answer)
-                if failed >= FAILURES_BELIEVED:
-                    return failure
+                    if _failed_by_itself(failure.answer):
+                        failed.append(failure)
+                if len(failed) >= FAILURES_BELIEVED:
+                    return failed[-1]
                 if not running and not failed and not _passing(call, failure.answer):
                     return failure
                 if call.patient_until <= clock.now():
--- a/lavenderstack/node/dispatch_test.py
+++ b/lavenderstack/node/dispatch_test.py
@@ -274,6 +274,14 @@
         bench = Bench(t1=[failed, DONE])
         assert await bench.run(READ, Access.CURRENT_READ) == DONE
 
+    async def test_what_two_targets_say_stands_whatever_a_third_one_lacks(self):
+        failed = Slow(0.15, maybe_run(Reason.STATEMENT_FAILED))
+        behind = Slow(0.05, refused(Reason.BEHIND))
+        bench = Bench(t1=failed, t2=failed, t3=behind)
+        answer = await bench.run(READ, Access.AGED_READ)
+        assert answer.reason is Reason.STATEMENT_FAILED
+        assert len(bench.asked) == 3
+
     async def test_a_failure_of_the_statement_itself_is_the_answer(self):
         failed = maybe_run(Reason.STATEMENT_FAILED)
         bench = Bench(t1=failed, t2=failed, t3=failed)
