Hold the ports of test processes until they listen

The log of the first failure was not kept, so that it was the same is likely, not shown.

Now a port stays bound, without listening, after it was given out; whoever looks for a free one passes it over. Ruled out: load alone (six of six passed at a load of 20).

--- a/standins/sockets.py
+++ b/standins/sockets.py
@@ -8,11 +8,15 @@
 import random
 import socket
 import struct
+from collections import deque
 from contextlib import suppress
 from pathlib import Path
 
 HOST = "127.0.0.1"
 PORTS = (12_000, 30_000)
+# Ports of a few test clusters; the descriptors of a test process bound it.
+MOST_HELD = 200
+_held: deque[socket.socket] = deque()
 _SOCK_DIAG = 4
 _BY_FAMILY = 20
 _REQUEST = 1
@@ -55,10 +59,28 @@
 def free_port() -> int:
     """Return a port that nobody has, outside of those given to outgoing connections.
 
-    One of those could be taken again before the process that it is for listens.
+    One of those could be taken again before the process that it is for listens. For the
+    same reason the port stays bound here: whoever looks for a free one passes it over,
+    while a server, which asks to reuse its address, may still listen on it.
     """
     while True:
         port = random.randrange(*PORTS)
-        with socket.socket() as sock, suppress(OSError):
-            sock.bind((HOST, port))
+        with suppress(OSError):
+            with socket.socket() as sock:
+                sock.bind((HOST, port))
+            _hold(port)
             return port
+
+
+def _hold(port: int) -> None:
+    """Keep a port bound until many later ones have been given out."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        sock.bind((HOST, port))
+    except OSError:
+        sock.close()
+        raise
+    _held.append(sock)
+    if len(_held) > MOST_HELD:
+        _held.popleft().close()
