Follow a store that is restored from a copy under a new era

Cause: no code read Store-Era and all order rested on revisions alone. After a restore each node listed without end (its position never fell), claims were refused for good and a lost primary was not replaced; an epoch could be given twice.

A position is now the era above 40 bits of revision, so all that compares revisions goes on; platform/store.py translates. A node that sees a new era drops its lease, keeps its directory for 2.5 s, claims nothing for 3 s, registers again spread over 1.5 s. Records of this service name their era; those of an older one are void, reserves lose their tokens. ls/era, written with the first claim, spares nodes that start later the wait. Found on the way: the owner of the reserve record that lost an answer never owned it again; a node that stops without a lease left a registration without one behind.

Ruled out: pairs of era and revision in each place (the same order, many more lines); the era in the keys' names (two builds would not see each other's claims); taking over the copy at once (targets of before the copy lead, a missed withdrawal is proved away).

--- a/lavenderstack/border/http.py
+++ b/lavenderstack/border/http.py
@@ -8,7 +8,7 @@
 import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import h11
 
@@ -24,10 +24,14 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpResponse:
-    """The status code and the body of a response."""
+    """The status code, the body and the headers of a response.
+
+    ``headers`` has the names in lower case; of a repeated header it has the last one.
+    """
 
     status: int
     body: bytes
+    headers: Mapping[str, str] = field(default_factory=dict)
 
 
 class _ClientConnection:
@@ -47,17 +51,21 @@
         if body:
             data += conn.send(h11.Data(data=body))
         self._writer.write(data + conn.send(h11.EndOfMessage()))
-        status, parts = 0, []
+        status, headers, parts = 0, {}, []
         while True:
             event = conn.next_event()
             if event is h11.NEED_DATA:
                 conn.receive_data(await self._reader.read(READ_B))
             elif isinstance(event, h11.Response):
                 status = event.status_code
+                headers = {
+                    name.decode(): value.decode("latin-1")
+                    for name, value in event.headers
+                }
             elif isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
-                return HttpResponse(status, b"".join(parts))
+                return HttpResponse(status, b"".join(parts), headers)
             else:
                 raise HttpFailed("the connection was closed")
 
--- a/lavenderstack/core/events.py
+++ b/lavenderstack/core/events.py
@@ -79,6 +79,19 @@
         ("after_s",),
         "the store answers again",
     ),
+    Event(
+        "loader: store restored from a copy",
+        LineKind.LIFE,
+        ("before", "era"),
+        "nothing is taken over from the store for 2.5 s, nothing claimed for 3 s; "
+        "before: the last position known, ERA.REVISION",
+    ),
+    Event(
+        "loader: record of an older era ignored",
+        LineKind.STATE,
+        ("key",),
+        "a registration or claim came back with the copy; its lease is gone",
+    ),
     Event(
         "loader: history unavailable, listing",
         LineKind.STATE,
@@ -127,6 +140,13 @@
         ("owner", "revision"),
         "this node hands out the reserve of the previous coordinator",
     ),
+    Event("documents: era not understood", LineKind.STATE, ("error",), "it is ignored"),
+    Event(
+        "registration: claim not read",
+        LineKind.STATE,
+        ("duty", "error"),
+        "whether a recorded claim is of an older era is asked again",
+    ),
     Event("registration: lease ended", LineKind.STATE, (), "this node registers again"),
     Event("registration: not renewed", LineKind.LIFE, ("error",), "it is retried"),
     Event(
--- a/lavenderstack/core/explanation_test.py
+++ b/lavenderstack/core/explanation_test.py
@@ -42,6 +42,11 @@
         failed = line(2.0, FAILED, request="r", reason="unreachable", target="t1")
         assert explain("r", [lost, elsewhere, failed]).state_lines == [lost]
 
+    def test_restore_of_the_store_is_included(self):
+        restored = line(1.0, "loader: store restored from a copy", before="1.9", era=2)
+        failed = line(2.0, FAILED, request="r", reason="stale_view")
+        assert explain("r", [restored, failed]).state_lines == [restored]
+
     def test_old_state_changes_are_left_out(self):
         old = line(0.0, "executor: target lost", target="t1")
         failed = line(
--- a/lavenderstack/node/admitter.py
+++ b/lavenderstack/node/admitter.py
@@ -351,7 +351,8 @@
         return not self._recording.locked() and now >= self._record_retry_at
 
     def _may_take_over(self, now: float) -> bool:
-        if self._directory.reserve.owner == self._reserves.identity:
+        is_recorded = self._directory.reserve.owner == self._reserves.identity
+        if is_recorded and self._owns_reserve:
             return False
         if (
             self._quota.attached.attached_fraction(self._node_count())
--- a/lavenderstack/node/admitter_test.py
+++ b/lavenderstack/node/admitter_test.py
@@ -326,3 +326,23 @@
         assert node.directory.reserve.owner == "n1#1"
         drawn = await node.admitter.draw(DrawTokens("n1", "org", 20))
         assert drawn.tokens >= 12
+
+    async def test_owner_of_a_restored_record_records_again(self):
+        """After a restore of the store the record names this node, but as a void one.
+
+        The same is seen after a lost answer: the node must not wait for another owner
+        of the record for ever.
+        """
+        node = SingleNode()
+        await node.fill()
+        await node.admitter._reserve()
+        restored = Reserve("n1#1", {}, node.directory.reserve.revision + 1000)
+        node.directory.put_reserve(restored)
+        await node.admitter._withdraw("org")
+        assert not node.admitter._owns_reserve
+        node.admitter._record_retry_at = node.admitter._taken_over_at = float("-inf")
+        await node.admitter.attach(Attach("n1"))
+        assert node.admitter._owns_reserve
+        # Another coordinator may have handed the reserve out in the meantime.
+        drawn = await node.admitter.draw(DrawTokens("n1", "org", 20))
+        assert 0 < drawn.tokens <= 8
--- a/lavenderstack/platform/documents.py
+++ b/lavenderstack/platform/documents.py
@@ -6,6 +6,11 @@
 a line and return None. An invalid catalog, node, reserve or ownership record is
 ignored, so that the last valid one stays in effect; an invalid report removes its
 target.
+
+This service's own records name the era of the store in which they were written. One
+that came back with a copy of the store, from an older era, is void: its lease is gone,
+and tokens that it reserves may have been handed out since. A record without an era was
+written by a build that knows none and counts as one of the present era.
 """
 
 from collections.abc import Mapping
@@ -22,6 +27,7 @@
     Reserve,
     Route,
 )
+from lavenderstack.core.store_position import era_of
 from lavenderstack.core.view import Plan, Target, Vm
 from lavenderstack.platform.callers import digest_of
 
@@ -33,6 +39,7 @@
 NODES_PREFIX = SERVICE_PREFIX + "nodes/"
 OWNERSHIP_PREFIX = SERVICE_PREFIX + "duties/"
 RESERVE_KEY = SERVICE_PREFIX + "reserve"
+ERA_KEY = SERVICE_PREFIX + "era"
 
 DEFAULT_PRIORITY = 2
 DEFAULT_TIMEOUT_MS = 1000.0
@@ -183,16 +190,57 @@
     host: str
     port: int
     leaving: bool = False
+    era: int | None = None
 
 
 class _Ownership(msgspec.Struct):
     node: str
+    era: int | None = None
+
+
+class _Written(msgspec.Struct):
+    """The part of this service's records that tells when they were written."""
+
+    era: int | None = None
+
+
+def is_void(key: str, value: bytes, position: int) -> bool:
+    """Return whether a record of this service is one of an older era of the store.
+
+    ``position`` is that of the entry, in the era in which it was read.
+    """
+    if not key.startswith((NODES_PREFIX, OWNERSHIP_PREFIX)):
+        return False
+    try:
+        written = msgspec.json.decode(value, type=_Written)
+    except msgspec.MsgspecError:
+        # The decoder of the record reports it.
+        return False
+    return written.era is not None and written.era != era_of(position)
+
 
+class _Era(msgspec.Struct):
+    era: int
 
-def encode_node(vm: Vm) -> bytes:
+
+def encode_era(number: int) -> bytes:
+    """Return the record of a settled era in the format of the store."""
+    return msgspec.json.encode(_Era(number))
+
+
+def decode_era(value: bytes) -> int | None:
+    """Return the era that is recorded as settled, or None if the record is invalid."""
+    try:
+        return msgspec.json.decode(value, type=_Era).era
+    except msgspec.MsgspecError as exc:
+        log.warning("documents: era not understood", error=str(exc))
+        return None
+
+
+def encode_node(vm: Vm, era: int) -> bytes:
     """Return a node's registration in the format of the store."""
     leaving = vm.state == "leaving"
-    return msgspec.json.encode(_Node(vm.zone, vm.host, vm.port, leaving))
+    return msgspec.json.encode(_Node(vm.zone, vm.host, vm.port, leaving, era))
 
 
 def decode_node(key: str, value: bytes) -> Vm | None:
@@ -210,37 +258,43 @@
 class _Reserve(msgspec.Struct):
     owner: str
     tokens: dict[str, float]
+    era: int | None = None
 
 
-def encode_reserve(owner: str, tokens: Mapping[str, float]) -> bytes:
+def encode_reserve(owner: str, tokens: Mapping[str, float], era: int) -> bytes:
     """Return the record of the reserved tokens in the format of the store.
 
     ``tokens`` maps organisations to the tokens that the quota coordinator ``owner``
     keeps for the next coordinator.
     """
-    return msgspec.json.encode(_Reserve(owner, dict(tokens)))
+    return msgspec.json.encode(_Reserve(owner, dict(tokens), era))
 
 
 def decode_reserve(key: str, value: bytes, rev: int) -> Reserve | None:
-    """Return the record of the reserved tokens, or None if it is invalid."""
+    """Return the record of the reserved tokens, or None if it is invalid.
+
+    A record of an older era still names the coordinator, so that the nodes stay with
+    it, but its tokens may have been handed out since.
+    """
     try:
         record = msgspec.json.decode(value, type=_Reserve)
     except msgspec.MsgspecError as exc:
         log.warning("documents: reserve not understood", key=key, error=str(exc))
         return None
-    return Reserve(record.owner, record.tokens, rev)
+    is_current = record.era is None or record.era == era_of(rev)
+    return Reserve(record.owner, record.tokens if is_current else {}, rev)
 
 
-def encode_ownership(node: str) -> bytes:
+def encode_ownership(node: str, era: int) -> bytes:
     """Return the record of a group's owner in the format of the store."""
-    return msgspec.json.encode(_Ownership(node))
+    return msgspec.json.encode(_Ownership(node, era))
 
 
 def decode_ownership(key: str, value: bytes, rev: int) -> RecordedOwnership | None:
     """Return the recorded owner of a group, or None if the record is invalid.
 
-    The revision of the record is the epoch. The store's revisions only increase and
-    are never reused, not even after a lost answer or an outage of the store, so no two
+    The position of the record is the epoch. Positions only increase and are never
+    reused, not even after a lost answer, an outage or a restore of the store, so no two
     claims of a group have the same epoch.
     """
     try:
--- a/lavenderstack/platform/documents_test.py
+++ b/lavenderstack/platform/documents_test.py
@@ -120,11 +120,11 @@
     def test_node_is_decoded_as_it_was_encoded(self):
         vm = Vm("n1", "z1", "10.0.0.1", 7560, state="leaving")
         key = documents.NODES_PREFIX + "n1"
-        assert documents.decode_node(key, documents.encode_node(vm)) == vm
+        assert documents.decode_node(key, documents.encode_node(vm, 0)) == vm
 
     def test_epoch_of_an_ownership_is_its_revision(self):
         ownership = documents.decode_ownership(
-            "ls/duties/g", documents.encode_ownership("n1#a"), 42
+            "ls/duties/g", documents.encode_ownership("n1#a", 0), 42
         )
         assert (ownership.node, ownership.epoch) == ("n1#a", 42)
 
--- a/lavenderstack/platform/loader.py
+++ b/lavenderstack/platform/loader.py
@@ -6,6 +6,10 @@
 history that the watch needs, all entries are listed again. A listing is not a snapshot,
 so changes newer than its first page are read by the next watch.
 
+If the store is restored from an older copy, the directory stays as it is until the
+operators and the targets have had time to write again (``core/store_era.py``). Then all
+entries are listed again.
+
 In a large zone most nodes ask another node instead of the store (``core/readers.py``).
 That node passes the entries on unchanged, with the age of its own proof.
 """
@@ -25,6 +29,7 @@
     proved_at,
     upstream_nodes,
 )
+from lavenderstack.core.store_position import era_of, format_position
 from lavenderstack.core.view import Target, Vm
 from lavenderstack.node.directory import Directory
 from lavenderstack.node.peers import Peers
@@ -84,26 +89,34 @@
         self._updated = asyncio.Event()
         self._store = store
         self._directory = directory
-        # The revision of the last change, by key; removed entries are included.
+        # The position of the last change, by key; removed entries are included.
         self._revisions: dict[str, int] = {}
         self._reports: dict[str, documents.TargetReport] = {}
         self._as_of = 0
         self._watch_sent_at = float("-inf")
         self._listed = False
+        self._listed_at = float("-inf")
+        self._restores_seen = 0
         self._store_lost_at: float | None = None
 
     def store_calls(self) -> int:
         """Return the number of calls to the store that this process has made."""
         return sum(self._store.calls.values())
 
+    def store_restores(self) -> int:
+        """Return how often this process saw the store come back from a copy."""
+        return self._store.era.restores
+
     async def run(self) -> None:
         """Follow the changes of the store until cancelled."""
         while True:
             try:
+                await self._wait_out_restore()
                 if await self._poll_upstream():
                     continue
                 if not self._listed:
                     await self._list()
+                    continue
                 await self._watch()
             except HistoryGone:
                 log.info("loader: history unavailable, listing", after=self._as_of)
@@ -112,6 +125,33 @@
                 self._record_store_lost(exc)
                 await asyncio.sleep(RETRY_DELAY_S)
 
+    async def _wait_out_restore(self) -> None:
+        """Wait until what a restored store holds may be taken over.
+
+        A node that has just started learns only from the first listing whether the
+        store was restored shortly before, so it lists once more after the wait.
+        """
+        while True:
+            self._record_restore()
+            wait_s = self._store.era.read_wait_s(clock.now())
+            if wait_s <= 0 or not self._as_of:
+                return
+            await asyncio.sleep(wait_s)
+            self._listed = False
+
+    def _record_restore(self) -> None:
+        """Require a new listing if the era of the store has risen."""
+        era = self._store.era
+        if era.restores == self._restores_seen:
+            return
+        self._restores_seen = era.restores
+        self._listed = False
+        log.warning(
+            "loader: store restored from a copy",
+            before=format_position(self._as_of),
+            era=era.number,
+        )
+
     def _record_store_lost(self, exc: Exception) -> None:
         if self._store_lost_at is None:
             self._store_lost_at = clock.now()
@@ -153,13 +193,21 @@
         except (NotSent, StreamLost, TimeoutError) as exc:
             log.info("loader: no changes received", holder=vm.name, error=repr(exc))
             reply = None
-        if not isinstance(reply, ChangesReply) or reply.age_s > MAX_PROOF_AGE_S:
+        if not self._is_usable(reply):
             self._skipped_until[vm.name] = clock.now() + SKIP_NODE_S
             return False
+        # The sender has waited before it took over entries of a new era.
+        self._store.era.observe(era_of(reply.as_of), clock.now())
         self._apply_reply(reply)
         self._prove(proved_at(asked_at, reply.held_s, reply.age_s))
         return True
 
+    def _is_usable(self, reply: Message | None) -> bool:
+        """Return whether a reply is recent and not of an older era of the store."""
+        if not isinstance(reply, ChangesReply) or reply.age_s > MAX_PROOF_AGE_S:
+            return False
+        return era_of(reply.as_of) >= (self._store.era.number or 0)
+
     def _apply_reply(self, reply: ChangesReply) -> None:
         items = [
             Item(entry.key, entry.revision, entry.data, deleted=entry.deleted)
@@ -173,7 +221,7 @@
         self._advance_revision(reply.as_of)
 
     def _advance_revision(self, as_of: int) -> None:
-        """Record that all changes up to the revision ``as_of`` are known."""
+        """Record that all changes up to the position ``as_of`` are known."""
         self._as_of = max(self._as_of, as_of)
         self._notify_waiters()
 
@@ -219,6 +267,9 @@
             return
 
     async def _list(self) -> None:
+        # A store that refuses every watch must not be asked for listings all the time.
+        await asyncio.sleep(self._listed_at + RETRY_DELAY_S - clock.now())
+        self._listed_at = clock.now()
         page = await self._store.list("")
         as_of = page.as_of
         seen: set[str] = set()
@@ -266,16 +317,22 @@
         self._revisions[item.key] = item.rev
         if len(self._recent) == MAX_RECENT_CHANGES:
             self._recent_after = max(self._recent_after, self._recent[0].rev)
+        try:
+            data = item.data
+        except ValueError as exc:
+            log.warning("loader: value can't be decoded", key=item.key, error=str(exc))
+            data = None
+        if data and documents.is_void(item.key, data, item.rev):
+            log.info("loader: record of an older era ignored", key=item.key)
+            item = Item(item.key, item.rev, deleted=True)
         self._recent.append(item)
         if item.deleted:
             self._entries.pop(item.key, None)
             self._remove(item)
             return
         self._entries[item.key] = item
-        try:
-            self._put(item, item.data)
-        except ValueError as exc:
-            log.warning("loader: value can't be decoded", key=item.key, error=str(exc))
+        if data is not None:
+            self._put(item, data)
 
     def _put(self, item: Item, data: bytes) -> None:
         key, directory = item.key, self._directory
@@ -289,6 +346,10 @@
             node = documents.decode_node(key, data)
             if node is not None:
                 directory.put_member(node)
+        elif key == documents.ERA_KEY:
+            settled = documents.decode_era(data)
+            if settled is not None:
+                self._store.era.settle(settled)
         elif key == documents.RESERVE_KEY:
             reserve = documents.decode_reserve(key, data, item.rev)
             if reserve is not None:
--- a/lavenderstack/platform/loader_test.py
+++ b/lavenderstack/platform/loader_test.py
@@ -176,7 +176,7 @@
         kv.put("op/config", config(1))
         for name in ("n1", "n2"):
             vm = Vm(name, "z1", "10.0.0.1", 1)
-            kv.put(documents.NODES_PREFIX + name, documents.encode_node(vm))
+            kv.put(documents.NODES_PREFIX + name, documents.encode_node(vm, 0))
         return kv
 
     async def test_node_without_registration_is_dropped_at_once(self):
@@ -373,7 +373,7 @@
 
     async def test_owned_group_cannot_be_claimed(self):
         kv = MetadataStore()
-        kv.put(self.OWNERSHIP_KEY, documents.encode_ownership("n2#x"))
+        kv.put(self.OWNERSHIP_KEY, documents.encode_ownership("n2#x", 0))
         async with run_registration(kv) as registration:
             with pytest.raises(ClaimLost):
                 await registration.claim("g")
--- a/lavenderstack/platform/main.py
+++ b/lavenderstack/platform/main.py
@@ -213,6 +213,11 @@
     )
     counters.gauge("nodes", "Nodes known", lambda: len(directory.view.vms))
     counters.gauge("store_calls", "Calls of the store", node.loader.store_calls)
+    counters.gauge(
+        "store_restores",
+        "Times that the store came back from a copy",
+        node.loader.store_restores,
+    )
 
 
 async def _close_idle_when_unready(node: Node) -> None:
--- a/lavenderstack/platform/registration.py
+++ b/lavenderstack/platform/registration.py
@@ -3,9 +3,14 @@
 The registration and the claims are bound to the lease, so the store removes those of a
 node that has died. The lease's validity is counted from the moment at which its
 renewal was sent, since the answer may be late.
+
+If the store is restored from a copy, the lease and all that is bound to it are gone.
+This node then stops acting on its claims at once and registers again after a random
+delay, so that the nodes do not all write in the same moment.
 """
 
 import asyncio
+import random
 import secrets
 from collections.abc import Mapping
 
@@ -18,6 +23,7 @@
 from lavenderstack.platform.store import (
     Condition,
     Conflict,
+    EraChanged,
     LeaseEnded,
     Put,
     Store,
@@ -31,6 +37,10 @@
 RETRY_DELAY_S = 0.4
 # Allows for the clocks of the store and of this node running at different speeds.
 VALIDITY_MARGIN_S = 0.3
+# Registrations after a restore of the store are spread over this time. Together with
+# the renewal interval it is shorter than the time for which nothing is taken over from
+# the restored store, so the first listing shows all nodes.
+REGISTER_SPREAD_S = 1.5
 
 
 class Registration:
@@ -41,31 +51,54 @@
         self._store = store
         self._vm = vm
         self._lease = 0
+        self._lease_era: int | None = None
         self._valid_until = float("-inf")
         self._registered = False
 
+    def _lease_is_of_older_era(self) -> bool:
+        return self._lease_era is not None and self._lease_era != self._store.era.number
+
     def valid_until(self) -> float:
-        """Return the clock time in seconds until which the lease is certainly valid."""
-        return self._valid_until
+        """Return the clock time in seconds until which the lease is certainly valid.
+
+        A lease of an older era of the store is not valid any more.
+        """
+        return float("-inf") if self._lease_is_of_older_era() else self._valid_until
+
+    def _forget_lease(self) -> None:
+        self._lease = 0
+        self._lease_era = None
+        self._valid_until = float("-inf")
+        self._registered = False
 
     async def run(self) -> None:
         """Renew the lease, and the registration if needed, until cancelled."""
         while True:
             try:
+                if self._lease_is_of_older_era():
+                    await self._leave_older_era()
                 await self._renew()
                 await asyncio.sleep(RENEWAL_INTERVAL_S)
             except LeaseEnded:
                 log.info("registration: lease ended")
-                self._lease = 0
-                self._registered = False
+                self._forget_lease()
+            except EraChanged as exc:
+                log.info("registration: not renewed", error=str(exc))
+                await self._leave_older_era()
             except StoreFailed as exc:
                 log.info("registration: not renewed", error=str(exc))
                 await asyncio.sleep(RETRY_DELAY_S)
 
+    async def _leave_older_era(self) -> None:
+        """Forget the lease of an older era, and wait before registering again."""
+        self._forget_lease()
+        await asyncio.sleep(random.uniform(0.0, REGISTER_SPREAD_S))
+
     async def _renew(self) -> None:
         sent_at = clock.now()
         if not self._lease:
             self._lease, ttl_s = await self._store.create_lease(LEASE_TTL_S)
+            self._lease_era = self._store.era.number
         else:
             ttl_s = await self._store.renew_lease(self._lease)
         self._valid_until = sent_at + ttl_s - VALIDITY_MARGIN_S
@@ -75,7 +108,7 @@
 
     async def _register(self, vm: Vm) -> None:
         key = documents.NODES_PREFIX + vm.name
-        put = Put(key, documents.encode_node(vm), self._lease)
+        put = Put(key, documents.encode_node(vm, self._store.era.number), self._lease)
         try:
             await self._store.change(puts=[put])
         except Conflict as exc:
@@ -85,14 +118,21 @@
         """Register this node as leaving, so that others send it no new work."""
         vm = self._vm
         self._vm = Vm(vm.name, vm.zone, vm.host, vm.port, state="leaving")
+        if not self._lease or self._lease_is_of_older_era():
+            # ``run`` registers the node as leaving with its next lease.
+            self._registered = False
+            return
         try:
             await self._register(self._vm)
         except (StoreFailed, LeaseEnded) as exc:
             log.warning("registration: leaving not recorded", error=str(exc))
 
     async def end(self) -> None:
-        """End the lease, and so the registration and all claims."""
-        if not self._lease:
+        """End the lease, and so the registration and all claims.
+
+        A lease of an older era is gone; its number may belong to another node by now.
+        """
+        if not self._lease or self._lease_is_of_older_era():
             return
         try:
             await self._store.end_lease(self._lease)
@@ -100,21 +140,51 @@
             log.info("registration: lease not ended", error=str(exc))
 
     async def record(self, tokens: Mapping[str, float], revision: int) -> int:
-        """Replace the record of the reserved tokens; return its new revision.
+        """Replace the record of the reserved tokens; return its new position.
 
-        Raises ``ClaimLost`` if the record no longer has ``revision`` or the store did
-        not confirm the change.
+        Raises ``ClaimLost`` if the record no longer has the position ``revision`` or
+        the store did not confirm the change.
         """
+        if self._store.era.number is None:
+            raise ClaimLost("the store has not answered yet")
         key = documents.RESERVE_KEY
-        put = Put(key, documents.encode_reserve(self.identity, tokens))
+        data = documents.encode_reserve(self.identity, tokens, self._store.era.number)
+        put = Put(key, data)
         try:
             return await self._store.change([Condition(key, revision)], [put])
         except (Conflict, StoreFailed, LeaseEnded) as exc:
             raise ClaimLost(repr(exc)) from exc
 
     async def claim(self, group: str) -> None:
-        """Claim an unowned group; raises ``ClaimLost`` if that is not confirmed."""
-        await self._write_claim(group, 0)
+        """Claim an unowned group; raises ``ClaimLost`` if that is not confirmed.
+
+        After a restore of the store, an owner that does not know of it yet may act
+        until its lease ends, so nobody claims before that.
+        """
+        wait_s = self._store.era.claim_wait_s(clock.now())
+        if wait_s > 0:
+            raise ClaimLost(f"the store was restored, wait {wait_s:.1f} s more")
+        try:
+            await self._write_claim(group, 0)
+        except ClaimLost:
+            void_at = await self._void_claim(group)
+            if void_at is None:
+                raise
+            await self._write_claim(group, void_at)
+
+    async def _void_claim(self, group: str) -> int | None:
+        """Return the position of a claim that came back with a copy of the store.
+
+        Returns None if there is no such claim or the store did not answer.
+        """
+        key = documents.OWNERSHIP_PREFIX + group
+        try:
+            item = await self._store.get(key)
+            void = item is not None and documents.is_void(key, item.data, item.rev)
+        except (StoreFailed, ValueError) as exc:
+            log.info("registration: claim not read", duty=group, error=repr(exc))
+            return None
+        return item.rev if void else None
 
     async def renew_epoch(self, group: str, epoch: int) -> None:
         """Keep the claim under a new epoch; raises ``ClaimLost``."""
@@ -131,11 +201,17 @@
             )
 
     async def _write_claim(self, group: str, expected_rev: int) -> None:
-        if not self._lease:
+        if not self._lease or self._lease_is_of_older_era():
             raise ClaimLost("no lease")
-        key = documents.OWNERSHIP_PREFIX + group
-        put = Put(key, documents.encode_ownership(self.identity), self._lease)
+        key, era = documents.OWNERSHIP_PREFIX + group, self._store.era
+        number = era.number
+        data = documents.encode_ownership(self.identity, number)
+        puts = [Put(key, data, self._lease)]
+        if not era.settled:
+            # Nodes that start later need not wait for owners of the older era.
+            puts.append(Put(documents.ERA_KEY, documents.encode_era(number)))
         try:
-            await self._store.change([Condition(key, expected_rev)], [put])
+            await self._store.change([Condition(key, expected_rev)], puts)
         except (Conflict, StoreFailed, LeaseEnded) as exc:
             raise ClaimLost(repr(exc)) from exc
+        era.settle(number)
--- a/lavenderstack/platform/store.py
+++ b/lavenderstack/platform/store.py
@@ -3,6 +3,11 @@
 Each call has its own time limit, since an answer may be lost and a connection may stop
 answering for good; the connection of a call that times out is closed. Calls are not
 retried here, since whether one may be repeated depends on the call.
+
+The store may be restored from an older copy; the ``Store-Era`` header of its answers
+then rises. Revisions are translated to positions (``core/store_position.py``) on the
+way in and back on the way out, so nothing else compares revisions of different eras. A
+call that was sent in one era and answered in another raises ``EraChanged``.
 """
 
 import base64
@@ -11,18 +16,34 @@
 from urllib.parse import urlencode
 
 import msgspec
+import structlog
 
 from lavenderstack.border import http
 from lavenderstack.border.address import parse_address
-from lavenderstack.border.http import HttpClient, HttpFailed
+from lavenderstack.border.http import HttpClient, HttpFailed, HttpResponse
+from lavenderstack.core import clock
+from lavenderstack.core.store_era import EraNews, StoreEra
+from lavenderstack.core.store_position import era_of, revision_of, store_position
+
+log = structlog.get_logger()
 
 CALL_TIMEOUT_S = 1.0
+# A store that doesn't send the header was never restored.
+ERA_HEADER = "store-era"
+NO_ERA = "0"
 
 
 class StoreFailed(Exception):
     """The call was refused or not answered; a change may still be carried out."""
 
 
+class EraChanged(StoreFailed):
+    """The store was restored from a copy after the call's premises were read.
+
+    A change may have been carried out in the new era.
+    """
+
+
 class HistoryGone(Exception):
     """The store no longer has the changes after the given revision."""
 
@@ -39,7 +60,7 @@
 
 
 class Item(msgspec.Struct, frozen=True):
-    """An entry, or the removal of one; ``rev`` is the revision of its last change."""
+    """An entry, or the removal of one; ``rev`` is the position of its last change."""
 
     key: str
     rev: int
@@ -55,7 +76,7 @@
 
 
 class Page(msgspec.Struct, frozen=True):
-    """A page of a listing; ``as_of`` is the store's revision at that time."""
+    """A page of a listing; ``as_of`` is the store's position at that time."""
 
     items: list[Item]
     as_of: int
@@ -63,7 +84,7 @@
 
 
 class Changes(msgspec.Struct, frozen=True):
-    """The changes up to the revision ``as_of``."""
+    """The changes up to the position ``as_of``."""
 
     events: list[Item]
     as_of: int
@@ -87,18 +108,47 @@
 
 
 class Condition(msgspec.Struct, frozen=True):
-    """Requires an entry to have the revision ``rev``; 0 requires that it is absent."""
+    """Requires an entry to have the position ``rev``; 0 requires that it is absent."""
 
     key: str
     rev: int
 
 
 class Store:
-    """A client of the store; ``calls`` counts the calls made to each endpoint."""
+    """A client of the store.
+
+    ``calls`` counts the calls made to each endpoint, ``era`` is the store's latest era.
+    """
 
     def __init__(self, http: HttpClient) -> None:
         self._http = http
         self.calls: dict[str, int] = {}
+        self.era = StoreEra()
+
+    def _position(self, revision: int) -> int:
+        try:
+            return store_position(self.era.number, revision)
+        except ValueError as exc:
+            raise StoreFailed(str(exc)) from exc
+
+    def _positioned(self, item: Item) -> Item:
+        return msgspec.structs.replace(item, rev=self._position(item.rev))
+
+    def _observe_era(self, response: HttpResponse, sent_era: int | None) -> None:
+        """Record the era of an answer to a call that was sent in ``sent_era``.
+
+        Raises ``EraChanged`` if the era has risen since, ``StoreFailed`` if the answer
+        is of an older era than the latest one.
+        """
+        text = response.headers.get(ERA_HEADER, NO_ERA)
+        if not text.isdecimal():
+            raise StoreFailed(f"the store's era {text!r} is no number")
+        number = int(text)
+        news = self.era.observe(number, clock.now())
+        if news is EraNews.OLDER:
+            raise StoreFailed(f"answer of era {number}, known {self.era.number}")
+        if sent_era is not None and number != sent_era:
+            raise EraChanged(f"era {number}, sent in {sent_era}")
 
     async def _call(
         self,
@@ -113,10 +163,12 @@
         self.calls[endpoint] = self.calls.get(endpoint, 0) + 1
         url = f"/api/{path}?{urlencode(params)}" if params else f"/api/{path}"
         payload = msgspec.json.encode(body) if body is not None else b""
+        sent_era = self.era.number
         try:
             response = await self._http.request(method, url, timeout_s, payload)
         except HttpFailed as exc:
             raise StoreFailed(f"{path}: {exc}") from exc
+        self._observe_era(response, sent_era)
         if response.status == 200:
             try:
                 return (
@@ -133,25 +185,39 @@
         params = {"prefix": prefix}
         if after:
             params["after"] = after
-        return await self._call("GET", "kv-range", Page, params=params)
+        page = await self._call("GET", "kv-range", Page, params=params)
+        items = [self._positioned(item) for item in page.items]
+        return Page(items, self._position(page.as_of), page.has_more)
 
     async def get(self, key: str) -> Item | None:
         """Return an entry, or None if it is absent."""
         try:
-            return await self._call("GET", "kv-key", Item, params={"key": key})
+            return self._positioned(
+                await self._call("GET", "kv-key", Item, params={"key": key})
+            )
         except LeaseEnded:
             # The store uses 404 for an absent entry as well as for an ended lease.
             return None
 
     async def watch(self, prefix: str, after: int, wait_s: float) -> Changes:
-        """Return the changes after a revision, waiting up to ``wait_s`` seconds."""
+        """Return the changes after a position, waiting up to ``wait_s`` seconds.
+
+        Raises ``HistoryGone`` for a position of an older era.
+        """
+        if self._of_older_era(after):
+            raise HistoryGone("the position is of an older era")
         params = {
             "prefix": prefix,
-            "after": str(after),
+            "after": str(revision_of(after)),
             "wait_ms": str(int(wait_s * 1000)),
         }
         timeout_s = wait_s + CALL_TIMEOUT_S
-        return await self._call("GET", "kv-watch", Changes, timeout_s, params=params)
+        found = await self._call("GET", "kv-watch", Changes, timeout_s, params=params)
+        events = [self._positioned(item) for item in found.events]
+        return Changes(events, self._position(found.as_of))
+
+    def _of_older_era(self, position: int) -> bool:
+        return self.era.number is not None and era_of(position) < self.era.number
 
     async def change(
         self,
@@ -159,13 +225,17 @@
         puts: Sequence[Put] = (),
         deletes: Sequence[str] = (),
     ) -> int:
-        """Change entries in one transaction and return its revision.
+        """Change entries in one transaction and return its position.
 
-        Raises ``Conflict`` if a condition is not met.
+        Raises ``Conflict`` if a condition is not met. A position of an older era is
+        never met, although the store may have given its revision again.
         """
+        if any(one.rev and self._of_older_era(one.rev) for one in conditions):
+            raise Conflict("a condition names a position of an older era")
         body = {
             "precondition": [
-                {"key": condition.key, "rev": condition.rev} for condition in conditions
+                {"key": condition.key, "rev": revision_of(condition.rev)}
+                for condition in conditions
             ],
             "puts": [
                 {
@@ -178,7 +248,7 @@
             "deletes": list(deletes),
         }
         reply = await self._call("POST", "kv-txn", _ChangeReply, body=body)
-        return reply.rev
+        return self._position(reply.rev)
 
     async def create_lease(self, ttl_s: float) -> tuple[int, float]:
         """Create a lease; return its id and the seconds for which it is valid."""
--- /dev/null
+++ b/lavenderstack/platform/store_restore_test.py
@@ -0,0 +1,406 @@
+"""Tests of a store that comes back from an older copy, under a new era.
+
+What this service wrote since the copy is gone, and so are all leases. Revisions are
+given again. The operators and the targets write their lost entries again.
+"""
+
+import asyncio
+import json
+from contextlib import asynccontextmanager
+
+import pytest
+
+from lavenderstack.core import clock
+from lavenderstack.core.change_messages import ChangesReply, ChangesRequest
+from lavenderstack.core.store_era import CLAIM_HOLD_S, READ_HOLD_S
+from lavenderstack.core.store_position import era_of, store_position
+from lavenderstack.core.view import Vm
+from lavenderstack.core.view_proof import ViewProof
+from lavenderstack.node.backend import ClaimLost
+from lavenderstack.node.directory import Directory
+from lavenderstack.platform import documents, store
+from lavenderstack.platform.callers import digest_of
+from lavenderstack.platform.documents_test import CONFIG, REPORT
+from lavenderstack.platform.loader import RETRY_DELAY_S, Loader
+from lavenderstack.platform.registration import REGISTER_SPREAD_S, Registration
+from standins.metadata_store import MetadataStore, serving
+
+KEY = CONFIG["tenants"][0]["api_keys"][0]
+ORGANISATION = CONFIG["tenants"][0]["name"]
+CLAIM_KEY = documents.OWNERSHIP_PREFIX + "g"
+
+
+def config(version, keys=(KEY,)):
+    tenants = [{**CONFIG["tenants"][0], "api_keys": list(keys)}]
+    return json.dumps({**CONFIG, "version": version, "tenants": tenants}).encode()
+
+
+def report(**fields):
+    return json.dumps({**REPORT, **fields}).encode()
+
+
+def new_store(era=1, settled=True):
+    """Return a store in an era that began long ago, unless ``settled`` is False."""
+    kv = MetadataStore(era=era)
+    kv.put("op/config", config(3))
+    if settled:
+        kv.put(documents.ERA_KEY, documents.encode_era(era))
+    return kv
+
+
+@asynccontextmanager
+async def running(coroutine):
+    task = asyncio.ensure_future(coroutine)
+    try:
+        yield task
+    finally:
+        task.cancel()
+
+
+@asynccontextmanager
+async def run_loader(kv):
+    """Run a loader; yield it and its directory."""
+    directory = Directory("n1", "z1", ViewProof(limit_s=5.0))
+    async with serving(kv) as addr, store.open_store(addr) as client:
+        loader = Loader(client, directory)
+        async with running(loader.run()):
+            yield loader, directory
+
+
+@asynccontextmanager
+async def run_registration(kv, name="n1"):
+    """Run a registration; yield it once the node is registered."""
+    async with serving(kv) as addr, store.open_store(addr) as client:
+        registration = Registration(client, Vm(name, "z1", "10.0.0.1", 1))
+        async with running(registration.run()):
+            await wait_until(lambda: documents.NODES_PREFIX + name in kv.items)
+            # A loader would have read the record of the settled era.
+            client.era.settle(kv.era)
+            yield registration
+
+
+async def wait_until(condition, timeout_s=8.0):
+    deadline = clock.now() + timeout_s
+    while not condition():
+        assert clock.now() < deadline, "condition not met in time"
+        await asyncio.sleep(0.01)
+
+
+def proved(directory):
+    return directory.proof.holds(clock.now())
+
+
+class TestPositions:
+    async def test_positions_rise_though_revisions_go_back(self):
+        kv = new_store()
+        kept = kv.take_copy()
+        async with serving(kv) as addr, store.open_store(addr) as client:
+            before = await client.change(puts=[store.Put("ls/x", b"1")])
+            kv.restore(kept)
+            with pytest.raises(store.EraChanged):
+                await client.list("")
+            after = await client.change(puts=[store.Put("ls/x", b"1")])
+            assert after > before
+            assert era_of(after) == era_of(before) + 1
+
+    async def test_answer_of_an_older_era_proves_nothing(self):
+        kv = new_store(era=5)
+        async with serving(kv) as addr, store.open_store(addr) as client:
+            await client.list("")
+            kv.era = 4
+            with pytest.raises(store.StoreFailed, match="era 4"):
+                await client.list("")
+            assert client.era.number == 5
+
+    async def test_answer_to_a_call_of_the_older_era_is_not_taken(self):
+        """A watch under way is answered in the new era, after another call saw it."""
+        kv = new_store()
+        kept = kv.take_copy()
+        async with serving(kv) as addr, store.open_store(addr) as client:
+            page = await client.list("")
+            watch = asyncio.ensure_future(client.watch("", page.as_of, 2.0))
+            await wait_until(lambda: kv.watching)
+            kv.rev += 5
+            kv.era += 1
+            with pytest.raises(store.EraChanged):
+                await client.list("")
+            kv.put("servers/i-1", report())
+            with pytest.raises(store.EraChanged):
+                await watch
+        assert kept.rev < kv.rev
+
+    async def test_condition_of_an_older_era_is_never_met(self):
+        """The store may have given the same revision to the same key again."""
+        kv = new_store()
+        kept = kv.take_copy()
+        async with serving(kv) as addr, store.open_store(addr) as client:
+            old = await client.change(puts=[store.Put("ls/x", b"mine")])
+            kv.restore(kept)
+            kv.put("ls/x", b"another node's")
+            with pytest.raises(store.EraChanged):
+                await client.list("")
+            assert kv.items["ls/x"]["rev"] == old & 0xFFFF
+            condition = store.Condition("ls/x", old)
+            with pytest.raises(store.Conflict):
+                await client.change([condition], [store.Put("ls/x", b"mine")])
+
+    async def test_era_that_is_no_number_is_an_error(self):
+        kv = new_store(era="x")
+        async with serving(kv) as addr, store.open_store(addr) as client:
+            with pytest.raises(store.StoreFailed, match="no number"):
+                await client.list("")
+
+
+class TestLoading:
+    async def test_changes_of_the_new_era_arrive_with_few_calls(self):
+        """Found on a build that ordered by revision alone.
+
+        Each node listed some hundred times a second without end.
+        """
+        kv = new_store()
+        kept = kv.take_copy()
+        async with run_loader(kv) as (loader, directory):
+            for number in range(300):
+                kv.put(f"servers/i-{number % 3}", report(slots=1 + number))
+            await wait_until(lambda: len(directory.targets) == 3)
+            kv.restore(kept)
+            kv.calls.clear()
+            kv.put("servers/i-9", report())
+            await wait_until(lambda: set(directory.targets) == {"i-9"})
+            assert kv.calls.count("list") <= 2
+            assert loader.store_restores() == 1
+            kv.put("op/config", config(8))
+            await wait_until(lambda: directory.catalog.version == 8, 1.5)
+
+    async def test_nothing_is_proved_before_the_operators_wrote_again(self):
+        """A withdrawal that this node missed may be missing in the copy, too."""
+        kv = new_store()
+        kept = kv.take_copy()
+        async with run_loader(kv) as (_, directory):
+            await wait_until(lambda: proved(directory))
+            kv.restore(kept)
+            restored_at = clock.now()
+            await asyncio.sleep(READ_HOLD_S - 0.5)
+            assert directory.proof.at <= restored_at
+            kv.put("op/config", config(5, keys=["other"]))
+            await wait_until(lambda: directory.proof.at > restored_at)
+            assert directory.proof.at >= restored_at + READ_HOLD_S
+            assert directory.catalog.version == 5
+
+    async def test_withdrawn_key_stays_withdrawn(self):
+        kv = new_store()
+        kept = kv.take_copy()
+        async with run_loader(kv) as (_, directory):
+            kv.put("op/config", config(4, keys=["other"]))
+            await wait_until(lambda: directory.catalog.version == 4)
+            kv.restore(kept)
+            restored_at = clock.now()
+            await wait_until(lambda: directory.proof.at > restored_at)
+            assert directory.catalog.version == 4
+            digest = digest_of(KEY)
+            assert not directory.is_work_allowed(ORGANISATION, digest, 4, clock.now())
+
+    async def test_node_that_starts_after_a_restore_waits_before_it_proves(self):
+        kv = new_store()
+        kept = kv.take_copy()
+        kv.put("op/config", config(4, keys=["other"]))
+        kv.restore(kept)
+        started_at = clock.now()
+        async with run_loader(kv) as (_, directory):
+            await wait_until(lambda: directory.catalog.version == 3)
+            assert not proved(directory)
+            await asyncio.sleep(READ_HOLD_S - 0.5)
+            assert not proved(directory)
+            kv.put("op/config", config(4, keys=["other"]))
+            await wait_until(lambda: proved(directory))
+            assert directory.catalog.version == 4
+            assert directory.proof.at >= started_at + READ_HOLD_S
+
+    @pytest.mark.parametrize("era", [None, 0, 6])
+    async def test_node_that_starts_in_a_settled_era_does_not_wait(self, era):
+        kv = new_store(era=era, settled=era == 6)
+        started_at = clock.now()
+        async with run_loader(kv) as (_, directory):
+            await wait_until(lambda: proved(directory))
+            assert clock.now() - started_at < READ_HOLD_S / 2
+
+    async def test_second_restore_during_the_wait_starts_it_again(self):
+        kv = new_store()
+        kept = kv.take_copy()
+        async with run_loader(kv) as (loader, directory):
+            await wait_until(lambda: proved(directory))
+            kv.restore(kept)
+            await asyncio.sleep(1.5)
+            kv.restore(kept)
+            again_at = clock.now()
+            await wait_until(lambda: directory.proof.at > again_at)
+            assert loader.store_restores() == 2
+
+    async def test_restore_between_two_pages_is_noticed(self):
+        kv = new_store()
+        kv.page_size = 2
+        kept = kv.take_copy()
+        for number in range(5):
+            kv.put(f"servers/i-{number}", report())
+        kv.between_pages = [lambda: kv.restore(kept)]
+        async with run_loader(kv) as (loader, directory):
+            await wait_until(lambda: proved(directory))
+            assert directory.targets == {}
+            assert loader.store_restores() == 1
+
+    async def test_watch_that_is_always_refused_causes_few_listings(self):
+        """A store that goes back without a new era must not be flooded."""
+        kv = new_store(era=None)
+        kept = kv.take_copy()
+        async with run_loader(kv) as (_, directory):
+            await wait_until(lambda: proved(directory))
+            for _ in range(50):
+                kv.put("servers/i-1", report())
+            await wait_until(lambda: "i-1" in directory.targets)
+            kv.restore(kept)
+            kv.era = None
+            kv.calls.clear()
+            await asyncio.sleep(1.5)
+            assert kv.calls.count("list") <= 2 + 1.5 / RETRY_DELAY_S
+
+
+class TestOwnRecords:
+    @pytest.mark.parametrize("keeps_leased", [False, True])
+    async def test_records_of_the_copy_name_no_node_and_no_owner(self, keeps_leased):
+        kv = new_store()
+        kv.keeps_leased = keeps_leased
+        kv.leases.add(99)
+        vm = Vm("n9", "z1", "10.0.0.9", 1)
+        kv.put(documents.NODES_PREFIX + "n9", documents.encode_node(vm, 1), 99)
+        kv.put(CLAIM_KEY, documents.encode_ownership("n9#x", 1), 99)
+        kept = kv.take_copy()
+        async with run_loader(kv) as (_, directory):
+            await wait_until(lambda: "n9" in directory.view.vms)
+            assert "g" in directory.ownerships
+            kv.restore(kept)
+            own = Vm("n1", "z1", "10.0.0.1", 1)
+            kv.put(documents.NODES_PREFIX + "n1", documents.encode_node(own, 2))
+            await wait_until(lambda: "n9" not in directory.view.vms)
+            await wait_until(lambda: "g" not in directory.ownerships)
+
+    def test_tokens_of_an_older_era_are_not_handed_out_again(self):
+        data = documents.encode_reserve("n1#a", {"org": 40.0}, 1)
+        reserve = documents.decode_reserve("ls/reserve", data, store_position(2, 9))
+        assert (reserve.node, reserve.tokens) == ("n1", {})
+        same = documents.decode_reserve("ls/reserve", data, store_position(1, 9))
+        assert same.tokens == {"org": 40.0}
+
+    def test_records_of_a_build_without_eras_stay_valid(self):
+        data = b'{"node":"n1#a"}'
+        assert not documents.is_void(CLAIM_KEY, data, store_position(3, 9))
+
+
+class TestClaims:
+    async def test_owner_stops_at_the_first_answer_of_the_new_era(self):
+        kv = new_store()
+        kept = kv.take_copy()
+        async with run_registration(kv) as registration:
+            await registration.claim("g")
+            assert registration.valid_until() > clock.now()
+            kv.restore(kept)
+            with pytest.raises(ClaimLost):
+                await registration.renew_epoch("g", store_position(1, kv.rev))
+            assert registration.valid_until() < clock.now()
+
+    @pytest.mark.parametrize("keeps_leased", [False, True])
+    async def test_group_is_claimed_after_the_wait_with_a_later_epoch(
+        self, keeps_leased
+    ):
+        kv = new_store()
+        kv.keeps_leased = keeps_leased
+        async with run_registration(kv) as registration:
+            await registration.claim("g")
+            first = store_position(kv.era, kv.items[CLAIM_KEY]["rev"])
+            kept = kv.take_copy()
+            for _ in range(300):
+                kv.put("servers/i-1", report())
+            kv.restore(kept)
+            restored_at = clock.now()
+            await wait_until(lambda: registration._store.era.restores == 1)
+            while True:
+                try:
+                    await registration.claim("g")
+                    break
+                except ClaimLost:
+                    await asyncio.sleep(0.05)
+            assert clock.now() - restored_at >= CLAIM_HOLD_S
+            item = kv.items[CLAIM_KEY]
+            assert store_position(kv.era, item["rev"]) > first
+            assert item["lease"] in kv.leases
+            assert kv.items[documents.ERA_KEY]
+
+    async def test_lease_of_the_older_era_is_neither_renewed_nor_ended(self):
+        """Its number may belong to another node by now."""
+        kv = new_store()
+        async with run_registration(kv) as registration:
+            kept = kv.take_copy()
+            kv.restore(kept)
+            await wait_until(lambda: registration._store.era.restores == 1)
+            kv.leases.add(registration._lease)
+            other = dict(kv.items)
+            await registration.end()
+            assert kv.items == other
+
+    async def test_leaving_node_without_a_lease_leaves_no_record_behind(self):
+        kv = new_store()
+        async with run_registration(kv) as registration:
+            kv.restore(kv.take_copy())
+            await wait_until(lambda: registration._store.era.restores == 1)
+            await registration.leave()
+            key = documents.NODES_PREFIX + "n1"
+            assert key not in kv.items or kv.items[key]["lease"]
+
+    async def test_nodes_register_again_spread_over_time(self):
+        kv = new_store()
+        names = [f"n{number}" for number in range(40)]
+        async with serving(kv) as addr:
+            clients = [store.open_store(addr) for _ in names]
+            tasks = []
+            for name, opened in zip(names, clients, strict=True):
+                client = await opened.__aenter__()
+                registration = Registration(client, Vm(name, "z1", "10.0.0.1", 1))
+                tasks.append(asyncio.ensure_future(registration.run()))
+            prefix = documents.NODES_PREFIX
+            await wait_until(lambda: all(prefix + name in kv.items for name in names))
+            kv.change_times.clear()
+            kv.restore(kv.take_copy())
+            restored_at = clock.now()
+            await wait_until(lambda: all(prefix + name in kv.items for name in names))
+            assert clock.now() - restored_at < READ_HOLD_S
+            for task in tasks:
+                task.cancel()
+            for opened in clients:
+                await opened.__aexit__(None, None, None)
+        times = sorted(kv.change_times)
+        busiest = max(sum(at <= t < at + 0.2 for t in times) for at in times)
+        assert busiest <= len(names) / 2
+        assert REGISTER_SPREAD_S < READ_HOLD_S
+
+
+class TestFollowers:
+    async def test_reply_of_an_older_era_is_not_used(self):
+        kv = new_store(era=4)
+        async with run_loader(kv) as (loader, directory):
+            await wait_until(lambda: proved(directory))
+            for era, usable in ((3, False), (4, True), (5, True)):
+                reply = ChangesReply([], store_position(era, 900), False, 0.0, 0.1)
+                assert loader._is_usable(reply) is usable
+
+    async def test_follower_of_the_older_era_gets_all_entries(self):
+        kv = new_store()
+        kept = kv.take_copy()
+        async with run_loader(kv) as (loader, directory):
+            for _ in range(50):
+                kv.put("servers/i-1", report())
+            await wait_until(lambda: "i-1" in directory.targets)
+            old = loader._as_of
+            kv.restore(kept)
+            await wait_until(lambda: era_of(loader._as_of) == kv.era)
+            reply = await loader.handle_changes_request(ChangesRequest(old, 0.1))
+            assert reply.whole
+            assert era_of(reply.as_of) == kv.era
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import base64
+import copy
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -22,7 +23,9 @@
     ``down`` answers every call with 503, ``silent`` delays it by 60 s, and
     ``lose_answers`` applies a change but delays its answer by 60 s. Each page of a
     listing removes the first function from ``between_pages`` and calls it.
-    ``watching`` is the number of watches that wait.
+    ``watching`` is the number of watches that wait. ``era`` is sent in every answer
+    unless it is None. With ``keeps_leased`` a restore keeps entries bound to leases.
+    ``change_times`` has the clock time of each conditional change.
     """
 
     rev: int = 7
@@ -37,6 +40,9 @@
     between_pages: list = field(default_factory=list)
     calls: list[str] = field(default_factory=list)
     watching: int = 0
+    era: int | None = None
+    keeps_leased: bool = False
+    change_times: list[float] = field(default_factory=list)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
     def put(self, key: str, data: bytes, lease: int = 0) -> int:
@@ -74,6 +80,26 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def take_copy(self) -> "StoreCopy":
+        """Return a copy of the entries, for ``restore``."""
+        return StoreCopy(self.rev, copy.deepcopy(self.items))
+
+    def restore(self, kept: "StoreCopy") -> None:
+        """Come back from a copy, in the next era and without leases.
+
+        Revisions are given again from that of the copy, and watches after a later one
+        are refused.
+        """
+        self.era = (self.era or 0) + 1
+        self.rev = kept.rev
+        self.leases.clear()
+        self.items = {
+            key: dict(item)
+            for key, item in kept.items.items()
+            if self.keeps_leased or not item["lease"]
+        }
+        self.compact()
+
     def end_lease(self, lease: int) -> None:
         """End a lease and remove the entries bound to it."""
         self.leases.discard(lease)
@@ -95,9 +121,16 @@
         page = [self.items[key] for key in keys[: self.page_size]]
         more = len(keys) > self.page_size
         body = {"items": page, "has_more": more, "as_of": self.rev}
+        resp = web.json_response(body)
+        self.add_era(resp)
         if self.between_pages:
             self.between_pages.pop(0)()
-        return web.json_response(body)
+        return resp
+
+    def add_era(self, resp: web.StreamResponse) -> None:
+        """Add the present era to an answer that has none yet."""
+        if self.era is not None:
+            resp.headers.setdefault("Store-Era", str(self.era))
 
     async def watch(self, req: web.Request) -> web.Response:
         """Return the events after a revision, waiting up to ``wait_ms`` for one."""
@@ -107,7 +140,7 @@
         prefix = req.query["prefix"]
         deadline = asyncio.get_running_loop().time() + int(req.query["wait_ms"]) / 1000
         while True:
-            if after < self.compacted_rev:
+            if after < self.compacted_rev or after > self.rev:
                 raise web.HTTPGone
             events = [
                 item
@@ -129,6 +162,7 @@
     async def change(self, req: web.Request) -> web.Response:
         """Change entries if each precondition names the revision of its entry."""
         self.calls.append("change")
+        self.change_times.append(asyncio.get_running_loop().time())
         await self._apply_fault()
         body = await req.json()
         for condition in body["precondition"]:
@@ -175,10 +209,28 @@
         return web.json_response(item)
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """The entries of a store at a revision."""
+
+    rev: int
+    items: dict[str, dict]
+
+
+def _era_sender(store: MetadataStore):
+    """Return a signal handler that adds the era to every answer."""
+
+    async def send_era(_: web.Request, resp: web.StreamResponse) -> None:
+        store.add_era(resp)
+
+    return send_era
+
+
 @asynccontextmanager
 async def serving(store: MetadataStore) -> AsyncIterator[str]:
     """Serve a store on a free port of loopback; yield its ``host:port``."""
     app = web.Application()
+    app.on_response_prepare.append(_era_sender(store))
     app.router.add_get("/api/kv-key", store.get)
     app.router.add_get("/api/kv-range", store.list)
     app.router.add_get("/api/kv-watch", store.watch)
