Leave connections free for the holder after a loss of power

A primary that refused a connection also passed for silent, which makes its group's owner replace it.

The first choice takes half at most, other nodes one a slot, which leaves a slot's worth each. At a full target a statement waits for one of the node's own connections, and the target isn't asked again for 0.1 s. A refusal by the target tells the owner that it runs; after 4 s of that it is replaced.

--- a/lavenderstack/core/connection_share_test.py
+++ b/lavenderstack/core/connection_share_test.py
@@ -16,7 +16,8 @@
 from lavenderstack.core import connection_share
 from tests.explore import depth, explore
 
-ALLOWED = 4
+ALLOWED = 6
+SLOTS = 1
 NODES = 3
 LONG_IDLE_S = 5.0
 # Every reachable state is reached within this number of steps.
@@ -50,11 +51,19 @@
 
 @dataclass(frozen=True)
 class Rules:
-    """The guards; a test may disable one."""
+    """The guards; a test may disable one.
 
-    max_connections: int = connection_share.max_connections(ALLOWED)
+    ``max_connections`` is the limit of every node, None for the limits of the code.
+    """
+
+    max_connections: int | None = None
     should_close_idle: bool = True
 
+    def limit(self, first_choice):
+        if self.max_connections is not None:
+            return self.max_connections
+        return connection_share.max_connections(ALLOWED, SLOTS, first_choice)
+
 
 def with_node(state, index, node):
     nodes = tuple(node if n == index else old for n, old in enumerate(state.nodes))
@@ -68,7 +77,8 @@
         return with_node(
             state, index, replace(node, busy=node.busy + 1, idle=node.idle - 1)
         )
-    if node.open >= rules.max_connections or state.counted >= ALLOWED:
+    limit = rules.limit(node.first_choice)
+    if node.open >= limit or state.counted >= ALLOWED:
         return state
     return with_node(state, index, replace(node, busy=node.busy + 1))
 
@@ -138,7 +148,7 @@
         state
         for state in states
         for owner in range(NODES)
-        if filled(settled(state, rules, owner), rules, owner) < rules.max_connections
+        if filled(settled(state, rules, owner), rules, owner) < rules.limit(True)
     ]
 
 
@@ -168,9 +178,36 @@
         assert blocked(reachable(rules), rules)
 
 
+# Connections and slots of a target on all deployments of the users' pages.
+TARGETS = [(21, 3), (33, 5), (38, 3), (69, 5), (82, 6), (180, 5), (258, 5)]
+
+
 class TestMaxConnections:
     @pytest.mark.parametrize("allowed", range(1, 400))
-    def test_one_holder_leaves_some_for_the_next(self, allowed):
-        max_connections = connection_share.max_connections(allowed)
-        assert 1 <= max_connections <= allowed
-        assert allowed < 2 or max_connections < allowed
+    @pytest.mark.parametrize("first_choice", [False, True])
+    def test_one_holder_leaves_some_for_the_next(self, allowed, first_choice):
+        limit = connection_share.max_connections(allowed, 5, first_choice)
+        assert 1 <= limit <= allowed
+        assert allowed < 2 or limit < allowed
+
+    @pytest.mark.parametrize(("allowed", "slots"), TARGETS)
+    def test_all_slots_can_be_used_after_all_holders_lost_power(self, allowed, slots):
+        """Connections of nodes without power count at a target for 3 s.
+
+        Found on cbwca-pool trouble-2: 13 of the first choice and 8 of the nodes that
+        serve second tries filled a target; 2,299 connections were refused in 2 s.
+        """
+        first = connection_share.max_connections(allowed, slots, first_choice=True)
+        other = connection_share.max_connections(allowed, slots, first_choice=False)
+        assert allowed - first - 2 * other >= slots
+
+    @pytest.mark.parametrize(("allowed", "slots"), TARGETS)
+    def test_each_node_can_use_all_slots(self, allowed, slots):
+        for first_choice in (False, True):
+            limit = connection_share.max_connections(allowed, slots, first_choice)
+            assert limit >= slots
+
+    @pytest.mark.parametrize(("allowed", "slots"), TARGETS)
+    def test_two_nodes_that_both_believe_to_be_first_fit(self, allowed, slots):
+        first = connection_share.max_connections(allowed, slots, first_choice=True)
+        assert 2 * first <= allowed
--- a/lavenderstack/core/events.py
+++ b/lavenderstack/core/events.py
@@ -332,6 +332,12 @@
         ("holder", "error"),
         "another node is asked",
     ),
+    Event(
+        "replacer: primary full",
+        LineKind.STATE,
+        ("group", "target"),
+        "it refused a connection since it has too many, so it runs",
+    ),
     Event(
         "replacer: primary silent",
         LineKind.STATE,
--- a/lavenderstack/node/backend_fake.py
+++ b/lavenderstack/node/backend_fake.py
@@ -27,6 +27,8 @@
 class FakeTarget:
     """A target of a fake group.
 
+    ``dead_connections`` of nodes that lost power count towards ``max_connections``.
+
     ``executed`` lists its statements as ``(organisation, request, kind, values)``.
     """
 
@@ -44,6 +46,9 @@
     orders: list = field(default_factory=list)
     connects: int = 0
     resets: int = 0
+    max_connections: int | None = None
+    dead_connections: int = 0
+    open_connections: list = field(default_factory=list)
 
     @property
     def position(self) -> Position:
@@ -203,7 +208,13 @@
         await asyncio.sleep(fake.connect_s)
         if not fake.reachable:
             raise ConnectFailed(Reason.UNREACHABLE, "no answer")
-        return FakeConnection(self.group, fake, organisation)
+        fake.open_connections = [one for one in fake.open_connections if not one.closed]
+        counted = len(fake.open_connections) + fake.dead_connections
+        if fake.max_connections is not None and counted >= fake.max_connections:
+            raise ConnectFailed(Reason.NO_CONNECTION, fake.name)
+        conn = FakeConnection(self.group, fake, organisation)
+        fake.open_connections.append(conn)
+        return conn
 
     def parse_replication_status(self, reply: Reply) -> ReplicationStatus | None:
         """Return the replication status of the target that made the reply."""
--- a/lavenderstack/node/executor.py
+++ b/lavenderstack/node/executor.py
@@ -73,10 +73,9 @@
     ) -> None:
         self.target = state.target
         self.group = state.group
+        self._first_choice = False
         self.slots = Slots(state.target.slots)
-        self.connections = TargetConnections(
-            backend, state.target, state.group, state.target.connections
-        )
+        self.connections = TargetConnections(backend, state.target, state.group)
         self._directory = directory
         self._min_position_for = min_position_for
         self.health = TargetHealth(state.target, self.connections, directory)
@@ -98,9 +97,17 @@
             return False
         self.target = now
         self.slots.resize(now.slots)
-        self.connections.set_limit(now.connections)
+        self._apply_connection_limits()
         return True
 
+    def set_first_choice(self, first_choice: bool) -> None:
+        """Record whether this node is the target's first choice as its holder."""
+        self._first_choice = first_choice
+        self._apply_connection_limits()
+
+    def _apply_connection_limits(self) -> None:
+        self.connections.set_limits(self.target, self._first_choice)
+
     @property
     def positions(self) -> PositionHistory:
         """Positions of the target's log at known times while it was the primary."""
@@ -298,10 +305,10 @@
         self._active.release_clean(pooled, reply)
         return work_result(reply)
 
-    def sweep(self, now: float, first_choice: bool) -> None:
+    def sweep(self, now: float) -> None:
         """End idle transactions and close connections that this node need not hold."""
         self.transactions.sweep(now, self._directory.catalog.tx_idle_s)
-        self.connections.close_idle(first_choice)
+        self.connections.close_idle(self._first_choice)
 
     def close(self) -> None:
         """Stop background tasks and close all connections."""
--- a/lavenderstack/node/executor_test.py
+++ b/lavenderstack/node/executor_test.py
@@ -285,7 +285,7 @@
         harness = ExecutorHarness()
         opened = await self.open(harness)
         executor = harness.executors.for_target("t1")
-        executor.sweep(clock.now() + 60.0, first_choice=True)
+        executor.sweep(clock.now() + 60.0)
         answer = await harness.run(COMMIT, tx=opened.tx)
         assert answer.reason == Reason.TRANSACTION_LOST
 
--- a/lavenderstack/node/executors.py
+++ b/lavenderstack/node/executors.py
@@ -51,6 +51,7 @@
         executor = TargetExecutor(
             state, self.directory, self.backend, self.min_position_for
         )
+        executor.set_first_choice(self.first_choice(state))
         self.target_executors[target] = executor
         return executor
 
@@ -93,4 +94,7 @@
                     executor.close()
                     del self.target_executors[name]
                     continue
-                executor.sweep(now, state is not None and self.first_choice(state))
+                executor.set_first_choice(
+                    state is not None and self.first_choice(state)
+                )
+                executor.sweep(now)
--- a/lavenderstack/node/replacer.py
+++ b/lavenderstack/node/replacer.py
@@ -18,6 +18,8 @@
 from lavenderstack.core import clock, statement
 from lavenderstack.core.catalog import RecordedOwnership, TargetState
 from lavenderstack.core.hash_ring import CachedByIdentity, HashRing, hash_position
+from lavenderstack.core.messages import Failed
+from lavenderstack.core.outcome import Reason
 from lavenderstack.core.position import Position
 from lavenderstack.core.replacement import (
     Obstacle,
@@ -56,6 +58,9 @@
 # Checks without a known primary after which the primary is replaced.
 MAX_UNKNOWN_CHECKS = 3
 MAX_HOLDERS_PROBED = 4
+# How long a primary may have no connection free. The connections of nodes that lost
+# power count at a target for 3 s.
+MAX_FULL_S = 4.0
 # How long a replica may take to catch up before a leaving primary is replaced.
 CATCH_UP_TIMEOUT_S = 0.6
 CATCH_UP_POLL_S = 0.05
@@ -82,10 +87,13 @@
     """State of this node's supervision of one group.
 
     ``misses`` counts checks in a row without a known primary. ``used_epoch`` is the
-    last epoch used for an order. The other fields are in seconds on the clock.
+    last epoch used for an order. The other fields are in seconds on the clock;
+    ``full_since`` is the first of the latest checks in a row at which the primary had
+    no connection free.
     """
 
     misses: int = 0
+    full_since: float | None = None
     used_epoch: int = 0
     claimed_at: float = 0.0
     unowned_since: float | None = None
@@ -149,14 +157,27 @@
             await self._replace_leaving(group, status, primary)
             return
         answer = await self._probe_primary(primary)
-        if answer is not None:
-            status.misses = 0
+        if isinstance(answer, PrimaryPosition):
+            status.misses, status.full_since = 0, None
             self._replicas.record_term(group, answer.position[0])
             await self._hand_over(group, status, primary, claim)
             return
+        if answer is not None and self._may_stay_full(status):
+            log.info("replacer: primary full", group=group, target=primary.target.name)
+            return
         log.info("replacer: primary silent", group=group, target=primary.target.name)
         await self._replace_lost(group, status, primary)
 
+    def _may_stay_full(self, status: _GroupStatus) -> bool:
+        """Return whether to wait for a primary that refuses new connections.
+
+        It runs, and most often it is full of connections of nodes that lost power.
+        """
+        now = clock.now()
+        if status.full_since is None:
+            status.full_since = now
+        return now - status.full_since < MAX_FULL_S
+
     async def _hand_over(
         self,
         group: str,
@@ -223,26 +244,32 @@
             return False
         return self._directory.proof.age_s(now) < MAX_VIEW_AGE_S
 
-    async def _probe_primary(self, primary: TargetState) -> PrimaryPosition | None:
+    async def _probe_primary(
+        self, primary: TargetState
+    ) -> PrimaryPosition | Failed | None:
         """Ask the first holder of the primary, then several others in parallel.
 
-        Returns the primary's position, None if no holder gets an answer.
+        Returns the primary's position, a failure if it refused a connection because it
+        has too many, or None if no holder gets an answer.
         """
         holders = self._peers.holders(primary.target)
         if not holders:
             return None
         answer = await self._probe_through(holders[0], primary, FIRST_PROBE_TIMEOUT_S)
-        if answer is not None:
+        if isinstance(answer, PrimaryPosition):
             return answer
         others = holders[1 : 1 + MAX_HOLDERS_PROBED]
         answers = await asyncio.gather(
             *(self._probe_through(vm, primary, PROBE_TIMEOUT_S) for vm in others)
         )
-        return next((one for one in answers if one is not None), None)
+        found = [one for one in [answer, *answers] if one is not None]
+        # A position tells more than a refusal by another holder.
+        found.sort(key=lambda one: not isinstance(one, PrimaryPosition))
+        return found[0] if found else None
 
     async def _probe_through(
         self, vm: Vm, primary: TargetState, timeout_s: float
-    ) -> PrimaryPosition | None:
+    ) -> PrimaryPosition | Failed | None:
         msg = PrimaryPositionRequest(
             primary.group, primary.target.name, MAX_POSITION_AGE_S
         )
@@ -250,7 +277,10 @@
             answer = await self._peers.ask(vm, msg, timeout_s)
         except (NotSent, StreamLost, TimeoutError):
             return None
-        return answer if isinstance(answer, PrimaryPosition) else None
+        if isinstance(answer, PrimaryPosition):
+            return answer
+        is_full = isinstance(answer, Failed) and answer.reason == Reason.NO_CONNECTION
+        return answer if is_full else None
 
     async def _replace_lost(
         self, group: str, status: _GroupStatus, lost: TargetState | None
@@ -404,7 +434,9 @@
             if primary is not None and primary.target.name == target:
                 log.info("replacer: primary replaced", group=group, target=target)
                 return
-            if state is not None and await self._probe_primary(state) is not None:
+            if state is not None and isinstance(
+                await self._probe_primary(state), PrimaryPosition
+            ):
                 self._directory.record_primary(group, target)
                 await self._broadcast(LeadTaken(group, target))
                 continue
--- a/lavenderstack/node/replacer_test.py
+++ b/lavenderstack/node/replacer_test.py
@@ -13,6 +13,7 @@
 from lavenderstack.core.view import Plan, Target, Vm
 from lavenderstack.core.view_proof import ViewProof
 from lavenderstack.core.work_messages import PrimaryPosition, PrimaryPositionRequest
+from lavenderstack.node import replacer
 from lavenderstack.node.backend import ClaimLost, OrderUnanswered
 from lavenderstack.node.backend_fake import FakeBackend, FakeGroup, FakeTarget
 from lavenderstack.node.counters import Counters
@@ -54,7 +55,8 @@
 class ReplacerHarness:
     """Node ``n1``, which can own a group whose primary is ``t1``.
 
-    With ``primary_answers`` false, no holder gets an answer from the primary.
+    With ``primary_answers`` false, no holder gets an answer from the primary; with
+    ``primary_full`` it refuses connections since it has too many.
     """
 
     def __init__(self, zone="z2"):
@@ -75,6 +77,7 @@
         self.claims = FakeClaims(directory)
         self.peers = Peers("n1", lambda: directory.view, StreamPool(), Members("n1"))
         self.primary_answers = True
+        self.primary_full = False
         self.peers.ask = self.ask
         self.replacer = Replacer(
             directory,
@@ -98,6 +101,8 @@
 
     async def ask(self, vm, msg, timeout_s):
         assert isinstance(msg, PrimaryPositionRequest)
+        if self.primary_full:
+            return Failed(run=False, reason=Reason.NO_CONNECTION)
         if self.primary_answers and self.targets[msg.target].leads:
             return PrimaryPosition(self.targets[msg.target].position, 0.0)
         return Failed(run=False, reason=Reason.UNREACHABLE)
@@ -124,6 +129,24 @@
         await harness.check()
         assert harness.primary == "t3"
 
+    async def test_primary_that_is_full_is_not_lost(self):
+        """After a loss of power the connections of dead nodes fill it for 3 s."""
+        harness = ReplacerHarness()
+        await harness.check()
+        harness.primary_full = True
+        await harness.check(3)
+        assert harness.primary == "t1"
+        assert harness.group.epochs == []
+
+    async def test_primary_that_stays_full_is_replaced(self):
+        harness = ReplacerHarness()
+        await harness.check()
+        harness.primary_full = True
+        await harness.check()
+        harness.replacer._groups["g"].full_since -= replacer.MAX_FULL_S
+        await harness.check()
+        assert harness.primary != "t1"
+
     async def test_no_replica_takes_over_while_one_is_unreachable(self):
         harness = ReplacerHarness()
         harness.targets["t3"].reachable = False
--- a/lavenderstack/node/target_connections.py
+++ b/lavenderstack/node/target_connections.py
@@ -21,6 +21,9 @@
 # Longer than a handshake, because a new connection waits for a slot of the target.
 CONNECT_TIMEOUT_S = 0.4
 RELEASE_WAIT_S = 0.3
+# After a target has refused a connection since it has too many, none is opened for this
+# long. Statements wait for one of this node's own connections meanwhile.
+REFUSED_PAUSE_S = 0.1
 
 
 @dataclass(slots=True, eq=False)
@@ -40,17 +43,16 @@
 class TargetConnections:
     """Pool of the open connections to one target.
 
-    ``allowed`` is how many connections the target allows to all nodes together.
     ``opened`` counts all connections opened so far, ``max_open`` limits those open.
     """
 
-    def __init__(
-        self, backend: Backend, target: Target, group: str, allowed: int
-    ) -> None:
+    def __init__(self, backend: Backend, target: Target, group: str) -> None:
         self.target = target
         self.group = group
         self.max_open = 1
-        self.set_limit(allowed)
+        self._first_choice = False
+        self._refused_until = float("-inf")
+        self.set_limits(target, first_choice=False)
         self.opened = 0
         self._backend = backend
         self._idle: list[PooledConnection] = []
@@ -58,9 +60,21 @@
         self._opening = 0
         self._released = asyncio.Event()
 
-    def set_limit(self, allowed: int) -> None:
-        """Set how many connections the target allows to all nodes together."""
-        self.max_open = connection_share.max_connections(allowed)
+    def set_limits(self, target: Target, first_choice: bool) -> None:
+        """Apply the target's limits and whether this node is its first choice."""
+        self._first_choice = first_choice
+        self.max_open = connection_share.max_connections(
+            target.connections, target.slots, first_choice
+        )
+
+    @property
+    def refused_recently(self) -> bool:
+        """Whether the target has just refused a connection since it has too many."""
+        return clock.now() < self._refused_until
+
+    def _may_open(self) -> bool:
+        """Return whether another connection may be opened now."""
+        return len(self) < self.max_open and not self.refused_recently
 
     def __len__(self) -> int:
         return len(self._open) + self._opening
@@ -77,9 +91,13 @@
             pooled = self._take_best_idle(organisation, values)
             if pooled is not None:
                 return pooled
-        if len(self) >= self.max_open and not self._evict():
-            return await self._wait_for_released(organisation, values)
-        return await self._open_connection(organisation, values)
+        if self._may_open() or self._evict():
+            try:
+                return await self._open_connection(organisation)
+            except ConnectFailed as exc:
+                if exc.reason is not Reason.NO_CONNECTION:
+                    raise
+        return await self._wait_for_released(organisation, values)
 
     def _take_best_idle(
         self, organisation: str, values: Mapping[str, str]
@@ -112,9 +130,12 @@
     async def _wait_for_released(
         self, organisation: str, values: Mapping[str, str]
     ) -> PooledConnection:
-        """Wait up to ``RELEASE_WAIT_S`` for another statement's connection."""
+        """Wait up to ``RELEASE_WAIT_S`` for another statement's connection.
+
+        Raises ``ConnectFailed`` at once if this node has none open.
+        """
         until = clock.now() + RELEASE_WAIT_S
-        while (left_s := until - clock.now()) > 0:
+        while len(self) and (left_s := until - clock.now()) > 0:
             self._released.clear()
             try:
                 async with asyncio.timeout(left_s):
@@ -124,21 +145,21 @@
             pooled = self._take_best_idle(organisation, values)
             if pooled is not None:
                 return pooled
-            if len(self) < self.max_open or self._evict():
-                return await self._open_connection(organisation, values)
+            if self._may_open() or self._evict():
+                return await self._open_connection(organisation)
         raise ConnectFailed(Reason.NO_CONNECTION, "all connections are in use")
 
-    async def _open_connection(
-        self, organisation: str, values: Mapping[str, str]
-    ) -> PooledConnection:
+    async def _open_connection(self, organisation: str) -> PooledConnection:
         self._opening += 1
         try:
             conn = await self._backend.connect(
                 self.target, self.group, organisation, CONNECT_TIMEOUT_S
             )
         except ConnectFailed as exc:
-            if exc.reason is Reason.NO_CONNECTION and self._evict():
-                return await self._open_connection(organisation, values)
+            if exc.reason is Reason.NO_CONNECTION:
+                self._refused_until = clock.now() + REFUSED_PAUSE_S
+                if self._evict():
+                    return await self._open_connection(organisation)
             raise
         finally:
             self._opening -= 1
--- a/lavenderstack/node/target_health.py
+++ b/lavenderstack/node/target_health.py
@@ -53,7 +53,11 @@
         now = clock.now()
         latest = self.positions.latest()
         if latest is None or now - latest.at > within_s:
-            if not await self.probe():
+            try:
+                leads = await self.probe()
+            except ConnectFailed as exc:
+                return Failed(run=False, reason=exc.reason)
+            if not leads:
                 return Failed(run=False, reason=Reason.NO_PRIMARY)
             latest = self.positions.latest()
         return PrimaryPosition(latest.position, now - latest.at)
@@ -61,7 +65,9 @@
     async def probe(self) -> bool:
         """Return whether the target is the primary.
 
-        If a connection gives no answer, another one is tried once.
+        If a connection gives no answer, another one is tried once. Raises
+        ``ConnectFailed`` if the target has answered that it has too many connections:
+        it runs, but whether it is the primary is not known.
         """
         for _ in range(MAX_PROBES):
             pooled = None if self.unreachable_reason else await self._acquire_any()
@@ -73,6 +79,10 @@
         return False
 
     async def _acquire_any(self) -> PooledConnection | None:
+        """Return a connection of any organisation, None if the target is unreachable.
+
+        Raises ``ConnectFailed`` if the target has too many connections.
+        """
         pooled = self._connections.take_idle()
         if pooled is not None:
             return pooled
@@ -80,6 +90,8 @@
         try:
             return await self._connections.acquire(organisation, {}, force_new=True)
         except ConnectFailed as exc:
+            if self._connections.refused_recently:
+                raise
             if exc.reason is Reason.UNREACHABLE:
                 self.mark_unreachable(exc.detail)
             return None
