Give refused callers a time of their own, start plans full that nobody can have spent

Seen twice before: some of 36 operations inside the plan refused by four nodes that had just started, since buckets begin near empty.

core/return_schedule.py spreads the times told over 0.1 s, a token apart. A bucket begins full if no coordinator ever recorded anything in a recent view, or if its organisation was added while the coordinator ran.

Ruled out: spreading over a longer span.

--- a/lavenderstack/core/coordinator_messages.py
+++ b/lavenderstack/core/coordinator_messages.py
@@ -30,7 +30,8 @@
 class TokensReply(Message, tag="drawn"):
     """The tokens handed out.
 
-    If there are none, ``retry_after_s`` is the time in seconds until one is expected.
+    If there are fewer than wanted, ``retry_after_s`` is the time in seconds until one
+    is expected, and ``spacing_s`` the time between tokens after that.
     ``attached_fraction`` is the fraction of all nodes that are attached to this
     coordinator, and so about the fraction of the rate that it hands out.
     """
@@ -38,3 +39,4 @@
     tokens: int
     retry_after_s: float = 0.0
     attached_fraction: float = 0.0
+    spacing_s: float = 0.0
--- a/lavenderstack/core/coordinator_quota.py
+++ b/lavenderstack/core/coordinator_quota.py
@@ -20,6 +20,7 @@
 
 from lavenderstack.core.attachment import AttachedNodes
 from lavenderstack.core.bucket import Bucket
+from lavenderstack.core.return_schedule import MAX_RETRY_AFTER_S
 from lavenderstack.core.view import Plan
 
 # Prefetched tokens are granted only from a bucket at least this full, as a fraction of
@@ -41,18 +42,19 @@
 # The fallback bucket of an entry node fills while the node uses its coordinator, so
 # its capacity is only this fraction of the node's share of the burst.
 FALLBACK_BURST_SHARE = 0.3
-MAX_RETRY_AFTER_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
 class TokenGrant:
     """Tokens handed out.
 
-    If there are none, ``retry_after_s`` is the time until one is expected, in seconds.
+    If there are fewer than wanted, ``retry_after_s`` is the time until one is expected
+    and ``spacing_s`` the time between tokens after that, in seconds.
     """
 
     tokens: int
     retry_after_s: float = 0.0
+    spacing_s: float = 0.0
 
 
 def initial_tokens(plan: Plan) -> float:
@@ -60,6 +62,13 @@
     return min(plan.burst, INITIAL_TOKENS + plan.rate * INITIAL_RATE_S)
 
 
+def _refusal(missing: float, rate: float) -> TokenGrant:
+    """Return the grant of no tokens while ``missing`` tokens accrue at ``rate``."""
+    if rate <= 0:
+        return TokenGrant(0, MAX_RETRY_AFTER_S, MAX_RETRY_AFTER_S)
+    return TokenGrant(0, min(MAX_RETRY_AFTER_S, missing / rate), 1.0 / rate)
+
+
 @dataclass(slots=True)
 class CoordinatorQuota:
     """State of a quota coordinator: attached entry nodes and a bucket per organisation.
@@ -68,13 +77,15 @@
     the number of attached nodes. So a bucket gains exactly the part of the rate that
     belongs to the nodes attached over time, however rarely it is updated.
     ``reserved`` holds each organisation's reserve in tokens, ``withdrawn_at`` the time
-    in seconds at which a reserve was last withdrawn.
+    in seconds at which a reserve was last withdrawn. ``unspent`` means that there was
+    no coordinator before, so nothing of the first plans can have been spent.
     """
 
     attached: AttachedNodes = field(default_factory=AttachedNodes)
     buckets: dict[str, Bucket] = field(default_factory=dict)
     reserved: dict[str, float] = field(default_factory=dict)
     withdrawn_at: dict[str, float] = field(default_factory=dict)
+    unspent: bool = False
     _plans_seen: Mapping[str, Plan] | None = None
 
     def attach(self, node: str, nodes: int, now: float) -> None:
@@ -89,16 +100,19 @@
         """Create the buckets of new plans, so that they fill before the first draw."""
         if plans is self._plans_seen:
             return
-        self._plans_seen = plans
+        before, self._plans_seen = self._plans_seen, plans
         for name, plan in plans.items():
-            self._bucket(name, plan)
+            # The plan of an organisation that this coordinator sees added is new.
+            is_added = before is not None and name not in before
+            self._bucket(name, plan, is_added)
 
-    def _bucket(self, organisation: str, plan: Plan) -> Bucket:
+    def _bucket(self, organisation: str, plan: Plan, is_added: bool = False) -> Bucket:
         filled_s = self.attached.filled_s
         bucket = self.buckets.get(organisation)
         if bucket is None:
             bucket = self.buckets[organisation] = Bucket(at=filled_s)
-            bucket.level = initial_tokens(plan)
+            is_full = is_added or self.unspent
+            bucket.level = plan.burst if is_full else initial_tokens(plan)
         # The capacity is that of the whole burst, whatever fraction of the nodes is
         # attached: that fraction varies all the time, and each decrease would discard
         # saved tokens.
@@ -129,10 +143,15 @@
         tokens += max(0, min(prefetch, int(spare)))
         if tokens > 0:
             bucket.level -= tokens
-            return TokenGrant(tokens)
-        rate = bucket.rate * self.attached.rate_fraction(nodes)
-        retry_s = (1.0 - level) / rate if rate > 0 else MAX_RETRY_AFTER_S
-        return TokenGrant(0, min(MAX_RETRY_AFTER_S, retry_s))
+            if tokens >= wanted:
+                return TokenGrant(tokens)
+            left = _refusal(1.0 - (level - tokens), self._rate(bucket, nodes))
+            return TokenGrant(tokens, left.retry_after_s, left.spacing_s)
+        return _refusal(1.0 - level, self._rate(bucket, nodes))
+
+    def _rate(self, bucket: Bucket, nodes: int) -> float:
+        """Return the tokens per second that are handed out here."""
+        return bucket.rate * self.attached.rate_fraction(nodes)
 
     def needs_reserve(self, organisation: str, wanted: int) -> bool:
         """Return whether the wanted tokens can only be covered with the reserve."""
@@ -211,8 +230,7 @@
         bucket.resize(now, plan.rate * fraction, capacity)
         if bucket.take(now):
             return TokenGrant(1)
-        retry_s = (1.0 - bucket.level) / bucket.rate if bucket.rate > 0 else 1.0
-        return TokenGrant(0, min(MAX_RETRY_AFTER_S, retry_s))
+        return _refusal(1.0 - bucket.level, bucket.rate)
 
 
 @dataclass(slots=True)
--- a/lavenderstack/node/admitter.py
+++ b/lavenderstack/node/admitter.py
@@ -29,6 +29,7 @@
 from lavenderstack.core.hash_ring import CachedByIdentity, HashRing, hash_position
 from lavenderstack.core.messages import Failed, Message
 from lavenderstack.core.outcome import Reason
+from lavenderstack.core.return_schedule import ReturnSchedule
 from lavenderstack.core.view import Vm
 from lavenderstack.node.backend import ClaimLost, ReserveStore
 from lavenderstack.node.directory import Directory
@@ -53,6 +54,8 @@
 # Share of all nodes that must be attached here before this node takes over the record,
 # so that a few nodes that can't reach the owner don't take it from the others.
 MIN_TAKE_OVER_SHARE = 0.5
+# Age of the view up to which a missing record means that there was no coordinator.
+MAX_UNSPENT_VIEW_AGE_S = 2.5
 # Prefetched tokens cover the demand of PREFETCH_S seconds. They stay valid longer than
 # that, so that they can be used up.
 PREFETCH_S = 0.25
@@ -61,7 +64,6 @@
 # For at most this long after a refusal, operations of the organisation are refused
 # without asking the coordinator.
 MAX_REFUSED_S = 0.1
-MIN_RETRY_AFTER_S = 0.005
 # Longest wait at the entry for a token that is due. It is less than a caller needs to
 # retry and a small part of any route's latency goal.
 MAX_LOCAL_WAIT_S = 0.05
@@ -71,10 +73,13 @@
 class _OrganisationQueue:
     """The operations of one organisation that wait for a token.
 
-    ``drawing`` is true while a task draws tokens for the queue.
+    ``drawing`` is true while a task draws tokens for the queue. ``returns`` has the
+    times told to refused operations, ``spacing_s`` apart.
     """
 
     prefetched: PrefetchedTokens = field(default_factory=PrefetchedTokens)
+    returns: ReturnSchedule = field(default_factory=ReturnSchedule)
+    spacing_s: float = 0.0
     waiting: deque[asyncio.Future] = field(default_factory=deque)
     drawing: bool = False
 
@@ -158,7 +163,8 @@
             return None
         if now < queue.prefetched.refused_until:
             left_s = queue.prefetched.refused_until - now
-            return _over_rate(left_s, "refused recently")
+            retry_s = queue.returns.next_after_s(now, left_s, queue.spacing_s)
+            return _over_rate(retry_s, "refused recently")
         fut = asyncio.get_running_loop().create_future()
         queue.waiting.append(fut)
         if not queue.drawing:
@@ -199,9 +205,13 @@
                 queue.prefetched.tokens -= 1
                 _resolve(queue.waiting.popleft(), None)
                 continue
-            retry_s = max(reply.retry_after_s, MIN_RETRY_AFTER_S)
-            refused_s = min(MAX_REFUSED_S, retry_s)
-            queue.prefetched.refused_until = clock.now() + refused_s
+            now = clock.now()
+            refused_s = min(MAX_REFUSED_S, reply.retry_after_s)
+            queue.prefetched.refused_until = now + refused_s
+            queue.spacing_s = reply.spacing_s
+            retry_s = queue.returns.next_after_s(
+                now, reply.retry_after_s, reply.spacing_s
+            )
             detail = (
                 f"coordinator {self._attachment.coordinator}, "
                 f"share {reply.attached_fraction:.2f}"
@@ -223,7 +233,10 @@
             detail = f"no coordinator, fallback quota of {self._node_count()} nodes"
             refusal = None
             if not granted.tokens:
-                refusal = _over_rate(granted.retry_after_s, detail)
+                retry_s = queue.returns.next_after_s(
+                    clock.now(), granted.retry_after_s, granted.spacing_s
+                )
+                refusal = _over_rate(retry_s, detail)
             _resolve(fut, refusal)
 
     async def _ask_coordinator(
@@ -320,7 +333,7 @@
         """Handle ``Attach``: the node is attached here from now on."""
         now = clock.now()
         self._quota.attach(msg.node, self._node_count(), now)
-        self._quota.create_buckets(self._directory.catalog.plans)
+        self._create_buckets()
         if self._may_take_over(now):
             await self._run_briefly(self._take_over)
         return TokensReply(0)
@@ -332,6 +345,7 @@
         plan = self._directory.catalog.plans.get(msg.organisation)
         if plan is None:
             return TokensReply(msg.wanted)
+        self._create_buckets()
         if self._may_take_over(now):
             await self._run_briefly(self._take_over)
         needs_reserve = self._quota.needs_reserve(msg.organisation, msg.wanted)
@@ -341,7 +355,20 @@
             msg.organisation, plan, msg.wanted, self._node_count(), now, msg.prefetch
         )
         attached_fraction = self._quota.attached.attached_fraction(self._node_count())
-        return TokensReply(granted.tokens, granted.retry_after_s, attached_fraction)
+        return TokensReply(
+            granted.tokens,
+            granted.retry_after_s,
+            attached_fraction,
+            granted.spacing_s,
+        )
+
+    def _create_buckets(self) -> None:
+        # Every coordinator creates the record at once, so a recent view without a
+        # record shows that there was none.
+        age_s = self._directory.proof.age_s(clock.now())
+        is_recent = age_s <= MAX_UNSPENT_VIEW_AGE_S
+        self._quota.unspent = is_recent and not self._directory.reserve.revision
+        self._quota.create_buckets(self._directory.catalog.plans)
 
     @property
     def _owns_reserve(self) -> bool:
@@ -380,7 +407,7 @@
         async with self._recording:
             self._taken_over_at = clock.now()
             if await self._record({}, reserve.revision):
-                self._quota.create_buckets(self._directory.catalog.plans)
+                self._create_buckets()
                 self._quota.adopt_reserve(
                     reserve.tokens, self._node_count(), clock.now()
                 )
--- a/lavenderstack/node/admitter_test.py
+++ b/lavenderstack/node/admitter_test.py
@@ -47,6 +47,7 @@
         plans = {"org": Plan("org", rate, burst)}
         directory.update_catalog(Catalog(version=1, plans=plans))
         directory.put_member(Vm("n1", "z1", "10.0.0.1", 1))
+        directory.proof.prove(clock.now())
         peers = Peers("n1", lambda: directory.view, StreamPool(), Members("n1"))
         self.reserves = FakeReserves(directory)
         self.admitter = Admitter(directory, peers, self.reserves)
@@ -102,6 +103,55 @@
         assert await SingleNode().admitter.admit("") is None
 
 
+class TestFreshService:
+    """Buckets of organisations that can't have spent anything yet.
+
+    Found twice: some of 36 operations at four nodes that had just started were refused
+    with a retry time of 0 ms, on a plan of 68/s and 60 at once.
+    """
+
+    async def test_plan_is_unspent_if_no_coordinator_ever_recorded_anything(self):
+        node = SingleNode(rate=68.0, burst=60.0)
+        admissions = [node.admitter.admit("org") for _ in range(36)]
+        assert await asyncio.gather(*admissions) == [None] * 36
+
+    async def test_after_a_coordinator_the_level_is_unknown(self):
+        node = SingleNode(rate=1.0, burst=60.0)
+        node.directory.put_reserve(Reserve("n9#1", {}, 4))
+        admissions = [node.admitter.admit("org") for _ in range(36)]
+        admitted = [one for one in await asyncio.gather(*admissions) if one is None]
+        assert len(admitted) <= 6
+
+    async def test_missing_record_in_an_old_view_says_nothing(self):
+        node = SingleNode(rate=1.0, burst=60.0)
+        node.directory.proof.at = clock.now() - 10.0
+        admissions = [node.admitter.admit("org") for _ in range(36)]
+        admitted = [one for one in await asyncio.gather(*admissions) if one is None]
+        assert len(admitted) <= 6
+
+    async def test_new_organisation_of_a_running_coordinator_is_unspent(self):
+        node = SingleNode(rate=1.0, burst=10.0)
+        node.directory.put_reserve(Reserve("n9#1", {}, 4))
+        await node.admitter.attach(Attach("n1"))
+        plans = {"org": Plan("org", 1.0, 10.0), "new": Plan("new", 1.0, 30.0)}
+        node.directory.update_catalog(Catalog(version=2, plans=plans))
+        admissions = [node.admitter.admit("new") for _ in range(30)]
+        assert await asyncio.gather(*admissions) == [None] * 30
+
+    async def test_organisation_that_comes_back_is_not_unspent_again(self):
+        node = SingleNode(rate=1.0, burst=30.0)
+        await node.fill()
+        plans = dict(node.directory.catalog.plans)
+        spent = [node.admitter.admit("org") for _ in range(30)]
+        assert await asyncio.gather(*spent) == [None] * 30
+        for version, one in ((2, {}), (3, plans)):
+            node.directory.update_catalog(Catalog(version=version, plans=one))
+            await node.admitter.attach(Attach("n1"))
+        again = [node.admitter.admit("org") for _ in range(30)]
+        admitted = [one for one in await asyncio.gather(*again) if one is None]
+        assert len(admitted) <= 2
+
+
 class Cluster:
     """Three nodes that ask each other.
 
