--- a/lavenderstack/core/events.py
+++ b/lavenderstack/core/events.py
@@ -332,6 +332,12 @@
         ("holder", "error"),
         "another node is asked",
     ),
+    Event(
+        "replacer: check failed",
+        LineKind.LIFE,
+        ("group", "exc_info"),
+        "an unexpected error; the group is checked again",
+    ),
     Event(
         "replacer: primary full",
         LineKind.STATE,
--- a/lavenderstack/node/executor_test.py
+++ b/lavenderstack/node/executor_test.py
@@ -18,6 +18,7 @@
     TransactionStart,
     Work,
     WorkDone,
+    WorkEnded,
 )
 from lavenderstack.node.backend_fake import FakeBackend, FakeGroup, FakeTarget
 from lavenderstack.node.directory import Directory
@@ -273,6 +274,14 @@
         assert (answer.run, answer.reason) == (False, Reason.TRANSACTION_LOST)
         assert harness.group.acknowledged == 0
 
+    @pytest.mark.parametrize("tx", ["", "n1", "/", "n1/t9/1", "///"])
+    async def test_the_end_of_an_unknown_transaction_changes_nothing(self, tx):
+        harness = ExecutorHarness()
+        opened = await self.open(harness)
+        assert isinstance(await harness.executors.end(EndWork(tx)), WorkEnded)
+        assert harness.executors.open_transactions == 1
+        assert isinstance(await harness.run(COMMIT, tx=opened.tx), WorkDone)
+
     async def test_another_organisation_cannot_use_a_transaction(self):
         harness = ExecutorHarness()
         opened = await self.open(harness)
--- a/lavenderstack/node/executors.py
+++ b/lavenderstack/node/executors.py
@@ -68,7 +68,8 @@
 
     async def end(self, msg: EndWork) -> Message:
         """Handle ``EndWork``: roll back an open transaction."""
-        executor = self.target_executors.get(msg.tx.split("/")[1])
+        _, _, rest = msg.tx.partition("/")
+        executor = self.target_executors.get(rest.partition("/")[0])
         return executor.transactions.end(msg) if executor else WorkEnded()
 
     async def primary_position(self, msg: PrimaryPositionRequest) -> Message:
--- a/lavenderstack/node/replacer.py
+++ b/lavenderstack/node/replacer.py
@@ -136,9 +136,16 @@
                 for group in self._directory.catalog.groups:
                     task = running.get(group)
                     if task is None or task.done():
-                        running[group] = tasks.create_task(self._check_group(group))
+                        running[group] = tasks.create_task(self._check_alone(group))
                 await asyncio.sleep(CHECK_INTERVAL_S)
 
+    async def _check_alone(self, group: str) -> None:
+        """Check one group; an unexpected error must not end the checks of others."""
+        try:
+            await self._check_group(group)
+        except Exception as exc:
+            log.error("replacer: check failed", group=group, exc_info=exc)
+
     async def _check_group(self, group: str) -> None:
         """Check one group once, and replace its primary if necessary."""
         if not self._directory.group(group) or self.stopping:
--- a/lavenderstack/node/replacer_test.py
+++ b/lavenderstack/node/replacer_test.py
@@ -119,6 +119,28 @@
         return [name for name, one in self.targets.items() if kind in one.orders]
 
 
+class TestFailingCheck:
+    async def test_other_groups_are_checked_on(self):
+        harness = ReplacerHarness()
+        limits = {"g": GroupLimits(30, True), "h": GroupLimits(30, True)}
+        harness.directory.update_catalog(Catalog(version=2, groups=limits))
+        target = Target("t9", "z1", "10.0.0.9", 1, 2, 30)
+        harness.directory.put_target(target, "h", False, True, 50)
+        checked = []
+
+        async def check(group):
+            checked.append(group)
+            if group == "g":
+                raise ValueError("unexpected")
+
+        harness.replacer._check_group = check
+        running = asyncio.ensure_future(harness.replacer.run())
+        await asyncio.sleep(3 * replacer.CHECK_INTERVAL_S)
+        assert not running.done()
+        assert checked.count("h") >= 2
+        running.cancel()
+
+
 class TestLostPrimary:
     async def test_the_replica_with_the_longest_log_takes_over(self):
         harness = ReplacerHarness()
--- a/lavenderstack/node/streams.py
+++ b/lavenderstack/node/streams.py
@@ -334,9 +334,11 @@
         """Send a request to the node at ``addr`` and return its reply.
 
         Raises ``NotSent`` if the request was not sent, ``StreamLost`` if the stream
-        failed after that, and ``TimeoutError`` after ``timeout_s`` seconds. A call
-        that is cancelled or times out also cancels its handler at the other end.
+        failed after that, and ``TimeoutError`` after ``timeout_s`` seconds, connecting
+        included. A call that is cancelled or times out also cancels its handler at the
+        other end.
         """
+        deadline = clock.now() + timeout_s
         try:
             stream = await self._get_stream(addr, timeout_s)
         except TimeoutError as exc:
@@ -345,7 +347,7 @@
             raise NotSent("stream closed")
         number, fut = stream.ask(body)
         try:
-            return await asyncio.wait_for(fut, timeout_s)
+            return await asyncio.wait_for(fut, max(0.0, deadline - clock.now()))
         finally:
             with suppress(Exception):
                 stream.cancel(number)
--- a/lavenderstack/node/streams_test.py
+++ b/lavenderstack/node/streams_test.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from lavenderstack.core import clock
 from lavenderstack.core.messages import Begin, Begun, Ping, Pong
 from lavenderstack.node import streams
 from lavenderstack.node.streams import (
@@ -21,10 +22,10 @@
 
 
 @asynccontextmanager
-async def running_server(handler):
+async def running_server(handler, limits=streams.DEFAULT_LIMITS):
     server = StreamServer({Begin: handler})
     port = await server.start("127.0.0.1", 0)
-    pool = StreamPool()
+    pool = StreamPool(limits)
     maintenance = asyncio.ensure_future(pool.run())
     try:
         yield pool, ("127.0.0.1", port), server
@@ -56,6 +57,27 @@
             answers = await asyncio.gather(*(pool.call(addr, a, 1.0) for a in requests))
             assert [answer.transaction for answer in answers] == names
 
+    async def test_connecting_and_the_answer_share_one_timeout(self, monkeypatch):
+        """A caller that waits for half a second must not be kept for a whole one."""
+
+        async def handler(message):
+            await asyncio.sleep(5.0)
+            return Begun(message.request)
+
+        async with running_server(handler) as (pool, addr, _):
+            loop = asyncio.get_running_loop()
+            connect = loop.create_connection
+
+            async def slow_connect(*args):
+                await asyncio.sleep(0.3)
+                return await connect(*args)
+
+            monkeypatch.setattr(loop, "create_connection", slow_connect)
+            began = clock.now()
+            with pytest.raises(TimeoutError):
+                await pool.call(addr, BEGIN, 0.5)
+            assert clock.now() - began < 0.7
+
     async def test_refused_connection_is_not_sent(self):
         pool = StreamPool()
         with pytest.raises(NotSent):
@@ -129,22 +151,20 @@
 
 
 class TestSilence:
-    async def test_silent_stream_is_closed_and_the_next_call_reconnects(
-        self, monkeypatch
-    ):
-        monkeypatch.setattr(streams, "SILENT_AFTER_S", 0.2)
-        monkeypatch.setattr(streams, "PING_AFTER_S", 0.1)
-        monkeypatch.setattr(streams, "TICK_S", 0.05)
+    LIMITS = StreamLimits(ping_after_s=0.1, silent_after_s=0.2, tick_s=0.05)
 
+    async def test_silent_stream_is_closed_and_the_next_call_reconnects(self):
         async def handler(_):
             return Begun("x")
 
-        async with running_server(handler) as (pool, addr, server):
+        async with running_server(handler, self.LIMITS) as (pool, addr, server):
             await pool.call(addr, BEGIN, 1.0)
             (stale,) = server.connections
             stale.frame_received = lambda frame: None
+            began = clock.now()
             with pytest.raises(StreamLost):
                 await pool.call(addr, BEGIN, 2.0)
+            assert clock.now() - began < streams.SILENT_AFTER_S
             assert await pool.call(addr, BEGIN, 1.0) == Begun("x")
 
 
--- a/lavenderstack/platform/line_protocol.py
+++ b/lavenderstack/platform/line_protocol.py
@@ -54,7 +54,7 @@
         if self._partial:
             data = self._partial + data
         *complete, self._partial = data.split(LINE_END)
-        if len(self._partial) > MAX_LINE_B:
+        if any(len(line) > MAX_LINE_B for line in (*complete, self._partial)):
             raise ProtocolError("line too long")
         try:
             return [line.decode() for line in complete]
--- a/lavenderstack/platform/line_protocol_test.py
+++ b/lavenderstack/platform/line_protocol_test.py
@@ -157,3 +157,15 @@
     def test_invalid_position_is_refused(self, text):
         with pytest.raises(ProtocolError):
             line_protocol.parse_position(text)
+
+
+class TestLineLength:
+    @pytest.mark.parametrize("end", [b"", b"\r\n", b"\r\nQUIT\r\n"])
+    def test_a_line_that_is_too_long_is_refused_complete_or_not(self, end):
+        data = b"x" * (line_protocol.MAX_LINE_B + 1) + end
+        with pytest.raises(ProtocolError, match="too long"):
+            LineBuffer().feed(data)
+
+    def test_a_line_of_the_greatest_length_is_taken(self):
+        line = b"x" * line_protocol.MAX_LINE_B
+        assert LineBuffer().feed(line + b"\r\n") == [line.decode()]
--- a/lavenderstack/platform/loader.py
+++ b/lavenderstack/platform/loader.py
@@ -66,6 +66,9 @@
 # Changes that a store reader keeps for the nodes that ask it. A node that lacks older
 # ones is sent all entries.
 MAX_RECENT_CHANGES = 500
+# Removed entries whose position is remembered, so that an older change of them that
+# arrives late is ignored.
+MAX_REMOVED_KEYS = 1000
 # Added to the wait of a request to another node, for the round trip.
 REPLY_MARGIN_S = 0.4
 
@@ -314,7 +317,7 @@
         """Apply a change unless a later one of the same entry is known."""
         if item.rev <= self._revisions.get(item.key, 0):
             return
-        self._revisions[item.key] = item.rev
+        self._record_position(item)
         if len(self._recent) == MAX_RECENT_CHANGES:
             self._recent_after = max(self._recent_after, self._recent[0].rev)
         try:
@@ -334,6 +337,17 @@
         if data is not None:
             self._put(item, data)
 
+    def _record_position(self, item: Item) -> None:
+        # Removed first, so that the dict stays ordered by the time of the last change.
+        self._revisions.pop(item.key, None)
+        self._revisions[item.key] = item.rev
+        if len(self._revisions) - len(self._entries) <= MAX_REMOVED_KEYS:
+            return
+        removed = (key for key in self._revisions if key not in self._entries)
+        oldest = next(removed, None)
+        if oldest is not None:
+            del self._revisions[oldest]
+
     def _put(self, item: Item, data: bytes) -> None:
         key, directory = item.key, self._directory
         if key == documents.CATALOG_KEY:
--- a/lavenderstack/platform/loader_test.py
+++ b/lavenderstack/platform/loader_test.py
@@ -30,17 +30,25 @@
 
 
 @asynccontextmanager
-async def run_loader(kv):
-    """Run a loader on a stand-in of the store; yield its directory."""
+async def run_loader_object(kv):
+    """Run a loader on a stand-in of the store; yield it and its directory."""
     directory = Directory("n1", "z1", ViewProof(limit_s=5.0))
     async with serving(kv) as addr, store.open_store(addr) as client:
-        task = asyncio.ensure_future(Loader(client, directory).run())
+        follower = Loader(client, directory)
+        task = asyncio.ensure_future(follower.run())
         try:
-            yield directory
+            yield follower, directory
         finally:
             task.cancel()
 
 
+@asynccontextmanager
+async def run_loader(kv):
+    """Run a loader on a stand-in of the store; yield its directory."""
+    async with run_loader_object(kv) as (_, directory):
+        yield directory
+
+
 async def wait_until(condition, timeout_s=5.0):
     deadline = clock.now() + timeout_s
     while not condition():
@@ -109,6 +117,29 @@
             assert len(directory.targets) == 4
 
 
+class TestMemory:
+    async def test_removed_entries_are_remembered_up_to_a_number(self, monkeypatch):
+        monkeypatch.setattr(loader, "MAX_REMOVED_KEYS", 20)
+        kv = MetadataStore()
+        kv.put("op/config", config(1))
+        async with run_loader_object(kv) as (follower, directory):
+            await wait_until(lambda: directory.proof.holds(clock.now()))
+            for number in range(60):
+                kv.put(f"servers/i-{number}", report())
+                kv.delete(f"servers/i-{number}")
+            kv.put("servers/last", report())
+            await wait_until(lambda: "last" in directory.targets)
+            assert len(follower._revisions) <= 20 + 2
+            assert set(directory.targets) == {"last"}
+
+
+class TestNotFound:
+    async def test_a_listing_that_is_not_found_is_no_ended_lease(self):
+        async with serving(MetadataStore()) as addr, store.open_store(addr) as client:
+            with pytest.raises(store.StoreFailed):
+                await client._call("GET", "kv-unknown", None)
+
+
 class TestWatchRate:
     async def test_changes_in_quick_succession_share_watch_calls(self):
         """Without a minimum interval, almost every change costs a call.
--- a/lavenderstack/platform/main.py
+++ b/lavenderstack/platform/main.py
@@ -292,25 +292,24 @@
 
 async def _follow_settings(node: Node, path: Path) -> None:
     """Load the settings again whenever the file changes, until cancelled."""
-    known_version = _file_version(path)
+    known = _read_if_present(path)
     while True:
         await asyncio.sleep(SETTINGS_POLL_INTERVAL_S)
-        version = _file_version(path)
-        if version != known_version:
-            known_version = version
+        found = _read_if_present(path)
+        if found != known:
+            known = found
             _reload(node, path)
 
 
-def _file_version(path: Path) -> tuple[int, int] | None:
-    """Return a file's modification time in ns and size in bytes, None if it is absent.
+def _read_if_present(path: Path) -> bytes | None:
+    """Return the file's content, None if there is none.
 
-    At least one of them changes when the file is rewritten.
+    Its time and size may be the same after a change, so they are not enough.
     """
     try:
-        file_stat = path.stat()
+        return path.read_bytes()
     except OSError:
         return None
-    return file_stat.st_mtime_ns, file_stat.st_size
 
 
 def _count_open_operations(node: Node) -> int:
--- a/lavenderstack/platform/node_test.py
+++ b/lavenderstack/platform/node_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 import signal
 import sys
 from contextlib import asynccontextmanager
@@ -283,6 +284,18 @@
             assert '"node: settings read"' in out
             assert "withdrawn_key_limit_ms" in out
 
+    async def test_rewrite_of_the_same_time_and_size_is_noticed(self, tmp_path):
+        async with run_node(tmp_path) as node:
+            raw = json.loads(node.path.read_text())
+            node.path.write_text(json.dumps({**raw, "withdrawn_key_limit_ms": 4000}))
+            await asyncio.sleep(1.5)
+            times = node.path.stat()
+            node.path.write_text(json.dumps({**raw, "withdrawn_key_limit_ms": 3000}))
+            os.utime(node.path, ns=(times.st_atime_ns, times.st_mtime_ns))
+            await asyncio.sleep(1.5)
+            _, out = await node.stop()
+            assert out.count('"node: settings read"') == 2
+
     async def test_settings_with_mistakes_are_ignored_and_logged(self, tmp_path):
         async with run_node(tmp_path) as node:
             node.path.write_text("name: 5\n")
--- a/lavenderstack/platform/store.py
+++ b/lavenderstack/platform/store.py
@@ -56,7 +56,11 @@
     """The lease no longer exists."""
 
 
-_ERRORS = {410: HistoryGone, 412: Conflict, 404: LeaseEnded}
+class _NotFound(StoreFailed):
+    """The entry or lease that the call names does not exist."""
+
+
+_ERRORS = {410: HistoryGone, 412: Conflict, 404: _NotFound}
 
 
 class Item(msgspec.Struct, frozen=True):
@@ -180,6 +184,13 @@
                 raise StoreFailed(f"{path}: {exc}") from exc
         raise _ERRORS.get(response.status, StoreFailed)(f"{path}: {response.status}")
 
+    async def _call_with_lease(self, method: str, path: str, *args, **kwargs):
+        """Make a call that names a lease; raises ``LeaseEnded`` if it has ended."""
+        try:
+            return await self._call(method, path, *args, **kwargs)
+        except _NotFound as exc:
+            raise LeaseEnded(str(exc)) from exc
+
     async def list(self, prefix: str, after: str = "") -> Page:
         """Return a page of the entries under a prefix with keys past ``after``."""
         params = {"prefix": prefix}
@@ -195,8 +206,7 @@
             return self._positioned(
                 await self._call("GET", "kv-key", Item, params={"key": key})
             )
-        except LeaseEnded:
-            # The store uses 404 for an absent entry as well as for an ended lease.
+        except _NotFound:
             return None
 
     async def watch(self, prefix: str, after: int, wait_s: float) -> Changes:
@@ -247,7 +257,7 @@
             ],
             "deletes": list(deletes),
         }
-        reply = await self._call("POST", "kv-txn", _ChangeReply, body=body)
+        reply = await self._call_with_lease("POST", "kv-txn", _ChangeReply, body=body)
         return self._position(reply.rev)
 
     async def create_lease(self, ttl_s: float) -> tuple[int, float]:
@@ -258,12 +268,12 @@
 
     async def renew_lease(self, lease: int) -> float:
         """Renew a lease and return the seconds for which it is valid."""
-        reply = await self._call("POST", f"kv-keep/{lease}", _LeaseReply)
+        reply = await self._call_with_lease("POST", f"kv-keep/{lease}", _LeaseReply)
         return reply.ttl_ms / 1000
 
     async def end_lease(self, lease: int) -> None:
         """End a lease, which removes the entries bound to it."""
-        await self._call("DELETE", f"kv-lease-end/{lease}", None)
+        await self._call_with_lease("DELETE", f"kv-lease-end/{lease}", None)
 
 
 @asynccontextmanager
