Prove the view by a listing of one page

Cause: a node that starts lists all entries and then watches once more only to prove the view: a priced call and a round trip while its callers wait, 195 times at each start of the large fleet. A listing that fits one page is one answer of the store, sent after the question, so it proves as much as a watch. Of several pages it proves nothing, as before.

Ruled out: passing the listing to other nodes of the zone; a starting node knows none.

--- a/lavenderstack/platform/loader.py
+++ b/lavenderstack/platform/loader.py
@@ -3,8 +3,9 @@
 A single watch covers the catalog, the targets' reports and this service's own records.
 Each watch call waits only briefly, since only an answer proves that the directory is
 current, as of the time at which the call was sent. If the store no longer has the
-history that the watch needs, all entries are listed again. A listing is not a snapshot,
-so changes newer than its first page are read by the next watch.
+history that the watch needs, all entries are listed again. A listing of one page proves
+that the directory is current, like a watch. One of several pages is not a snapshot, so
+changes newer than its first page are read by the next watch.
 
 If the store is restored from an older copy, the directory stays as it is until the
 operators and the targets have had time to write again (``core/store_era.py``). Then all
@@ -272,9 +273,9 @@
     async def _list(self) -> None:
         # A store that refuses every watch must not be asked for listings all the time.
         await asyncio.sleep(self._listed_at + RETRY_DELAY_S - clock.now())
-        self._listed_at = clock.now()
+        self._listed_at = sent_at = clock.now()
         page = await self._store.list("")
-        as_of = page.as_of
+        as_of, is_snapshot = page.as_of, not page.has_more
         seen: set[str] = set()
         while True:
             self._record_store_answer()
@@ -296,6 +297,8 @@
         self._recent_after = as_of
         self._advance_revision(as_of)
         self._listed = True
+        if is_snapshot and self._store.era.read_wait_s(clock.now()) <= 0:
+            self._prove(sent_at)
 
     async def _watch(self) -> None:
         proof_holds = self._directory.proof.holds(clock.now())
--- a/lavenderstack/platform/loader_test.py
+++ b/lavenderstack/platform/loader_test.py
@@ -171,6 +171,30 @@
             assert samples_without_watch <= 10
 
 
+class TestFirstProof:
+    """Callers wait while a node starts, and each call of the store has a price."""
+
+    async def test_listing_of_one_page_proves_without_another_call(self, monkeypatch):
+        async def unanswered(*_):
+            await asyncio.Event().wait()
+
+        monkeypatch.setattr(store.Store, "watch", unanswered)
+        kv = MetadataStore()
+        kv.put("op/config", config(1))
+        async with run_loader(kv) as directory:
+            await wait_until(lambda: directory.proof.holds(clock.now()))
+            assert kv.calls == ["list"]
+
+    async def test_listing_of_several_pages_proves_nothing(self):
+        kv = MetadataStore(page_size=2)
+        kv.put("op/config", config(1))
+        for number in range(4):
+            kv.put(f"servers/i-{number}", report())
+        async with run_loader(kv) as directory:
+            await wait_until(lambda: directory.proof.holds(clock.now()))
+            assert kv.calls.count("watch") >= 1
+
+
 class TestProof:
     async def test_proof_counts_from_when_the_call_was_sent(self):
         kv = MetadataStore()
