Tell at once that a primary is full while own connections are in use

Cause, found by reading the change: a probe of a full primary waited 0.3 s for one of the node's own connections, longer than the group's owner waits (0.25 s), and forgot the refusal (0.1 s) meanwhile; so the primary passed for silent after all. A probe doesn't wait at a full target any more. A failed claim also read the recorded one though only a store that was restored can hold a void one: it isn't read in era 0.

Ruled out: a longer time of the owner (it would delay each replacement). The test is red without the change; tests of node and platform pass.

--- a/lavenderstack/node/target_connections.py
+++ b/lavenderstack/node/target_connections.py
@@ -84,8 +84,9 @@
     ) -> PooledConnection:
         """Return a connection of the organisation, opening one if necessary.
 
-        ``force_new`` always opens one if the limit allows. Raises ``ConnectFailed`` if
-        none can be opened and none is released in time.
+        ``force_new`` always opens one if the limit allows, and doesn't wait if the
+        target has too many. Raises ``ConnectFailed`` if none can be opened and none is
+        released in time.
         """
         if not force_new:
             pooled = self._take_best_idle(organisation, values)
@@ -95,8 +96,10 @@
             try:
                 return await self._open_connection(organisation)
             except ConnectFailed as exc:
-                if exc.reason is not Reason.NO_CONNECTION:
+                if force_new or exc.reason is not Reason.NO_CONNECTION:
                     raise
+        elif force_new and self.refused_recently:
+            raise ConnectFailed(Reason.NO_CONNECTION, "refused recently")
         return await self._wait_for_released(organisation, values)
 
     def _take_best_idle(
--- a/lavenderstack/node/target_connections_test.py
+++ b/lavenderstack/node/target_connections_test.py
@@ -86,6 +86,16 @@
         assert isinstance(answer, Failed)
         assert answer.reason == Reason.NO_CONNECTION
 
+    async def test_refusal_is_told_at_once_while_own_connections_are_in_use(self):
+        """The group's owner waits for a quarter of a second."""
+        pool, fake = pool_of(21, dead=20)
+        await pool.acquire("a", {})
+        for _ in range(2):
+            began = clock.now()
+            answer = await self.health(pool).primary_position(0.1)
+            assert answer.reason == Reason.NO_CONNECTION
+            assert clock.now() - began < RELEASE_WAIT_S / 2
+
     async def test_own_connections_in_use_say_nothing_about_the_target(self):
         """A primary that went dark holds all of them; it must be replaced."""
         pool, fake = pool_of(21)
--- a/lavenderstack/platform/registration.py
+++ b/lavenderstack/platform/registration.py
@@ -177,6 +177,9 @@
 
         Returns None if there is no such claim or the store did not answer.
         """
+        if not self._store.era.number:
+            # The store was never restored.
+            return None
         key = documents.OWNERSHIP_PREFIX + group
         try:
             item = await self._store.get(key)
