--- a/bench/failover.py
+++ b/bench/failover.py
@@ -50,6 +50,7 @@
     """Writes to the given nodes in turn and records when writes are acknowledged."""
 
     def __init__(self, cluster: Cluster, nodes: list[str]) -> None:
+        self.began_at = clock.now()
         self.acknowledged: list[float] = []
         self.outcomes: Counter[str] = Counter()
         self._http = cluster.http
@@ -80,14 +81,18 @@
 
     async def run(self, seconds: float) -> None:
         """Write at a fixed rate for ``seconds``, independent of the latency."""
+        self.began_at = clock.now()
         async with asyncio.TaskGroup() as tasks:
             for number in range(int(seconds / WRITE_INTERVAL_S)):
                 tasks.create_task(self._write(number))
                 await asyncio.sleep(WRITE_INTERVAL_S)
 
     def longest_gap_s(self) -> float:
-        """Return the longest time without an acknowledgement until now, in seconds."""
-        times = [*self.acknowledged, clock.now()]
+        """Return the longest time without an acknowledgement until now, in seconds.
+
+        Counted from the first write, also if none was acknowledged.
+        """
+        times = [self.began_at, *self.acknowledged, clock.now()]
         return max(later - earlier for earlier, later in itertools.pairwise(times))
 
 
--- a/lavenderstack/node/directory_test.py
+++ b/lavenderstack/node/directory_test.py
@@ -1,5 +1,9 @@
 """Tests of the directory: newer entries are never replaced by older ones."""
 
+import asyncio
+
+import pytest
+
 from lavenderstack.core.catalog import Catalog, RecordedOwnership
 from lavenderstack.core.view import Target, Vm
 from lavenderstack.core.view_proof import MARGIN_S, ViewProof
@@ -100,6 +104,28 @@
 
 
 class TestMembers:
+    @pytest.mark.parametrize(
+        "change",
+        [
+            lambda one: one.put_member(Vm("n2", "z1", "10.0.0.2", 1)),
+            lambda one: one.put_target(target("t1"), "g", True, True, 9),
+            lambda one: one.drop_target("t2", 9),
+            lambda one: one.update_catalog(Catalog(version=3)),
+            lambda one: one.put_ownership("g", RecordedOwnership("n2", 9)),
+            lambda one: one.record_primary("g", "t2"),
+        ],
+    )
+    async def test_a_change_wakes_all_that_wait(self, change):
+        directory = make_directory()
+        waiting = [
+            asyncio.ensure_future(directory.wait_for_change(5.0)) for _ in range(3)
+        ]
+        await asyncio.sleep(0)
+        change(directory)
+        async with asyncio.timeout(1.0):
+            assert await asyncio.gather(*waiting) == [True] * 3
+        assert not await directory.wait_for_change(0.01)
+
     async def test_wait_times_out_without_a_change(self):
         directory = make_directory()
         directory.put_member(Vm("n2", "z1", "10.0.0.2", 1))
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -67,6 +67,7 @@
     effect. ``overlaps`` counts calls that arrived on a connection before its previous
     call was answered. ``most_running`` and ``most_connections`` are maxima, ``calls``
     counts by method, and ``strings`` holds the strings in the parameters of all calls.
+    ``strings_complete`` is False once there were too many to keep.
     """
 
     written: list[tuple[int, int, str]] = field(default_factory=list)
@@ -75,12 +76,15 @@
     most_connections: int = 0
     calls: dict[str, int] = field(default_factory=dict)
     strings: set[str] = field(default_factory=set)
+    strings_complete: bool = True
 
     def record(self, method: str, params: Any) -> None:
         """Count a call and add the strings in its parameters."""
         self.calls[method] = self.calls.get(method, 0) + 1
         if len(self.strings) < MAX_RECORDED_STRINGS:
             self._add_strings(params)
+        else:
+            self.strings_complete = False
 
     def _add_strings(self, value: Any) -> None:
         if isinstance(value, str):
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -29,6 +29,7 @@
 from aiohttp import web
 
 LEASE_SCAN_INTERVAL_S = 0.2
+FIRST_LEASE = 1000
 
 
 def _decode(raw: str) -> str:
@@ -48,6 +49,17 @@
         self.entries: dict[str, dict] = {}
         self.events: list[dict] = []
         self.leases: dict[int, tuple[int, float]] = {}
+        self._last_lease = FIRST_LEASE - 1
+
+    def grant_lease(self, wanted: int, ttl_s: int, now: float) -> int:
+        """Grant a lease and return its id, which no lease had before.
+
+        ``wanted`` is the id that the caller asks for, or 0.
+        """
+        lease = wanted or self._last_lease + 1
+        self._last_lease = max(self._last_lease, lease)
+        self.leases[lease] = (ttl_s, now + ttl_s)
+        return lease
 
     def header(self) -> dict:
         """Return the header that each answer carries."""
@@ -118,6 +130,7 @@
     def rolled_back(self, revision: int) -> "StoreData":
         """Return a copy of the data at an older revision, without leases."""
         older = StoreData(self.cluster)
+        older._last_lease = self._last_lease
         for event in self.events:
             kv = event["kv"]
             if int(kv["mod_revision"]) > revision:
@@ -252,9 +265,9 @@
 
     def grant(self, body: dict) -> dict:
         """Grant a lease."""
-        lease_id = int(body.get("ID", 0)) or len(self.data.leases) + 1000
         ttl_s = int(body["TTL"])
-        self.data.leases[lease_id] = (ttl_s, time.monotonic() + ttl_s)
+        wanted = int(body.get("ID", 0))
+        lease_id = self.data.grant_lease(wanted, ttl_s, time.monotonic())
         return {"header": self.data.header(), "ID": str(lease_id), "TTL": str(ttl_s)}
 
     def keepalive(self, body: dict) -> dict:
--- a/tests/whole_test.py
+++ b/tests/whole_test.py
@@ -110,6 +110,7 @@
         snapshot = await self.cluster.target_snapshot(target)
         assert snapshot["overlaps"] == 0, "calls overlapped on a connection"
         for key in self.cluster.keys.values():
+            assert snapshot["strings_complete"], "the record covers only early calls"
             assert not any(key in text for text in snapshot["strings"]), (
                 "a key reached a target"
             )
