--- a/lavenderstack/platform/node_test.py
+++ b/lavenderstack/platform/node_test.py
@@ -103,6 +103,20 @@
         return self.process.returncode, out.decode()
 
 
+async def start_process(path, stdout):
+    """Start a node process on a settings file."""
+    return await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "lavenderstack",
+        "serve",
+        "--settings",
+        str(path),
+        cwd=ROOT,
+        stdout=stdout,
+    )
+
+
 @asynccontextmanager
 async def run_node(tmp_path):
     store = MetadataStore()
@@ -126,16 +140,7 @@
             store.put(f"servers/{target.name}", data)
         path = tmp_path / "node.yaml"
         path.write_text(json.dumps(node_settings(ports, addr)))
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "lavenderstack",
-            "serve",
-            "--settings",
-            str(path),
-            cwd=ROOT,
-            stdout=asyncio.subprocess.PIPE,
-        )
+        process = await start_process(path, asyncio.subprocess.PIPE)
         node = NodeHarness(process, ports, store, targets, path)
         try:
             await node.wait_until_ready()
--- a/lavenderstack/platform/registration.py
+++ b/lavenderstack/platform/registration.py
@@ -17,6 +17,7 @@
 import structlog
 
 from lavenderstack.core import clock
+from lavenderstack.core.store_era import CLAIM_HOLD_S
 from lavenderstack.core.view import Vm
 from lavenderstack.node.backend import ClaimLost
 from lavenderstack.platform import documents
@@ -32,7 +33,8 @@
 
 log = structlog.get_logger()
 
-LEASE_TTL_S = 3.0
+# Nobody claims a group for as long after a restore of the store.
+LEASE_TTL_S = CLAIM_HOLD_S
 RENEWAL_INTERVAL_S = 0.9
 RETRY_DELAY_S = 0.4
 # Allows for the clocks of the store and of this node running at different speeds.
--- a/lavenderstack/platform/restore_process_test.py
+++ b/lavenderstack/platform/restore_process_test.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import sys
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field
 
@@ -10,7 +9,12 @@
 
 from lavenderstack.core import clock
 from lavenderstack.platform.documents_test import CONFIG, REPORT
-from lavenderstack.platform.node_test import ROOT, NodeHarness, config, node_settings
+from lavenderstack.platform.node_test import (
+    NodeHarness,
+    config,
+    node_settings,
+    start_process,
+)
 from lavenderstack.platform.orders import FENCE_HEADER
 from standins import line_target, metadata_store
 from standins.line_target import LineTarget
@@ -123,16 +127,7 @@
     raw = node_settings(ports, store_addr)
     raw |= {"name": name, "orders": f"127.0.0.1:{orders_port}"}
     path.write_text(json.dumps(raw))
-    process = await asyncio.create_subprocess_exec(
-        sys.executable,
-        "-m",
-        "lavenderstack",
-        "serve",
-        "--settings",
-        str(path),
-        cwd=ROOT,
-        stdout=asyncio.subprocess.DEVNULL,
-    )
+    process = await start_process(path, asyncio.subprocess.DEVNULL)
     stack.push_async_callback(_end, process)
     targets = list(group.targets.values())
     return NodeHarness(process, ports, group.store, targets, path)
