Log pauses, resumes and how far the lost primary was known to go

Hypotheses 1 and 2 couldn't be told apart: PAUSE and RESUME left no line when they succeeded, 'primary lost' did not say how far the primary's log was known to go, and 'target gone' not to which group it belonged. No decision is changed.

--- a/lavenderstack/core/events.py
+++ b/lavenderstack/core/events.py
@@ -174,7 +174,12 @@
         ("target", "group", "leads", "leaving", "revision"),
         "a target was added, or its role or state changed",
     ),
-    Event("directory: target gone", LineKind.STATE, ("target", "revision"), "removed"),
+    Event(
+        "directory: target gone",
+        LineKind.STATE,
+        ("target", "group", "leads", "revision"),
+        "its report ended; ``leads`` tells whether it reported itself as the primary",
+    ),
     Event(
         "directory: node changed",
         LineKind.STATE,
@@ -371,7 +376,7 @@
     Event(
         "replacer: primary lost",
         LineKind.STATE,
-        ("group", "lost", "chosen", "followers"),
+        ("group", "lost", "chosen", "followers", "primary"),
         "a replica is being promoted",
     ),
     Event(
@@ -392,6 +397,18 @@
         ("group", "obstacle"),
         "it is retried",
     ),
+    Event(
+        "replacer: replicas paused",
+        LineKind.STATE,
+        ("group", "term", "followers"),
+        "they receive no log entries; with the position that each has received",
+    ),
+    Event(
+        "replacer: replicas resumed",
+        LineKind.STATE,
+        ("group", "followers"),
+        "they receive log entries again; None if one didn't answer",
+    ),
     Event("replacer: replica silent", LineKind.STATE, ("target", "error"), "no answer"),
     Event(
         "replacer: target refused an order",
--- a/lavenderstack/node/directory.py
+++ b/lavenderstack/node/directory.py
@@ -98,7 +98,13 @@
         del self.targets[name]
         del self._groups[state.group][name]
         self._not_primary_at.pop(name, None)
-        log.info("directory: target gone", target=name, revision=revision)
+        log.info(
+            "directory: target gone",
+            target=name,
+            group=state.group,
+            leads=state.leads,
+            revision=revision,
+        )
         self._signal_change()
 
     def put_member(self, member: Vm) -> None:
--- a/lavenderstack/node/followers.py
+++ b/lavenderstack/node/followers.py
@@ -42,11 +42,27 @@
     async def pause(self, group: str, states: list[TargetState]) -> list[ReplicaState]:
         """Stop replicas from receiving log entries; return each one's status."""
         term = self.terms.get(group, 0) + 1
-        followers = await self.send(states, statement.pause(term))
-        return [
+        answers = await self.send(states, statement.pause(term))
+        followers = [
             replace(each, paused=each.received is not None and not each.leads)
-            for each in followers
+            for each in answers
         ]
+        log.info(
+            "replacer: replicas paused",
+            group=group,
+            term=term,
+            followers=format_positions(followers),
+        )
+        return followers
+
+    async def resume(self, group: str, states: list[TargetState]) -> None:
+        """Let replicas receive log entries again."""
+        followers = await self.send(states, statement.RESUME)
+        log.info(
+            "replacer: replicas resumed",
+            group=group,
+            followers=format_positions(followers),
+        )
 
     async def send(
         self, states: list[TargetState], command: Statement
@@ -97,3 +113,11 @@
             return None
         self.record_term(state.group, status.term)
         return status
+
+
+def format_positions(followers: list[ReplicaState]) -> dict[str, str]:
+    """Return the position that each replica has received, for a log line."""
+    return {
+        one.name: str(tuple(one.received)) if one.received is not None else "None"
+        for one in followers
+    }
--- a/lavenderstack/node/replacer.py
+++ b/lavenderstack/node/replacer.py
@@ -20,10 +20,9 @@
 from lavenderstack.core.hash_ring import CachedByIdentity, HashRing, hash_position
 from lavenderstack.core.messages import Failed
 from lavenderstack.core.outcome import Reason
-from lavenderstack.core.position import Position
+from lavenderstack.core.position import START, Position
 from lavenderstack.core.replacement import (
     Obstacle,
-    ReplicaState,
     choose_successor,
     most_advanced,
     takeover_obstacle,
@@ -44,7 +43,7 @@
 )
 from lavenderstack.node.counters import Counters
 from lavenderstack.node.directory import Directory
-from lavenderstack.node.followers import Followers
+from lavenderstack.node.followers import Followers, format_positions
 from lavenderstack.node.peers import Peers
 from lavenderstack.node.streams import NotSent, StreamLost
 
@@ -89,10 +88,13 @@
     ``misses`` counts checks in a row without a known primary. ``used_epoch`` is the
     last epoch used for an order. The other fields are in seconds on the clock;
     ``full_since`` is the first of the latest checks in a row at which the primary had
-    no connection free.
+    no connection free. ``primary_position`` is the highest one that the primary
+    reported to a check, at ``position_at``.
     """
 
     misses: int = 0
+    primary_position: Position = START
+    position_at: float | None = None
     full_since: float | None = None
     used_epoch: int = 0
     claimed_at: float = 0.0
@@ -100,6 +102,17 @@
     replaced_at: float = 0.0
     handed_over_at: float = 0.0
 
+    def record_position(self, position: Position, now: float) -> None:
+        """Record a position that the primary reported."""
+        self.primary_position = max(self.primary_position, position)
+        self.position_at = now
+
+    def describe_primary_position(self, now: float) -> str:
+        """Return the last known end of the primary's log and its age, for a line."""
+        if self.position_at is None:
+            return "unknown"
+        return f"{tuple(self.primary_position)}, {now - self.position_at:.2f} s old"
+
 
 class Replacer:
     """Supervises the primaries of the groups that this node owns.
@@ -166,6 +179,7 @@
         answer = await self._probe_primary(primary)
         if isinstance(answer, PrimaryPosition):
             status.misses, status.full_since = 0, None
+            status.record_position(Position(*answer.position), clock.now())
             self._replicas.record_term(group, answer.position[0])
             await self._hand_over(group, status, primary, claim)
             return
@@ -305,19 +319,20 @@
                 "replacer: no replica may take over",
                 group=group,
                 obstacle=chosen.name,
-                followers=_format_positions(states),
+                followers=format_positions(states),
             )
-            await self._replicas.send(followers, statement.RESUME)
+            await self._replicas.resume(group, followers)
             return
         log.warning(
             "replacer: primary lost",
             group=group,
             lost=lost.target.name if lost else "",
             chosen=chosen.name,
-            followers=_format_positions(states),
+            followers=format_positions(states),
+            primary=status.describe_primary_position(clock.now()),
         )
         if not await self._promote(group, status, chosen.name):
-            await self._replicas.send(followers, statement.RESUME)
+            await self._replicas.resume(group, followers)
 
     async def _replace_leaving(
         self, group: str, status: _GroupStatus, primary: TargetState
@@ -350,7 +365,7 @@
                     group=group,
                     obstacle=obstacle.name,
                 )
-                await self._replicas.send(others, statement.RESUME)
+                await self._replicas.resume(group, others)
                 return
             await asyncio.sleep(CATCH_UP_POLL_S)
         log.info(
@@ -358,10 +373,10 @@
             group=group,
             leaving=primary.target.name,
             chosen=candidate.name,
-            followers=_format_positions([candidate, *paused]),
+            followers=format_positions([candidate, *paused]),
         )
         if not await self._promote(group, status, candidate.name):
-            await self._replicas.send(others, statement.RESUME)
+            await self._replicas.resume(group, others)
 
     def _followers(self, group: str, primary: TargetState | None) -> list[TargetState]:
         name = primary.target.name if primary else ""
@@ -464,11 +479,3 @@
             log.info(
                 "replacer: new primary not announced", holder=vm.name, error=repr(exc)
             )
-
-
-def _format_positions(followers: list[ReplicaState]) -> dict[str, str]:
-    return {one.name: str(_as_tuple(one.received)) for one in followers}
-
-
-def _as_tuple(position: Position | None) -> tuple[int, int] | None:
-    return tuple(position) if position is not None else None
