--- a/lavenderstack/node/backend_fake.py
+++ b/lavenderstack/node/backend_fake.py
@@ -27,6 +27,7 @@
 class FakeTarget:
     """A target of a fake group.
 
+    ``deaf`` means that it receives no log entries though it answers.
     ``dead_connections`` of nodes that lost power count towards ``max_connections``.
 
     ``executed`` lists its statements as ``(organisation, request, kind, values)``.
@@ -37,6 +38,7 @@
     term: int = 1
     received: int = 0
     paused: bool = False
+    deaf: bool = False
     reachable: bool = True
     silent: bool = False
     lose_answers: bool = False
@@ -61,12 +63,14 @@
     """The targets of one group.
 
     ``acknowledged`` is the number of the last acknowledged log entry, ``epochs`` are
-    those of the accepted promotions.
+    those of the accepted promotions. ``incomplete`` lists the targets that were
+    promoted without all acknowledged entries.
     """
 
     targets: dict[str, FakeTarget]
     acknowledged: int = 0
     epochs: list[int] = field(default_factory=list)
+    incomplete: list[str] = field(default_factory=list)
     on_promote: Callable[[str], None] = lambda _: None
 
     def followers(self) -> list[FakeTarget]:
@@ -78,7 +82,7 @@
         primary.received += 1
         replicated = False
         for one in self.followers():
-            if one.reachable and not one.paused:
+            if one.reachable and not one.paused and not one.deaf:
                 one.received = primary.received
                 one.term = primary.term
                 replicated = True
@@ -96,6 +100,8 @@
         self.epochs.append(epoch)
         chosen = self.targets[target]
         if not chosen.leads:
+            if chosen.received < self.acknowledged:
+                self.incomplete.append(target)
             for one in self.targets.values():
                 one.leads, one.paused = False, False
             chosen.leads, chosen.term = True, chosen.term + 1
--- a/lavenderstack/node/replacer_test.py
+++ b/lavenderstack/node/replacer_test.py
@@ -95,8 +95,14 @@
         leads = self.targets[name].leads
         self.directory.put_target(target, "g", leaving, leads, self.revision)
 
+    def drop_target(self, name):
+        """Crash a target for so long that its report ends."""
+        self.targets[name].reachable = False
+        self.revision += 1
+        self.directory.drop_target(name, self.revision)
+
     def report(self, _):
-        for name in self.targets:
+        for name in self.directory.targets:
             self.put_target(name)
 
     async def ask(self, vm, msg, timeout_s):
@@ -248,6 +254,45 @@
         assert not harness.targets["t2"].paused
 
 
+class TestReplicaWhoseReportEnded:
+    """A commit may be only on the primary and on a replica that is away."""
+
+    async def commit_on_t3_alone(self):
+        harness = ReplacerHarness()
+        await harness.check(2)
+        harness.targets["t2"].deaf = True
+        harness.group.commit(harness.targets["t1"])
+        return harness
+
+    async def test_its_commits_are_not_lost_with_the_primary(self):
+        harness = await self.commit_on_t3_alone()
+        harness.drop_target("t3")
+        harness.primary_answers = False
+        await harness.check(2)
+        assert harness.group.incomplete == []
+        assert not harness.targets["t2"].paused
+
+    async def test_its_commits_are_not_lost_with_a_leaving_primary(self):
+        harness = await self.commit_on_t3_alone()
+        harness.drop_target("t3")
+        harness.put_target("t1", leaving=True)
+        await harness.check(2)
+        assert harness.group.incomplete == []
+        assert not harness.targets["t2"].paused
+
+    async def test_commits_are_not_lost_with_two_primaries_in_a_row(self):
+        harness = await self.commit_on_t3_alone()
+        harness.primary_answers = False
+        await harness.check()
+        assert harness.primary == "t3"
+        harness.primary_answers = True
+        await harness.check()
+        harness.drop_target("t1")
+        harness.primary_answers = False
+        await harness.check(2)
+        assert harness.group.incomplete == []
+
+
 class TestEpochs:
     async def test_every_order_has_its_own_epoch(self):
         harness = ReplacerHarness()
