--- a/lavenderstack/core/events_test.py
+++ b/lavenderstack/core/events_test.py
@@ -20,6 +20,7 @@
     "active_connections",
     "open_transactions",
     "primary_positions",
+    "promoter",
     "replacer",
     "session",
     "streams",
--- /dev/null
+++ b/lavenderstack/node/promoter.py
@@ -0,0 +1,160 @@
+"""Sends promotion orders to the platform, each choice under an epoch of its own.
+
+An order without an answer may still be carried out much later. It can then only repeat
+the choice made under its epoch, and the platform refuses it once a later epoch was
+used.
+"""
+
+import asyncio
+
+import structlog
+
+from lavenderstack.core import clock
+from lavenderstack.core.catalog import RecordedOwnership
+from lavenderstack.core.view import Vm
+from lavenderstack.core.work_messages import LeadTaken, PrimaryPosition
+from lavenderstack.node.backend import (
+    ClaimLost,
+    Claims,
+    OrderRefused,
+    Orders,
+    OrderUnanswered,
+)
+from lavenderstack.node.counters import Counters
+from lavenderstack.node.directory import Directory
+from lavenderstack.node.peers import Peers
+from lavenderstack.node.primary_probe import PROBE_TIMEOUT_S, PrimaryProbe
+from lavenderstack.node.streams import NotSent, StreamLost
+
+log = structlog.get_logger()
+
+PROMOTED_POLL_S = 0.05
+ORDER_RETRY_S = 0.2
+MAX_ORDER_TRIES = 6
+# How long to wait for an accepted promotion to take effect.
+PROMOTION_TIMEOUT_S = 2.0
+# Lease time that must be left before an action. It is longer than one order takes, so
+# that no order is sent after the lease has ended.
+MIN_LEASE_LEFT_S = 0.2
+
+
+class Promoter:
+    """Promotes targets of the groups that this node owns."""
+
+    def __init__(
+        self,
+        directory: Directory,
+        peers: Peers,
+        probe: PrimaryProbe,
+        claims: Claims,
+        orders: Orders,
+        counters: Counters,
+    ) -> None:
+        self._directory = directory
+        self._peers = peers
+        self._probe = probe
+        self._claims = claims
+        self._orders = orders
+        self._counters = counters
+        # The last epoch used for an order, by group.
+        self._used_epochs: dict[str, int] = {}
+
+    def lease_holds(self) -> bool:
+        """Return whether enough of this node's lease is left for an order."""
+        return clock.now() <= self._claims.valid_until() - MIN_LEASE_LEFT_S
+
+    async def promote(self, group: str, target: str) -> bool:
+        """Order a promotion under an unused epoch; return whether it was accepted."""
+        claim = self._directory.ownerships.get(group)
+        if claim is None or claim.node != self._claims.identity:
+            return False
+        if claim.epoch == self._used_epochs.get(group):
+            claim = await self._acquire_unused_epoch(group, claim)
+            if claim is None:
+                return False
+        self._used_epochs[group] = claim.epoch
+        for _ in range(MAX_ORDER_TRIES):
+            if not self.lease_holds():
+                log.warning("replacer: lease too old to act", group=group)
+                return False
+            try:
+                await self._orders.promote(
+                    group, target, self._directory.name, claim.epoch
+                )
+            except OrderRefused as exc:
+                self._counters.orders.labels("refused").inc()
+                log.warning(
+                    "replacer: order refused",
+                    group=group,
+                    target=target,
+                    epoch=claim.epoch,
+                    error=str(exc),
+                )
+                return False
+            except OrderUnanswered as exc:
+                self._counters.orders.labels("unanswered").inc()
+                log.info(
+                    "replacer: order unanswered",
+                    group=group,
+                    target=target,
+                    epoch=claim.epoch,
+                    error=str(exc),
+                )
+                await asyncio.sleep(ORDER_RETRY_S)
+                continue
+            self._counters.orders.labels("taken").inc()
+            await self._wait_for_primary(group, target)
+            await self._acquire_unused_epoch(group, claim)
+            return True
+        return False
+
+    async def _acquire_unused_epoch(
+        self, group: str, claim: RecordedOwnership
+    ) -> RecordedOwnership | None:
+        """Renew the claim and return it with the new epoch, None if that failed."""
+        try:
+            await self._claims.renew_epoch(group, claim.epoch)
+        except ClaimLost as exc:
+            log.info("replacer: no new epoch", group=group, error=str(exc))
+        until = clock.now() + 0.5
+        while clock.now() < until:
+            current = self._directory.ownerships.get(group)
+            if current is None or current.node != self._claims.identity:
+                return None
+            if current.epoch > claim.epoch:
+                return current
+            await self._directory.wait_for_change(0.1)
+        return None
+
+    async def _wait_for_primary(self, group: str, target: str) -> None:
+        """Wait until the chosen target is the primary, and notify all nodes at once."""
+        until = clock.now() + PROMOTION_TIMEOUT_S
+        while clock.now() < until:
+            state = self._directory.targets.get(target)
+            primary = self._directory.primary(group)
+            if primary is not None and primary.target.name == target:
+                log.info("replacer: primary replaced", group=group, target=target)
+                return
+            if state is not None and isinstance(
+                await self._probe.ask(state), PrimaryPosition
+            ):
+                self._directory.record_primary(group, target)
+                await self._broadcast(LeadTaken(group, target))
+                continue
+            await self._directory.wait_for_change(PROMOTED_POLL_S)
+        log.warning(
+            "replacer: chosen target is not the primary", group=group, target=target
+        )
+
+    async def _broadcast(self, notice: LeadTaken) -> None:
+        """Notify the other nodes; one that misses it reads the target's own report."""
+        vms = [vm for vm in self._peers.live() if vm.name != self._directory.name]
+        await asyncio.gather(*(self._notify(vm, notice) for vm in vms))
+
+    async def _notify(self, vm: Vm, notice: LeadTaken) -> None:
+        try:
+            await self._peers.ask(vm, notice, PROBE_TIMEOUT_S)
+        except (NotSent, StreamLost, TimeoutError) as exc:
+            log.info(
+                "replacer: new primary not announced", holder=vm.name, error=repr(exc)
+            )
--- a/lavenderstack/node/replacer_test.py
+++ b/lavenderstack/node/replacer_test.py
@@ -317,7 +317,7 @@
                 raise OrderUnanswered("lost")
             await promote(group, target, node, epoch)
 
-        harness.replacer._orders = type(
+        harness.replacer._promoter._orders = type(
             "UnansweredOrders", (), {"promote": staticmethod(promote_unanswered)}
         )
         harness.primary_answers = False
