Promote no replica while one that left may alone have a commit

While that replica was registered and silent nobody took over; when its report ended after three missed heartbeats it was no longer asked, and the other replica, which had received nothing for four seconds, was promoted.

Fix: the owner records the group's replica set in the store (ls/replicas/GROUP, written under its claim's epoch). A replica leaves the set by a proof only: while the primary answers, another has received all of the primary's log. A promotion needs a complete set that was recorded under the primary to be replaced. If it isn't complete, the chosen replica must have everything that the nodes saw in the primary's log, since each acknowledgement passes through one; all that served since the primary's last answer must tell, without a restart in between. A leaving primary is asked itself.

Ruled out: keeping vanished targets on the list for some seconds longer (a bound in time proves nothing about logs); refusing writes while a replica is away (a group of three would stop at its first loss); memory of the owner alone (lost with it).

A model explores joins, departures, restarts and deaf replicas; without the recorded set, the proof, or those that joined and left, a write is lost in it.

Between builds: a node that doesn't know the new question doesn't answer it, so nobody is promoted by it; it is asked only when the set is incomplete.

--- a/lavenderstack/core/catalog.py
+++ b/lavenderstack/core/catalog.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from lavenderstack.core.replica_set import TargetRun
 from lavenderstack.core.view import Plan, Target
 
 DEFAULT_TX_IDLE_S = 3.0
@@ -66,7 +67,8 @@
     """A target's last report; ``revision`` is the store revision of that report.
 
     ``leads`` is the target's own claim to be the primary. ``leads_since`` is the
-    revision of the first report in the current unbroken run of such claims.
+    revision of the first report in the current unbroken run of such claims. ``run``
+    identifies the target's present run.
     """
 
     target: Target
@@ -75,6 +77,12 @@
     leads: bool
     revision: int
     leads_since: int = 0
+    started_ms: int = 0
+
+    @property
+    def run(self) -> TargetRun:
+        """The present run of the target."""
+        return TargetRun(self.target.name, self.started_ms)
 
 
 @dataclass(frozen=True, slots=True)
--- a/lavenderstack/core/events.py
+++ b/lavenderstack/core/events.py
@@ -128,6 +128,12 @@
         ("key", "error"),
         "ignored",
     ),
+    Event(
+        "documents: replica set not understood",
+        LineKind.STATE,
+        ("key", "error"),
+        "counts as none recorded",
+    ),
     Event(
         "admission: reserve not recorded",
         LineKind.STATE,
@@ -370,8 +376,8 @@
     Event(
         "replacer: no replica may take over",
         LineKind.STATE,
-        ("group", "obstacle", "followers"),
-        "a commit could be lost",
+        ("group", "obstacle", "followers", "missing", "primary"),
+        "a commit could be lost; ``missing`` are replicas that left without a proof",
     ),
     Event(
         "replacer: primary lost",
@@ -397,6 +403,30 @@
         ("group", "obstacle"),
         "it is retried",
     ),
+    Event(
+        "replacer: replica set recorded",
+        LineKind.STATE,
+        ("group", "primary", "joined", "left"),
+        "these replicas must be accounted for before a promotion from now on",
+    ),
+    Event(
+        "replacer: replica set not recorded",
+        LineKind.STATE,
+        ("group", "error"),
+        "retried at the next check",
+    ),
+    Event(
+        "replacer: replica set not proved",
+        LineKind.STATE,
+        ("group", "end", "missing", "followers"),
+        "no follower has all of the primary's log up to ``end`` yet; it is retried",
+    ),
+    Event(
+        "replacer: node silent",
+        LineKind.STATE,
+        ("holder", "error"),
+        "a node didn't tell which commits it acknowledged, so none is promoted yet",
+    ),
     Event(
         "replacer: replicas paused",
         LineKind.STATE,
--- a/lavenderstack/core/events_test.py
+++ b/lavenderstack/core/events_test.py
@@ -22,6 +22,7 @@
     "primary_positions",
     "promoter",
     "replacer",
+    "replica_sets",
     "session",
     "streams",
     "supervisor",
--- a/lavenderstack/core/replacement.py
+++ b/lavenderstack/core/replacement.py
@@ -8,7 +8,8 @@
 most is safe.
 
 A replica that does not answer may be the only one that has a commit. Then no replica
-may take over until it answers or the platform declares it gone together with its log.
+may take over until it answers. What a replica that is gone may have had is decided in
+``core/replica_set.py``.
 """
 
 from collections.abc import Sequence
@@ -36,13 +37,15 @@
     """Why no replica may take over now; the names appear in the log.
 
     ``SILENT_REPLICA``: a replica gave no answer or isn't paused. ``LED``: a replica has
-    already become the primary.
+    already become the primary. ``MISSING_REPLICA``: a replica that may alone have a
+    commit is not registered any more (``core/replica_set.py``).
     """
 
     NO_REPLICA = auto()
     SILENT_REPLICA = auto()
     BEHIND = auto()
     LED = auto()
+    MISSING_REPLICA = auto()
 
 
 def most_advanced(replicas: Sequence[ReplicaState]) -> ReplicaState | None:
--- /dev/null
+++ b/lavenderstack/core/replica_set_test.py
@@ -0,0 +1,227 @@
+"""Explores which replica may take over after replicas left, for every order of events.
+
+The model has a primary and two replicas. Steps: a write, which is acknowledged when a
+replica receives it; a replica stops or resumes receiving; a replica leaves for good; it
+starts again without its log; the owner checks the replica set, with the proof made in
+one step. In every state in which the replica set is complete, the most advanced of the
+registered replicas has every acknowledged write. Tests without one of the guards show
+that a write is lost then.
+"""
+
+from dataclasses import dataclass, replace
+
+import pytest
+
+from lavenderstack.core.position import START, Position
+from lavenderstack.core.replacement import ReplicaState, choose_successor
+from lavenderstack.core.replica_set import (
+    Membership,
+    ObservedPosition,
+    ReplicaSet,
+    TargetRun,
+    highest_observed,
+    is_complete,
+    is_proof,
+    joined,
+    missing_replicas,
+)
+from tests.explore import depth, explore
+
+NAMES = ("b", "c")
+MAX_WRITES = 3
+MAX_RUNS = 2
+SHORT_DEPTH = 8
+
+
+@dataclass(frozen=True)
+class Replica:
+    """One replica; ``run`` counts its starts, ``registered`` is False once it left."""
+
+    run: int = 1
+    received: int = 0
+    deaf: bool = False
+    registered: bool = True
+
+
+@dataclass(frozen=True)
+class State:
+    """The group's state; ``recorded`` is the replica set in the store."""
+
+    last: int = 0
+    acknowledged: int = 0
+    replicas: tuple[Replica, Replica] = (Replica(), Replica())
+    recorded: ReplicaSet | None = None
+    departed: frozenset[TargetRun] = frozenset()
+
+
+def members(state):
+    present = frozenset(
+        TargetRun(name, replica.run)
+        for name, replica in zip(NAMES, state.replicas, strict=True)
+        if replica.registered
+    )
+    return Membership(present, state.departed)
+
+
+def statuses(state):
+    return [
+        ReplicaState(name, False, Position(1, replica.received))
+        for name, replica in zip(NAMES, state.replicas, strict=True)
+        if replica.registered
+    ]
+
+
+def with_replica(state, index, **changes):
+    replicas = list(state.replicas)
+    replicas[index] = replace(replicas[index], **changes)
+    return replace(state, replicas=tuple(replicas))
+
+
+def write(state):
+    last = state.last + 1
+    after = replace(state, last=last)
+    for index, replica in enumerate(state.replicas):
+        if replica.registered and not replica.deaf:
+            after = replace(
+                with_replica(after, index, received=last), acknowledged=last
+            )
+    return after
+
+
+def check_set(state, proof=is_proof):
+    """Do what the owner does at a check while the primary answers."""
+    known, recorded = members(state), state.recorded
+    updated = joined(recorded, "a", known)
+    if not is_complete(recorded, "a", known) and proof(
+        Position(1, state.last), statuses(state)
+    ):
+        updated = ReplicaSet("a", known.present)
+    if updated is None:
+        return state
+    return replace(state, recorded=updated, departed=frozenset())
+
+
+def leave(state, index):
+    run = TargetRun(NAMES[index], state.replicas[index].run)
+    after = with_replica(state, index, registered=False)
+    return replace(after, departed=state.departed | {run})
+
+
+def steps_with(check):
+    def steps(state):
+        if state.last < MAX_WRITES:
+            yield write(state)
+        yield check(state)
+        for index, replica in enumerate(state.replicas):
+            if replica.registered:
+                yield with_replica(state, index, deaf=not replica.deaf)
+                yield leave(state, index)
+            elif replica.run < MAX_RUNS:
+                yield with_replica(
+                    state, index, run=replica.run + 1, received=0, registered=True
+                )
+
+    return steps
+
+
+def explored(check=check_set):
+    """Return all states from a group whose replica set was proved at its start."""
+    start = check_set(State())
+    return explore(start, steps_with(check), depth(SHORT_DEPTH))
+
+
+def is_lost(state):
+    """Return whether the most advanced registered replica lacks a write."""
+    chosen = choose_successor(statuses(state), replicated=True)
+    return isinstance(chosen, ReplicaState) and chosen.received.seq < state.acknowledged
+
+
+class TestCompleteSet:
+    def test_the_most_advanced_replica_has_every_acknowledged_write(self):
+        complete = 0
+        for state in explored():
+            if is_complete(state.recorded, "a", members(state)):
+                complete += 1
+                assert not is_lost(state), state
+        assert complete > 100
+
+    def test_without_the_recorded_set_a_write_is_lost(self):
+        assert any(is_lost(state) for state in explored())
+
+    def test_without_the_proof_a_write_is_lost(self):
+        def check_without_proof(state):
+            return check_set(state, proof=lambda end, replicas: True)
+
+        assert any(
+            is_lost(state)
+            for state in explored(check_without_proof)
+            if is_complete(state.recorded, "a", members(state))
+        )
+
+    def test_without_counting_those_that_joined_and_left_a_write_is_lost(self):
+        assert any(
+            is_lost(state)
+            for state in explored()
+            if is_complete(state.recorded, "a", Membership(members(state).present))
+        )
+
+    def test_without_telling_runs_apart_a_write_is_lost(self):
+        def names(targets):
+            return frozenset(run._replace(started_ms=0) for run in targets)
+
+        def is_complete_by_name(state):
+            recorded, known = state.recorded, members(state)
+            return is_complete(
+                replace(recorded, replicas=names(recorded.replicas)),
+                "a",
+                Membership(names(known.present), names(known.departed)),
+            )
+
+        assert any(is_lost(state) for state in explored() if is_complete_by_name(state))
+
+    def test_it_is_not_complete_for_another_primary(self):
+        recorded = ReplicaSet("a", frozenset({TargetRun("b")}))
+        known = Membership(frozenset({TargetRun("b")}))
+        assert is_complete(recorded, "a", known)
+        assert is_complete(recorded, "", known)
+        assert not is_complete(recorded, "c", known)
+        assert not is_complete(None, "", known)
+
+    def test_the_end_of_the_lost_primary_itself_does_not_stand_in_the_way(self):
+        recorded = ReplicaSet("a", frozenset({TargetRun("b")}))
+        departed = frozenset({TargetRun("a")})
+        known = Membership(frozenset({TargetRun("b")}), departed)
+        assert is_complete(recorded, "", known)
+
+    def test_a_replica_that_started_again_is_missing(self):
+        recorded = ReplicaSet("a", frozenset({TargetRun("b", 5), TargetRun("c", 6)}))
+        known = Membership(frozenset({TargetRun("b", 7), TargetRun("c", 6)}))
+        assert missing_replicas(recorded, known) == {TargetRun("b", 5)}
+
+
+class TestObservedPositions:
+    def test_a_replica_with_all_that_nodes_observed_has_every_acknowledged_write(self):
+        """Each acknowledgement passes through a node, so one observed the last one."""
+        chosen_count = 0
+        for state in explored():
+            node = ObservedPosition(Position(1, state.acknowledged), 60.0)
+            end = highest_observed(START, 5.0, [node])
+            chosen = choose_successor(statuses(state), replicated=True)
+            if isinstance(chosen, ReplicaState) and chosen.received >= end:
+                chosen_count += 1
+                assert not is_lost(state), state
+        assert chosen_count > 100
+
+    @pytest.mark.parametrize(
+        ("nodes", "expected"),
+        [
+            ([], Position(1, 4)),
+            ([ObservedPosition(Position(1, 3), 60.0)], Position(1, 4)),
+            ([ObservedPosition(Position(1, 6), 60.0)], Position(1, 6)),
+            ([ObservedPosition(Position(1, 6), 60.0), None], None),
+            ([ObservedPosition(Position(1, 3), 1.9)], None),
+        ],
+        ids=["no node", "older", "newer", "one is silent", "one has started since"],
+    )
+    def test_all_nodes_that_ran_since_the_last_answer_must_tell(self, nodes, expected):
+        assert highest_observed(Position(1, 4), 2.0, nodes) == expected
--- a/lavenderstack/core/work_messages.py
+++ b/lavenderstack/core/work_messages.py
@@ -106,6 +106,26 @@
     age_s: float
 
 
+class GroupPositionRequest(Message, tag="ask_group_position"):
+    """Asks for the highest position of a group that the node has observed.
+
+    Answered by ``GroupPosition``.
+    """
+
+    group: str
+
+
+class GroupPosition(Message, tag="group_position"):
+    """The highest log position of a group's primaries that the node has observed.
+
+    It covers every commit that the node has acknowledged since its start ``uptime_s``
+    seconds ago.
+    """
+
+    position: Position
+    uptime_s: float
+
+
 class LeadTaken(Message, tag="lead_taken"):
     """Reports a target as the new primary; answered by ``LeadAcknowledged``."""
 
--- a/lavenderstack/node/backend.py
+++ b/lavenderstack/node/backend.py
@@ -11,6 +11,7 @@
 
 from lavenderstack.core.outcome import Reason
 from lavenderstack.core.position import START, Position
+from lavenderstack.core.replica_set import ReplicaSet
 from lavenderstack.core.reply import Reply
 from lavenderstack.core.statement import Statement
 from lavenderstack.core.view import Target
@@ -141,6 +142,15 @@
     async def renew_epoch(self, group: str, epoch: int) -> None:
         """Keep the claim under a new epoch; raises ``ClaimLost``."""
 
+    async def record_replicas(
+        self, group: str, epoch: int, replicas: ReplicaSet
+    ) -> int:
+        """Record the group's replica set; return the position of the record.
+
+        Raises ``ClaimLost`` if the claim is not in force under ``epoch`` any more or
+        the store did not confirm the change.
+        """
+
     async def release(self, group: str, epoch: int) -> None:
         """Release the claim, so that another node may claim the group."""
 
--- a/lavenderstack/node/directory.py
+++ b/lavenderstack/node/directory.py
@@ -13,11 +13,16 @@
 
 from lavenderstack.core import primary_selection
 from lavenderstack.core.catalog import Catalog, RecordedOwnership, Reserve, TargetState
+from lavenderstack.core.replica_set import Membership, ReplicaSet, TargetRun
 from lavenderstack.core.view import Target, View, Vm
 from lavenderstack.core.view_proof import ViewProof
 
 log = structlog.get_logger()
 
+# Targets remembered of a group that left since its replica set was recorded. Further
+# ones needn't be: one alone means that the set must be proved anew.
+MAX_DEPARTED = 50
+
 
 class Directory:
     """The view of one node; ``proof`` tells until when the node may act on it."""
@@ -30,8 +35,13 @@
         self.view = View()
         self.targets: dict[str, TargetState] = {}
         self.ownerships: dict[str, RecordedOwnership] = {}
+        self.replica_sets: dict[str, ReplicaSet] = {}
         self.reserve = Reserve()
         self._groups: dict[str, dict[str, TargetState]] = defaultdict(dict)
+        self._replica_set_revisions: dict[str, int] = {}
+        # By group: the runs of targets that left since its replica set was recorded,
+        # with the revision at which each left.
+        self._departed: dict[str, dict[TargetRun, int]] = defaultdict(dict)
         self._not_primary_at: dict[str, int] = {}
         self._changed = asyncio.Event()
 
@@ -81,6 +91,18 @@
             )
         self._signal_change()
 
+    def _record_departed(self, state: TargetState, revision: int) -> None:
+        departed = self._departed[state.group]
+        if len(departed) < MAX_DEPARTED:
+            departed[state.run] = revision
+
+    def members(self, group: str, primary: str) -> Membership:
+        """Return the runs of a group's targets without the one that is its primary."""
+        present = (
+            state.run for state in self.group(group) if state.target.name != primary
+        )
+        return Membership(frozenset(present), frozenset(self._departed[group]))
+
     def update_target_limits(self, target: Target) -> None:
         """Replace the limits of a known target; an unknown target is ignored."""
         before = self.targets.get(target.name)
@@ -97,6 +119,7 @@
             return
         del self.targets[name]
         del self._groups[state.group][name]
+        self._record_departed(state, revision)
         self._not_primary_at.pop(name, None)
         log.info(
             "directory: target gone",
@@ -139,6 +162,22 @@
             self.ownerships[name] = ownership
             self._signal_change()
 
+    def put_replica_set(self, group: str, replicas: ReplicaSet, revision: int) -> None:
+        """Store the recorded replica set of a group, unless a later one is known."""
+        if revision <= self._replica_set_revisions.get(group, 0):
+            return
+        self._replica_set_revisions[group] = revision
+        self.replica_sets[group] = replicas
+        departed = self._departed[group]
+        for run in [run for run, at in departed.items() if at <= revision]:
+            del departed[run]
+
+    def drop_replica_set(self, group: str, revision: int) -> None:
+        """Record that a group has no valid replica set since ``revision``."""
+        if revision >= self._replica_set_revisions.get(group, 0):
+            self._replica_set_revisions[group] = revision
+            self.replica_sets.pop(group, None)
+
     def drop_ownership(self, name: str) -> None:
         """Record that a shard or group has no owner."""
         if self.ownerships.pop(name, None) is not None:
--- a/lavenderstack/node/directory_test.py
+++ b/lavenderstack/node/directory_test.py
@@ -5,9 +5,10 @@
 import pytest
 
 from lavenderstack.core.catalog import Catalog, RecordedOwnership
+from lavenderstack.core.replica_set import Membership, ReplicaSet, TargetRun
 from lavenderstack.core.view import Target, Vm
 from lavenderstack.core.view_proof import MARGIN_S, ViewProof
-from lavenderstack.node.directory import Directory
+from lavenderstack.node.directory import MAX_DEPARTED, Directory
 
 
 def target(name, connections=30):
@@ -103,6 +104,34 @@
         assert not directory.is_work_allowed("new", "e", 4, 110.0)
 
 
+class TestReplicaSets:
+    SET = ReplicaSet("t1", frozenset({TargetRun("t2")}))
+
+    def test_an_older_record_is_ignored(self):
+        directory = make_directory()
+        directory.put_replica_set("g", self.SET, 20)
+        directory.put_replica_set("g", ReplicaSet("t9", frozenset()), 19)
+        assert directory.replica_sets["g"] == self.SET
+
+    def test_a_target_that_left_is_remembered_until_a_set_is_recorded(self):
+        directory = make_directory()
+        directory.put_replica_set("g", self.SET, 7)
+        directory.put_target(target("t3"), "g", False, False, 8)
+        directory.drop_target("t3", 9)
+        directory.put_replica_set("g", self.SET, 8)
+        present, gone = frozenset({TargetRun("t2")}), frozenset({TargetRun("t3")})
+        assert directory.members("g", "t1") == Membership(present, gone)
+        directory.put_replica_set("g", self.SET, 10)
+        assert directory.members("g", "t1") == Membership(present)
+
+    def test_targets_that_left_are_remembered_up_to_a_limit(self):
+        directory = make_directory()
+        for number in range(MAX_DEPARTED + 5):
+            directory.put_target(target(f"x{number}"), "g", False, False, 10 + number)
+            directory.drop_target(f"x{number}", 500 + number)
+        assert len(directory.members("g", "t1").departed) == MAX_DEPARTED
+
+
 class TestMembers:
     @pytest.mark.parametrize(
         "change",
--- a/lavenderstack/node/executor_test.py
+++ b/lavenderstack/node/executor_test.py
@@ -15,6 +15,7 @@
 from lavenderstack.core.work_messages import (
     Access,
     EndWork,
+    GroupPositionRequest,
     TransactionStart,
     Work,
     WorkDone,
@@ -308,6 +309,18 @@
         assert latest.position == Position(1, 1)
         assert latest.at >= before
 
+    async def test_the_highest_position_outlives_the_target(self):
+        harness = ExecutorHarness()
+        await harness.run(WRITE)
+        executor = harness.executors.for_target("t1")
+        executor.positions.add(Position(1, 7), executor.positions.latest().at - 1.0)
+        harness.executors._close(harness.executors.target_executors.pop("t1"))
+        answer = await harness.executors.group_position(GroupPositionRequest("g"))
+        assert answer.position == Position(1, 7)
+        assert answer.uptime_s >= 0.0
+        other = await harness.executors.group_position(GroupPositionRequest("other"))
+        assert other.position == START
+
     async def test_a_replica_gives_no_position(self):
         harness = ExecutorHarness()
         answer = await harness.executors.for_target("t2").health.primary_position(0.1)
--- a/lavenderstack/node/executors.py
+++ b/lavenderstack/node/executors.py
@@ -8,8 +8,11 @@
 from lavenderstack.core.catalog import TargetState
 from lavenderstack.core.messages import Failed, Message
 from lavenderstack.core.outcome import Reason
+from lavenderstack.core.position import START, Position
 from lavenderstack.core.work_messages import (
     EndWork,
+    GroupPosition,
+    GroupPositionRequest,
     PrimaryPositionRequest,
     Work,
     WorkEnded,
@@ -34,6 +37,9 @@
     min_position_for: MinPositionFor
     first_choice: Callable[[TargetState], bool]
     target_executors: dict[str, TargetExecutor] = field(default_factory=dict)
+    started_at: float = field(default_factory=clock.now)
+    # By group: the highest position observed by executors that are closed.
+    _highest: dict[str, Position] = field(default_factory=dict)
 
     def for_target(self, target: str) -> TargetExecutor | None:
         """Return the executor of a target, None if the target is unknown.
@@ -45,7 +51,7 @@
         if executor is not None:
             if state is None or executor.update_state(state):
                 return executor
-            executor.close()
+            self._close(executor)
         if state is None:
             return None
         executor = TargetExecutor(
@@ -79,6 +85,20 @@
             return Failed(run=False, reason=Reason.UNREACHABLE)
         return await executor.health.primary_position(msg.within_s)
 
+    async def group_position(self, msg: GroupPositionRequest) -> Message:
+        """Handle ``GroupPositionRequest``."""
+        position = self._highest.get(msg.group, START)
+        for executor in self.target_executors.values():
+            if executor.group == msg.group:
+                position = max(position, executor.positions.highest)
+        return GroupPosition(position, clock.now() - self.started_at)
+
+    def _close(self, executor: TargetExecutor) -> None:
+        """Close an executor, and keep the highest position that it observed."""
+        executor.close()
+        before = self._highest.get(executor.group, START)
+        self._highest[executor.group] = max(before, executor.positions.highest)
+
     @property
     def open_transactions(self) -> int:
         """Return how many transactions are open at this node."""
@@ -92,7 +112,7 @@
             for name, executor in list(self.target_executors.items()):
                 state = self.directory.targets.get(name)
                 if state is None and not executor.transactions:
-                    executor.close()
+                    self._close(executor)
                     del self.target_executors[name]
                     continue
                 executor.set_first_choice(
--- a/lavenderstack/node/replacer.py
+++ b/lavenderstack/node/replacer.py
@@ -14,9 +14,10 @@
 from lavenderstack.core import clock, statement
 from lavenderstack.core.catalog import RecordedOwnership, TargetState
 from lavenderstack.core.hash_ring import CachedByIdentity, HashRing, hash_position
-from lavenderstack.core.position import START, Position
+from lavenderstack.core.position import Position
 from lavenderstack.core.replacement import (
     Obstacle,
+    ReplicaState,
     choose_successor,
     most_advanced,
     takeover_obstacle,
@@ -29,6 +30,7 @@
 from lavenderstack.node.peers import Peers
 from lavenderstack.node.primary_probe import PrimaryProbe
 from lavenderstack.node.promoter import Promoter
+from lavenderstack.node.replica_sets import ReplicaSets
 
 log = structlog.get_logger()
 
@@ -55,32 +57,18 @@
 class _GroupStatus:
     """State of this node's supervision of one group.
 
-    ``misses`` counts checks in a row without a known primary. ``primary_position`` is
-    the highest position that the primary reported to a check, at ``position_at``. The
-    other fields are in seconds on the clock; ``full_since`` is the first of the latest
-    checks in a row at which the primary had no connection free.
+    ``misses`` counts checks in a row without a known primary. The other fields are in
+    seconds on the clock; ``full_since`` is the first of the latest checks in a row at
+    which the primary had no connection free.
     """
 
     misses: int = 0
-    primary_position: Position = START
-    position_at: float | None = None
     full_since: float | None = None
     claimed_at: float = 0.0
     unowned_since: float | None = None
     replaced_at: float = 0.0
     handed_over_at: float = 0.0
 
-    def record_position(self, position: Position, now: float) -> None:
-        """Record a position that the primary reported."""
-        self.primary_position = max(self.primary_position, position)
-        self.position_at = now
-
-    def describe_primary_position(self, now: float) -> str:
-        """Return the last known end of the primary's log and its age, for a line."""
-        if self.position_at is None:
-            return "unknown"
-        return f"{tuple(self.primary_position)}, {now - self.position_at:.2f} s old"
-
 
 class Replacer:
     """Supervises the primaries of the groups that this node owns.
@@ -102,6 +90,7 @@
         self._replicas = Followers(directory, backend)
         self._claims = claims
         self._probe = PrimaryProbe(peers)
+        self._sets = ReplicaSets(directory, peers, self._probe, self._replicas, claims)
         self._promoter = Promoter(
             directory, peers, self._probe, claims, orders, counters
         )
@@ -146,11 +135,15 @@
         if primary.leaving:
             await self._replace_leaving(group, status, primary)
             return
+        asked_at = clock.now()
         answer = await self._probe.ask(primary)
         if isinstance(answer, PrimaryPosition):
             status.misses, status.full_since = 0, None
-            status.record_position(Position(*answer.position), clock.now())
             self._replicas.record_term(group, answer.position[0])
+            self._sets.record_answer(primary, answer, asked_at)
+            if self._is_replicated(group):
+                followers = self._followers(group, primary)
+                await self._sets.maintain(primary, claim, followers)
             await self._hand_over(group, status, primary, claim)
             return
         if answer is not None and self._may_stay_full(status):
@@ -242,15 +235,24 @@
         The replicas are paused first. They are resumed if none may be promoted.
         """
         followers = self._followers(group, lost)
+        name = lost.target.name if lost else ""
+        complete = self._sets.is_complete(group, name)
         states = await self._replicas.pause(group, followers)
-        limits = self._directory.catalog.groups.get(group)
-        chosen = choose_successor(states, limits is not None and limits.replicated)
+        chosen = choose_successor(states, self._is_replicated(group))
+        if isinstance(chosen, ReplicaState) and not (
+            complete
+            or not self._is_replicated(group)
+            or await self._sets.has_all_observed(group, name, chosen)
+        ):
+            chosen = Obstacle.MISSING_REPLICA
         if isinstance(chosen, Obstacle):
             log.warning(
                 "replacer: no replica may take over",
                 group=group,
                 obstacle=chosen.name,
                 followers=format_positions(states),
+                missing=self._sets.missing(group),
+                primary=self._sets.describe_last_answer(group),
             )
             await self._replicas.resume(group, followers)
             return
@@ -260,7 +262,7 @@
             lost=lost.target.name if lost else "",
             chosen=chosen.name,
             followers=format_positions(states),
-            primary=status.describe_primary_position(clock.now()),
+            primary=self._sets.describe_last_answer(group),
         )
         if not await self._promote(group, status, chosen.name):
             await self._replicas.resume(group, followers)
@@ -281,15 +283,16 @@
             return
         others = [one for one in followers if one.target.name != candidate.name]
         paused = await self._replicas.pause(group, others)
-        limits = self._directory.catalog.groups.get(group)
-        replicated = limits is not None and limits.replicated
+        replicated = self._is_replicated(group)
         until = clock.now() + CATCH_UP_TIMEOUT_S
         state = next(s for s in followers if s.target.name == candidate.name)
         while True:
             candidate = (await self._replicas.send([state], statement.STATUS))[0]
             obstacle = takeover_obstacle(candidate, paused, replicated)
             if obstacle is None:
-                break
+                if await self._is_caught_up(primary, candidate):
+                    break
+                obstacle = Obstacle.MISSING_REPLICA
             if clock.now() > until:
                 log.info(
                     "replacer: replacement postponed",
@@ -317,6 +320,28 @@
         status.misses = 0
         return True
 
+    def _is_replicated(self, group: str) -> bool:
+        """Return whether the group's commits are acknowledged by a replica too."""
+        limits = self._directory.catalog.groups.get(group)
+        return limits is not None and limits.replicated
+
+    async def _is_caught_up(
+        self, primary: TargetState, candidate: ReplicaState
+    ) -> bool:
+        """Return whether a candidate has every commit of a primary that answers.
+
+        The other followers are paused, so nothing more is acknowledged without it.
+        """
+        group = primary.group
+        if not self._is_replicated(group):
+            return True
+        if self._sets.is_complete(group, primary.target.name):
+            return True
+        answer = await self._probe.ask(primary, max_age_s=0.0)
+        if not isinstance(answer, PrimaryPosition):
+            return False
+        return candidate.received >= Position(*answer.position)
+
     def _followers(self, group: str, primary: TargetState | None) -> list[TargetState]:
         name = primary.target.name if primary else ""
         return [s for s in self._directory.group(group) if s.target.name != name]
--- a/lavenderstack/node/replacer_test.py
+++ b/lavenderstack/node/replacer_test.py
@@ -9,10 +9,17 @@
 from lavenderstack.core.members import Members
 from lavenderstack.core.messages import Failed
 from lavenderstack.core.outcome import Reason
+from lavenderstack.core.position import START
+from lavenderstack.core.replica_set import ReplicaSet, TargetRun
 from lavenderstack.core.statement import StatementKind
 from lavenderstack.core.view import Plan, Target, Vm
 from lavenderstack.core.view_proof import ViewProof
-from lavenderstack.core.work_messages import PrimaryPosition, PrimaryPositionRequest
+from lavenderstack.core.work_messages import (
+    GroupPosition,
+    GroupPositionRequest,
+    PrimaryPosition,
+    PrimaryPositionRequest,
+)
 from lavenderstack.node import replacer
 from lavenderstack.node.backend import ClaimLost, OrderUnanswered
 from lavenderstack.node.backend_fake import FakeBackend, FakeGroup, FakeTarget
@@ -31,6 +38,7 @@
         self.valid_s = 3.0
         self.epoch = 10
         self.released = []
+        self.recorded = []
         self._directory = directory
 
     def valid_until(self):
@@ -47,6 +55,12 @@
             group, RecordedOwnership(self.identity, self.epoch)
         )
 
+    async def record_replicas(self, group, epoch, replicas):
+        if self._directory.ownerships[group].epoch != epoch:
+            raise ClaimLost("another epoch")
+        self.recorded.append(replicas)
+        return 10 + len(self.recorded)
+
     async def release(self, group, epoch):
         self.released.append(group)
         self._directory.drop_ownership(group)
@@ -74,8 +88,15 @@
         self.revision = 0
         for name in names:
             self.put_target(name)
+        # What the former owner of the group recorded.
+        runs = frozenset(TargetRun(name) for name in ("t2", "t3"))
+        directory.put_replica_set("g", ReplicaSet("t1", runs), 1)
         self.claims = FakeClaims(directory)
         self.peers = Peers("n1", lambda: directory.view, StreamPool(), Members("n1"))
+        # What each node answers when asked which positions it observed.
+        self.observed = {
+            name: GroupPosition(START, uptime_s=60.0) for name in ("n1", "n2")
+        }
         self.primary_answers = True
         self.primary_full = False
         self.peers.ask = self.ask
@@ -95,6 +116,12 @@
         leads = self.targets[name].leads
         self.directory.put_target(target, "g", leaving, leads, self.revision)
 
+    def commit_through(self, node):
+        """Commit a write that a node acknowledges to its caller."""
+        primary = self.targets[self.primary]
+        self.group.commit(primary)
+        self.observed[node] = GroupPosition(primary.position, uptime_s=60.0)
+
     def drop_target(self, name):
         """Crash a target for so long that its report ends."""
         self.targets[name].reachable = False
@@ -106,6 +133,8 @@
             self.put_target(name)
 
     async def ask(self, vm, msg, timeout_s):
+        if isinstance(msg, GroupPositionRequest):
+            return self.observed[vm.name]
         assert isinstance(msg, PrimaryPositionRequest)
         if self.primary_full:
             return Failed(run=False, reason=Reason.NO_CONNECTION)
@@ -261,7 +290,7 @@
         harness = ReplacerHarness()
         await harness.check(2)
         harness.targets["t2"].deaf = True
-        harness.group.commit(harness.targets["t1"])
+        harness.commit_through("n2")
         return harness
 
     async def test_its_commits_are_not_lost_with_the_primary(self):
@@ -293,6 +322,87 @@
         assert harness.group.incomplete == []
 
 
+class TestReplacementAfterAReplicaLeft:
+    """The group is served on as soon as no commit can be lost."""
+
+    async def leave_t3(self, **nodes):
+        harness = ReplacerHarness()
+        await harness.check(2)
+        harness.commit_through("n2")
+        harness.drop_target("t3")
+        harness.observed.update(nodes)
+        return harness
+
+    async def test_a_replica_proved_while_the_primary_answered_takes_over(self):
+        harness = await self.leave_t3(n2=None)
+        await harness.check()
+        harness.primary_answers = False
+        await harness.check()
+        assert harness.primary == "t2"
+        assert harness.group.incomplete == []
+
+    async def test_a_replica_with_all_that_the_nodes_observed_takes_over(self):
+        harness = await self.leave_t3()
+        harness.primary_answers = False
+        await harness.check()
+        assert harness.primary == "t2"
+        assert harness.group.incomplete == []
+
+    @pytest.mark.parametrize(
+        "answer",
+        [
+            Failed(run=False, reason=Reason.UNREACHABLE),
+            GroupPosition(START, uptime_s=0.0),
+        ],
+        ids=["gave no answer", "has started since"],
+    )
+    async def test_none_takes_over_while_a_node_may_have_acknowledged_more(
+        self, answer
+    ):
+        harness = await self.leave_t3(n2=answer)
+        harness.primary_answers = False
+        await harness.check(2)
+        assert harness.group.epochs == []
+
+    async def test_none_takes_over_if_a_node_that_served_is_gone(self):
+        harness = await self.leave_t3()
+        harness.directory.drop_member("n2")
+        harness.primary_answers = False
+        await harness.check(2)
+        assert harness.group.epochs == []
+
+    async def test_an_owner_without_a_recorded_set_promotes_none(self):
+        harness = ReplacerHarness()
+        harness.directory.drop_replica_set("g", 2)
+        await harness.check()
+        harness.primary_answers = False
+        await harness.check(2)
+        assert harness.group.epochs == []
+
+    async def test_an_owner_records_the_set_once_it_is_proved(self):
+        harness = ReplacerHarness()
+        harness.directory.drop_replica_set("g", 2)
+        harness.targets["t2"].deaf = harness.targets["t3"].deaf = True
+        harness.group.commit(harness.targets["t1"])
+        await harness.check(2)
+        assert harness.claims.recorded == []
+        harness.targets["t3"].deaf = False
+        harness.commit_through("n2")
+        harness.replacer._sets._proof_tried_at.clear()
+        await harness.check(2)
+        runs = frozenset({TargetRun("t2"), TargetRun("t3")})
+        assert harness.claims.recorded == [ReplicaSet("t1", runs)]
+
+    async def test_the_set_is_proved_anew_after_a_promotion(self):
+        harness = ReplacerHarness()
+        await harness.check(2)
+        harness.primary_answers = False
+        await harness.check()
+        harness.primary_answers = True
+        await harness.check()
+        assert [one.primary for one in harness.claims.recorded] == [harness.primary]
+
+
 class TestEpochs:
     async def test_every_order_has_its_own_epoch(self):
         harness = ReplacerHarness()
--- /dev/null
+++ b/lavenderstack/node/replica_sets.py
@@ -0,0 +1,210 @@
+"""Keeps the recorded replica sets of the groups that this node owns up to date.
+
+``core/replica_set.py`` explains why a set is recorded and when a replica may leave it.
+The record is in the platform's store, so that the next owner of the group knows it.
+"""
+
+import asyncio
+from dataclasses import dataclass
+
+import structlog
+
+from lavenderstack.core import clock, replica_set, statement
+from lavenderstack.core.catalog import RecordedOwnership, TargetState
+from lavenderstack.core.position import Position
+from lavenderstack.core.replacement import ReplicaState
+from lavenderstack.core.replica_set import ObservedPosition, ReplicaSet
+from lavenderstack.core.work_messages import (
+    GroupPosition,
+    GroupPositionRequest,
+    PrimaryPosition,
+)
+from lavenderstack.node.backend import ClaimLost, Claims
+from lavenderstack.node.directory import Directory
+from lavenderstack.node.followers import Followers, format_positions
+from lavenderstack.node.peers import Peers
+from lavenderstack.node.primary_probe import PROBE_TIMEOUT_S, PrimaryProbe
+from lavenderstack.node.streams import NotSent, StreamLost
+
+log = structlog.get_logger()
+
+# A proof asks every replica for its status, which takes a slot at each.
+PROOF_RETRY_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class _LastAnswer:
+    """The last position that a group's primary reported to this node.
+
+    ``at`` is the clock time in seconds from which on the answer holds, ``nodes`` are
+    the nodes that were registered then.
+    """
+
+    primary: str
+    position: Position
+    at: float
+    nodes: frozenset[str]
+
+
+class ReplicaSets:
+    """The replica sets of all groups, as far as this node owns them."""
+
+    def __init__(
+        self,
+        directory: Directory,
+        peers: Peers,
+        probe: PrimaryProbe,
+        replicas: Followers,
+        claims: Claims,
+    ) -> None:
+        self._directory = directory
+        self._peers = peers
+        self._probe = probe
+        self._replicas = replicas
+        self._claims = claims
+        self._last_answers: dict[str, _LastAnswer] = {}
+        self._proof_tried_at: dict[str, float] = {}
+
+    def record_answer(
+        self, primary: TargetState, answer: PrimaryPosition, asked_at: float
+    ) -> None:
+        """Remember a position that the primary reported after ``asked_at``."""
+        group, position = primary.group, Position(*answer.position)
+        before = self._last_answers.get(group)
+        if before is not None and before.primary == primary.target.name:
+            position = max(position, before.position)
+        self._last_answers[group] = _LastAnswer(
+            primary.target.name,
+            position,
+            asked_at - answer.age_s,
+            frozenset(self._directory.view.vms),
+        )
+
+    def describe_last_answer(self, group: str) -> str:
+        """Return how far the primary's log was known to go, for a log line."""
+        last = self._last_answers.get(group)
+        if last is None:
+            return "unknown"
+        age_s = clock.now() - last.at
+        return f"{last.primary} {tuple(last.position)}, {age_s:.2f} s old"
+
+    def missing(self, group: str) -> list[str]:
+        """Return the names of recorded replicas that are not registered any more."""
+        recorded = self._directory.replica_sets.get(group)
+        runs = replica_set.missing_replicas(
+            recorded, self._directory.members(group, "")
+        )
+        return sorted(run.name for run in runs)
+
+    def is_complete(self, group: str, primary: str) -> bool:
+        """Return whether the followers hold every acknowledged commit together.
+
+        ``primary`` is the name of the one to be replaced, empty if it isn't known.
+        """
+        recorded = self._directory.replica_sets.get(group)
+        members = self._directory.members(group, primary)
+        return replica_set.is_complete(recorded, primary, members)
+
+    async def maintain(
+        self,
+        primary: TargetState,
+        claim: RecordedOwnership,
+        followers: list[TargetState],
+    ) -> None:
+        """Record replicas that joined, and remove those that left after a proof."""
+        group, name = primary.group, primary.target.name
+        recorded = self._directory.replica_sets.get(group)
+        members = self._directory.members(group, name)
+        updated = replica_set.joined(recorded, name, members)
+        complete = replica_set.is_complete(recorded, name, members)
+        if not complete and await self._prove(primary, followers):
+            updated = ReplicaSet(name, members.present)
+        if updated is not None and updated != recorded:
+            await self._record(group, claim, updated, recorded)
+
+    async def _prove(self, primary: TargetState, followers: list[TargetState]) -> bool:
+        """Return whether a follower has all that the primary's log holds now.
+
+        A change of the group's targets meanwhile means that it isn't proved.
+        """
+        group, name, now = primary.group, primary.target.name, clock.now()
+        members = self._directory.members(group, name)
+        if now - self._proof_tried_at.get(group, float("-inf")) < PROOF_RETRY_S:
+            return False
+        self._proof_tried_at[group] = now
+        answer = await self._probe.ask(primary, max_age_s=0.0)
+        if not isinstance(answer, PrimaryPosition):
+            return False
+        end = Position(*answer.position)
+        states = await self._replicas.send(followers, statement.STATUS)
+        unchanged = members == self._directory.members(group, name)
+        if unchanged and replica_set.is_proof(end, states):
+            return True
+        log.info(
+            "replacer: replica set not proved",
+            group=group,
+            end=str(tuple(end)),
+            missing=self.missing(group),
+            followers=format_positions(states),
+        )
+        return False
+
+    async def _record(
+        self,
+        group: str,
+        claim: RecordedOwnership,
+        updated: ReplicaSet,
+        before: ReplicaSet | None,
+    ) -> None:
+        try:
+            revision = await self._claims.record_replicas(group, claim.epoch, updated)
+        except ClaimLost as exc:
+            log.info("replacer: replica set not recorded", group=group, error=str(exc))
+            return
+        self._directory.put_replica_set(group, updated, revision)
+        known = before.replicas if before is not None else frozenset()
+        log.info(
+            "replacer: replica set recorded",
+            group=group,
+            primary=updated.primary,
+            joined=sorted(run.name for run in updated.replicas - known),
+            left=sorted(run.name for run in known - updated.replicas),
+        )
+
+    async def has_all_observed(
+        self, group: str, primary: str, chosen: ReplicaState
+    ) -> bool:
+        """Return whether a replica has all that the nodes saw in the primary's log.
+
+        Every acknowledgement passes through a node, so the replica then has every
+        acknowledged commit, whatever the other replicas hold.
+        """
+        last = self._last_answers.get(group)
+        if last is None or primary not in ("", last.primary):
+            return False
+        age_s = clock.now() - last.at
+        names = last.nodes.union(self._directory.view.vms)
+        answers = await asyncio.gather(
+            *(self._ask_node(group, name, name in last.nodes) for name in names)
+        )
+        end = replica_set.highest_observed(last.position, age_s, answers)
+        return end is not None and chosen.received >= end
+
+    async def _ask_node(
+        self, group: str, name: str, must_have_run: bool
+    ) -> ObservedPosition | None:
+        """Ask a node for the highest position that it observed, None if unanswered.
+
+        A node that was not registered at the last answer of the primary has observed
+        everything that it passed on since, however short it has been running.
+        """
+        msg = GroupPositionRequest(group)
+        try:
+            answer = await self._peers.call(name, msg, PROBE_TIMEOUT_S)
+        except (NotSent, StreamLost, TimeoutError) as exc:
+            log.info("replacer: node silent", holder=name, error=repr(exc))
+            return None
+        if not isinstance(answer, GroupPosition):
+            return None
+        uptime_s = answer.uptime_s if must_have_run else float("inf")
+        return ObservedPosition(Position(*answer.position), uptime_s)
--- a/lavenderstack/node/wire.py
+++ b/lavenderstack/node/wire.py
@@ -56,6 +56,8 @@
     work_messages.WorkEnded,
     work_messages.PrimaryPositionRequest,
     work_messages.PrimaryPosition,
+    work_messages.GroupPositionRequest,
+    work_messages.GroupPosition,
     work_messages.LeadTaken,
     work_messages.LeadAcknowledged,
     coordinator_messages.Attach,
--- a/lavenderstack/platform/documents.py
+++ b/lavenderstack/platform/documents.py
@@ -27,6 +27,7 @@
     Reserve,
     Route,
 )
+from lavenderstack.core.replica_set import ReplicaSet, TargetRun
 from lavenderstack.core.store_position import era_of
 from lavenderstack.core.view import Plan, Target, Vm
 from lavenderstack.platform.callers import digest_of
@@ -38,6 +39,7 @@
 SERVICE_PREFIX = "ls/"
 NODES_PREFIX = SERVICE_PREFIX + "nodes/"
 OWNERSHIP_PREFIX = SERVICE_PREFIX + "duties/"
+REPLICAS_PREFIX = SERVICE_PREFIX + "replicas/"
 RESERVE_KEY = SERVICE_PREFIX + "reserve"
 ERA_KEY = SERVICE_PREFIX + "era"
 
@@ -209,7 +211,7 @@
 
     ``position`` is that of the entry, in the era in which it was read.
     """
-    if not key.startswith((NODES_PREFIX, OWNERSHIP_PREFIX)):
+    if not key.startswith((NODES_PREFIX, OWNERSHIP_PREFIX, REPLICAS_PREFIX)):
         return False
     try:
         written = msgspec.json.decode(value, type=_Written)
@@ -303,3 +305,27 @@
         log.warning("documents: ownership not understood", key=key, error=str(exc))
         return None
     return RecordedOwnership(ownership.node, rev)
+
+
+class _ReplicaSet(msgspec.Struct):
+    primary: str
+    # By name of the replica: when its run began, in Unix milliseconds.
+    replicas: dict[str, int]
+    era: int | None = None
+
+
+def encode_replica_set(replicas: ReplicaSet, era: int) -> bytes:
+    """Return the record of a group's replica set in the format of the store."""
+    started = {run.name: run.started_ms for run in sorted(replicas.replicas)}
+    return msgspec.json.encode(_ReplicaSet(replicas.primary, started, era))
+
+
+def decode_replica_set(key: str, value: bytes) -> ReplicaSet | None:
+    """Return the recorded replica set of a group, or None if the record is invalid."""
+    try:
+        record = msgspec.json.decode(value, type=_ReplicaSet)
+    except msgspec.MsgspecError as exc:
+        log.warning("documents: replica set not understood", key=key, error=str(exc))
+        return None
+    runs = (TargetRun(name, at) for name, at in record.replicas.items())
+    return ReplicaSet(record.primary, frozenset(runs))
--- a/lavenderstack/platform/documents_test.py
+++ b/lavenderstack/platform/documents_test.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from lavenderstack.core.catalog import Consistency
+from lavenderstack.core.replica_set import ReplicaSet, TargetRun
 from lavenderstack.core.view import Vm
 from lavenderstack.platform import documents
 from lavenderstack.platform.callers import digest_of
@@ -122,6 +123,17 @@
         key = documents.NODES_PREFIX + "n1"
         assert documents.decode_node(key, documents.encode_node(vm, 0)) == vm
 
+    def test_replica_set_is_the_same_after_encoding(self):
+        runs = frozenset({TargetRun("i-1", 5), TargetRun("i-2")})
+        data = documents.encode_replica_set(ReplicaSet("i-3", runs), 0)
+        assert documents.decode_replica_set("ls/replicas/g", data) == ReplicaSet(
+            "i-3", runs
+        )
+
+    @pytest.mark.parametrize("data", [b"", b"[]", b'{"primary": 1}', b"\xff"])
+    def test_invalid_replica_set_counts_as_none(self, data):
+        assert documents.decode_replica_set("ls/replicas/g", data) is None
+
     def test_epoch_of_an_ownership_is_its_revision(self):
         ownership = documents.decode_ownership(
             "ls/duties/g", documents.encode_ownership("n1#a", 0), 42
--- a/lavenderstack/platform/loader.py
+++ b/lavenderstack/platform/loader.py
@@ -387,6 +387,13 @@
             if ownership is not None:
                 group = key.removeprefix(documents.OWNERSHIP_PREFIX)
                 directory.put_ownership(group, ownership)
+        elif key.startswith(documents.REPLICAS_PREFIX):
+            replicas = documents.decode_replica_set(key, data)
+            group = key.removeprefix(documents.REPLICAS_PREFIX)
+            if replicas is None:
+                directory.drop_replica_set(group, item.rev)
+            else:
+                directory.put_replica_set(group, replicas, item.rev)
 
     def _put_target(self, item: Item, report: documents.TargetReport | None) -> None:
         name = item.key.removeprefix(documents.TARGETS_PREFIX)
@@ -433,6 +440,9 @@
             loop.call_later(MEMBER_REMOVAL_DELAY_S, self._member_removed, key, item.rev)
         elif key.startswith(documents.OWNERSHIP_PREFIX):
             directory.drop_ownership(key.removeprefix(documents.OWNERSHIP_PREFIX))
+        elif key.startswith(documents.REPLICAS_PREFIX):
+            group = key.removeprefix(documents.REPLICAS_PREFIX)
+            directory.drop_replica_set(group, item.rev)
 
     def _member_removed(self, key: str, rev: int) -> None:
         """Drop a node; wait first if this node's own registration has ended as well."""
--- a/lavenderstack/platform/main.py
+++ b/lavenderstack/platform/main.py
@@ -26,6 +26,7 @@
 from lavenderstack.core.view_proof import ViewProof
 from lavenderstack.core.work_messages import (
     EndWork,
+    GroupPositionRequest,
     LeadAcknowledged,
     LeadTaken,
     PrimaryPositionRequest,
@@ -148,6 +149,7 @@
         Work: executors.work,
         EndWork: executors.end,
         PrimaryPositionRequest: executors.primary_position,
+        GroupPositionRequest: executors.group_position,
         Attach: admitter.attach,
         Detach: admitter.detach,
         DrawTokens: admitter.draw,
--- a/lavenderstack/platform/registration.py
+++ b/lavenderstack/platform/registration.py
@@ -17,6 +17,7 @@
 import structlog
 
 from lavenderstack.core import clock
+from lavenderstack.core.replica_set import ReplicaSet
 from lavenderstack.core.store_era import CLAIM_HOLD_S
 from lavenderstack.core.view import Vm
 from lavenderstack.node.backend import ClaimLost
@@ -195,6 +196,25 @@
         """Keep the claim under a new epoch; raises ``ClaimLost``."""
         await self._write_claim(group, epoch)
 
+    async def record_replicas(
+        self, group: str, epoch: int, replicas: ReplicaSet
+    ) -> int:
+        """Record the group's replica set; return the position of the record.
+
+        Raises ``ClaimLost`` if the claim has another epoch by now or the store did not
+        confirm the change.
+        """
+        number = self._store.era.number
+        if number is None or self._lease_is_of_older_era():
+            raise ClaimLost("no lease")
+        condition = Condition(documents.OWNERSHIP_PREFIX + group, epoch)
+        data = documents.encode_replica_set(replicas, number)
+        put = Put(documents.REPLICAS_PREFIX + group, data)
+        try:
+            return await self._store.change([condition], [put])
+        except (Conflict, StoreFailed, LeaseEnded) as exc:
+            raise ClaimLost(repr(exc)) from exc
+
     async def release(self, group: str, epoch: int) -> None:
         """Release the claim, so that another node may claim the group."""
         key = documents.OWNERSHIP_PREFIX + group
--- a/lavenderstack/platform/store_restore_test.py
+++ b/lavenderstack/platform/store_restore_test.py
@@ -12,6 +12,7 @@
 
 from lavenderstack.core import clock
 from lavenderstack.core.change_messages import ChangesReply, ChangesRequest
+from lavenderstack.core.replica_set import ReplicaSet, TargetRun
 from lavenderstack.core.store_era import CLAIM_HOLD_S, READ_HOLD_S
 from lavenderstack.core.store_position import era_of, store_position
 from lavenderstack.core.view import Vm
@@ -283,6 +284,17 @@
             await wait_until(lambda: "n9" not in directory.view.vms)
             await wait_until(lambda: "g" not in directory.ownerships)
 
+    async def test_replica_set_of_the_copy_counts_as_none(self):
+        kv = new_store()
+        runs = frozenset({TargetRun("i-1")})
+        data = documents.encode_replica_set(ReplicaSet("i-2", runs), 1)
+        kv.put(documents.REPLICAS_PREFIX + "g", data)
+        kept = kv.take_copy()
+        async with run_loader(kv) as (_, directory):
+            await wait_until(lambda: "g" in directory.replica_sets)
+            kv.restore(kept)
+            await wait_until(lambda: "g" not in directory.replica_sets)
+
     def test_tokens_of_an_older_era_are_not_handed_out_again(self):
         data = documents.encode_reserve("n1#a", {"org": 40.0}, 1)
         reserve = documents.decode_reserve("ls/reserve", data, store_position(2, 9))
@@ -295,6 +307,29 @@
         assert not documents.is_void(CLAIM_KEY, data, store_position(3, 9))
 
 
+class TestReplicaSets:
+    RUNS = ReplicaSet("i-2", frozenset({TargetRun("i-1", 7)}))
+
+    async def test_the_owner_records_it_for_the_next_one(self):
+        kv = new_store()
+        async with run_registration(kv) as registration:
+            await registration.claim("g")
+            epoch = store_position(kv.era, kv.items[CLAIM_KEY]["rev"])
+            await registration.record_replicas("g", epoch, self.RUNS)
+        async with run_loader(kv) as (_, directory):
+            await wait_until(lambda: directory.replica_sets.get("g") == self.RUNS)
+
+    async def test_a_former_owner_does_not_overwrite_it(self):
+        kv = new_store()
+        async with run_registration(kv) as registration:
+            await registration.claim("g")
+            epoch = store_position(kv.era, kv.items[CLAIM_KEY]["rev"])
+            await registration.renew_epoch("g", epoch)
+            with pytest.raises(ClaimLost):
+                await registration.record_replicas("g", epoch, self.RUNS)
+        assert documents.REPLICAS_PREFIX + "g" not in kv.items
+
+
 class TestClaims:
     async def test_owner_stops_at_the_first_answer_of_the_new_era(self):
         kv = new_store()
