Count a target that started again under its name as another replica

Its answer to PAUSE counted for the log that it had lost, so a promotion could miss commits that only its former run and the primary had.

The report's field 'born' becomes started_ms of the target's state; a run is name and start. A former run has left the replica set like a target whose report ended.

--- a/lavenderstack/node/directory.py
+++ b/lavenderstack/node/directory.py
@@ -64,20 +64,29 @@
         return True
 
     def put_target(
-        self, target: Target, group: str, leaving: bool, leads: bool, revision: int
+        self,
+        target: Target,
+        group: str,
+        leaving: bool,
+        leads: bool,
+        revision: int,
+        started_ms: int = 0,
     ) -> None:
         """Store a target's report that was written at ``revision``.
 
-        ``leads`` tells whether the target reports itself as the primary. A report
+        ``leads`` tells whether the target reports itself as the primary,
+        ``started_ms`` when its present run began, in Unix milliseconds, or 0. A report
         that is not newer than the stored one is ignored.
         """
         before = self.targets.get(target.name)
         if before is not None and revision <= before.revision:
             return
         since = primary_selection.leads_since(before, leads, revision)
-        state = TargetState(target, group, leaving, leads, revision, since)
+        state = TargetState(target, group, leaving, leads, revision, since, started_ms)
         if before is not None and before.group != group:
             self._groups[before.group].pop(target.name, None)
+        if before is not None and (before.group, before.run) != (group, state.run):
+            self._record_departed(before, revision)
         self.targets[target.name] = state
         self._groups[group][target.name] = state
         if before is None or (before.leads, before.leaving) != (leads, leaving):
--- a/lavenderstack/node/directory_test.py
+++ b/lavenderstack/node/directory_test.py
@@ -124,6 +124,13 @@
         directory.put_replica_set("g", self.SET, 10)
         assert directory.members("g", "t1") == Membership(present)
 
+    def test_the_former_run_of_a_target_that_started_again_has_left(self):
+        directory = make_directory()
+        directory.put_target(target("t2"), "g", False, False, 8, started_ms=5)
+        present = frozenset({TargetRun("t2", 5)})
+        departed = frozenset({TargetRun("t2")})
+        assert directory.members("g", "t1") == Membership(present, departed)
+
     def test_targets_that_left_are_remembered_up_to_a_limit(self):
         directory = make_directory()
         for number in range(MAX_DEPARTED + 5):
--- a/lavenderstack/node/replacer_test.py
+++ b/lavenderstack/node/replacer_test.py
@@ -86,6 +86,7 @@
         directory.put_member(Vm("n1", zone, "10.0.0.1", 1))
         directory.put_member(Vm("n2", "z3", "10.0.0.2", 1))
         self.revision = 0
+        self.started_ms = {}
         for name in names:
             self.put_target(name)
         # What the former owner of the group recorded.
@@ -109,12 +110,21 @@
             Counters(),
         )
 
+    def restart_target(self, name):
+        """Start a target again under its name, without its log."""
+        self.targets[name].received = 0
+        self.started_ms[name] = 1_000 + self.revision
+        self.put_target(name)
+
     def put_target(self, name, leaving=False):
         self.revision += 1
         zone = {"t1": "z1", "t2": "z2", "t3": "z3"}[name]
         target = Target(name, zone, "10.0.0.1", 1, 2, 30)
         leads = self.targets[name].leads
-        self.directory.put_target(target, "g", leaving, leads, self.revision)
+        started_ms = self.started_ms.get(name, 0)
+        self.directory.put_target(
+            target, "g", leaving, leads, self.revision, started_ms
+        )
 
     def commit_through(self, node):
         """Commit a write that a node acknowledges to its caller."""
@@ -322,6 +332,35 @@
         assert harness.group.incomplete == []
 
 
+class TestReplicaThatStartedAgain:
+    """A target that starts again under its name holds nothing of before."""
+
+    async def test_its_former_commits_are_not_lost_with_the_primary(self):
+        harness = ReplacerHarness()
+        await harness.check(2)
+        harness.targets["t2"].deaf = True
+        harness.commit_through("n2")
+        harness.targets["t3"].deaf = True
+        harness.restart_target("t3")
+        harness.primary_answers = False
+        await harness.check(2)
+        assert harness.group.incomplete == []
+
+    async def test_it_counts_again_once_it_has_received_the_log(self):
+        harness = ReplacerHarness()
+        await harness.check(2)
+        harness.targets["t2"].deaf = True
+        harness.commit_through("n2")
+        harness.restart_target("t3")
+        harness.commit_through("n1")
+        await harness.check()
+        harness.observed.clear()
+        harness.primary_answers = False
+        await harness.check()
+        assert harness.primary == "t3"
+        assert harness.group.incomplete == []
+
+
 class TestReplacementAfterAReplicaLeft:
     """The group is served on as soon as no commit can be lost."""
 
--- a/lavenderstack/platform/documents.py
+++ b/lavenderstack/platform/documents.py
@@ -143,6 +143,8 @@
     slots: int
     state: str
     db_role: str
+    # When its present run began, in Unix milliseconds.
+    born: int = 0
 
 
 # Values of ``state`` and ``db_role`` in a target's report.
@@ -156,12 +158,15 @@
     """A target's report about itself.
 
     ``leads`` tells whether it is the primary, ``leaving`` whether it is draining.
+    ``started_ms`` is when its present run began, in Unix milliseconds, 0 if it doesn't
+    say so.
     """
 
     target: Target
     group: str
     leaving: bool
     leads: bool
+    started_ms: int = 0
 
 
 def decode_report(key: str, value: bytes) -> TargetReport | None:
@@ -184,7 +189,8 @@
         )
         return None
     leaving = server.state == DRAINING
-    return TargetReport(target, server.service, leaving, server.db_role == PRIMARY)
+    leads = server.db_role == PRIMARY
+    return TargetReport(target, server.service, leaving, leads, server.born)
 
 
 class _Node(msgspec.Struct):
--- a/lavenderstack/platform/documents_test.py
+++ b/lavenderstack/platform/documents_test.py
@@ -123,6 +123,15 @@
         key = documents.NODES_PREFIX + "n1"
         assert documents.decode_node(key, documents.encode_node(vm, 0)) == vm
 
+    @pytest.mark.parametrize(("fields", "started_ms"), [({}, 0), ({"born": 17}, 17)])
+    def test_report_tells_when_the_run_of_the_target_began(self, fields, started_ms):
+        data = encode_json({**REPORT, **fields})
+        assert documents.decode_report("servers/i-1", data).started_ms == started_ms
+
+    def test_report_with_a_start_that_is_no_number_names_no_target(self):
+        data = encode_json({**REPORT, "born": "yesterday"})
+        assert documents.decode_report("servers/i-1", data) is None
+
     def test_replica_set_is_the_same_after_encoding(self):
         runs = frozenset({TargetRun("i-1", 5), TargetRun("i-2")})
         data = documents.encode_replica_set(ReplicaSet("i-3", runs), 0)
--- a/lavenderstack/platform/loader.py
+++ b/lavenderstack/platform/loader.py
@@ -408,6 +408,7 @@
             report.leaving,
             report.leads,
             item.rev,
+            report.started_ms,
         )
 
     def _with_limits(self, report: documents.TargetReport) -> Target:
