Leave the replicas of a blocked group unpaused, and wait for a primary that is back

When the primary came back, the replica caught up between two pauses and was promoted in its place, 20 ms after it was back: safe, but the group was without a primary for one more second.

While the replica set is incomplete the nodes and replicas are asked first, every 0.5 s, and the replicas are paused only if one has everything. None is promoted while a replica receives more than at the last question, since a primary runs then, nor if another primary has reported itself while the replicas were paused.

--- a/lavenderstack/node/replacer.py
+++ b/lavenderstack/node/replacer.py
@@ -14,7 +14,7 @@
 from lavenderstack.core import clock, statement
 from lavenderstack.core.catalog import RecordedOwnership, TargetState
 from lavenderstack.core.hash_ring import CachedByIdentity, HashRing, hash_position
-from lavenderstack.core.position import Position
+from lavenderstack.core.position import START, Position
 from lavenderstack.core.replacement import (
     Obstacle,
     ReplicaState,
@@ -236,15 +236,17 @@
         """
         followers = self._followers(group, lost)
         name = lost.target.name if lost else ""
-        complete = self._sets.is_complete(group, name)
+        replicated, required = self._is_replicated(group), START
+        if replicated and not self._sets.is_complete(group, name):
+            required = await self._sets.required_position(group, name, followers)
+            if required is None:
+                return
         states = await self._replicas.pause(group, followers)
-        chosen = choose_successor(states, self._is_replicated(group))
-        if isinstance(chosen, ReplicaState) and not (
-            complete
-            or not self._is_replicated(group)
-            or await self._sets.has_all_observed(group, name, chosen)
-        ):
+        chosen = choose_successor(states, replicated)
+        if isinstance(chosen, ReplicaState) and chosen.received < required:
             chosen = Obstacle.MISSING_REPLICA
+        if self._has_other_primary(group, name):
+            chosen = Obstacle.LED
         if isinstance(chosen, Obstacle):
             log.warning(
                 "replacer: no replica may take over",
@@ -259,7 +261,7 @@
         log.warning(
             "replacer: primary lost",
             group=group,
-            lost=lost.target.name if lost else "",
+            lost=name,
             chosen=chosen.name,
             followers=format_positions(states),
             primary=self._sets.describe_last_answer(group),
@@ -320,6 +322,11 @@
         status.misses = 0
         return True
 
+    def _has_other_primary(self, group: str, lost: str) -> bool:
+        """Return whether a target other than the lost one is the primary by now."""
+        primary = self._directory.primary(group)
+        return primary is not None and primary.target.name != lost
+
     def _is_replicated(self, group: str) -> bool:
         """Return whether the group's commits are acknowledged by a replica too."""
         limits = self._directory.catalog.groups.get(group)
--- a/lavenderstack/node/replica_sets.py
+++ b/lavenderstack/node/replica_sets.py
@@ -12,7 +12,7 @@
 from lavenderstack.core import clock, replica_set, statement
 from lavenderstack.core.catalog import RecordedOwnership, TargetState
 from lavenderstack.core.position import Position
-from lavenderstack.core.replacement import ReplicaState
+from lavenderstack.core.replacement import Obstacle, most_advanced
 from lavenderstack.core.replica_set import ObservedPosition, ReplicaSet
 from lavenderstack.core.work_messages import (
     GroupPosition,
@@ -30,6 +30,8 @@
 
 # A proof asks every replica for its status, which takes a slot at each.
 PROOF_RETRY_S = 1.0
+# While no follower may take over, all nodes and followers are asked this often.
+BLOCKED_RETRY_S = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,6 +48,23 @@
     nodes: frozenset[str]
 
 
+@dataclass(frozen=True, slots=True)
+class _Blocked:
+    """What the followers of a group had received when none could take over."""
+
+    at: float
+    received: dict[str, Position | None]
+
+    def has_grown_since(self, before: "_Blocked") -> bool:
+        """Return whether a follower has received more, so that a primary runs."""
+        return any(
+            position is not None
+            and (earlier := before.received.get(name)) is not None
+            and position > earlier
+            for name, position in self.received.items()
+        )
+
+
 class ReplicaSets:
     """The replica sets of all groups, as far as this node owns them."""
 
@@ -64,12 +83,14 @@
         self._claims = claims
         self._last_answers: dict[str, _LastAnswer] = {}
         self._proof_tried_at: dict[str, float] = {}
+        self._blocked: dict[str, _Blocked] = {}
 
     def record_answer(
         self, primary: TargetState, answer: PrimaryPosition, asked_at: float
     ) -> None:
         """Remember a position that the primary reported after ``asked_at``."""
         group, position = primary.group, Position(*answer.position)
+        self._blocked.pop(group, None)
         before = self._last_answers.get(group)
         if before is not None and before.primary == primary.target.name:
             position = max(position, before.position)
@@ -171,24 +192,50 @@
             left=sorted(run.name for run in known - updated.replicas),
         )
 
-    async def has_all_observed(
-        self, group: str, primary: str, chosen: ReplicaState
-    ) -> bool:
-        """Return whether a replica has all that the nodes saw in the primary's log.
+    async def required_position(
+        self, group: str, primary: str, followers: list[TargetState]
+    ) -> Position | None:
+        """Return what a successor must have received while the set is incomplete.
+
+        ``primary`` is the name of the lost one, empty if it isn't known. Returns None
+        if no follower may take over now.
+        """
+        now, before = clock.now(), self._blocked.get(group)
+        if before is not None and now - before.at < BLOCKED_RETRY_S:
+            return None
+        end = await self._observed_end(group, primary)
+        states = await self._replicas.send(followers, statement.STATUS)
+        blocked = _Blocked(now, {one.name: one.received for one in states})
+        self._blocked[group] = blocked
+        best = most_advanced(states)
+        known = end is not None and best is not None and best.received >= end
+        if known and not (before is not None and blocked.has_grown_since(before)):
+            return end
+        log.warning(
+            "replacer: no replica may take over",
+            group=group,
+            obstacle=Obstacle.MISSING_REPLICA.name,
+            followers=format_positions(states),
+            missing=self.missing(group),
+            primary=self.describe_last_answer(group),
+        )
+        return None
+
+    async def _observed_end(self, group: str, primary: str) -> Position | None:
+        """Return the highest position that a node saw in the primary's log, if known.
 
-        Every acknowledgement passes through a node, so the replica then has every
-        acknowledged commit, whatever the other replicas hold.
+        Every acknowledgement passes through a node, so a replica that has received
+        this has every acknowledged commit, whatever the other replicas hold.
         """
         last = self._last_answers.get(group)
         if last is None or primary not in ("", last.primary):
-            return False
+            return None
         age_s = clock.now() - last.at
         names = last.nodes.union(self._directory.view.vms)
         answers = await asyncio.gather(
             *(self._ask_node(group, name, name in last.nodes) for name in names)
         )
-        end = replica_set.highest_observed(last.position, age_s, answers)
-        return end is not None and chosen.received >= end
+        return replica_set.highest_observed(last.position, age_s, answers)
 
     async def _ask_node(
         self, group: str, name: str, must_have_run: bool
--- /dev/null
+++ b/lavenderstack/node/replica_sets_test.py
@@ -0,0 +1,213 @@
+"""Tests that no promotion loses a commit when replicas left or started again."""
+
+import pytest
+
+from lavenderstack.core.messages import Failed
+from lavenderstack.core.outcome import Reason
+from lavenderstack.core.position import START
+from lavenderstack.core.replica_set import ReplicaSet, TargetRun
+from lavenderstack.core.statement import StatementKind
+from lavenderstack.core.work_messages import GroupPosition
+from lavenderstack.node import replica_sets
+from lavenderstack.node.replacer_test import ReplacerHarness
+
+
+class TestReplicaWhoseReportEnded:
+    """A commit may be only on the primary and on a replica that is away."""
+
+    async def commit_on_t3_alone(self):
+        harness = ReplacerHarness()
+        await harness.check(2)
+        harness.targets["t2"].deaf = True
+        harness.commit_through("n2")
+        return harness
+
+    async def test_its_commits_are_not_lost_with_the_primary(self):
+        harness = await self.commit_on_t3_alone()
+        harness.drop_target("t3")
+        harness.primary_answers = False
+        await harness.check(2)
+        assert harness.group.incomplete == []
+        assert not harness.targets["t2"].paused
+
+    async def test_its_commits_are_not_lost_with_a_leaving_primary(self):
+        harness = await self.commit_on_t3_alone()
+        harness.drop_target("t3")
+        harness.put_target("t1", leaving=True)
+        await harness.check(2)
+        assert harness.group.incomplete == []
+        assert not harness.targets["t2"].paused
+
+    async def test_commits_are_not_lost_with_two_primaries_in_a_row(self):
+        harness = await self.commit_on_t3_alone()
+        harness.primary_answers = False
+        await harness.check()
+        assert harness.primary == "t3"
+        harness.primary_answers = True
+        await harness.check()
+        harness.drop_target("t1")
+        harness.primary_answers = False
+        await harness.check(2)
+        assert harness.group.incomplete == []
+
+
+class TestReplicaThatStartedAgain:
+    """A target that starts again under its name holds nothing of before."""
+
+    async def test_its_former_commits_are_not_lost_with_the_primary(self):
+        harness = ReplacerHarness()
+        await harness.check(2)
+        harness.targets["t2"].deaf = True
+        harness.commit_through("n2")
+        harness.targets["t3"].deaf = True
+        harness.restart_target("t3")
+        harness.primary_answers = False
+        await harness.check(2)
+        assert harness.group.incomplete == []
+
+    async def test_it_counts_again_once_it_has_received_the_log(self):
+        harness = ReplacerHarness()
+        await harness.check(2)
+        harness.targets["t2"].deaf = True
+        harness.commit_through("n2")
+        harness.restart_target("t3")
+        harness.commit_through("n1")
+        await harness.check()
+        harness.observed.clear()
+        harness.primary_answers = False
+        await harness.check()
+        assert harness.primary == "t3"
+        assert harness.group.incomplete == []
+
+
+class TestReplacementAfterAReplicaLeft:
+    """The group is served on as soon as no commit can be lost."""
+
+    async def leave_t3(self, **nodes):
+        harness = ReplacerHarness()
+        await harness.check(2)
+        harness.commit_through("n2")
+        harness.drop_target("t3")
+        harness.observed.update(nodes)
+        return harness
+
+    async def test_a_replica_proved_while_the_primary_answered_takes_over(self):
+        harness = await self.leave_t3(n2=None)
+        await harness.check()
+        harness.primary_answers = False
+        await harness.check()
+        assert harness.primary == "t2"
+        assert harness.group.incomplete == []
+
+    async def test_a_replica_with_all_that_the_nodes_observed_takes_over(self):
+        harness = await self.leave_t3()
+        harness.primary_answers = False
+        await harness.check()
+        assert harness.primary == "t2"
+        assert harness.group.incomplete == []
+
+    @pytest.mark.parametrize(
+        "answer",
+        [
+            Failed(run=False, reason=Reason.UNREACHABLE),
+            GroupPosition(START, uptime_s=0.0),
+        ],
+        ids=["gave no answer", "has started since"],
+    )
+    async def test_none_takes_over_while_a_node_may_have_acknowledged_more(
+        self, answer
+    ):
+        harness = await self.leave_t3(n2=answer)
+        harness.primary_answers = False
+        await harness.check(2)
+        assert harness.group.epochs == []
+
+    async def test_none_takes_over_if_a_node_that_served_is_gone(self):
+        harness = await self.leave_t3()
+        harness.directory.drop_member("n2")
+        harness.primary_answers = False
+        await harness.check(2)
+        assert harness.group.epochs == []
+
+    async def block(self):
+        """Return a harness with a lost primary that no replica may replace."""
+        harness = await TestReplicaWhoseReportEnded().commit_on_t3_alone()
+        harness.drop_target("t3")
+        harness.primary_answers = False
+        await harness.check()
+        assert harness.group.epochs == []
+        return harness
+
+    async def test_replicas_are_not_paused_while_none_may_take_over(self):
+        """The primary that comes back can't acknowledge through a paused replica."""
+        harness = await self.block()
+        assert harness.orders(StatementKind.PAUSE) == []
+
+    async def test_none_takes_over_while_a_replica_receives_again(self, monkeypatch):
+        """The primary is back and hasn't reported itself yet."""
+        harness = await self.block()
+        harness.targets["t2"].deaf = False
+        harness.commit_through("n2")
+        monkeypatch.setattr(replica_sets, "BLOCKED_RETRY_S", 0.0)
+        await harness.check()
+        assert harness.group.epochs == []
+
+    async def test_a_replica_that_caught_up_takes_over_if_the_primary_stays_away(
+        self, monkeypatch
+    ):
+        harness = await self.block()
+        harness.targets["t2"].deaf = False
+        harness.commit_through("n2")
+        monkeypatch.setattr(replica_sets, "BLOCKED_RETRY_S", 0.0)
+        await harness.check(2)
+        assert harness.primary == "t2"
+        assert harness.group.incomplete == []
+
+    async def test_none_takes_over_if_a_primary_reports_itself_meanwhile(self):
+        harness = ReplacerHarness()
+        await harness.check(2)
+        pause = harness.replacer._replicas.pause
+
+        async def pause_and_report(group, states):
+            answers = await pause(group, states)
+            harness.targets["t1"].leads = False
+            harness.targets["t2"].leads = True
+            harness.put_target("t2")
+            return answers
+
+        harness.replacer._replicas.pause = pause_and_report
+        harness.primary_answers = False
+        await harness.check()
+        assert harness.group.epochs == []
+        assert not harness.targets["t3"].paused
+
+    async def test_an_owner_without_a_recorded_set_promotes_none(self):
+        harness = ReplacerHarness()
+        harness.directory.drop_replica_set("g", 2)
+        await harness.check()
+        harness.primary_answers = False
+        await harness.check(2)
+        assert harness.group.epochs == []
+
+    async def test_an_owner_records_the_set_once_it_is_proved(self):
+        harness = ReplacerHarness()
+        harness.directory.drop_replica_set("g", 2)
+        harness.targets["t2"].deaf = harness.targets["t3"].deaf = True
+        harness.group.commit(harness.targets["t1"])
+        await harness.check(2)
+        assert harness.claims.recorded == []
+        harness.targets["t3"].deaf = False
+        harness.commit_through("n2")
+        harness.replacer._sets._proof_tried_at.clear()
+        await harness.check(2)
+        runs = frozenset({TargetRun("t2"), TargetRun("t3")})
+        assert harness.claims.recorded == [ReplicaSet("t1", runs)]
+
+    async def test_the_set_is_proved_anew_after_a_promotion(self):
+        harness = ReplacerHarness()
+        await harness.check(2)
+        harness.primary_answers = False
+        await harness.check()
+        harness.primary_answers = True
+        await harness.check()
+        assert [one.primary for one in harness.claims.recorded] == [harness.primary]
