Mend four faults of the replica set's record, found by review

Each was shown by a test of the reviewer on (not seen by callers yet): - Two runs of one name were stored as one, so that after a restart the next owner didn't know the run that had ended ('both runs of a name are recorded'). A list of pairs now. - A target that joined and left while the primary was away blocked the group for ever: each proof succeeded, but an unchanged set wasn't written, and only a write clears it. - A record that the store refuses was written at each check; now after 1 to 2 s. - A record that is carried out late replaced a newer one, and cleared departures that its writer hadn't seen. It is conditioned on the record that it replaces, and names the store's position up to which it takes account of departures.

--- a/lavenderstack/core/replica_set.py
+++ b/lavenderstack/core/replica_set.py
@@ -17,7 +17,7 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import NamedTuple
 
 from lavenderstack.core.position import Position
@@ -37,10 +37,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ReplicaSet:
-    """The recorded replica set of a group under one primary."""
+    """The recorded replica set of a group under one primary.
+
+    It takes account of all targets that left up to the store's position ``as_of``.
+    """
 
     primary: str
     replicas: frozenset[TargetRun]
+    as_of: int = field(default=0, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,11 +62,13 @@
 class Membership:
     """The runs of a group's targets, without the primary, as one node knows them.
 
-    ``present`` are registered, ``departed`` have left since the set was recorded.
+    ``present`` are registered, ``departed`` have left since the set was recorded. All
+    changes up to the store's position ``as_of`` are known.
     """
 
     present: frozenset[TargetRun]
     departed: frozenset[TargetRun] = frozenset()
+    as_of: int = field(default=0, compare=False)
 
 
 def missing_replicas(
@@ -103,7 +109,12 @@
     if recorded is None or recorded.primary != primary:
         return None
     missing = missing_replicas(recorded, members)
-    return ReplicaSet(primary, members.present.union(missing))
+    return ReplicaSet(primary, members.present.union(missing), members.as_of)
+
+
+def proved(primary: str, members: Membership) -> ReplicaSet:
+    """Return the set after a proof: the registered replicas alone."""
+    return ReplicaSet(primary, members.present, members.as_of)
 
 
 def highest_observed(
--- a/lavenderstack/node/backend.py
+++ b/lavenderstack/node/backend.py
@@ -143,12 +143,13 @@
         """Keep the claim under a new epoch; raises ``ClaimLost``."""
 
     async def record_replicas(
-        self, group: str, epoch: int, replicas: ReplicaSet
+        self, group: str, epoch: int, replicas: ReplicaSet, revision: int
     ) -> int:
         """Record the group's replica set; return the position of the record.
 
-        Raises ``ClaimLost`` if the claim is not in force under ``epoch`` any more or
-        the store did not confirm the change.
+        ``revision`` is that of the record which it replaces, 0 if there is none. Raises
+        ``ClaimLost`` if the claim is not in force under ``epoch`` any more, the record
+        has changed or the store did not confirm the change.
         """
 
     async def release(self, group: str, epoch: int) -> None:
--- a/lavenderstack/node/directory.py
+++ b/lavenderstack/node/directory.py
@@ -38,6 +38,8 @@
         self.replica_sets: dict[str, ReplicaSet] = {}
         self.reserve = Reserve()
         self._groups: dict[str, dict[str, TargetState]] = defaultdict(dict)
+        # All changes of the store up to this position are known.
+        self.as_of = 0
         self._replica_set_revisions: dict[str, int] = {}
         # By group: the runs of targets that left since its replica set was recorded,
         # with the revision at which each left.
@@ -110,7 +112,8 @@
         present = (
             state.run for state in self.group(group) if state.target.name != primary
         )
-        return Membership(frozenset(present), frozenset(self._departed[group]))
+        departed = frozenset(self._departed[group])
+        return Membership(frozenset(present), departed, self.as_of)
 
     def update_target_limits(self, target: Target) -> None:
         """Replace the limits of a known target; an unknown target is ignored."""
@@ -178,7 +181,7 @@
         self._replica_set_revisions[group] = revision
         self.replica_sets[group] = replicas
         departed = self._departed[group]
-        for run in [run for run, at in departed.items() if at <= revision]:
+        for run in [run for run, at in departed.items() if at <= replicas.as_of]:
             del departed[run]
 
     def drop_replica_set(self, group: str, revision: int) -> None:
@@ -187,6 +190,12 @@
             self._replica_set_revisions[group] = revision
             self.replica_sets.pop(group, None)
 
+    def replica_set_revision(self, group: str) -> int:
+        """Return the revision of a group's valid replica set, 0 if there is none."""
+        if group not in self.replica_sets:
+            return 0
+        return self._replica_set_revisions[group]
+
     def drop_ownership(self, name: str) -> None:
         """Record that a shard or group has no owner."""
         if self.ownerships.pop(name, None) is not None:
--- a/lavenderstack/node/directory_test.py
+++ b/lavenderstack/node/directory_test.py
@@ -1,6 +1,7 @@
 """Tests of the directory: newer entries are never replaced by older ones."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
@@ -118,10 +119,10 @@
         directory.put_replica_set("g", self.SET, 7)
         directory.put_target(target("t3"), "g", False, False, 8)
         directory.drop_target("t3", 9)
-        directory.put_replica_set("g", self.SET, 8)
+        directory.put_replica_set("g", replace(self.SET, as_of=8), 11)
         present, gone = frozenset({TargetRun("t2")}), frozenset({TargetRun("t3")})
         assert directory.members("g", "t1") == Membership(present, gone)
-        directory.put_replica_set("g", self.SET, 10)
+        directory.put_replica_set("g", replace(self.SET, as_of=9), 12)
         assert directory.members("g", "t1") == Membership(present)
 
     def test_the_former_run_of_a_target_that_started_again_has_left(self):
--- a/lavenderstack/node/replacer_test.py
+++ b/lavenderstack/node/replacer_test.py
@@ -55,9 +55,11 @@
             group, RecordedOwnership(self.identity, self.epoch)
         )
 
-    async def record_replicas(self, group, epoch, replicas):
+    async def record_replicas(self, group, epoch, replicas, revision):
         if self._directory.ownerships[group].epoch != epoch:
             raise ClaimLost("another epoch")
+        if self._directory.replica_set_revision(group) != revision:
+            raise ClaimLost("another record")
         self.recorded.append(replicas)
         return 10 + len(self.recorded)
 
@@ -125,6 +127,7 @@
         self.directory.put_target(
             target, "g", leaving, leads, self.revision, started_ms
         )
+        self.directory.as_of = self.revision
 
     def commit_through(self, node):
         """Commit a write that a node acknowledges to its caller."""
@@ -132,11 +135,18 @@
         self.group.commit(primary)
         self.observed[node] = GroupPosition(primary.position, uptime_s=60.0)
 
+    def put_new_target(self, name, revision):
+        """Let another replica join, which has nothing yet."""
+        self.targets[name] = FakeTarget(name)
+        target = Target(name, "z2", "10.0.0.4", 1, 2, 30)
+        self.directory.put_target(target, "g", False, False, revision)
+
     def drop_target(self, name):
         """Crash a target for so long that its report ends."""
         self.targets[name].reachable = False
         self.revision += 1
         self.directory.drop_target(name, self.revision)
+        self.directory.as_of = self.revision
 
     def report(self, _):
         for name in self.directory.targets:
--- a/lavenderstack/node/replica_sets.py
+++ b/lavenderstack/node/replica_sets.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+import random
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 import structlog
@@ -13,7 +15,7 @@
 from lavenderstack.core.catalog import RecordedOwnership, TargetState
 from lavenderstack.core.position import Position
 from lavenderstack.core.replacement import Obstacle, most_advanced
-from lavenderstack.core.replica_set import ObservedPosition, ReplicaSet
+from lavenderstack.core.replica_set import ObservedPosition, ReplicaSet, TargetRun
 from lavenderstack.core.work_messages import (
     GroupPosition,
     GroupPositionRequest,
@@ -30,6 +32,9 @@
 
 # A proof asks every replica for its status, which takes a slot at each.
 PROOF_RETRY_S = 1.0
+# The pause after the store refused a record; up to twice as long, so that the owners of
+# many groups don't write together.
+RECORD_RETRY_S = 1.0
 # While no follower may take over, all nodes and followers are asked this often.
 BLOCKED_RETRY_S = 0.5
 
@@ -83,6 +88,7 @@
         self._claims = claims
         self._last_answers: dict[str, _LastAnswer] = {}
         self._proof_tried_at: dict[str, float] = {}
+        self._record_again_at: dict[str, float] = {}
         self._blocked: dict[str, _Blocked] = {}
 
     def record_answer(
@@ -110,12 +116,12 @@
         return f"{last.primary} {tuple(last.position)}, {age_s:.2f} s old"
 
     def missing(self, group: str) -> list[str]:
-        """Return the names of recorded replicas that are not registered any more."""
+        """Return the recorded replicas that are not registered any more, for a line."""
         recorded = self._directory.replica_sets.get(group)
         runs = replica_set.missing_replicas(
             recorded, self._directory.members(group, "")
         )
-        return sorted(run.name for run in runs)
+        return _format_runs(runs)
 
     def is_complete(self, group: str, primary: str) -> bool:
         """Return whether the followers hold every acknowledged commit together.
@@ -138,10 +144,13 @@
         members = self._directory.members(group, name)
         updated = replica_set.joined(recorded, name, members)
         complete = replica_set.is_complete(recorded, name, members)
+        if complete and updated == recorded:
+            return
         if not complete and await self._prove(primary, followers):
-            updated = ReplicaSet(name, members.present)
-        if updated is not None and updated != recorded:
-            await self._record(group, claim, updated, recorded)
+            updated = replica_set.proved(name, members)
+        elif updated is None or updated == recorded:
+            return
+        await self._record(group, claim, updated, recorded)
 
     async def _prove(self, primary: TargetState, followers: list[TargetState]) -> bool:
         """Return whether a follower has all that the primary's log holds now.
@@ -177,9 +186,19 @@
         updated: ReplicaSet,
         before: ReplicaSet | None,
     ) -> None:
+        now = clock.now()
+        if now < self._record_again_at.get(group, now):
+            return
         try:
-            revision = await self._claims.record_replicas(group, claim.epoch, updated)
+            revision = await self._claims.record_replicas(
+                group,
+                claim.epoch,
+                updated,
+                self._directory.replica_set_revision(group),
+            )
         except ClaimLost as exc:
+            pause_s = RECORD_RETRY_S * random.uniform(1.0, 2.0)
+            self._record_again_at[group] = now + pause_s
             log.info("replacer: replica set not recorded", group=group, error=str(exc))
             return
         self._directory.put_replica_set(group, updated, revision)
@@ -188,8 +207,8 @@
             "replacer: replica set recorded",
             group=group,
             primary=updated.primary,
-            joined=sorted(run.name for run in updated.replicas - known),
-            left=sorted(run.name for run in known - updated.replicas),
+            joined=_format_runs(updated.replicas - known),
+            left=_format_runs(known - updated.replicas),
         )
 
     async def required_position(
@@ -255,3 +274,8 @@
             return None
         uptime_s = answer.uptime_s if must_have_run else float("inf")
         return ObservedPosition(Position(*answer.position), uptime_s)
+
+
+def _format_runs(runs: Iterable[TargetRun]) -> list[str]:
+    """Return the runs for a log line, as name and start."""
+    return [f"{run.name}#{run.started_ms}" for run in sorted(runs)]
--- a/lavenderstack/node/replica_sets_test.py
+++ b/lavenderstack/node/replica_sets_test.py
@@ -9,6 +9,7 @@
 from lavenderstack.core.statement import StatementKind
 from lavenderstack.core.work_messages import GroupPosition
 from lavenderstack.node import replica_sets
+from lavenderstack.node.backend import ClaimLost
 from lavenderstack.node.replacer_test import ReplacerHarness
 
 
@@ -80,6 +81,50 @@
         assert harness.group.incomplete == []
 
 
+class TestRecord:
+    """The record must keep what it knows, and reach the store without a flood."""
+
+    async def test_a_target_that_came_and_went_does_not_block_for_ever(self):
+        harness = ReplacerHarness()
+        await harness.check(2)
+        harness.primary_answers = False
+        harness.targets["t3"].reachable = False
+        harness.put_new_target("t4", 40)
+        await harness.check()
+        harness.targets["t4"].reachable = False
+        harness.directory.drop_target("t4", 41)
+        await harness.check()
+        harness.targets["t3"].reachable = True
+        harness.primary_answers = True
+        harness.directory.as_of = 41
+        await harness.check()
+        assert harness.replacer._sets.is_complete("g", "t1")
+
+    async def test_a_refused_record_is_not_repeated_at_each_check(self):
+        harness = ReplacerHarness()
+        await harness.check(2)
+        tries = []
+
+        async def refused(group, epoch, replicas, revision):
+            tries.append(replicas)
+            raise ClaimLost("429")
+
+        harness.claims.record_replicas = refused
+        harness.put_new_target("t4", 40)
+        await harness.check(5)
+        assert len(tries) == 1
+
+    async def test_a_target_that_left_after_the_members_were_read_stays_missing(self):
+        harness = ReplacerHarness()
+        await harness.check(2)
+        harness.directory.as_of = 39
+        harness.put_new_target("t4", 40)
+        harness.directory.drop_target("t4", 41)
+        late = ReplicaSet("t1", frozenset({TargetRun("t2"), TargetRun("t3")}), 39)
+        harness.directory.put_replica_set("g", late, 45)
+        assert harness.replacer._sets.missing("g") == ["t4#0"]
+
+
 class TestReplacementAfterAReplicaLeft:
     """The group is served on as soon as no commit can be lost."""
 
--- a/lavenderstack/platform/documents.py
+++ b/lavenderstack/platform/documents.py
@@ -315,15 +315,17 @@
 
 class _ReplicaSet(msgspec.Struct):
     primary: str
-    # By name of the replica: when its run began, in Unix milliseconds.
-    replicas: dict[str, int]
+    # The name of each replica and when its run began, in Unix milliseconds.
+    replicas: list[tuple[str, int]]
+    as_of: int = 0
     era: int | None = None
 
 
 def encode_replica_set(replicas: ReplicaSet, era: int) -> bytes:
     """Return the record of a group's replica set in the format of the store."""
-    started = {run.name: run.started_ms for run in sorted(replicas.replicas)}
-    return msgspec.json.encode(_ReplicaSet(replicas.primary, started, era))
+    runs = [(run.name, run.started_ms) for run in sorted(replicas.replicas)]
+    record = _ReplicaSet(replicas.primary, runs, replicas.as_of, era)
+    return msgspec.json.encode(record)
 
 
 def decode_replica_set(key: str, value: bytes) -> ReplicaSet | None:
@@ -333,5 +335,5 @@
     except msgspec.MsgspecError as exc:
         log.warning("documents: replica set not understood", key=key, error=str(exc))
         return None
-    runs = (TargetRun(name, at) for name, at in record.replicas.items())
-    return ReplicaSet(record.primary, frozenset(runs))
+    runs = frozenset(TargetRun(*run) for run in record.replicas)
+    return ReplicaSet(record.primary, runs, record.as_of)
--- a/lavenderstack/platform/documents_test.py
+++ b/lavenderstack/platform/documents_test.py
@@ -133,11 +133,11 @@
         assert documents.decode_report("servers/i-1", data) is None
 
     def test_replica_set_is_the_same_after_encoding(self):
-        runs = frozenset({TargetRun("i-1", 5), TargetRun("i-2")})
-        data = documents.encode_replica_set(ReplicaSet("i-3", runs), 0)
-        assert documents.decode_replica_set("ls/replicas/g", data) == ReplicaSet(
-            "i-3", runs
-        )
+        runs = frozenset({TargetRun("i-1", 5), TargetRun("i-1", 6), TargetRun("i-2")})
+        data = documents.encode_replica_set(ReplicaSet("i-3", runs, as_of=40), 0)
+        decoded = documents.decode_replica_set("ls/replicas/g", data)
+        assert decoded == ReplicaSet("i-3", runs)
+        assert decoded.as_of == 40
 
     @pytest.mark.parametrize("data", [b"", b"[]", b'{"primary": 1}', b"\xff"])
     def test_invalid_replica_set_counts_as_none(self, data):
--- a/lavenderstack/platform/loader.py
+++ b/lavenderstack/platform/loader.py
@@ -238,6 +238,7 @@
     def _advance_revision(self, as_of: int) -> None:
         """Record that all changes up to the position ``as_of`` are known."""
         self._as_of = max(self._as_of, as_of)
+        self._directory.as_of = self._as_of
         self._notify_waiters()
 
     def _prove(self, at: float) -> None:
--- a/lavenderstack/platform/registration.py
+++ b/lavenderstack/platform/registration.py
@@ -197,24 +197,42 @@
         await self._write_claim(group, epoch)
 
     async def record_replicas(
-        self, group: str, epoch: int, replicas: ReplicaSet
+        self, group: str, epoch: int, replicas: ReplicaSet, revision: int
     ) -> int:
         """Record the group's replica set; return the position of the record.
 
-        Raises ``ClaimLost`` if the claim has another epoch by now or the store did not
-        confirm the change.
+        ``revision`` is that of the record which it replaces, 0 if there is none. A
+        record that is void or not understood is replaced as well. Raises ``ClaimLost``
+        if the claim has another epoch by now, the record has changed or the store did
+        not confirm the change.
         """
         number = self._store.era.number
         if number is None or self._lease_is_of_older_era():
             raise ClaimLost("no lease")
-        condition = Condition(documents.OWNERSHIP_PREFIX + group, epoch)
-        data = documents.encode_replica_set(replicas, number)
-        put = Put(documents.REPLICAS_PREFIX + group, data)
+        key = documents.REPLICAS_PREFIX + group
+        put = Put(key, documents.encode_replica_set(replicas, number))
+        owned = Condition(documents.OWNERSHIP_PREFIX + group, epoch)
         try:
-            return await self._store.change([condition], [put])
+            invalid_at = 0 if revision else await self._invalid_record(key)
+            unchanged = Condition(key, revision or invalid_at)
+            return await self._store.change([owned, unchanged], [put])
         except (Conflict, StoreFailed, LeaseEnded) as exc:
             raise ClaimLost(repr(exc)) from exc
 
+    async def _invalid_record(self, key: str) -> int:
+        """Return the position of a replica set that counts as none, 0 if none does."""
+        item = await self._store.get(key)
+        if item is None:
+            return 0
+        try:
+            data = item.data
+        except ValueError:
+            return item.rev
+        void = documents.is_void(key, data, item.rev)
+        if void or documents.decode_replica_set(key, data) is None:
+            return item.rev
+        return 0
+
     async def release(self, group: str, epoch: int) -> None:
         """Release the claim, so that another node may claim the group."""
         key = documents.OWNERSHIP_PREFIX + group
--- a/lavenderstack/platform/store_restore_test.py
+++ b/lavenderstack/platform/store_restore_test.py
@@ -308,17 +308,43 @@
 
 
 class TestReplicaSets:
-    RUNS = ReplicaSet("i-2", frozenset({TargetRun("i-1", 7)}))
+    RUNS = ReplicaSet("i-2", frozenset({TargetRun("i-1", 7), TargetRun("i-1", 9)}))
 
     async def test_the_owner_records_it_for_the_next_one(self):
         kv = new_store()
         async with run_registration(kv) as registration:
             await registration.claim("g")
             epoch = store_position(kv.era, kv.items[CLAIM_KEY]["rev"])
-            await registration.record_replicas("g", epoch, self.RUNS)
+            await registration.record_replicas("g", epoch, self.RUNS, 0)
         async with run_loader(kv) as (_, directory):
             await wait_until(lambda: directory.replica_sets.get("g") == self.RUNS)
 
+    async def test_a_record_that_is_carried_out_late_does_not_replace_a_newer_one(
+        self,
+    ):
+        kv = new_store()
+        async with run_registration(kv) as registration:
+            await registration.claim("g")
+            epoch = store_position(kv.era, kv.items[CLAIM_KEY]["rev"])
+            await registration.record_replicas("g", epoch, self.RUNS, 0)
+            newer = ReplicaSet("i-2", frozenset())
+            with pytest.raises(ClaimLost):
+                await registration.record_replicas("g", epoch, newer, 0)
+            known = kv.items[documents.REPLICAS_PREFIX + "g"]["rev"]
+            revision = store_position(kv.era, known)
+            await registration.record_replicas("g", epoch, newer, revision)
+
+    @pytest.mark.parametrize("data", [b"nothing", None], ids=["invalid", "void"])
+    async def test_a_record_that_counts_as_none_is_replaced(self, data):
+        kv = new_store(era=2)
+        key = documents.REPLICAS_PREFIX + "g"
+        kv.put(key, data or documents.encode_replica_set(self.RUNS, 1))
+        async with run_registration(kv) as registration:
+            await registration.claim("g")
+            epoch = store_position(kv.era, kv.items[CLAIM_KEY]["rev"])
+            await registration.record_replicas("g", epoch, self.RUNS, 0)
+        assert kv.items[key]["rev"] > kv.items[CLAIM_KEY]["rev"]
+
     async def test_a_former_owner_does_not_overwrite_it(self):
         kv = new_store()
         async with run_registration(kv) as registration:
@@ -326,7 +352,7 @@
             epoch = store_position(kv.era, kv.items[CLAIM_KEY]["rev"])
             await registration.renew_epoch("g", epoch)
             with pytest.raises(ClaimLost):
-                await registration.record_replicas("g", epoch, self.RUNS)
+                await registration.record_replicas("g", epoch, self.RUNS, 0)
         assert documents.REPLICAS_PREFIX + "g" not in kv.items
 
 
