Pause replicas above their own term, and count them as paused only if they say so

Found by review: a new owner that never had an answer of the primary sends PAUSE 1, which a target of term 3 ignores while it answers with the same row; it counted as paused and went on receiving while another one was chosen. It is read now: a replica is paused if that term is above its own; the first answers tell the term for a second try. The fake target ignores a PAUSE that is too low.

--- a/lavenderstack/core/replacement.py
+++ b/lavenderstack/core/replacement.py
@@ -76,7 +76,7 @@
     chosen = most_advanced(replicas)
     if chosen is None:
         return Obstacle.NO_REPLICA
-    if replicated and any(replica.received is None for replica in replicas):
+    if replicated and not all(replica.paused for replica in replicas):
         return Obstacle.SILENT_REPLICA
     return chosen
 
--- a/lavenderstack/core/replica_set_test.py
+++ b/lavenderstack/core/replica_set_test.py
@@ -64,8 +64,9 @@
 
 
 def statuses(state):
+    """Return what the registered replicas answer to PAUSE."""
     return [
-        ReplicaState(name, False, Position(1, replica.received))
+        ReplicaState(name, False, Position(1, replica.received), paused=True)
         for name, replica in zip(NAMES, state.replicas, strict=True)
         if replica.registered
     ]
--- a/lavenderstack/node/backend.py
+++ b/lavenderstack/node/backend.py
@@ -48,11 +48,13 @@
     """Replication state that a target reports about itself.
 
     ``leads`` tells whether it is the primary, ``received`` is the end of its log.
+    ``paused_term`` is the term under which it is paused, 0 if it is not.
     """
 
     leads: bool
     term: int
     received: Position
+    paused_term: int = 0
 
 
 class Connection(Protocol):
--- a/lavenderstack/node/backend_fake.py
+++ b/lavenderstack/node/backend_fake.py
@@ -12,7 +12,7 @@
 from lavenderstack.core.outcome import Reason
 from lavenderstack.core.position import START, Position
 from lavenderstack.core.reply import Reply, TxState
-from lavenderstack.core.statement import StatementKind
+from lavenderstack.core.statement import Statement, StatementKind
 from lavenderstack.core.view import Target
 from lavenderstack.node.backend import (
     Command,
@@ -38,6 +38,7 @@
     term: int = 1
     received: int = 0
     paused: bool = False
+    paused_term: int = 0
     deaf: bool = False
     reachable: bool = True
     silent: bool = False
@@ -52,6 +53,10 @@
     dead_connections: int = 0
     open_connections: list = field(default_factory=list)
 
+    def resume(self) -> None:
+        """Let the target receive log entries."""
+        self.paused, self.paused_term = False, 0
+
     @property
     def position(self) -> Position:
         """The end of the target's log."""
@@ -103,7 +108,8 @@
             if chosen.received < self.acknowledged:
                 self.incomplete.append(target)
             for one in self.targets.values():
-                one.leads, one.paused = False, False
+                one.leads = False
+                one.resume()
             chosen.leads, chosen.term = True, chosen.term + 1
         self.on_promote(target)
 
@@ -164,16 +170,18 @@
             case StatementKind.PREPARE:
                 self.prepared[command.statement.name] = command.statement.body
             case StatementKind.PAUSE | StatementKind.RESUME | StatementKind.STATUS:
-                return self._order(kind)
+                return self._order(command.statement)
             case _:
                 return await self._statement(command)
         return Reply()
 
-    def _order(self, kind: StatementKind) -> Reply:
+    def _order(self, order: Statement) -> Reply:
         target = self._target
-        target.orders.append(kind)
-        if kind is not StatementKind.STATUS:
-            target.paused = kind is StatementKind.PAUSE
+        target.orders.append(order.kind)
+        if order.kind is StatementKind.RESUME:
+            target.resume()
+        elif order.kind is StatementKind.PAUSE and int(order.body) > target.term:
+            target.paused, target.paused_term = True, int(order.body)
         return Reply(rows=[target.name])
 
     async def _statement(self, command: Command) -> Reply | None:
@@ -225,4 +233,4 @@
     def parse_replication_status(self, reply: Reply) -> ReplicationStatus | None:
         """Return the replication status of the target that made the reply."""
         fake = self.group.targets[reply.rows[0]]
-        return ReplicationStatus(fake.leads, fake.term, fake.position)
+        return ReplicationStatus(fake.leads, fake.term, fake.position, fake.paused_term)
--- a/lavenderstack/node/followers.py
+++ b/lavenderstack/node/followers.py
@@ -1,7 +1,6 @@
 """Queries replicas for their replication status and sends them commands."""
 
 import asyncio
-from dataclasses import replace
 
 import structlog
 
@@ -22,6 +21,7 @@
 log = structlog.get_logger()
 
 STATUS_TIMEOUT_S = 0.5
+MAX_PAUSE_TRIES = 2
 
 
 class Followers:
@@ -40,13 +40,16 @@
         self.terms[group] = max(self.terms.get(group, 0), term)
 
     async def pause(self, group: str, states: list[TargetState]) -> list[ReplicaState]:
-        """Stop replicas from receiving log entries; return each one's status."""
-        term = self.terms.get(group, 0) + 1
-        answers = await self.send(states, statement.pause(term))
-        followers = [
-            replace(each, paused=each.received is not None and not each.leads)
-            for each in answers
-        ]
+        """Stop replicas from receiving log entries; return each one's status.
+
+        A target ignores a term that is not above its own, which the first answers of a
+        new owner tell.
+        """
+        for _ in range(MAX_PAUSE_TRIES):
+            term = self.terms.get(group, 0) + 1
+            followers = await self.send(states, statement.pause(term))
+            if self.terms.get(group, 0) < term:
+                break
         log.info(
             "replacer: replicas paused",
             group=group,
@@ -76,7 +79,11 @@
             ReplicaState(s.target.name, s.leaving, None)
             if status is None
             else ReplicaState(
-                s.target.name, s.leaving, status.received, leads=status.leads
+                s.target.name,
+                s.leaving,
+                status.received,
+                paused=status.paused_term > status.term,
+                leads=status.leads,
             )
             for s, status in zip(states, found, strict=True)
         ]
--- a/lavenderstack/node/replica_sets_test.py
+++ b/lavenderstack/node/replica_sets_test.py
@@ -125,6 +125,37 @@
         assert harness.replacer._sets.missing("g") == ["t4#0"]
 
 
+class TestPause:
+    async def test_a_new_owner_pauses_above_the_term_of_the_replicas(self):
+        """A target ignores a PAUSE that is not above its term."""
+        harness = ReplacerHarness()
+        for one in harness.targets.values():
+            one.term, one.received = 3, 5
+        await harness.claims.claim("g")
+        terms = []
+        pause = harness.replacer._replicas.send
+
+        async def send(states, command):
+            if command.kind is StatementKind.PAUSE:
+                terms.append(int(command.body))
+            return await pause(states, command)
+
+        harness.replacer._replicas.send = send
+        harness.primary_answers = False
+        await harness.check()
+        assert terms[-1] > 3
+        assert harness.primary != "t1"
+
+    async def test_none_takes_over_while_a_replica_does_not_pause(self):
+        harness = ReplacerHarness()
+        await harness.check(2)
+        harness.targets["t3"].term = 99
+        harness.replacer._replicas.record_term = lambda group, term: None
+        harness.primary_answers = False
+        await harness.check()
+        assert harness.group.epochs == []
+
+
 class TestReplacementAfterAReplicaLeft:
     """The group is served on as soon as no commit can be lost."""
 
--- a/lavenderstack/platform/targets.py
+++ b/lavenderstack/platform/targets.py
@@ -180,7 +180,7 @@
 
 
 # Indexes of the fields of a STATUS row.
-_ROLE, _TERM, _RECEIVED = 0, 1, 2
+_ROLE, _TERM, _RECEIVED, _PAUSED_TERM = 0, 1, 2, 3
 _PRIMARY = "primary"
 
 
@@ -192,7 +192,10 @@
     try:
         received = line_protocol.parse_position(fields[_RECEIVED])
         return ReplicationStatus(
-            fields[_ROLE] == _PRIMARY, int(fields[_TERM]), received
+            fields[_ROLE] == _PRIMARY,
+            int(fields[_TERM]),
+            received,
+            int(fields[_PAUSED_TERM]),
         )
     except (ProtocolError, ValueError, IndexError) as exc:
         log.warning("targets: status not understood", error=str(exc))
