Keep replicas paused while an order may still be carried out, and resume only as owner

Found by review, each shown by a test of the reviewer on: - After six tries without an answer the replicas were resumed. The order could still be carried out, and the target named in it lacked what others had received since. They stay paused; once the primary answers again, its own promotion is ordered under a new epoch, which changes nothing but lets the platform refuse the earlier order, and then they are resumed. - An owner that froze between PAUSE and RESUME resumed replicas that the next owner had paused. RESUME needs the lease now. - An owner that died between the two left replicas paused, and nobody resumed them while the primary answered: writes stayed without an answer.

--- a/lavenderstack/core/events.py
+++ b/lavenderstack/core/events.py
@@ -427,6 +427,18 @@
         ("holder", "error"),
         "a node didn't tell which commits it acknowledged, so none is promoted yet",
     ),
+    Event(
+        "replacer: replicas stay paused",
+        LineKind.STATE,
+        ("group", "target"),
+        "an order without an answer may still be carried out",
+    ),
+    Event(
+        "replacer: fence raised",
+        LineKind.STATE,
+        ("group", "epoch"),
+        "no earlier order takes effect any more, so paused replicas are resumed",
+    ),
     Event(
         "replacer: replicas paused",
         LineKind.STATE,
--- a/lavenderstack/node/promoter.py
+++ b/lavenderstack/node/promoter.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from enum import Enum, auto
 
 import structlog
 
@@ -38,6 +39,14 @@
 MIN_LEASE_LEFT_S = 0.2
 
 
+class OrderOutcome(Enum):
+    """What is known of an order; an ``UNKNOWN`` one may still be carried out."""
+
+    TAKEN = auto()
+    NOT_TAKEN = auto()
+    UNKNOWN = auto()
+
+
 class Promoter:
     """Promotes targets of the groups that this node owns."""
 
@@ -63,20 +72,51 @@
         """Return whether enough of this node's lease is left for an order."""
         return clock.now() <= self._claims.valid_until() - MIN_LEASE_LEFT_S
 
-    async def promote(self, group: str, target: str) -> bool:
-        """Order a promotion under an unused epoch; return whether it was accepted."""
+    async def promote(self, group: str, target: str) -> OrderOutcome:
+        """Order a promotion under an unused epoch, and wait until it has taken effect.
+
+        Returns what is known of the order.
+        """
+        claim = await self._claim_with_unused_epoch(group)
+        if claim is None:
+            return OrderOutcome.NOT_TAKEN
+        outcome = await self._order(group, target, claim)
+        if outcome is OrderOutcome.TAKEN:
+            await self._wait_for_primary(group, target)
+            await self._acquire_unused_epoch(group, claim)
+        return outcome
+
+    async def raise_fence(self, group: str, primary: str) -> bool:
+        """Order the present primary again, so that no earlier order takes effect.
+
+        That changes nothing, but the platform refuses all earlier epochs from then on.
+        """
+        claim = await self._claim_with_unused_epoch(group)
+        if claim is None:
+            return False
+        taken = await self._order(group, primary, claim) is OrderOutcome.TAKEN
+        if taken:
+            log.info("replacer: fence raised", group=group, epoch=claim.epoch)
+        return taken
+
+    async def _claim_with_unused_epoch(self, group: str) -> RecordedOwnership | None:
         claim = self._directory.ownerships.get(group)
         if claim is None or claim.node != self._claims.identity:
-            return False
+            return None
         if claim.epoch == self._used_epochs.get(group):
-            claim = await self._acquire_unused_epoch(group, claim)
-            if claim is None:
-                return False
+            return await self._acquire_unused_epoch(group, claim)
+        return claim
+
+    async def _order(
+        self, group: str, target: str, claim: RecordedOwnership
+    ) -> OrderOutcome:
+        """Send an order until it is answered, a few times."""
         self._used_epochs[group] = claim.epoch
+        outcome = OrderOutcome.NOT_TAKEN
         for _ in range(MAX_ORDER_TRIES):
             if not self.lease_holds():
                 log.warning("replacer: lease too old to act", group=group)
-                return False
+                return outcome
             try:
                 await self._orders.promote(
                     group, target, self._directory.name, claim.epoch
@@ -90,7 +130,7 @@
                     epoch=claim.epoch,
                     error=str(exc),
                 )
-                return False
+                return outcome
             except OrderUnanswered as exc:
                 self._counters.orders.labels("unanswered").inc()
                 log.info(
@@ -100,13 +140,12 @@
                     epoch=claim.epoch,
                     error=str(exc),
                 )
+                outcome = OrderOutcome.UNKNOWN
                 await asyncio.sleep(ORDER_RETRY_S)
                 continue
             self._counters.orders.labels("taken").inc()
-            await self._wait_for_primary(group, target)
-            await self._acquire_unused_epoch(group, claim)
-            return True
-        return False
+            return OrderOutcome.TAKEN
+        return outcome
 
     async def _acquire_unused_epoch(
         self, group: str, claim: RecordedOwnership
--- a/lavenderstack/node/replacer.py
+++ b/lavenderstack/node/replacer.py
@@ -29,7 +29,7 @@
 from lavenderstack.node.followers import Followers, format_positions
 from lavenderstack.node.peers import Peers
 from lavenderstack.node.primary_probe import PrimaryProbe
-from lavenderstack.node.promoter import Promoter
+from lavenderstack.node.promoter import OrderOutcome, Promoter
 from lavenderstack.node.replica_sets import ReplicaSets
 
 log = structlog.get_logger()
@@ -43,6 +43,8 @@
 # How long a replica may take to catch up before a leaving primary is replaced.
 CATCH_UP_TIMEOUT_S = 0.6
 CATCH_UP_POLL_S = 0.05
+# How often it is tried to resume replicas that an earlier attempt may have paused.
+RELEASE_RETRY_S = 1.0
 # The node acts only if its view was proved current within this time.
 MAX_VIEW_AGE_S = 2.5
 # Delay between the nodes of the hash ring that try in turn to claim an unowned group.
@@ -59,7 +61,8 @@
 
     ``misses`` counts checks in a row without a known primary. The other fields are in
     seconds on the clock; ``full_since`` is the first of the latest checks in a row at
-    which the primary had no connection free.
+    which the primary had no connection free. ``may_be_paused`` tells that an earlier
+    attempt, also of a former owner, may have left replicas paused.
     """
 
     misses: int = 0
@@ -68,6 +71,8 @@
     unowned_since: float | None = None
     replaced_at: float = 0.0
     handed_over_at: float = 0.0
+    may_be_paused: bool = True
+    released_at: float = float("-inf")
 
 
 class Replacer:
@@ -141,6 +146,8 @@
             status.misses, status.full_since = 0, None
             self._replicas.record_term(group, answer.position[0])
             self._sets.record_answer(primary, answer, asked_at)
+            if status.may_be_paused:
+                await self._release_paused(group, status, primary)
             if self._is_replicated(group):
                 followers = self._followers(group, primary)
                 await self._sets.maintain(primary, claim, followers)
@@ -196,6 +203,7 @@
         if claim is not None:
             status.unowned_since = None
             is_own = claim.node == self._claims.identity
+            status.may_be_paused = status.may_be_paused or not is_own
             return claim if is_own and self._may_act() else None
         now = clock.now()
         if status.unowned_since is None:
@@ -256,7 +264,7 @@
                 missing=self._sets.missing(group),
                 primary=self._sets.describe_last_answer(group),
             )
-            await self._replicas.resume(group, followers)
+            await self._resume(group, followers)
             return
         log.warning(
             "replacer: primary lost",
@@ -266,8 +274,7 @@
             followers=format_positions(states),
             primary=self._sets.describe_last_answer(group),
         )
-        if not await self._promote(group, status, chosen.name):
-            await self._replicas.resume(group, followers)
+        await self._promote(group, status, chosen.name, followers)
 
     async def _replace_leaving(
         self, group: str, status: _GroupStatus, primary: TargetState
@@ -301,7 +308,7 @@
                     group=group,
                     obstacle=obstacle.name,
                 )
-                await self._replicas.resume(group, others)
+                await self._resume(group, others)
                 return
             await asyncio.sleep(CATCH_UP_POLL_S)
         log.info(
@@ -311,16 +318,59 @@
             chosen=candidate.name,
             followers=format_positions([candidate, *paused]),
         )
-        if not await self._promote(group, status, candidate.name):
-            await self._replicas.resume(group, others)
+        await self._promote(group, status, candidate.name, others)
 
-    async def _promote(self, group: str, status: _GroupStatus, target: str) -> bool:
-        """Promote a target; return whether the platform accepted the order."""
-        if not await self._promoter.promote(group, target):
-            return False
-        status.replaced_at = clock.now()
-        status.misses = 0
-        return True
+    async def _promote(
+        self, group: str, status: _GroupStatus, target: str, paused: list[TargetState]
+    ) -> None:
+        """Promote a target.
+
+        ``paused`` are resumed if the order is certain not to be carried out. Otherwise
+        they must not receive what the target may lack when it becomes the primary.
+        """
+        outcome = await self._promoter.promote(group, target)
+        if outcome is OrderOutcome.TAKEN:
+            status.replaced_at = clock.now()
+            status.misses = 0
+        elif outcome is OrderOutcome.NOT_TAKEN:
+            await self._resume(group, paused)
+        else:
+            status.may_be_paused = True
+            log.warning("replacer: replicas stay paused", group=group, target=target)
+
+    async def _resume(self, group: str, followers: list[TargetState]) -> None:
+        """Resume replicas, unless the next owner may have paused them by now."""
+        if self._promoter.lease_holds():
+            await self._replicas.resume(group, followers)
+        else:
+            log.warning("replacer: lease too old to act", group=group)
+
+    async def _release_paused(
+        self, group: str, status: _GroupStatus, primary: TargetState
+    ) -> None:
+        """Resume replicas that an earlier attempt left paused under this primary.
+
+        An order of that attempt may still be under way. It must not take effect once
+        the replicas receive again.
+        """
+        now = clock.now()
+        if now - status.released_at < RELEASE_RETRY_S:
+            return
+        status.released_at = now
+        followers = self._followers(group, primary)
+        states = await self._replicas.send(followers, statement.STATUS)
+        paused = [
+            follower
+            for follower, state in zip(followers, states, strict=True)
+            if state.paused
+        ]
+        if paused:
+            if not await self._promoter.raise_fence(group, primary.target.name):
+                return
+            # Another owner's order must not follow this one closely.
+            status.replaced_at = now
+            await self._resume(group, paused)
+        status.may_be_paused = any(state.received is None for state in states)
 
     def _has_other_primary(self, group: str, lost: str) -> bool:
         """Return whether a target other than the lost one is the primary by now."""
