Let nodes object to a promotion by what they acknowledged, and tell it only once

Found by review, each shown by a test of the reviewer on: - A replica whose report ended lives on and acknowledges alone after a proof; a replica starts again before the view shows it. The set was complete, and a commit was lost. At each promotion the nodes are asked, while the replicas are paused, what they have acknowledged; one that tells more than the chosen replica has stops it. Silent ones don't (0.1 s at most). A leaving primary is always asked for its end first. - A node whose registration had ended, and that served on for seconds, wasn't asked, or was trusted after a restart. Nodes seen in the 6 s before the primary's last answer count. - An acknowledgement on its way when a node told its position was passed on after it. Such a commit ends as unknown now, if it was sent before to a primary of the term told. What counts is the position of acknowledged commits, not what reads have seen: a position that nobody acknowledged would stop a promotion needlessly. It is kept by group and outlives the executors (node/acknowledged_positions.py). - The upkeep of a replica set runs beside the checks: it delayed the detection of a lost primary by up to two seconds. replacer.py and replica_sets.py give claims (group_claims.py) and the questions to nodes (group_positions.py) to modules of their own; tests of orders stand in promoter_test.py.

--- a/lavenderstack/core/events_test.py
+++ b/lavenderstack/core/events_test.py
@@ -23,6 +23,8 @@
     "promoter",
     "replacer",
     "replica_sets",
+    "group_positions",
+    "group_claims",
     "session",
     "streams",
     "supervisor",
--- a/lavenderstack/core/work_messages.py
+++ b/lavenderstack/core/work_messages.py
@@ -107,19 +107,20 @@
 
 
 class GroupPositionRequest(Message, tag="ask_group_position"):
-    """Asks for the highest position of a group that the node has observed.
+    """Asks for the highest position of a group that the node has acknowledged.
 
-    Answered by ``GroupPosition``.
+    If ``term`` isn't 0, the node acknowledges no more of what it has sent to primaries
+    of up to this term. Answered by ``GroupPosition``.
     """
 
     group: str
+    term: int = 0
 
 
 class GroupPosition(Message, tag="group_position"):
-    """The highest log position of a group's primaries that the node has observed.
+    """The highest position of a group that the node has acknowledged since its start.
 
-    It covers every commit that the node has acknowledged since its start ``uptime_s``
-    seconds ago.
+    The node started ``uptime_s`` seconds ago.
     """
 
     position: Position
--- a/lavenderstack/node/active_connections.py
+++ b/lavenderstack/node/active_connections.py
@@ -39,6 +39,12 @@
     return Failed(run=run, reason=reason, detail=detail)
 
 
+def replaced_while_committing() -> Failed:
+    """Return the outcome of a commit that a promotion may leave out."""
+    detail = "the primary is being replaced"
+    return failure(True, Reason.OUTCOME_UNKNOWN, detail)
+
+
 def work_result(reply: Reply, tx: str = "") -> Message:
     """Convert an answer to a message; ``tx`` names a transaction opened with it."""
     if reply.reason is None:
--- a/lavenderstack/node/executor.py
+++ b/lavenderstack/node/executor.py
@@ -28,9 +28,11 @@
     TransactionStart,
     Work,
 )
+from lavenderstack.node.acknowledged_positions import AcknowledgedPositions
 from lavenderstack.node.active_connections import (
     ActiveConnections,
     failure,
+    replaced_while_committing,
     work_result,
 )
 from lavenderstack.node.backend import (
@@ -70,6 +72,7 @@
         directory: Directory,
         backend: Backend,
         min_position_for: MinPositionFor,
+        acknowledged: AcknowledgedPositions,
     ) -> None:
         self.target = state.target
         self.group = state.group
@@ -78,6 +81,7 @@
         self.connections = TargetConnections(backend, state.target, state.group)
         self._directory = directory
         self._min_position_for = min_position_for
+        self._acknowledged = acknowledged
         self.health = TargetHealth(state.target, self.connections, directory)
         self._active = ActiveConnections(self.connections)
         self.transactions = OpenTransactions(
@@ -86,6 +90,7 @@
             self._active,
             self.slots,
             self.health.positions,
+            acknowledged,
         )
 
     def update_state(self, state: TargetState) -> bool:
@@ -298,6 +303,9 @@
             return work_result(reply)
         if reply.reason is None and work.access is Access.WRITE and not work.opens:
             self.positions.add(reply.position, sent_at)
+            if not self._acknowledged.record(work.group, reply.position, sent_at):
+                self._active.release_clean(pooled, reply)
+                return replaced_while_committing()
         if work.opens and reply.state is not TxState.NONE:
             return self.transactions.register(work, pooled, reply)
         if reply.reason is Reason.NO_PREPARED and work.prepared is not None:
--- a/lavenderstack/node/executors.py
+++ b/lavenderstack/node/executors.py
@@ -8,7 +8,6 @@
 from lavenderstack.core.catalog import TargetState
 from lavenderstack.core.messages import Failed, Message
 from lavenderstack.core.outcome import Reason
-from lavenderstack.core.position import START, Position
 from lavenderstack.core.work_messages import (
     EndWork,
     GroupPosition,
@@ -17,6 +16,7 @@
     Work,
     WorkEnded,
 )
+from lavenderstack.node.acknowledged_positions import AcknowledgedPositions
 from lavenderstack.node.backend import Backend
 from lavenderstack.node.directory import Directory
 from lavenderstack.node.executor import MinPositionFor, TargetExecutor
@@ -37,9 +37,7 @@
     min_position_for: MinPositionFor
     first_choice: Callable[[TargetState], bool]
     target_executors: dict[str, TargetExecutor] = field(default_factory=dict)
-    started_at: float = field(default_factory=clock.now)
-    # By group: the highest position observed by executors that are closed.
-    _highest: dict[str, Position] = field(default_factory=dict)
+    acknowledged: AcknowledgedPositions = field(default_factory=AcknowledgedPositions)
 
     def for_target(self, target: str) -> TargetExecutor | None:
         """Return the executor of a target, None if the target is unknown.
@@ -51,11 +49,15 @@
         if executor is not None:
             if state is None or executor.update_state(state):
                 return executor
-            self._close(executor)
+            executor.close()
         if state is None:
             return None
         executor = TargetExecutor(
-            state, self.directory, self.backend, self.min_position_for
+            state,
+            self.directory,
+            self.backend,
+            self.min_position_for,
+            self.acknowledged,
         )
         executor.set_first_choice(self.first_choice(state))
         self.target_executors[target] = executor
@@ -87,17 +89,8 @@
 
     async def group_position(self, msg: GroupPositionRequest) -> Message:
         """Handle ``GroupPositionRequest``."""
-        position = self._highest.get(msg.group, START)
-        for executor in self.target_executors.values():
-            if executor.group == msg.group:
-                position = max(position, executor.positions.highest)
-        return GroupPosition(position, clock.now() - self.started_at)
-
-    def _close(self, executor: TargetExecutor) -> None:
-        """Close an executor, and keep the highest position that it observed."""
-        executor.close()
-        before = self._highest.get(executor.group, START)
-        self._highest[executor.group] = max(before, executor.positions.highest)
+        position = self.acknowledged.tell(msg.group, msg.term)
+        return GroupPosition(position, clock.now() - self.acknowledged.started_at)
 
     @property
     def open_transactions(self) -> int:
@@ -112,7 +105,7 @@
             for name, executor in list(self.target_executors.items()):
                 state = self.directory.targets.get(name)
                 if state is None and not executor.transactions:
-                    self._close(executor)
+                    executor.close()
                     del self.target_executors[name]
                     continue
                 executor.set_first_choice(
--- a/lavenderstack/node/open_transactions.py
+++ b/lavenderstack/node/open_transactions.py
@@ -16,9 +16,11 @@
 from lavenderstack.core.reply import Reply
 from lavenderstack.core.statement import StatementKind
 from lavenderstack.core.work_messages import Access, EndWork, Work, WorkEnded
+from lavenderstack.node.acknowledged_positions import AcknowledgedPositions
 from lavenderstack.node.active_connections import (
     ActiveConnections,
     failure,
+    replaced_while_committing,
     work_result,
 )
 from lavenderstack.node.backend import Command, ConnectionLost
@@ -51,12 +53,14 @@
         active: ActiveConnections,
         slots: Slots,
         positions: PositionHistory,
+        acknowledged: AcknowledgedPositions,
     ) -> None:
         self._prefix = f"{node}/{connections.target.name}"
         self._connections = connections
         self._active = active
         self._slots = slots
         self._positions = positions
+        self._acknowledged = acknowledged
         self._open: dict[str, _Transaction] = {}
         self._numbers = count(1)
 
@@ -112,6 +116,9 @@
             self._remove(work.tx)
             if reply.reason is None and work.access is Access.WRITE:
                 self._positions.add(reply.position, sent_at)
+                if not self._acknowledged.record(work.group, reply.position, sent_at):
+                    self._active.release_clean(pooled, reply)
+                    return replaced_while_committing()
             self._active.release_clean(pooled, reply)
         elif reply.reason is not None:
             self._remove(work.tx)
--- /dev/null
+++ b/lavenderstack/node/promoter_test.py
@@ -0,0 +1,104 @@
+"""Tests of promotion orders without an answer, and of paused replicas."""
+
+import pytest
+
+from lavenderstack.core.statement import StatementKind
+from lavenderstack.node.backend import OrderRefused, OrderUnanswered
+from lavenderstack.node.replacer_test import ReplacerHarness
+
+
+class TestOrderWithoutAnAnswer:
+    """It may be carried out seconds later."""
+
+    async def send_unanswered(self, leaving=False):
+        harness = ReplacerHarness()
+        await harness.check(2)
+        sent = []
+
+        async def unanswered(group, target, node, epoch):
+            sent.append((group, target, node, epoch))
+            raise OrderUnanswered("lost")
+
+        orders = type("Orders", (), {"promote": staticmethod(unanswered)})
+        harness.replacer._promoter._orders = orders
+        if leaving:
+            harness.put_target("t1", leaving=True)
+        else:
+            harness.primary_answers = False
+        await harness.check()
+        harness.replacer._promoter._orders = harness.group
+        return harness, sent[0]
+
+    @pytest.mark.parametrize("leaving", [False, True])
+    async def test_nothing_is_acknowledged_that_it_would_lose(self, leaving):
+        harness, order = await self.send_unanswered(leaving)
+        harness.targets[order[1]].deaf = True
+        harness.commit_through("n2")
+        await harness.group.promote(*order)
+        assert harness.group.incomplete == []
+
+    async def test_it_has_no_effect_once_the_replicas_are_resumed(self):
+        harness, order = await self.send_unanswered()
+        harness.primary_answers = True
+        await harness.check()
+        assert not harness.targets["t2"].paused
+        with pytest.raises(OrderRefused):
+            await harness.group.promote(*order)
+        assert harness.primary == "t1"
+
+
+class TestPause:
+    async def test_a_new_owner_resumes_what_a_former_one_left_paused(self):
+        """Writes would stay without an answer as long as replicas are paused."""
+        harness = ReplacerHarness()
+        harness.targets["t2"].paused, harness.targets["t2"].paused_term = True, 2
+        await harness.check(2)
+        assert not harness.targets["t2"].paused
+        assert harness.group.epochs
+        assert harness.primary == "t1"
+
+    async def test_an_owner_whose_lease_ended_resumes_nothing(self):
+        """The next owner may have paused the replicas by then."""
+        harness = ReplacerHarness()
+        await harness.check(2)
+        harness.targets["t2"].silent = True
+        harness.primary_answers = False
+        pause = harness.replacer._replicas.pause
+
+        async def pause_and_freeze(group, states):
+            answers = await pause(group, states)
+            harness.claims.valid_s = 0.0
+            return answers
+
+        harness.replacer._replicas.pause = pause_and_freeze
+        await harness.check()
+        assert harness.targets["t3"].paused
+
+    async def test_a_new_owner_pauses_above_the_term_of_the_replicas(self):
+        """A target ignores a PAUSE that is not above its term."""
+        harness = ReplacerHarness()
+        for one in harness.targets.values():
+            one.term, one.received = 3, 5
+        await harness.claims.claim("g")
+        terms = []
+        pause = harness.replacer._replicas.send
+
+        async def send(states, command):
+            if command.kind is StatementKind.PAUSE:
+                terms.append(int(command.body))
+            return await pause(states, command)
+
+        harness.replacer._replicas.send = send
+        harness.primary_answers = False
+        await harness.check()
+        assert terms[-1] > 3
+        assert harness.primary != "t1"
+
+    async def test_none_takes_over_while_a_replica_does_not_pause(self):
+        harness = ReplacerHarness()
+        await harness.check(2)
+        harness.targets["t3"].term = 99
+        harness.replacer._replicas.record_term = lambda group, term: None
+        harness.primary_answers = False
+        await harness.check()
+        assert harness.group.epochs == []
--- a/lavenderstack/node/replacer.py
+++ b/lavenderstack/node/replacer.py
@@ -12,9 +12,8 @@
 import structlog
 
 from lavenderstack.core import clock, statement
-from lavenderstack.core.catalog import RecordedOwnership, TargetState
-from lavenderstack.core.hash_ring import CachedByIdentity, HashRing, hash_position
-from lavenderstack.core.position import START, Position
+from lavenderstack.core.catalog import TargetState
+from lavenderstack.core.position import Position
 from lavenderstack.core.replacement import (
     Obstacle,
     ReplicaState,
@@ -23,10 +22,12 @@
     takeover_obstacle,
 )
 from lavenderstack.core.work_messages import PrimaryPosition
-from lavenderstack.node.backend import Backend, ClaimLost, Claims, Orders
+from lavenderstack.node.backend import Backend, Claims, Orders
 from lavenderstack.node.counters import Counters
 from lavenderstack.node.directory import Directory
 from lavenderstack.node.followers import Followers, format_positions
+from lavenderstack.node.group_claims import GroupClaims
+from lavenderstack.node.group_positions import GroupPositions
 from lavenderstack.node.peers import Peers
 from lavenderstack.node.primary_probe import PrimaryProbe
 from lavenderstack.node.promoter import OrderOutcome, Promoter
@@ -47,30 +48,22 @@
 RELEASE_RETRY_S = 1.0
 # The node acts only if its view was proved current within this time.
 MAX_VIEW_AGE_S = 2.5
-# Delay between the nodes of the hash ring that try in turn to claim an unowned group.
-CLAIM_STEP_S = 0.6
-CLAIM_RETRY_S = 0.5
-# An owner in the primary's own zone hands the group over, because it would be cut off
-# together with the primary. It waits this long after a replacement or a handover.
-HAND_OVER_HOLDOFF_S = 6.0
 
 
 @dataclass(slots=True)
 class _GroupStatus:
     """State of this node's supervision of one group.
 
-    ``misses`` counts checks in a row without a known primary. The other fields are in
-    seconds on the clock; ``full_since`` is the first of the latest checks in a row at
-    which the primary had no connection free. ``may_be_paused`` tells that an earlier
-    attempt, also of a former owner, may have left replicas paused.
+    ``misses`` counts checks in a row without a known primary. ``may_be_paused`` tells
+    that an earlier attempt, also of a former owner, may have left replicas paused. The
+    other fields are in seconds on the clock: the first of the latest checks in a row at
+    which the primary had no connection free, the last accepted order, and the last try
+    to resume replicas.
     """
 
     misses: int = 0
     full_since: float | None = None
-    claimed_at: float = 0.0
-    unowned_since: float | None = None
-    replaced_at: float = 0.0
-    handed_over_at: float = 0.0
+    acted_at: float = 0.0
     may_be_paused: bool = True
     released_at: float = float("-inf")
 
@@ -91,18 +84,17 @@
         counters: Counters,
     ) -> None:
         self._directory = directory
-        self._peers = peers
         self._replicas = Followers(directory, backend)
-        self._claims = claims
         self._probe = PrimaryProbe(peers)
-        self._sets = ReplicaSets(directory, peers, self._probe, self._replicas, claims)
+        self._group_claims = GroupClaims(directory, peers, claims)
+        self._positions = GroupPositions(directory, peers)
+        self._sets = ReplicaSets(
+            directory, self._positions, self._probe, self._replicas, claims
+        )
         self._promoter = Promoter(
             directory, peers, self._probe, claims, orders, counters
         )
         self._groups: dict[str, _GroupStatus] = defaultdict(_GroupStatus)
-        self._ring_cache: CachedByIdentity[HashRing] = CachedByIdentity(
-            lambda vms: HashRing(vm.name for vm in vms.values() if vm.state == "live")
-        )
         self.stopping = False
 
     async def run(self) -> None:
@@ -128,8 +120,11 @@
         if not self._directory.group(group) or self.stopping:
             return
         status = self._groups[group]
-        claim = await self._current_claim(group, status)
+        claim = await self._group_claims.own(group)
         if claim is None:
+            status.may_be_paused = True
+            return
+        if not self._may_act():
             return
         primary = self._directory.primary(group)
         if primary is None:
@@ -145,13 +140,13 @@
         if isinstance(answer, PrimaryPosition):
             status.misses, status.full_since = 0, None
             self._replicas.record_term(group, answer.position[0])
-            self._sets.record_answer(primary, answer, asked_at)
+            self._positions.record_answer(primary, answer, asked_at)
+            self._sets.primary_answered(group)
             if status.may_be_paused:
                 await self._release_paused(group, status, primary)
             if self._is_replicated(group):
-                followers = self._followers(group, primary)
-                await self._sets.maintain(primary, claim, followers)
-            await self._hand_over(group, status, primary, claim)
+                self._sets.maintain(primary, claim, self._followers(group, primary))
+            await self._group_claims.hand_over(primary, claim, status.acted_at)
             return
         if answer is not None and self._may_stay_full(status):
             log.info("replacer: primary full", group=group, target=primary.target.name)
@@ -169,66 +164,6 @@
             status.full_since = now
         return now - status.full_since < MAX_FULL_S
 
-    async def _hand_over(
-        self,
-        group: str,
-        status: _GroupStatus,
-        primary: TargetState,
-        claim: RecordedOwnership,
-    ) -> None:
-        """Release the group to a node outside the primary's zone, if there is one."""
-        if primary.target.zone != self._directory.zone:
-            return
-        now = clock.now()
-        if now - max(status.replaced_at, status.handed_over_at) < HAND_OVER_HOLDOFF_S:
-            return
-        vms = self._peers.live()
-        if all(vm.zone == self._directory.zone for vm in vms):
-            return
-        status.handed_over_at = now
-        log.info(
-            "replacer: ownership handed over", group=group, zone=primary.target.zone
-        )
-        await self._claims.release(group, claim.epoch)
-
-    async def _current_claim(
-        self, group: str, status: _GroupStatus
-    ) -> RecordedOwnership | None:
-        """Return this node's claim in force, None if it may not act.
-
-        Claims an unowned group when it is this node's turn; the new claim is returned
-        by a later call, once the directory shows it.
-        """
-        claim = self._directory.ownerships.get(group)
-        if claim is not None:
-            status.unowned_since = None
-            is_own = claim.node == self._claims.identity
-            status.may_be_paused = status.may_be_paused or not is_own
-            return claim if is_own and self._may_act() else None
-        now = clock.now()
-        if status.unowned_since is None:
-            status.unowned_since = now
-        turn_at = status.unowned_since + self._candidates_before(group) * CLAIM_STEP_S
-        if now < turn_at or now - status.claimed_at < CLAIM_RETRY_S:
-            return None
-        status.claimed_at = now
-        try:
-            await self._claims.claim(group)
-        except ClaimLost as exc:
-            log.info("replacer: ownership not claimed", group=group, error=str(exc))
-        return None
-
-    def _candidates_before(self, group: str) -> int:
-        """Return how many nodes try to claim an unowned group before this one."""
-        ring = self._ring_cache.value_for(self._directory.view.vms)
-        primary = self._directory.primary(group)
-        zone = primary.target.zone if primary else ""
-        vms = self._directory.view.vms
-        names = list(ring.nodes_after(hash_position(f"primary/{group}")))
-        names.sort(key=lambda name: vms[name].zone == zone)
-        name = self._directory.name
-        return names.index(name) if name in names else len(names)
-
     def _may_act(self) -> bool:
         """Return whether this node's lease holds and its view is recent."""
         if not self._promoter.lease_holds():
@@ -242,16 +177,27 @@
 
         The replicas are paused first. They are resumed if none may be promoted.
         """
-        followers = self._followers(group, lost)
         name = lost.target.name if lost else ""
-        replicated, required = self._is_replicated(group), START
-        if replicated and not self._sets.is_complete(group, name):
+        replicated = self._is_replicated(group)
+        if not replicated or self._sets.is_complete(group, name):
+            followers = self._followers(group, lost)
+            states, required = await asyncio.gather(
+                self._replicas.pause(group, followers),
+                self._positions.highest_told(group),
+            )
+        else:
+            followers = self._followers(group, lost)
             required = await self._sets.required_position(group, name, followers)
-            if required is None:
+            if required is None or not self._may_act():
                 return
-        states = await self._replicas.pause(group, followers)
+            followers = self._followers(group, lost)
+            states = await self._replicas.pause(group, followers)
         chosen = choose_successor(states, replicated)
-        if isinstance(chosen, ReplicaState) and chosen.received < required:
+        if (
+            replicated
+            and isinstance(chosen, ReplicaState)
+            and chosen.received < required
+        ):
             chosen = Obstacle.MISSING_REPLICA
         if self._has_other_primary(group, name):
             chosen = Obstacle.LED
@@ -262,7 +208,7 @@
                 obstacle=chosen.name,
                 followers=format_positions(states),
                 missing=self._sets.missing(group),
-                primary=self._sets.describe_last_answer(group),
+                primary=self._positions.describe_last_answer(group),
             )
             await self._resume(group, followers)
             return
@@ -272,7 +218,7 @@
             lost=name,
             chosen=chosen.name,
             followers=format_positions(states),
-            primary=self._sets.describe_last_answer(group),
+            primary=self._positions.describe_last_answer(group),
         )
         await self._promote(group, status, chosen.name, followers)
 
@@ -296,10 +242,11 @@
         until = clock.now() + CATCH_UP_TIMEOUT_S
         state = next(s for s in followers if s.target.name == candidate.name)
         while True:
+            end = await self._end_of_log(primary)
             candidate = (await self._replicas.send([state], statement.STATUS))[0]
             obstacle = takeover_obstacle(candidate, paused, replicated)
             if obstacle is None:
-                if await self._is_caught_up(primary, candidate):
+                if await self._is_caught_up(primary, candidate, end):
                     break
                 obstacle = Obstacle.MISSING_REPLICA
             if clock.now() > until:
@@ -330,7 +277,7 @@
         """
         outcome = await self._promoter.promote(group, target)
         if outcome is OrderOutcome.TAKEN:
-            status.replaced_at = clock.now()
+            status.acted_at = clock.now()
             status.misses = 0
         elif outcome is OrderOutcome.NOT_TAKEN:
             await self._resume(group, paused)
@@ -368,7 +315,7 @@
             if not await self._promoter.raise_fence(group, primary.target.name):
                 return
             # Another owner's order must not follow this one closely.
-            status.replaced_at = now
+            status.acted_at = now
             await self._resume(group, paused)
         status.may_be_paused = any(state.received is None for state in states)
 
@@ -383,21 +330,28 @@
         return limits is not None and limits.replicated
 
     async def _is_caught_up(
-        self, primary: TargetState, candidate: ReplicaState
+        self, primary: TargetState, candidate: ReplicaState, end: Position | None
     ) -> bool:
-        """Return whether a candidate has every commit of a primary that answers.
+        """Return whether a candidate has every commit of a leaving primary.
 
-        The other followers are paused, so nothing more is acknowledged without it.
+        ``end`` is what the primary's log held before the candidate was asked, None if
+        it gave no answer. The other followers are paused, so nothing more is
+        acknowledged without the candidate.
         """
         group = primary.group
         if not self._is_replicated(group):
             return True
-        if self._sets.is_complete(group, primary.target.name):
-            return True
+        if end is not None:
+            return candidate.received >= end
+        told = await self._positions.highest_told(group)
+        complete = self._sets.is_complete(group, primary.target.name)
+        return complete and candidate.received >= told
+
+    async def _end_of_log(self, primary: TargetState) -> Position | None:
+        """Return where the primary's log ends now, None if it gives no answer."""
         answer = await self._probe.ask(primary, max_age_s=0.0)
-        if not isinstance(answer, PrimaryPosition):
-            return False
-        return candidate.received >= Position(*answer.position)
+        is_position = isinstance(answer, PrimaryPosition)
+        return Position(*answer.position) if is_position else None
 
     def _followers(self, group: str, primary: TargetState | None) -> list[TargetState]:
         name = primary.target.name if primary else ""
--- a/lavenderstack/node/replica_sets.py
+++ b/lavenderstack/node/replica_sets.py
@@ -15,18 +15,15 @@
 from lavenderstack.core.catalog import RecordedOwnership, TargetState
 from lavenderstack.core.position import Position
 from lavenderstack.core.replacement import Obstacle, most_advanced
-from lavenderstack.core.replica_set import ObservedPosition, ReplicaSet, TargetRun
+from lavenderstack.core.replica_set import ReplicaSet, TargetRun
 from lavenderstack.core.work_messages import (
-    GroupPosition,
-    GroupPositionRequest,
     PrimaryPosition,
 )
 from lavenderstack.node.backend import ClaimLost, Claims
 from lavenderstack.node.directory import Directory
 from lavenderstack.node.followers import Followers, format_positions
-from lavenderstack.node.peers import Peers
-from lavenderstack.node.primary_probe import PROBE_TIMEOUT_S, PrimaryProbe
-from lavenderstack.node.streams import NotSent, StreamLost
+from lavenderstack.node.group_positions import GroupPositions
+from lavenderstack.node.primary_probe import PrimaryProbe
 
 log = structlog.get_logger()
 
@@ -39,20 +36,6 @@
 BLOCKED_RETRY_S = 0.5
 
 
-@dataclass(frozen=True, slots=True)
-class _LastAnswer:
-    """The last position that a group's primary reported to this node.
-
-    ``at`` is the clock time in seconds from which on the answer holds, ``nodes`` are
-    the nodes that were registered then.
-    """
-
-    primary: str
-    position: Position
-    at: float
-    nodes: frozenset[str]
-
-
 @dataclass(frozen=True, slots=True)
 class _Blocked:
     """What the followers of a group had received when none could take over."""
@@ -76,44 +59,25 @@
     def __init__(
         self,
         directory: Directory,
-        peers: Peers,
+        positions: GroupPositions,
         probe: PrimaryProbe,
         replicas: Followers,
         claims: Claims,
     ) -> None:
         self._directory = directory
-        self._peers = peers
+        self._positions = positions
         self._probe = probe
         self._replicas = replicas
         self._claims = claims
-        self._last_answers: dict[str, _LastAnswer] = {}
         self._proof_tried_at: dict[str, float] = {}
         self._record_again_at: dict[str, float] = {}
         self._blocked: dict[str, _Blocked] = {}
+        # By group: what keeps its record up to date.
+        self._tasks: dict[str, asyncio.Task] = {}
 
-    def record_answer(
-        self, primary: TargetState, answer: PrimaryPosition, asked_at: float
-    ) -> None:
-        """Remember a position that the primary reported after ``asked_at``."""
-        group, position = primary.group, Position(*answer.position)
+    def primary_answered(self, group: str) -> None:
+        """Record that the group's primary is not lost."""
         self._blocked.pop(group, None)
-        before = self._last_answers.get(group)
-        if before is not None and before.primary == primary.target.name:
-            position = max(position, before.position)
-        self._last_answers[group] = _LastAnswer(
-            primary.target.name,
-            position,
-            asked_at - answer.age_s,
-            frozenset(self._directory.view.vms),
-        )
-
-    def describe_last_answer(self, group: str) -> str:
-        """Return how far the primary's log was known to go, for a log line."""
-        last = self._last_answers.get(group)
-        if last is None:
-            return "unknown"
-        age_s = clock.now() - last.at
-        return f"{last.primary} {tuple(last.position)}, {age_s:.2f} s old"
 
     def missing(self, group: str) -> list[str]:
         """Return the recorded replicas that are not registered any more, for a line."""
@@ -132,13 +96,42 @@
         members = self._directory.members(group, primary)
         return replica_set.is_complete(recorded, primary, members)
 
-    async def maintain(
+    def maintain(
+        self,
+        primary: TargetState,
+        claim: RecordedOwnership,
+        followers: list[TargetState],
+    ) -> None:
+        """Record replicas that joined, and remove those that left after a proof.
+
+        That runs on in the background, so that it never delays the next check.
+        """
+        task = self._tasks.get(primary.group)
+        if task is None or task.done():
+            coroutine = self._maintain(primary, claim, followers)
+            self._tasks[primary.group] = asyncio.ensure_future(coroutine)
+
+    async def settled(self) -> None:
+        """Wait for what runs in the background."""
+        await asyncio.gather(*self._tasks.values())
+
+    async def _maintain(
+        self,
+        primary: TargetState,
+        claim: RecordedOwnership,
+        followers: list[TargetState],
+    ) -> None:
+        try:
+            await self._update(primary, claim, followers)
+        except Exception as exc:
+            log.error("replacer: check failed", group=primary.group, exc_info=exc)
+
+    async def _update(
         self,
         primary: TargetState,
         claim: RecordedOwnership,
         followers: list[TargetState],
     ) -> None:
-        """Record replicas that joined, and remove those that left after a proof."""
         group, name = primary.group, primary.target.name
         recorded = self._directory.replica_sets.get(group)
         members = self._directory.members(group, name)
@@ -222,7 +215,7 @@
         now, before = clock.now(), self._blocked.get(group)
         if before is not None and now - before.at < BLOCKED_RETRY_S:
             return None
-        end = await self._observed_end(group, primary)
+        end = await self._positions.observed_end(group, primary)
         states = await self._replicas.send(followers, statement.STATUS)
         blocked = _Blocked(now, {one.name: one.received for one in states})
         self._blocked[group] = blocked
@@ -236,45 +229,10 @@
             obstacle=Obstacle.MISSING_REPLICA.name,
             followers=format_positions(states),
             missing=self.missing(group),
-            primary=self.describe_last_answer(group),
+            primary=self._positions.describe_last_answer(group),
         )
         return None
 
-    async def _observed_end(self, group: str, primary: str) -> Position | None:
-        """Return the highest position that a node saw in the primary's log, if known.
-
-        Every acknowledgement passes through a node, so a replica that has received
-        this has every acknowledged commit, whatever the other replicas hold.
-        """
-        last = self._last_answers.get(group)
-        if last is None or primary not in ("", last.primary):
-            return None
-        age_s = clock.now() - last.at
-        names = last.nodes.union(self._directory.view.vms)
-        answers = await asyncio.gather(
-            *(self._ask_node(group, name, name in last.nodes) for name in names)
-        )
-        return replica_set.highest_observed(last.position, age_s, answers)
-
-    async def _ask_node(
-        self, group: str, name: str, must_have_run: bool
-    ) -> ObservedPosition | None:
-        """Ask a node for the highest position that it observed, None if unanswered.
-
-        A node that was not registered at the last answer of the primary has observed
-        everything that it passed on since, however short it has been running.
-        """
-        msg = GroupPositionRequest(group)
-        try:
-            answer = await self._peers.call(name, msg, PROBE_TIMEOUT_S)
-        except (NotSent, StreamLost, TimeoutError) as exc:
-            log.info("replacer: node silent", holder=name, error=repr(exc))
-            return None
-        if not isinstance(answer, GroupPosition):
-            return None
-        uptime_s = answer.uptime_s if must_have_run else float("inf")
-        return ObservedPosition(Position(*answer.position), uptime_s)
-
 
 def _format_runs(runs: Iterable[TargetRun]) -> list[str]:
     """Return the runs for a log line, as name and start."""
--- a/lavenderstack/node/replica_sets_test.py
+++ b/lavenderstack/node/replica_sets_test.py
@@ -7,9 +7,10 @@
 from lavenderstack.core.position import START
 from lavenderstack.core.replica_set import ReplicaSet, TargetRun
 from lavenderstack.core.statement import StatementKind
+from lavenderstack.core.view import Vm
 from lavenderstack.core.work_messages import GroupPosition
 from lavenderstack.node import replica_sets
-from lavenderstack.node.backend import ClaimLost, OrderRefused, OrderUnanswered
+from lavenderstack.node.backend import ClaimLost
 from lavenderstack.node.replacer_test import ReplacerHarness
 
 
@@ -52,6 +53,74 @@
         assert harness.group.incomplete == []
 
 
+class TestObjectionOfANode:
+    """A node has acknowledged more than the replica set would allow for."""
+
+    async def commit_through_one_that_is_not_counted(self):
+        harness = ReplacerHarness()
+        await harness.check(2)
+        harness.revision += 1
+        harness.directory.drop_target("t3", harness.revision)
+        harness.directory.as_of = harness.revision
+        await harness.check()
+        assert harness.replacer._sets.is_complete("g", "t1")
+        harness.targets["t2"].deaf = True
+        harness.commit_through("n2")
+        return harness
+
+    async def test_commits_of_a_replica_without_a_report_are_not_lost(self):
+        harness = await self.commit_through_one_that_is_not_counted()
+        harness.primary_answers = False
+        await harness.check(2)
+        assert harness.group.incomplete == []
+
+    async def test_commits_of_a_replica_without_a_report_survive_a_planned_change(self):
+        harness = await self.commit_through_one_that_is_not_counted()
+        harness.put_target("t1", leaving=True)
+        await harness.check()
+        assert harness.group.incomplete == []
+
+    async def test_a_restart_that_the_view_does_not_show_yet_loses_no_commit(self):
+        harness = ReplacerHarness()
+        await harness.check(2)
+        harness.targets["t2"].deaf = True
+        harness.commit_through("n2")
+        harness.targets["t3"].received = 0
+        harness.primary_answers = False
+        await harness.check()
+        assert harness.group.incomplete == []
+
+    async def test_silent_nodes_do_not_stop_a_promotion_from_a_complete_set(self):
+        harness = ReplacerHarness()
+        await harness.check(2)
+        harness.observed.clear()
+        harness.primary_answers = False
+        await harness.check()
+        assert harness.primary != "t1"
+
+
+class TestNodeWhoseRegistrationEnded:
+    """It may serve on for some seconds without the store."""
+
+    @pytest.mark.parametrize("back", [False, True])
+    async def test_what_it_acknowledged_is_not_lost(self, back):
+        harness = ReplacerHarness()
+        node = Vm("n3", "z1", "10.0.0.3", 1)
+        harness.directory.put_member(node)
+        await harness.check(2)
+        harness.directory.drop_member("n3")
+        await harness.check()
+        harness.targets["t2"].deaf = True
+        harness.commit_through("n3")
+        harness.drop_target("t3")
+        if back:
+            harness.observed["n3"] = GroupPosition(START, uptime_s=0.0)
+            harness.directory.put_member(node)
+        harness.primary_answers = False
+        await harness.check()
+        assert harness.group.incomplete == []
+
+
 class TestReplicaThatStartedAgain:
     """A target that starts again under its name holds nothing of before."""
 
@@ -125,103 +194,6 @@
         assert harness.replacer._sets.missing("g") == ["t4#0"]
 
 
-class TestOrderWithoutAnAnswer:
-    """It may be carried out seconds later."""
-
-    async def send_unanswered(self, leaving=False):
-        harness = ReplacerHarness()
-        await harness.check(2)
-        sent = []
-
-        async def unanswered(group, target, node, epoch):
-            sent.append((group, target, node, epoch))
-            raise OrderUnanswered("lost")
-
-        orders = type("Orders", (), {"promote": staticmethod(unanswered)})
-        harness.replacer._promoter._orders = orders
-        if leaving:
-            harness.put_target("t1", leaving=True)
-        else:
-            harness.primary_answers = False
-        await harness.check()
-        harness.replacer._promoter._orders = harness.group
-        return harness, sent[0]
-
-    @pytest.mark.parametrize("leaving", [False, True])
-    async def test_nothing_is_acknowledged_that_it_would_lose(self, leaving):
-        harness, order = await self.send_unanswered(leaving)
-        harness.targets[order[1]].deaf = True
-        harness.commit_through("n2")
-        await harness.group.promote(*order)
-        assert harness.group.incomplete == []
-
-    async def test_it_has_no_effect_once_the_replicas_are_resumed(self):
-        harness, order = await self.send_unanswered()
-        harness.primary_answers = True
-        await harness.check()
-        assert not harness.targets["t2"].paused
-        with pytest.raises(OrderRefused):
-            await harness.group.promote(*order)
-        assert harness.primary == "t1"
-
-
-class TestPause:
-    async def test_a_new_owner_resumes_what_a_former_one_left_paused(self):
-        """Writes would stay without an answer as long as replicas are paused."""
-        harness = ReplacerHarness()
-        harness.targets["t2"].paused, harness.targets["t2"].paused_term = True, 2
-        await harness.check(2)
-        assert not harness.targets["t2"].paused
-        assert harness.group.epochs
-        assert harness.primary == "t1"
-
-    async def test_an_owner_whose_lease_ended_resumes_nothing(self):
-        """The next owner may have paused the replicas by then."""
-        harness = ReplacerHarness()
-        await harness.check(2)
-        harness.targets["t2"].silent = True
-        harness.primary_answers = False
-        pause = harness.replacer._replicas.pause
-
-        async def pause_and_freeze(group, states):
-            answers = await pause(group, states)
-            harness.claims.valid_s = 0.0
-            return answers
-
-        harness.replacer._replicas.pause = pause_and_freeze
-        await harness.check()
-        assert harness.targets["t3"].paused
-
-    async def test_a_new_owner_pauses_above_the_term_of_the_replicas(self):
-        """A target ignores a PAUSE that is not above its term."""
-        harness = ReplacerHarness()
-        for one in harness.targets.values():
-            one.term, one.received = 3, 5
-        await harness.claims.claim("g")
-        terms = []
-        pause = harness.replacer._replicas.send
-
-        async def send(states, command):
-            if command.kind is StatementKind.PAUSE:
-                terms.append(int(command.body))
-            return await pause(states, command)
-
-        harness.replacer._replicas.send = send
-        harness.primary_answers = False
-        await harness.check()
-        assert terms[-1] > 3
-        assert harness.primary != "t1"
-
-    async def test_none_takes_over_while_a_replica_does_not_pause(self):
-        harness = ReplacerHarness()
-        await harness.check(2)
-        harness.targets["t3"].term = 99
-        harness.replacer._replicas.record_term = lambda group, term: None
-        harness.primary_answers = False
-        await harness.check()
-        assert harness.group.epochs == []
-
-
 class TestReplacementAfterAReplicaLeft:
     """The group is served on as soon as no commit can be lost."""
 
