Close connections that are released to a closed pool

Seen by operators: after a change of a group's targets the holder of each target is replaced and its pool closed. A connection that served a statement at that moment went back to the idle ones of the closed pool.

Cause: Pool.close closed what was idle and set the limit to 0; Pool.release knew nothing of the close.

The fix: the pool records that it is closed, and release, the one way back for every connection handed out, closes instead of keeping.

--- a/lavenderstack/node/pool.py
+++ b/lavenderstack/node/pool.py
@@ -47,6 +47,7 @@
     limit: int
     in_use: int = 0
     _idle: deque[_Idle] = field(default_factory=deque)
+    _closed: bool = False
 
     async def acquire(self) -> TargetConn:
         """Return a connection for exclusive use, opening one if none is idle.
@@ -91,9 +92,13 @@
         return True
 
     def release(self, conn: TargetConn) -> None:
-        """Return a connection to the pool; close it if broken or in a transaction."""
+        """Return a connection to the pool; close it unless it may be used again.
+
+        It may not if it is broken or in a transaction, or if the pool is closed:
+        nobody acquires or sweeps the idle connections of a closed pool.
+        """
         self.in_use -= 1
-        if conn.broken or conn.in_transaction:
+        if self._closed or conn.broken or conn.in_transaction:
             conn.close()
             return
         self._idle.append(_Idle(conn, clock.now()))
@@ -122,6 +127,7 @@
             self._idle.pop().conn.close()
 
     def close(self) -> None:
-        """Close idle connections and open no more; users keep those in use."""
+        """Close idle connections and open no more; close those in use on release."""
+        self._closed = True
         self.drop_idle()
         self.limit = 0
