Refuse and log pages of another store than the report's

Seen by operators: a node that fetches all entries page by page from another node dropped the pages it had, without a line, if the other was restarted onto another store in between; only a slow start or a stale view showed it. Worse, `_fetch_all` compared pages only with each other, so pages of the own store that followed a report of another store were applied, and that report then proved the view current.

Cause: the store of the report was not passed on to the fetch, and a fetch that was given up looked to apply_report like one that was done.

The fix: the report's store id goes with the fetch; a page of another store raises StoreChanged, which apply_report already logs and refuses, and a fetch that was given up (the other node restarted, no entries yet) proves nothing.

The other reading of the issue's words, that entries are lost when entries of the one store change between two pages, can't happen: a listing counts only up to the lowest of its pages' revisions, so later changes still come.

--- a/lavenderstack/node/relay_links.py
+++ b/lavenderstack/node/relay_links.py
@@ -126,7 +126,8 @@
         return False
     try:
         if report.changes is None:
-            await _fetch_all(relay, addr)
+            if not await _fetch_all(relay, addr, report.store_id):
+                return False
         else:
             relay.apply_changes(report.changes, report.revision, report.store_id)
     except StoreChanged as exc:
@@ -143,20 +144,26 @@
     return True
 
 
-async def _fetch_all(relay: RelayState, addr: Addr) -> None:
-    """Fetch all entries, page by page.
+async def _fetch_all(relay: RelayState, addr: Addr, store_id: str) -> bool:
+    """Fetch all entries of a store, page by page; return whether they were applied.
 
     Pages may have different revisions; together they are complete up to the lowest.
+    Nothing is applied if the other node has restarted and has no entries yet. Raises
+    ``StoreChanged`` if a page is of another store than the report that led here, since
+    neither its entries nor that report's proof may count for the other.
     """
     entries: list[Change] = []
     revisions: list[int] = []
-    store_id, after, more = "", "", True
+    after, more = "", True
     while more:
         page = await relay.pool.call(addr, PageRequest(after=after), FETCH_TIMEOUT_S)
-        if not isinstance(page, EntriesPage) or store_id not in ("", page.store_id):
-            return
+        if not isinstance(page, EntriesPage) or not page.store_id:
+            return False
+        if page.store_id != store_id:
+            raise StoreChanged(f"page of store {page.store_id}, report of {store_id}")
         entries += page.entries
         revisions.append(page.revision)
-        store_id, more = page.store_id, page.more
+        more = page.more
         after = page.entries[-1].key if page.entries else after
     relay.apply_listing(entries, min(revisions), store_id)
+    return True
