Leave a gateway of the store once its watch fails, and leave it only once

Seen by operators: with several store URLs, a store reader whose gateway failed opened its watch at the same gateway each 0.3 s (`relay: watch broken`, again and again) until one of the probes, sent each second, failed there too. If that gateway answered probes but not watches, it stayed for good. And if two calls failed at one gateway at the same time, two were left: of two gateways that is the failed one again.

Cause: only GatewayStore._call moved to the next gateway, by adding one without looking whether another call had left the gateway meanwhile; watch did not move at all.

The fix: calls and watches take their URL from one context manager, which leaves the gateway if the block fails and nothing else has left it since the block began.

--- a/lavenderstack/border/store.py
+++ b/lavenderstack/border/store.py
@@ -180,7 +180,8 @@
 class GatewayStore:
     """Adapter for an etcd store behind the JSON gateways at ``urls``.
 
-    One gateway is used until a call fails, then the next. Use ``open_store``.
+    One gateway is used until a call or a watch fails, then the next. Use
+    ``open_store``.
     """
 
     def __init__(self, session: aiohttp.ClientSession, urls: Sequence[str]) -> None:
@@ -189,24 +190,34 @@
         self._url_index = 0
         self.calls = 0
 
-    def _url(self, path: str) -> str:
-        self.calls += 1
-        return self._urls[self._url_index % len(self._urls)] + path
+    @asynccontextmanager
+    async def _gateway(self, path: str) -> AsyncIterator[str]:
+        """Give the URL of ``path`` at the current gateway; leave it if the block fails.
 
-    async def _call(self, path: str, body: dict, timeout_s: float) -> dict:
-        timeout = aiohttp.ClientTimeout(timeout_s, sock_connect=CONNECT_TIMEOUT_S)
-        url = self._url(path)
+        Several blocks that fail at one gateway leave it once, so that none of the
+        others is skipped. A compacted revision is no failure of the gateway.
+        """
+        self.calls += 1
+        index = self._url_index
         try:
-            async with (
-                _translate_errors(),
-                self._session.post(url, json=body, timeout=timeout) as answer,
-            ):
-                answer.raise_for_status()
-                return await answer.json()
+            async with _translate_errors():
+                yield self._urls[index % len(self._urls)] + path
+        except Compacted:
+            raise
         except StoreError:
-            self._url_index += 1
+            if self._url_index == index:
+                self._url_index += 1
             raise
 
+    async def _call(self, path: str, body: dict, timeout_s: float) -> dict:
+        timeout = aiohttp.ClientTimeout(timeout_s, sock_connect=CONNECT_TIMEOUT_S)
+        async with (
+            self._gateway(path) as url,
+            self._session.post(url, json=body, timeout=timeout) as answer,
+        ):
+            answer.raise_for_status()
+            return await answer.json()
+
     async def get(self, key: str) -> Change | None:
         """Return the entry under the key, if any."""
         answer = await self._call("/v3/kv/range", {"key": _encode(key)}, READ_TIMEOUT_S)
@@ -287,18 +298,14 @@
         }
         timeout = aiohttp.ClientTimeout(None, sock_connect=CONNECT_TIMEOUT_S)
         body = {"create_request": create}
-        async with (
-            _translate_errors(),
-            self._session.post(
-                self._url("/v3/watch"), json=body, timeout=timeout
-            ) as answer,
-        ):
-            answer.raise_for_status()
-            async for line in _split_lines(answer.content):
-                batch = _parse_batch(json.loads(line)["result"], tuple(prefixes))
-                if batch.changes:
-                    yield batch
-        raise StoreOutcomeUnknown("watch ended")
+        async with self._gateway("/v3/watch") as url:
+            async with self._session.post(url, json=body, timeout=timeout) as answer:
+                answer.raise_for_status()
+                async for line in _split_lines(answer.content):
+                    batch = _parse_batch(json.loads(line)["result"], tuple(prefixes))
+                    if batch.changes:
+                        yield batch
+            raise StoreOutcomeUnknown("watch ended")
 
 
 async def _split_lines(content: aiohttp.StreamReader) -> AsyncIterator[bytes]:
--- a/lavenderstack/border/store_test.py
+++ b/lavenderstack/border/store_test.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import itertools
+import json
 from contextlib import asynccontextmanager
 
 import aiohttp
 import pytest
+from aiohttp import web
 from aiohttp.test_utils import TestServer
 
 from lavenderstack.border.store import (
@@ -194,6 +196,53 @@
                 await backend.store.get("a")
             assert await backend.store.get("a") is None
 
+    @pytest.mark.parametrize("is_open", [False, True])
+    async def test_a_failed_watch_is_tried_at_the_next_gateway(self, is_open):
+        async with (
+            running_backend("gateway") as backend,
+            running_backend("gateway") as other,
+        ):
+            await backend.store.swap("a/x", b"1", 0)
+            await other.store.swap("a/x", b"2", 0)
+            backend.store._urls.append(other.store._urls[0])
+            watch = backend.store.watch(["a/"], 0)
+            if is_open:
+                assert (await anext(watch)).changes[0].value == b"1"
+            await backend.inject_fault("outage")
+            with pytest.raises(StoreError):
+                await asyncio.wait_for(anext(watch), 5)
+            again = backend.store.watch(["a/"], 0)
+            batch = await asyncio.wait_for(anext(again), 5)
+            assert batch.changes[0].value == b"2"
+            await again.aclose()
+
+    async def test_a_compacted_revision_is_no_failure_of_the_gateway(self):
+        async def answer(_):
+            result = {"canceled": True, "compact_revision": "5"}
+            return web.Response(text=json.dumps({"result": result}) + "\n")
+
+        app = web.Application()
+        app.router.add_post("/v3/watch", answer)
+        async with (
+            TestServer(app) as server,
+            open_store([str(server.make_url("")), "unused"]) as store,
+        ):
+            for _ in range(2):
+                with pytest.raises(Compacted):
+                    await anext(store.watch(["a/"], 2))
+
+    async def test_calls_that_fail_at_once_do_not_skip_the_next_gateway(self):
+        async with (
+            running_backend("gateway") as backend,
+            running_backend("gateway") as other,
+        ):
+            backend.store._urls.append(other.store._urls[0])
+            await backend.inject_fault("outage")
+            calls = [backend.store.get("a") for _ in range(2)]
+            failures = await asyncio.gather(*calls, return_exceptions=True)
+            assert all(isinstance(exc, StoreError) for exc in failures)
+            assert await backend.store.get("a") is None
+
     @pytest.mark.parametrize("fault", ["rollback", "new_cluster"])
     async def test_a_restart_shows_in_revision_or_store_id(self, fault):
         async with running_backend("gateway") as backend:
