Announce a key again when its grant is repeated

Seen by operators: a grant that was stored but could not be passed on answers 202 (`stored`, not yet known in force). Sending it again answered 200 (`accepted`: in the store and passed on to the zone's store readers) at once, though nothing was passed on: callers with the new key were still refused on a node cut off from the others. Nor was there a line of it. With a store older than the view, a grant repeated after a withdrawal was `accepted` too, while the key stayed withdrawn on every node.

Cause: admin.grant took an equal stored entry for a change in force and returned Accepted itself, without the relay.

The fix: the writer's announcement of an entry that is already stored, until now used only for lists and groups sent again, is a method of its own, and a repeated grant goes through it: refused if the view has a later entry, Stored until the announcement succeeds, Accepted after. The repeat is logged as `admin: change`, a line there is.

--- a/lavenderstack/border/admin.py
+++ b/lavenderstack/border/admin.py
@@ -236,14 +236,17 @@
         return web.json_response(body)
 
     async def grant(self, req: web.Request) -> web.Response:
-        """Grant a new key; repeating the same grant succeeds."""
+        """Grant a new key; repeating the same grant announces it again."""
         digest = _digest(req)
         model = documents.KeyModel.model_validate(await _read_body(req))
         document = {"organisation": model.organisation, "withdrawn": False}
         entry = await self._writer.read(f"lavenderstack/keys/{digest}")
         stored = document_of(entry) or {}
         if entry and document.items() <= stored.items():
-            return answer(Accepted(entry.revision), stored, stored.get(CHANGE_ID, ""))
+            change_id = stored.get(CHANGE_ID, "")
+            outcome = await self._writer.put_into_force(entry)
+            _log_change(req, f"keys/{digest}", change_id, outcome)
+            return answer(outcome, stored, change_id)
         if entry:
             outcome = Conflict(entry)
             return answer(outcome, document, _change_id(req))
--- a/lavenderstack/border/admin_test.py
+++ b/lavenderstack/border/admin_test.py
@@ -252,6 +252,34 @@
             missing = "/v1/keys/" + "0" * 64 + "/withdraw"
             assert (await call(client, "POST", missing))[0] == 404
 
+    async def test_a_repeated_grant_is_accepted_only_once_it_is_in_force(self):
+        async with running_api() as (client, _, relay):
+            digest = keys.digest_of("secret")
+            path, body = f"/v1/keys/{digest}", {"organisation": "o1"}
+            relay.is_cut_off = True
+            answers = [await call(client, "PUT", path, body) for _ in range(2)]
+            assert [status for status, _ in answers] == [202, 202]
+            assert digest not in relay.view.keys
+            relay.is_cut_off = False
+            status, repeated = await call(client, "PUT", path, body)
+            assert (status, repeated["outcome"]) == (200, "accepted")
+            assert relay.view.keys[digest].organisation == "o1"
+            first = answers[0][1]
+            assert repeated["revision"] == first["revision"]
+            assert repeated["change_id"] == first["change_id"]
+
+    async def test_a_store_older_than_a_withdrawal_accepts_no_repeated_grant(self):
+        async with running_api() as (client, store, relay):
+            digest = keys.digest_of("secret")
+            path, body = f"/v1/keys/{digest}", {"organisation": "o1"}
+            await call(client, "PUT", path, body)
+            older = dict(store.memory.entries)
+            await call(client, "POST", path + "/withdraw")
+            store.memory.entries = older
+            status, answer = await call(client, "PUT", path, body)
+            assert (status, answer["outcome"]) == (503, "not_changed")
+            assert relay.view.keys[digest].withdrawn
+
     async def test_neither_keys_nor_whole_digests_are_logged(self):
         with capture_logs() as logs:
             async with running_api() as (client, _, _relay):
--- a/lavenderstack/border/changes.py
+++ b/lavenderstack/border/changes.py
@@ -68,6 +68,8 @@
 
 Outcome = Accepted | Stored | Conflict | NotChanged | MaybeChanged
 
+_STORE_IS_OLDER = NotChanged("the store is older than the entry in force")
+
 
 class AdminRelay(Protocol):
     """The part of the relay that the operators' API uses."""
@@ -147,11 +149,22 @@
             return NotChanged("the store is unreachable")
         known_entry = self._relay.snapshot.entries[key]
         if current is None or current.revision < known_entry.revision:
-            return NotChanged("the store is older than the entry in force")
+            return _STORE_IS_OLDER
         if change_id_of(current) != document[CHANGE_ID]:
             return Conflict(current)
-        in_force = await self._relay.announce(current)
-        return (Accepted if in_force else Stored)(current.revision)
+        return await self.put_into_force(current)
+
+    async def put_into_force(self, stored: Change) -> Outcome:
+        """Announce an entry read from the store and return its change's outcome.
+
+        For a change that is sent again: it may have been stored without having been
+        passed on.
+        """
+        known_entry = self._relay.snapshot.entries.get(stored.key)
+        if known_entry is not None and stored.revision < known_entry.revision:
+            return _STORE_IS_OLDER
+        in_force = await self._relay.announce(stored)
+        return (Accepted if in_force else Stored)(stored.revision)
 
     async def _swap(
         self, key: str, value: bytes, change_id: str, expected_revision: int
