Keep buffered log lines apart after a partial write

Seen by operators: when the reader of a node's output falls behind and the buffer is full, the rest of a partial write, up to 256 KiB, was dropped in one piece and counted as one line. If that piece began within a line, the reader got the begun half joined to a later line, which is no JSON, so a line of the kept ones was lost too.

Cause: flush put what was not written back as one element, though msg drops and counts elements; and msg dropped the first one even if the reader already had its beginning.

The fix: after a write only what was written is removed, so that every element stays a line or, for the first one only, the rest of a begun line. A begun line is never dropped for want of room; the oldest that is wholly in the buffer goes first. So each line that was not written whole counts once.

--- a/lavenderstack/border/log_writer.py
+++ b/lavenderstack/border/log_writer.py
@@ -2,7 +2,8 @@
 
 Lines are collected and written in batches. Data that the descriptor does not accept
 immediately is buffered up to a limit; beyond it the oldest lines are dropped and
-counted.
+counted. A line that was written in part is completed, since another one would
+otherwise continue it.
 """
 
 import asyncio
@@ -23,6 +24,7 @@
         self._fd = fd
         self._lines: deque[bytes] = deque()
         self._buffered_b = 0
+        self._has_begun_line = False  # the first line has only its rest buffered
         self._timer: asyncio.TimerHandle | None = None
 
     def msg(self, line: str) -> None:
@@ -30,8 +32,10 @@
         data = line.encode() + b"\n"
         self._lines.append(data)
         self._buffered_b += len(data)
-        while self._buffered_b > MAX_BUFFERED_B and len(self._lines) > 1:
-            self._buffered_b -= len(self._lines.popleft())
+        oldest = 1 if self._has_begun_line else 0
+        while self._buffered_b > MAX_BUFFERED_B and len(self._lines) > oldest + 1:
+            self._buffered_b -= len(self._lines[oldest])
+            del self._lines[oldest]
             self.dropped += 1
         if self._timer is None:
             self._schedule_flush(FLUSH_DELAY_S)
@@ -64,10 +68,16 @@
                 self.dropped += len(self._lines)
                 self._lines.clear()
                 self._buffered_b = 0
+                self._has_begun_line = False
                 return True
-            self._lines.clear()
-            self._buffered_b = 0
-            if written < len(data):
-                self._lines.append(data[written:])
-                self._buffered_b = len(data) - written
+            self._remove_written(written)
         return True
+
+    def _remove_written(self, written_b: int) -> None:
+        """Remove what was written from the buffer, which keeps its lines apart."""
+        self._buffered_b -= written_b
+        while written_b and written_b >= len(self._lines[0]):
+            written_b -= len(self._lines.popleft())
+        self._has_begun_line = written_b > 0
+        if written_b:
+            self._lines[0] = self._lines[0][written_b:]
--- a/lavenderstack/border/log_writer_test.py
+++ b/lavenderstack/border/log_writer_test.py
@@ -65,3 +65,38 @@
         writer.msg("one")
         assert writer.flush()
         assert writer.dropped == 1
+
+
+class TestDroppedLines:
+    async def test_each_line_that_a_closed_reader_did_not_get_whole_counts(self, pipe):
+        read, write = pipe
+        writer = LogWriter(write)
+        for _ in range(1000):
+            writer.msg("x" * 199)
+        assert not writer.flush()
+        received = os.read(read, 1 << 20)
+        os.close(read)
+        assert writer.flush()
+        assert received.count(b"\n") + writer.dropped == 1000
+
+    @pytest.mark.parametrize("length", [66, 1000])
+    async def test_a_line_that_was_begun_is_completed_when_others_are_dropped(
+        self, pipe, length
+    ):
+        read, write = pipe
+        writer = LogWriter(write)
+        count = 3 * MAX_BUFFERED_B // length
+        for number in range(count):
+            writer.msg(f"{number:06d}".ljust(length, "x"))
+            writer.flush()
+        received = b""
+        while not writer.flush():
+            received += os.read(read, 1 << 20)
+        os.close(write)
+        while data := os.read(read, 1 << 20):
+            received += data
+        lines = received.decode().splitlines()
+        assert {len(line) for line in lines} == {length}
+        assert len(lines) + writer.dropped == count
+        assert writer.dropped > 0
+        assert lines[-1].startswith(f"{count - 1:06d}")
