Give every refusal that may pass by itself a time to come back

Seen by callers: `BUSY` and `READONLY` answers over the platform's lines for want of a slot in time, of the primary's position or of a primary at BEGIN named no time to come back (`no slot in time`), while those over the rate or for a long queue did. Refused says that None means retrying does not help, so the answer said the opposite of what its code says. Callers over HTTP saw 0.25 s, as border/answers.py filled in by status what the refusal lacked.

Cause: the time was left to each place that raises Refused, and several gave none (slots, admission, primary_positions, target_state_cache, target_holder, executor); besides, the executor dropped it when a target refused to begin a transaction.

The fix: Refused itself fills in 0.25 s unless its reason is one of nine that don't pass by themselves, so no place can forget it and a new reason has a time until it is named permanent. answers.py needs no default of its own any more; a test holds the time to the status (429 and 503, and no other) for every reason that has one. The executor lets a target's refusal pass to its one conversion, and a line without a detail names the reason before the time.

Not changed: a refusal with a time of 0 s, given where a deadline has passed before anything was sent; and failures of the dispatch and the executor that were never a Refused (no primary known, no holder reached, an error of the target to the statement).

--- a/lavenderstack/border/answers.py
+++ b/lavenderstack/border/answers.py
@@ -16,7 +16,6 @@
 
 # Up to this share is added to a retry time, so that callers do not retry all at once.
 RETRY_JITTER_SHARE = 0.25
-DEFAULT_RETRY_S = 0.25  # if the refusal gives no retry time
 
 STATUS_OF_REFUSAL: dict[Reason, int] = {
     Reason.BAD_REQUEST: 400,
@@ -39,9 +38,6 @@
 }
 STATUS_OF_UNKNOWN = 504
 
-# Statuses of refusals after which the same request may succeed a little later.
-_RETRYABLE_STATUSES = frozenset({429, 503})
-
 _encoder = msgspec.json.Encoder()
 
 
@@ -98,10 +94,7 @@
 def refused(request_id: str, exc: Refused) -> web.Response:
     """Return the response to a request that was not run."""
     status = STATUS_OF_REFUSAL.get(exc.reason, 503)
-    base_retry_s = exc.retry_after_s
-    if base_retry_s is None and status in _RETRYABLE_STATUSES:
-        base_retry_s = DEFAULT_RETRY_S
-    retry_after_s = _jittered(base_retry_s)
+    retry_after_s = _jittered(exc.retry_after_s)
     body = RefusedAnswer(
         request_id=request_id,
         reason=exc.reason,
--- a/lavenderstack/border/callers_test.py
+++ b/lavenderstack/border/callers_test.py
@@ -6,7 +6,7 @@
 import aiohttp
 import pytest
 
-from lavenderstack.border.answers import Done
+from lavenderstack.border.answers import STATUS_OF_REFUSAL, Done
 from lavenderstack.border.callers import make_app
 from lavenderstack.border.listener import listening
 from lavenderstack.border.settings import Callers
@@ -151,6 +151,15 @@
             assert resp.headers["Retry-After"] == "1"
             assert min_s <= answer["retry_after_s"] <= max_s
 
+    @pytest.mark.parametrize("reason", sorted(STATUS_OF_REFUSAL))
+    async def test_the_status_agrees_with_the_retry_time(self, reason):
+        async with running_service() as (service, http, _):
+            service.outcome = Refused(reason)
+            resp, answer = await post(http, json=BODY)
+            has_time = answer["retry_after_s"] is not None
+            assert has_time is (resp.status in (429, 503))
+            assert ("Retry-After" in resp.headers) is has_time
+
     async def test_a_permanent_refusal_has_no_retry_time(self):
         async with running_service() as (service, http, _):
             service.outcome = Refused(Reason.NOT_ALLOWED)
--- a/lavenderstack/core/outcome.py
+++ b/lavenderstack/core/outcome.py
@@ -37,17 +37,37 @@
     OUTCOME_UNKNOWN = "outcome_unknown"
 
 
+# Reasons that don't pass by themselves, so that sending the request again is no use.
+_PERMANENT = frozenset(
+    {
+        Reason.BAD_REQUEST,
+        Reason.BAD_TOKEN,
+        Reason.NO_KEY,
+        Reason.KEY_REFUSED,
+        Reason.NOT_ALLOWED,
+        Reason.UNKNOWN_GROUP,
+        Reason.STATEMENT_FAILED,
+        Reason.TRANSACTION_LOST,
+        Reason.NO_PREPARED,
+    }
+)
+# For the other reasons, where the time until the cause has passed is not known.
+DEFAULT_RETRY_S = 0.25
+
+
 class Refused(Exception):
     """The request was not run.
 
     ``retry_after_s`` is the time in seconds after which to retry, None if retrying does
-    not help.
+    not help. A reason that may pass by itself never comes without a time.
     """
 
     def __init__(
         self, reason: Reason, detail: str = "", retry_after_s: float | None = None
     ):
         super().__init__(reason, detail)
+        if retry_after_s is None and reason not in _PERMANENT:
+            retry_after_s = DEFAULT_RETRY_S
         self.reason = reason
         self.detail = detail
         self.retry_after_s = retry_after_s
--- a/lavenderstack/node/executor.py
+++ b/lavenderstack/node/executor.py
@@ -213,9 +213,9 @@
                     # attempt opens a new one.
                     self.connections.discard(pooled)
                     continue
-            except Refused as exc:
+            except Refused:
                 self.connections.release(pooled)
-                return failure(False, exc.reason, exc.detail)
+                raise
             except asyncio.CancelledError:
                 self.connections.discard(pooled)
                 raise
--- a/lavenderstack/node/session.py
+++ b/lavenderstack/node/session.py
@@ -320,7 +320,8 @@
         wrote = statement.writes or (tx is not None and tx.wrote)
         detail = failed.detail
         if failed.retry_after_s is not None:
-            detail = f"{detail}, retry after {int(failed.retry_after_s * 1000)} ms"
+            retry_ms = int(failed.retry_after_s * 1000)
+            detail = f"{detail or reason.value}, retry after {retry_ms} ms"
         if tx is None:
             return _error_reply(_autocommit_reason(failed, wrote), detail)
         if statement.kind is StatementKind.COMMIT:
--- a/lavenderstack/node/session_test.py
+++ b/lavenderstack/node/session_test.py
@@ -200,6 +200,15 @@
         assert reply.reason is reason
         assert (reply.reason in NOT_RUN_REASONS) == (not failed.run)
 
+    @pytest.mark.parametrize("detail", ["", "no slot in time"])
+    async def test_a_refusal_with_a_time_says_why_and_when(self, detail):
+        failed = Failed(
+            run=False, reason=Reason.DEADLINE, detail=detail, retry_after_s=0.25
+        )
+        sess, _ = session(answers=[failed])
+        reply = await sess.run("q", WRITE)
+        assert reply.detail == f"{detail or 'deadline'}, retry after 250 ms"
+
     @pytest.mark.parametrize("reason", [Reason.CONNECTION_LOST, Reason.TIMED_OUT])
     async def test_a_transaction_that_fails_before_its_commit_is_lost(self, reason):
         sess, fake = session(
