Refuse a transaction that was begun while its holder was replaced

Seen by callers: BEGIN answered with a name, and the first statement under it was refused with `transaction_lost`, as the new holder knows no such transaction. Seen by operators: the transaction stayed open at the target with its connection, since the old holder is swept no more, until the target itself gave it up.

Cause: retire rolls back the transactions that are open; one whose BEGIN was under way was added to the old holder afterwards.

The fix: the holder records that it is retired, and looks at that between the end of BEGIN and the adding, where nothing is awaited: the connection is closed, which rolls back, and the request refused as `unreachable`, which the router tries again at the new holder.

--- a/lavenderstack/node/target_holder.py
+++ b/lavenderstack/node/target_holder.py
@@ -105,6 +105,7 @@
         self._slots = Slots(target.slots)
         self.transactions = Transactions()
         self._leaving_since: float | None = None
+        self._retired = False
 
     # Checks before a statement is sent.
 
@@ -310,6 +311,11 @@
         async with self._slot(msg, deadline):
             self._check_key(msg.key_digest)
             conn = await self._begin_on_new_connection(term, deadline)
+        if self._retired:
+            # Nobody would find it here to end it, and no sweep would roll it back.
+            conn.close()
+            self._pool.release(conn)
+            raise Refused(Reason.UNREACHABLE, "the holder was replaced", BUSY_RETRY_S)
         location = TransactionName(self.group.name, self.target.name, self._node)
         name = location.generate_name()
         self.transactions.add(name, msg.organisation, conn)
@@ -423,6 +429,7 @@
 
     def retire(self) -> None:
         """Stop taking work; running statements keep their connections until done."""
+        self._retired = True
         for name in self.transactions.names():
             self.roll_back(name)
         self._pool.close()
