Leave no connection open by a probe that was closed

Seen by operators: a request that still waited at a replaced holder, for a position or for the leading term, asked the target's state once more. That opened a new dedicated connection after the close, which nothing closed until the process ended.

Cause: TargetProbe.close closed the connection of the moment; a query opens one if there is none.

The fix: the probe records that it is closed, and a query that ends after that closes its connection, also one that was opening during the close.

--- a/lavenderstack/node/probe.py
+++ b/lavenderstack/node/probe.py
@@ -20,6 +20,7 @@
         self._target = target
         self._group = group
         self._conn: TargetConn | None = None
+        self._closed = False
         self._running: asyncio.Task[TargetStatus] | None = None
         self._queued: asyncio.Task[TargetStatus] | None = None
 
@@ -46,6 +47,8 @@
                 self._conn = await self._connect()
             return await self._conn.state(QUERY_TIMEOUT_S)
         finally:
+            if self._closed:
+                self._close_conn()
             if self._running is asyncio.current_task() and self._queued is None:
                 self._running = None
 
@@ -54,6 +57,10 @@
         return await connect(target.host, target.port, self._group, QUERY_TIMEOUT_S)
 
     def close(self) -> None:
-        """Close the dedicated connection."""
+        """Close the dedicated connection; a later query opens one for itself only."""
+        self._closed = True
+        self._close_conn()
+
+    def _close_conn(self) -> None:
         if self._conn is not None:
             self._conn.close()
