Keep one function for the time as of which a reply proves a view

No behaviour changes.

scripts/test.sh core/readers_test.py node/relay_test.py tests/layers_test.py platform/loader_test.py: 476 passed; no test was added, moved or removed.

--- a/lavenderstack/core/view_freshness.py
+++ b/lavenderstack/core/view_freshness.py
@@ -94,18 +94,6 @@
         self.prove(at)
 
 
-def proof_time(sent: float, held_s: float, age_s: float) -> float:
-    """Return as of when an answer proves the view current, on the asker's clock.
-
-    The answer left at least ``held_s`` after the question was sent, and its data was
-    ``age_s`` old by then.
-
-    >>> proof_time(sent=100.0, held_s=0.5, age_s=1.5)
-    99.0
-    """
-    return sent + held_s - age_s
-
-
 def is_complete(snapshot: Snapshot, revision: int, newest: int, count: int) -> bool:
     """Return whether a snapshot holds everything that a probe of the store has seen.
 
--- a/lavenderstack/node/relay_links.py
+++ b/lavenderstack/node/relay_links.py
@@ -16,6 +16,7 @@
 
 from lavenderstack.core.documents import StoreChanged
 from lavenderstack.core.entry import Change
+from lavenderstack.core.readers import proved_at
 from lavenderstack.core.relay_messages import (
     ChangesReport,
     EntriesPage,
@@ -24,7 +25,7 @@
     RefreshRequest,
 )
 from lavenderstack.core.relay_tree import Link
-from lavenderstack.core.view_freshness import StoreReport, proof_time
+from lavenderstack.core.view_freshness import StoreReport
 from lavenderstack.node.relay_state import Addr, RelayState
 from lavenderstack.node.streams import NotSent, StreamLost
 
@@ -135,7 +136,7 @@
     if relay.snapshot.revision < report.revision:
         return False
     if not relay.has_store_proof:
-        relay.prove(proof_time(sent_at, report.held_s, report.age_s))
+        relay.prove(proved_at(sent_at, report.held_s, report.age_s))
     if zone and report.reader:
         store_report = StoreReport(sent_at + report.held_s, report.unreachable)
         relay.freshness.record_report(zone, store_report)
