Move what a session's statement needs, and its replies, out of the session

node/session.py had 403 lines: the session itself, the choice of the access and of how a transaction is opened, and the conversion of answers to replies. The choice is now core/session_transaction.py, the conversion core/session_reply.py; both are decisions without I/O. The functions lost their underscores and got doc comments; no behaviour changes.

--- a/lavenderstack/node/session.py
+++ b/lavenderstack/node/session.py
@@ -11,13 +11,23 @@
 import structlog
 
 from lavenderstack.core import clock
-from lavenderstack.core.catalog import Consistency, Route
+from lavenderstack.core.catalog import Route
 from lavenderstack.core.messages import Failed, Message
 from lavenderstack.core.outcome import Reason
 from lavenderstack.core.position import START, Position
 from lavenderstack.core.reply import Reply, TxState
+from lavenderstack.core.session_reply import (
+    autocommit_reason,
+    error_reply,
+    success_reply,
+)
+from lavenderstack.core.session_transaction import (
+    SessionTransaction,
+    access_for,
+    transaction_start,
+)
 from lavenderstack.core.statement import Prepared, Statement, StatementKind
-from lavenderstack.core.work_messages import Access, EndWork, TransactionStart, WorkDone
+from lavenderstack.core.work_messages import Access, EndWork
 from lavenderstack.node.admitter import Admitter
 from lavenderstack.node.counters import Counters
 from lavenderstack.node.directory import Directory
@@ -37,15 +47,6 @@
 MAX_PREPARED = 256
 
 
-@dataclass(slots=True)
-class _Transaction:
-    read_only: bool
-    node: str = ""
-    target: str = ""
-    name: str = ""
-    wrote: bool = False
-
-
 @dataclass(slots=True)
 class Services:
     """Components of the node that sessions use."""
@@ -75,7 +76,7 @@
     watermark: Position = START
     wrote_at: float = 0.0
     used_at: float = field(default_factory=clock.now)
-    _tx: _Transaction | None = None
+    _tx: SessionTransaction | None = None
     _failed: bool = False
 
     @property
@@ -133,13 +134,13 @@
             return self._rollback()
         if statement.kind is StatementKind.COMMIT:
             self._rollback()
-            return _error_reply(Reason.TRANSACTION_LOST, "rolled back")
-        return _error_reply(Reason.BAD_REQUEST, "the transaction has failed")
+            return error_reply(Reason.TRANSACTION_LOST, "rolled back")
+        return error_reply(Reason.BAD_REQUEST, "the transaction has failed")
 
     def _begin(self, statement: Statement) -> Reply:
         if self._tx is not None:
             return self._refused(Reason.BAD_REQUEST, "a transaction is open")
-        self._tx = _Transaction(statement.read_only)
+        self._tx = SessionTransaction(statement.read_only)
         return Reply()
 
     def _rollback(self) -> Reply:
@@ -148,7 +149,7 @@
             self._end_remote(tx)
         return Reply()
 
-    def _end_remote(self, tx: _Transaction) -> None:
+    def _end_remote(self, tx: SessionTransaction) -> None:
         """Ask the node that holds the transaction to roll it back, in the background.
 
         If the request is lost, that node's idle limit ends the transaction.
@@ -180,7 +181,7 @@
         """Answer with an error, which also makes an open transaction fail."""
         if self._tx is not None:
             self._failed = True
-        return _error_reply(reason, detail)
+        return error_reply(reason, detail)
 
     async def _run_on_target(
         self, request: str, statement: Statement, prepared: Prepared | None
@@ -248,19 +249,19 @@
         statement: Statement,
         prepared: Prepared | None,
         route: Route,
-        tx: _Transaction | None,
+        tx: SessionTransaction | None,
     ) -> Reply:
         """Run a single statement, or the first of a transaction."""
-        access = _access(route, statement, tx)
+        access = access_for(route, statement, tx)
         call = self._call(request, route, statement, prepared, access)
-        call.opens = _opens(route, tx)
+        call.opens = transaction_start(route, tx)
         result = await self.services.dispatcher.run(call)
         reply = self._first_reply(result, call, tx)
         reply.target, reply.holder = result.target, result.node
         return reply
 
     def _first_reply(
-        self, result: DispatchResult, call: Call, tx: _Transaction | None
+        self, result: DispatchResult, call: Call, tx: SessionTransaction | None
     ) -> Reply:
         answer, statement = result.answer, call.statement
         if isinstance(answer, Failed):
@@ -274,7 +275,7 @@
             self._record_write(answer.position)
         elif call.access is not Access.AGED_READ and self.watermark != START:
             self.watermark = max(self.watermark, Position(*answer.position))
-        return _success_reply(answer)
+        return success_reply(answer)
 
     def _record_write(self, position: Position) -> None:
         self.watermark = max(self.watermark, Position(*position))
@@ -286,7 +287,7 @@
         statement: Statement,
         prepared: Prepared | None,
         route: Route,
-        tx: _Transaction,
+        tx: SessionTransaction,
     ) -> Reply:
         """Run a later statement of a transaction."""
         wrote = tx.wrote or statement.writes
@@ -300,7 +301,7 @@
         if isinstance(answer, Failed):
             reply = self._failure_reply(answer, statement)
         else:
-            reply = _success_reply(answer)
+            reply = success_reply(answer)
             if statement.kind is StatementKind.COMMIT:
                 self._tx = None
                 if wrote:
@@ -322,22 +323,22 @@
         if failed.retry_after_s is not None:
             detail = f"{detail}, retry after {int(failed.retry_after_s * 1000)} ms"
         if tx is None:
-            return _error_reply(_autocommit_reason(failed, wrote), detail)
+            return error_reply(autocommit_reason(failed, wrote), detail)
         if statement.kind is StatementKind.COMMIT:
             self._tx = None
             if failed.run and wrote and reason is not Reason.STATEMENT_FAILED:
-                return _error_reply(Reason.OUTCOME_UNKNOWN, detail)
+                return error_reply(Reason.OUTCOME_UNKNOWN, detail)
             if failed.run:
-                return _error_reply(reason, detail)
+                return error_reply(reason, detail)
             self._end_and_clear(tx)
-            return _error_reply(Reason.TRANSACTION_LOST, detail)
+            return error_reply(Reason.TRANSACTION_LOST, detail)
         self._failed = True
         self._end_and_clear(tx)
         if failed.run and reason in (Reason.CONNECTION_LOST, Reason.TIMED_OUT):
-            return _error_reply(Reason.TRANSACTION_LOST, detail)
-        return _error_reply(reason, detail)
+            return error_reply(Reason.TRANSACTION_LOST, detail)
+        return error_reply(reason, detail)
 
-    def _end_and_clear(self, tx: _Transaction) -> None:
+    def _end_and_clear(self, tx: SessionTransaction) -> None:
         if tx.name:
             self._end_remote(tx)
             tx.name = ""
@@ -360,44 +361,3 @@
         """End the session, rolling back an open transaction."""
         if self._tx is not None:
             self._rollback()
-
-
-def _error_reply(reason: Reason, detail: str) -> Reply:
-    return Reply(reason=reason, detail=detail)
-
-
-def _success_reply(answer: WorkDone) -> Reply:
-    return Reply(
-        rows=answer.rows, receipt=answer.receipt, position=Position(*answer.position)
-    )
-
-
-def _autocommit_reason(failed: Failed, wrote: bool) -> Reason:
-    reason = Reason(failed.reason)
-    if failed.run and wrote and reason is Reason.CONNECTION_LOST:
-        return Reason.OUTCOME_UNKNOWN
-    return reason
-
-
-def _opens(route: Route, tx: _Transaction | None) -> TransactionStart:
-    """Return how to open a transaction at the target.
-
-    A target that is no longer the primary continues read-only transactions but refuses
-    others. On routes whose reads must see every acknowledged write, all transactions
-    are therefore opened as read-write.
-    """
-    if tx is None:
-        return TransactionStart.NONE
-    if tx.read_only and route.freshness is not Consistency.PRIMARY:
-        return TransactionStart.READ_ONLY
-    return TransactionStart.READ_WRITE
-
-
-def _access(route: Route, statement: Statement, tx: _Transaction | None) -> Access:
-    if _opens(route, tx) is TransactionStart.READ_WRITE:
-        return Access.WRITE
-    if statement.writes:
-        return Access.WRITE
-    if route.freshness is Consistency.PRIMARY:
-        return Access.CURRENT_READ
-    return Access.AGED_READ
