--- a/lavenderstack/node/target_holder.py
+++ b/lavenderstack/node/target_holder.py
@@ -7,7 +7,6 @@
 a majority that stores it, a fresh read by a majority that is still in the same term.
 """
 
-from collections.abc import Awaitable
 from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass
 from typing import Protocol
@@ -18,8 +17,6 @@
 from lavenderstack.border.target import (
     StatementResult,
     TargetConn,
-    TargetErrorCode,
-    TargetLost,
     TargetRefused,
     TargetUnreachable,
 )
@@ -28,12 +25,12 @@
 from lavenderstack.core.outcome import Reason, Refused, Unknown
 from lavenderstack.core.position import START, Position
 from lavenderstack.core.view import Group, Target, View
-from lavenderstack.node.pool import CONTROL_CONNECTIONS, Pool, PoolExhausted
+from lavenderstack.node.pool import CONTROL_CONNECTIONS, Pool
 from lavenderstack.node.slots import Slots
+from lavenderstack.node.target_runner import ALREADY_APPLIED, TargetRunner
 from lavenderstack.node.target_state_cache import NO_PRIMARY_RETRY_S, TargetStateCache
 from lavenderstack.node.transactions import TransactionName, Transactions
 
-BUSY_RETRY_S = 0.2
 # Share of the pool's connections that open transactions may hold.
 MAX_TRANSACTION_SHARE = 0.5
 AGE_PROOF_TIMEOUT_S = 0.03
@@ -41,9 +38,6 @@
 OPEN_MAX_QUEUED = 50
 LEAVING_GRACE_S = 2.0
 
-# Marks the result of a write that was already applied by an earlier attempt.
-_ALREADY_APPLIED = object()
-
 log = structlog.get_logger()
 
 
@@ -102,6 +96,7 @@
         self._confirmer: ConfirmerInterface = confirmer
         limit = max(1, target.connections - CONTROL_CONNECTIONS)
         self._pool = Pool(target, group.name, limit)
+        self._runner = TargetRunner(self._pool, self.state_cache)
         self._slots = Slots(target.slots)
         self.transactions = Transactions()
         self._leaving_since: float | None = None
@@ -176,9 +171,9 @@
         term = await self.state_cache.leading_term()
         async with self._slot(msg, deadline):
             self._check_key(msg.key_digest)
-            outcome = await self._run(msg, term, deadline)
+            outcome = await self._runner.run(msg, term, deadline)
         holders = await self._confirmer.confirm_write(outcome.last, deadline)
-        repeated = outcome.result is _ALREADY_APPLIED
+        repeated = outcome.result is ALREADY_APPLIED
         return Executed(
             result=None if repeated else outcome.result,
             position=outcome.last,
@@ -196,7 +191,7 @@
         term = await self.state_cache.leading_term() if msg.fresh else 0
         async with self._slot(msg, deadline):
             self._check_key(msg.key_digest)
-            outcome = await self._run(msg, term, deadline)
+            outcome = await self._runner.run(msg, term, deadline)
         if outcome.last < min_position:
             raise Refused(
                 Reason.BEHIND, "the target's log no longer reaches the position"
@@ -230,73 +225,6 @@
                     raise
             await self.state_cache.refresh_or_refuse()
 
-    async def _run(self, msg: Execute, term: int, deadline: float) -> StatementResult:
-        try:
-            async with self._pool.connection() as conn:
-                return await self._run_on(conn, msg, term, deadline)
-        except PoolExhausted as exc:
-            raise Refused(Reason.CROWDED, "no connection", BUSY_RETRY_S) from exc
-        except TargetUnreachable as exc:
-            self._pool.drop_idle()
-            raise Refused(Reason.UNREACHABLE, str(exc), BUSY_RETRY_S) from exc
-        except TargetRefused as exc:
-            raise self._refusal(exc) from exc
-
-    async def _run_on(
-        self, conn: TargetConn, msg: Execute, term: int, deadline: float
-    ) -> StatementResult:
-        left_s = deadline - clock.now()
-        if left_s <= 0:
-            raise Refused(Reason.DEADLINE, "the deadline has passed", 0.0)
-        running = conn.run(
-            msg.statement,
-            msg.args,
-            left_s,
-            write=msg.write,
-            term=term,
-            idempotency_key=msg.idempotency_key,
-        )
-        return await self._await_outcome(running, msg.idempotency_key)
-
-    async def _await_outcome(
-        self, running: Awaitable[StatementResult], idempotency_key: str
-    ) -> StatementResult:
-        """Await a call to the target; raise ``Unknown`` if it may have taken effect."""
-        try:
-            outcome = await running
-        except TargetLost as exc:
-            self._pool.drop_idle()
-            self.state_cache.invalidate()
-            raise Unknown(Reason.CONNECTION_LOST, str(exc)) from exc
-        except TargetRefused as exc:
-            if idempotency_key and exc.code == TargetErrorCode.ALREADY_RUN:
-                return await self._already_run()
-            raise
-        self.state_cache.record_position(outcome.last)
-        return outcome
-
-    async def _already_run(self) -> StatementResult:
-        """Return the result of a repeated write, with the target's current position.
-
-        The write counts as done once the log up to that position is confirmed.
-        """
-        try:
-            state = await self.state_cache.refresh()
-        except (TargetLost, TargetRefused, TargetUnreachable) as exc:
-            raise Unknown(Reason.CONNECTION_LOST, str(exc)) from exc
-        return StatementResult(_ALREADY_APPLIED, state.term, state.last)
-
-    def _refusal(self, exc: TargetRefused) -> Refused:
-        """Convert a target's error for a statement it did not apply to ``Refused``."""
-        if exc.code == TargetErrorCode.STATEMENT_FAILED:
-            return Refused(Reason.STATEMENT_FAILED, exc.detail)
-        if exc.code == TargetErrorCode.TOO_MANY_CONNECTIONS:
-            return Refused(Reason.CROWDED, "no connection", BUSY_RETRY_S)
-        if exc.code == TargetErrorCode.NO_TRANSACTION:
-            return Refused(Reason.TRANSACTION_LOST, exc.detail)
-        self.state_cache.invalidate()
-        return Refused(Reason.NOT_PRIMARY, exc.detail, NO_PRIMARY_RETRY_S)
-
     # Transactions.
 
     async def begin(self, msg: Begin) -> Begun:
@@ -309,35 +237,12 @@
         term = await self.state_cache.leading_term()
         async with self._slot(msg, deadline):
             self._check_key(msg.key_digest)
-            conn = await self._begin_on_new_connection(term, deadline)
+            conn = await self._runner.begin(term, deadline)
         location = TransactionName(self.group.name, self.target.name, self._node)
         name = location.generate_name()
         self.transactions.add(name, msg.organisation, conn)
         return Begun(name)
 
-    async def _begin_on_new_connection(self, term: int, deadline: float) -> TargetConn:
-        try:
-            conn = await self._pool.acquire()
-        except PoolExhausted as exc:
-            raise Refused(Reason.CROWDED, "no connection", BUSY_RETRY_S) from exc
-        except TargetUnreachable as exc:
-            raise Refused(Reason.UNREACHABLE, str(exc), BUSY_RETRY_S) from exc
-        except TargetRefused as exc:
-            raise self._refusal(exc) from exc
-        try:
-            await conn.begin(term, max(0.0, deadline - clock.now()))
-        except TargetRefused as exc:
-            self._pool.release(conn)
-            raise self._refusal(exc) from exc
-        except TargetLost as exc:
-            self._pool.release(conn)
-            raise Refused(Reason.UNREACHABLE, str(exc), BUSY_RETRY_S) from exc
-        except BaseException:
-            conn.close()
-            self._pool.release(conn)
-            raise
-        return conn
-
     async def _execute_in_transaction(
         self, msg: Execute, deadline: float, admission: AdmissionState
     ) -> Executed:
@@ -347,9 +252,9 @@
         async with locked as transaction, self._slot(msg, deadline):
             self._check_key(msg.key_digest)
             try:
-                outcome = await self._run_on(transaction.conn, msg, 0, deadline)
+                outcome = await self._runner.run_on(transaction.conn, msg, 0, deadline)
             except TargetRefused as exc:
-                raise self._refusal(exc) from exc
+                raise self._runner.refusal(exc) from exc
             except (Unknown, TargetUnreachable) as exc:
                 # Nothing of a transaction takes effect before its commit.
                 self.roll_back(msg.transaction)
@@ -378,13 +283,13 @@
             raise Refused(Reason.DEADLINE, "the deadline has passed", 0.0)
         self.transactions.record_commit(msg.transaction)
         try:
-            return await self._await_outcome(
+            return await self._runner.await_outcome(
                 conn.commit(left_s, msg.idempotency_key), msg.idempotency_key
             )
         except TargetUnreachable as exc:
             raise Refused(Reason.TRANSACTION_LOST, str(exc)) from exc
         except TargetRefused as exc:
-            raise self._refusal(exc) from exc
+            raise self._runner.refusal(exc) from exc
         finally:
             self.transactions.remove(msg.transaction)
             self._pool.release(conn)
