Move the quota coordinator out of the admitter

node/admitter.py had 495 lines and two jobs: the entry's rate limiting, and the coordinator that hands out tokens and keeps the record of reserves. The second is now TokenCoordinator in node/token_coordinator.py, with its constants. Admitter inherits from it, because platform/main.py and the tests address both jobs as one object; every method kept its name and body. Its log lines are in the catalogue, so core/events_test.py lists the module. No behaviour changes.

--- a/lavenderstack/core/events_test.py
+++ b/lavenderstack/core/events_test.py
@@ -27,6 +27,7 @@
     "supervisor",
     "target_connections",
     "target_health",
+    "token_coordinator",
     "followers",
 )
 MODULES = [
--- a/lavenderstack/node/admitter.py
+++ b/lavenderstack/node/admitter.py
@@ -7,9 +7,7 @@
 
 import asyncio
 from collections import defaultdict, deque
-from collections.abc import Callable, Coroutine, Mapping
 from dataclasses import dataclass, field
-from functools import partial
 
 import structlog
 
@@ -21,20 +19,17 @@
     DrawTokens,
     TokensReply,
 )
-from lavenderstack.core.coordinator_quota import (
-    CoordinatorQuota,
-    FallbackQuota,
-    PrefetchedTokens,
-)
+from lavenderstack.core.coordinator_quota import FallbackQuota, PrefetchedTokens
 from lavenderstack.core.hash_ring import CachedByIdentity, HashRing, hash_position
 from lavenderstack.core.messages import Failed, Message
 from lavenderstack.core.outcome import Reason
 from lavenderstack.core.return_schedule import ReturnSchedule
 from lavenderstack.core.view import Vm
-from lavenderstack.node.backend import ClaimLost, ReserveStore
+from lavenderstack.node.backend import ReserveStore
 from lavenderstack.node.directory import Directory
 from lavenderstack.node.peers import Peers
 from lavenderstack.node.streams import NotSent, StreamLost
+from lavenderstack.node.token_coordinator import TokenCoordinator
 
 log = structlog.get_logger()
 
@@ -44,18 +39,6 @@
 MAX_COORDINATORS_TRIED = 4
 ATTACH_INTERVAL_S = 0.15
 ATTACH_RETRY_S = 0.1
-RESERVE_INTERVAL_S = 2.0
-# Longest time by which a change of the reserve record may delay a draw.
-RECORD_WAIT_S = 0.03
-RECORD_RETRY_S = 1.0
-# Prevents the reserve record from alternating between owners while nodes disagree on
-# who the coordinator is.
-TAKE_OVER_INTERVAL_S = 5.0
-# Share of all nodes that must be attached here before this node takes over the record,
-# so that a few nodes that can't reach the owner don't take it from the others.
-MIN_TAKE_OVER_SHARE = 0.5
-# Age of the view up to which a missing record means that there was no coordinator.
-MAX_UNSPENT_VIEW_AGE_S = 2.5
 # Prefetched tokens cover the demand of PREFETCH_S seconds. They stay valid longer than
 # that, so that they can be used up.
 PREFETCH_S = 0.25
@@ -84,40 +67,20 @@
     drawing: bool = False
 
 
-class Admitter:
-    """Rate limiter of an entry node, and quota coordinator when this node is chosen.
-
-    As coordinator, it also records reserves: tokens of full buckets that a successor
-    may hand out when it takes over.
-    """
+class Admitter(TokenCoordinator):
+    """Rate limiter of an entry node, and quota coordinator when this node is chosen."""
 
     def __init__(
         self, directory: Directory, peers: Peers, reserves: ReserveStore
     ) -> None:
-        self._reserves = reserves
-        self._recording = asyncio.Lock()
-        self._taken_over_at = float("-inf")
-        self._record_retry_at = float("-inf")
-        self._owned_revision: int | None = None
-        self._directory = directory
+        super().__init__(directory, reserves)
         self._peers = peers
         self._queues: dict[str, _OrganisationQueue] = defaultdict(_OrganisationQueue)
-        self._quota = CoordinatorQuota()
         self._fallback = FallbackQuota()
         self._attachment = Attachment()
         self._detaching: asyncio.Task | None = None
-        self._tasks: set[asyncio.Task] = set()
         self._ring_cache: CachedByIdentity[HashRing] = CachedByIdentity(_live_node_ring)
 
-    def run_in_background(self, work: Coroutine) -> None:
-        """Run a coroutine as a task that no caller awaits."""
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    def _node_count(self) -> int:
-        return len(self._directory.view.vms)
-
     def _coordinator(self) -> Vm | None:
         """Return the node that should be the coordinator, None if no node is live.
 
@@ -324,143 +287,6 @@
         finally:
             self._detaching = None
 
-    async def detach(self, msg: Detach) -> Message:
-        """Handle ``Detach``: the node is no longer attached here."""
-        self._quota.detach(msg.node, self._node_count(), clock.now())
-        return TokensReply(0)
-
-    async def attach(self, msg: Attach) -> Message:
-        """Handle ``Attach``: the node is attached here from now on."""
-        now = clock.now()
-        self._quota.attach(msg.node, self._node_count(), now)
-        self._create_buckets()
-        if self._may_take_over(now):
-            await self._run_briefly(self._take_over)
-        return TokensReply(0)
-
-    async def draw(self, msg: DrawTokens) -> Message:
-        """Handle ``DrawTokens``; hands out tokens, which also attaches the node."""
-        now = clock.now()
-        self._quota.attach(msg.node, self._node_count(), now)
-        plan = self._directory.catalog.plans.get(msg.organisation)
-        if plan is None:
-            return TokensReply(msg.wanted)
-        self._create_buckets()
-        if self._may_take_over(now):
-            await self._run_briefly(self._take_over)
-        needs_reserve = self._quota.needs_reserve(msg.organisation, msg.wanted)
-        if needs_reserve and self._may_record(now):
-            await self._run_briefly(partial(self._withdraw, msg.organisation))
-        granted = self._quota.draw(
-            msg.organisation, plan, msg.wanted, self._node_count(), now, msg.prefetch
-        )
-        attached_fraction = self._quota.attached.attached_fraction(self._node_count())
-        return TokensReply(
-            granted.tokens,
-            granted.retry_after_s,
-            attached_fraction,
-            granted.spacing_s,
-        )
-
-    def _create_buckets(self) -> None:
-        # Every coordinator creates the record at once, so a recent view without a
-        # record shows that there was none.
-        age_s = self._directory.proof.age_s(clock.now())
-        is_recent = age_s <= MAX_UNSPENT_VIEW_AGE_S
-        self._quota.unspent = is_recent and not self._directory.reserve.revision
-        self._quota.create_buckets(self._directory.catalog.plans)
-
-    @property
-    def _owns_reserve(self) -> bool:
-        return self._owned_revision is not None
-
-    def _may_record(self, now: float) -> bool:
-        return not self._recording.locked() and now >= self._record_retry_at
-
-    def _may_take_over(self, now: float) -> bool:
-        is_recorded = self._directory.reserve.owner == self._reserves.identity
-        if is_recorded and self._owns_reserve:
-            return False
-        if (
-            self._quota.attached.attached_fraction(self._node_count())
-            < MIN_TAKE_OVER_SHARE
-        ):
-            return False
-        recently = now - self._taken_over_at < TAKE_OVER_INTERVAL_S
-        return not recently and self._may_record(now)
-
-    async def _run_briefly(self, change: Callable[[], Coroutine]) -> None:
-        """Start a change of the record and wait ``RECORD_WAIT_S`` seconds for it.
-
-        A change takes a second to fail while the store doesn't answer. Draws must not
-        wait that long, so the change continues in the background. After a failure no
-        other change starts for ``RECORD_RETRY_S`` seconds.
-        """
-        task = asyncio.ensure_future(change())
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        await asyncio.wait([task], timeout=RECORD_WAIT_S)
-
-    async def _take_over(self) -> None:
-        """Take over another coordinator's reserve, so that this node hands it out."""
-        reserve = self._directory.reserve
-        async with self._recording:
-            self._taken_over_at = clock.now()
-            if await self._record({}, reserve.revision):
-                self._create_buckets()
-                self._quota.adopt_reserve(
-                    reserve.tokens, self._node_count(), clock.now()
-                )
-                log.info(
-                    "admission: reserve taken over",
-                    owner=reserve.owner,
-                    revision=reserve.revision,
-                )
-
-    async def _withdraw(self, organisation: str) -> None:
-        """Remove an organisation's reserve from the record before handing it out.
-
-        Otherwise a successor could hand out the same tokens again.
-        """
-        async with self._recording:
-            reserved = self._quota.reserved
-            if organisation not in reserved or not self._owns_reserve:
-                return
-            left = {name: one for name, one in reserved.items() if name != organisation}
-            if await self._record(left, self._owned_revision):
-                self._quota.withdraw(organisation, clock.now())
-
-    async def _reserve(self) -> None:
-        """Record the reserves of full buckets if this node owns the record."""
-        if not self._owns_reserve or self._recording.locked():
-            return
-        before = dict(self._quota.reserved)
-        tokens = self._quota.update_reserves(
-            self._directory.catalog.plans, self._node_count(), clock.now()
-        )
-        if tokens != before:
-            async with self._recording:
-                await self._record(tokens, self._owned_revision)
-
-    async def _record(self, tokens: Mapping[str, float], revision: int) -> bool:
-        try:
-            self._owned_revision = await self._reserves.record(tokens, revision)
-        except ClaimLost as exc:
-            # Another node may own the record now, so tokens that are reserved here
-            # must stay reserved.
-            self._owned_revision = None
-            self._record_retry_at = clock.now() + RECORD_RETRY_S
-            log.info(
-                "admission: reserve not recorded", error=str(exc), revision=revision
-            )
-            return False
-        return True
-
-    async def _keep_reserves(self) -> None:
-        while True:
-            await asyncio.sleep(RESERVE_INTERVAL_S)
-            await self._reserve()
-
     async def run(self) -> None:
         """Keep this node attached and its reserves recorded until cancelled."""
         async with asyncio.TaskGroup() as tasks:
