--- a/lavenderstack/node/main.py
+++ b/lavenderstack/node/main.py
@@ -41,7 +41,7 @@
 PROOF_WAIT_S = 10.0
 STREAMS_STOP_S = 5.0
 # Exit status when a part has failed too often.
-PART_FAILED_STATUS = 1
+EXIT_PART_FAILED = 1
 
 log = structlog.get_logger()
 
@@ -206,7 +206,7 @@
             await _serve(node)
         except* supervisor.PartFailed as group:
             log.error("node: a part failed too often", parts=str(group.exceptions))
-            status = PART_FAILED_STATUS
+            status = EXIT_PART_FAILED
     return status
 
 
