Call the growing pause a backoff everywhere

Constants and local names say backoff now, values stay. One commit for the three files, as it is one rename. No behaviour changes.

--- a/lavenderstack/node/confirm.py
+++ b/lavenderstack/node/confirm.py
@@ -21,8 +21,8 @@
 ASK_TIMEOUT_S = 0.5
 # Pause between questions while a request waits that came after the last one was sent.
 ROUND_GAP_S = 0.001
-FIRST_PAUSE_S = 0.002
-MAX_PAUSE_S = 0.02
+FIRST_BACKOFF_S = 0.002
+MAX_BACKOFF_S = 0.02
 RETRY_AFTER_S = 0.5
 
 log = structlog.get_logger()
@@ -161,7 +161,7 @@
                 waiter.fut.set_result(proof)
 
     async def _ask_repeatedly(self, target: str) -> None:
-        pause_s = FIRST_PAUSE_S
+        backoff_s = FIRST_BACKOFF_S
         while True:
             await self._requests_waiting.wait()
             asked_at = clock.now()
@@ -170,21 +170,21 @@
                 self.add_observation(replace(seen, asked_at=asked_at))
             waiting = [waiter for waiter in self._waiters if not waiter.fut.done()]
             if seen and any(waiter.asked_after > asked_at for waiter in waiting):
-                pause_s = FIRST_PAUSE_S
+                backoff_s = FIRST_BACKOFF_S
                 await asyncio.sleep(ROUND_GAP_S)
             elif waiting:
-                await self._pause(target, pause_s)
-                pause_s = min(2 * pause_s, MAX_PAUSE_S)
+                await self._pause(target, backoff_s)
+                backoff_s = min(2 * backoff_s, MAX_BACKOFF_S)
             else:
-                pause_s = FIRST_PAUSE_S
+                backoff_s = FIRST_BACKOFF_S
                 await asyncio.sleep(0)
 
-    async def _pause(self, target: str, pause_s: float) -> None:
-        """Sleep until a new request arrives, for at most ``pause_s``."""
+    async def _pause(self, target: str, backoff_s: float) -> None:
+        """Sleep until a new request arrives, for at most ``backoff_s``."""
         wakeup = self._wakeups[target]
         wakeup.clear()
         with suppress(TimeoutError):
-            async with asyncio.timeout(pause_s):
+            async with asyncio.timeout(backoff_s):
                 await wakeup.wait()
 
     async def _ask_once(self, target: str) -> Observation | None:
--- a/lavenderstack/node/dispatch.py
+++ b/lavenderstack/node/dispatch.py
@@ -40,9 +40,9 @@
 MIN_POSITION_WAIT_S = 0.05
 # Pauses between rounds over all targets. The longest pause doubles after each round,
 # because a failure lasts as long as a failover and many callers retry at once.
-MIN_PAUSE_S = 0.02
-FIRST_MAX_PAUSE_S = 0.03
-MAX_PAUSE_S = 0.25
+MIN_BACKOFF_S = 0.02
+FIRST_MAX_BACKOFF_S = 0.03
+MAX_BACKOFF_S = 0.25
 MAX_HOLDERS_TRIED = 3
 # A read that fails at one target may succeed at another. After this many failures the
 # error is returned.
@@ -140,13 +140,13 @@
         Each round tries all suitable targets. The next round starts after a change of
         the directory or a pause, until ``call.retry_until``.
         """
-        pause_s = FIRST_MAX_PAUSE_S
+        backoff_s = FIRST_MAX_BACKOFF_S
         while True:
             result = await self._run_round(call)
             left_s = call.retry_until - clock.now()
             if left_s <= 0 or not _may_retry(call, result.answer):
                 return result
-            pause_s = await self._pause(pause_s, left_s)
+            backoff_s = await self._pause(backoff_s, left_s)
 
     async def _run_round(self, call: Call) -> DispatchResult:
         if call.access is Access.AGED_READ:
@@ -158,14 +158,15 @@
             return await self._run_hedged(call, [(primary, call.access)] * 2)
         return await self._attempt(call, primary, call.access)
 
-    async def _pause(self, pause_s: float, left_s: float) -> float:
-        """Wait for a change of the directory, at least ``MIN_PAUSE_S`` seconds.
+    async def _pause(self, backoff_s: float, left_s: float) -> float:
+        """Wait for a change of the directory, at least ``MIN_BACKOFF_S`` seconds.
 
-        ``pause_s`` limits the wait for a change. Returns the limit for the next pause.
+        ``backoff_s`` limits the wait for a change. Returns the limit for the next
+        pause.
         """
-        await asyncio.sleep(min(left_s, MIN_PAUSE_S))
-        await self._directory.wait_for_change(min(left_s, pause_s))
-        return min(MAX_PAUSE_S, pause_s * 2)
+        await asyncio.sleep(min(left_s, MIN_BACKOFF_S))
+        await self._directory.wait_for_change(min(left_s, backoff_s))
+        return min(MAX_BACKOFF_S, backoff_s * 2)
 
     def _read_choices(self, call: Call) -> list[tuple[TargetState, Access]]:
         """Return the targets for an aged read and how to read there, best first."""
--- a/lavenderstack/node/target_state_cache.py
+++ b/lavenderstack/node/target_state_cache.py
@@ -14,8 +14,8 @@
 from lavenderstack.core.view import Target
 from lavenderstack.node.probe import TargetProbe
 
-MIN_PAUSE_S = 0.001
-MAX_PAUSE_S = 0.02
+MIN_BACKOFF_S = 0.001
+MAX_BACKOFF_S = 0.02
 NO_PRIMARY_RETRY_S = 0.5
 
 
@@ -67,15 +67,15 @@
         ``until`` is in seconds of the local clock. Raises ``Refused`` with ``BEHIND``
         if it passes first, or with ``UNREACHABLE`` if the target does not answer.
         """
-        pause_s = MIN_PAUSE_S
+        backoff_s = MIN_BACKOFF_S
         while self.last < min_position:
             await self.refresh_or_refuse()
             if self.last >= min_position:
                 return
-            if clock.now() + pause_s > until:
+            if clock.now() + backoff_s > until:
                 raise Refused(Reason.BEHIND, "the replica has not caught up")
-            await asyncio.sleep(pause_s)
-            pause_s = min(pause_s * 2, MAX_PAUSE_S)
+            await asyncio.sleep(backoff_s)
+            backoff_s = min(backoff_s * 2, MAX_BACKOFF_S)
 
     def close(self) -> None:
         """Close the connection for state queries."""
