Move the relay's tests of the store and of ownership beside their modules

TestStoreRestarts is now node/relay_store_test.py, TestOwnership node/ownership_claims_test.py, letter for letter, on the fleet of relay_test. No behaviour changes.

--- a/lavenderstack/node/relay_test.py
+++ b/lavenderstack/node/relay_test.py
@@ -1,6 +1,5 @@
 """Tests of the relay under faults: many relays in one process, on virtual time.
 
-The event loop's clock jumps to the next timer, so a simulated minute takes much less.
 ``Fleet.check`` runs throughout each test: a usable view must hold every change that was
 accepted more than ``USABLE_S`` ago, and no view may lose a change.
 """
@@ -8,7 +7,6 @@
 import asyncio
 import json
 import random
-import selectors
 
 import pytest
 from hypothesis import given, settings
@@ -17,38 +15,15 @@
 from lavenderstack.border.store import StoreError, SwapDone
 from lavenderstack.border.store_fake import FakeStore, MemoryStore
 from lavenderstack.core.entry import Change
-from lavenderstack.core.ownership import TAKEOVER_S
 from lavenderstack.core.view_freshness import USABLE_S
 from lavenderstack.node.relay import Relay
 from lavenderstack.node.streams import NotSent, StreamLost
+from tests.virtual_time import clock, run_on_virtual_time
 
 KEY = "lavenderstack/keys/aa"
-MIN_STEP_S = 1e-6
 ZONES = ["z1", "z2", "z3"]
 
 
-class VirtualSelector(selectors.SelectSelector):
-    """Advances the virtual clock by the time that it would have waited."""
-
-    now = 1000.0
-
-    def select(self, timeout=None):
-        ready = super().select(0)
-        VirtualSelector.now += MIN_STEP_S if ready or not timeout else timeout
-        return ready
-
-
-def clock():
-    return VirtualSelector.now
-
-
-def run_on_virtual_time(main):
-    loop = asyncio.SelectorEventLoop(VirtualSelector())
-    loop.time = clock
-    with asyncio.Runner(loop_factory=lambda: loop) as runner:
-        return runner.run(main)
-
-
 class FakePool:
     """A node's connections to others; ``fleet`` sets which are cut or delayed."""
 
@@ -339,48 +314,6 @@
             assert all(fleet.usable())
 
 
-class TestStoreRestarts:
-    @fleet_test()
-    async def test_older_answers_never_revert_a_view(self, fleet):
-        older = dict(fleet.memory.entries), fleet.memory.revision
-        fleet.accept_change()
-        await fleet.advance_s(2)
-        fleet.memory.entries, fleet.memory.revision = older
-        fleet.memory.history = [
-            c for c in fleet.memory.history if c.revision <= older[1]
-        ]
-        await fleet.advance_s(20)
-        assert all(fleet.withdrawn())
-        assert all(fleet.usable())
-        fleet.cut_zone("z1")
-        await fleet.advance_s(USABLE_S + 1.5)
-        assert not any(fleet.usable()), "an older store must not prove a view"
-
-    @fleet_test()
-    async def test_entries_of_another_store_are_refused(self, fleet):
-        fleet.memory.store_id = "2"
-        fleet.put_key(True)
-        await fleet.advance_s(10)
-        assert not any(fleet.withdrawn())
-
-    @fleet_test()
-    async def test_a_silent_watch_is_replaced(self, fleet):
-        for name, store in fleet.stores.items():
-            if fleet.relays[name].is_reader:
-                store.memory = MemoryStore()
-                store.memory.__dict__.update(fleet.memory.__dict__)
-                store.memory.changed = asyncio.Event()
-        reader = next(n for n in fleet.names if fleet.relays[n].is_reader)
-        others = [n for n in fleet.names if n != reader]
-        fleet.set_stores_down(others)
-        memory = fleet.stores[reader].memory
-        memory.revision += 1
-        value = json.dumps({"organisation": "o", "withdrawn": True}).encode()
-        memory.entries[KEY] = Change(KEY, value, memory.revision)
-        await fleet.advance_s(6)
-        assert all(fleet.withdrawn())
-
-
 class TestSpeed:
     @pytest.mark.parametrize(("zones", "per_zone"), [(3, 3), (2, 60)])
     def test_a_withdrawn_key_stops_everywhere_within_seconds(self, zones, per_zone):
@@ -410,43 +343,6 @@
         assert relay.view.keys["aa"].withdrawn
 
 
-class TestOwnership:
-    @fleet_test()
-    async def test_a_successor_acts_only_after_the_predecessor_stopped(self, fleet):
-        old, new = fleet.relays["z1n0"], fleet.relays["z2n0"]
-        assert await old.claim("d") == 1
-        await fleet.advance_s(1)
-        assert old.owns("d", clock()) == 1
-        fleet.cut_zone("z1")
-        fleet.set_stores_down([n for n, z in fleet.names.items() if z == "z1"])
-        assert await new.claim("d") == 2
-        taken = clock()
-        both_own = []
-        while not new.owns("d", clock()):
-            await asyncio.sleep(0.01)
-            both_own.append(bool(old.owns("d", clock()) and new.owns("d", clock())))
-        assert not any(both_own)
-        assert USABLE_S < clock() - taken <= TAKEOVER_S + 0.1
-        fleet.cut_links.clear()
-        await fleet.advance_s(3)
-        assert old.owns("d", clock()) is None
-
-    @pytest.mark.parametrize("lose", [False, True])
-    def test_of_two_claims_at_once_one_wins(self, lose):
-        async def run(_, fleet):
-            names = ["z1n0", "z2n0"]
-            fleet.stores["z1n0"].lose_answer = lose
-            claims = [fleet.relays[n].claim("d") for n in names]
-            epochs = await asyncio.gather(*claims)
-            fleet.stores["z1n0"].lose_answer = False
-            await fleet.advance_s(TAKEOVER_S + 1)
-            owned = [fleet.relays[n].owns("d", clock()) for n in names]
-            last = max((e for e in epochs if e), default=None)
-            assert owned == [e if e == last else None for e in epochs]
-
-        fleet_test()(run)(self)
-
-
 FAULTS = st.sampled_from(
     [
         "outage",
