Give the times to retry one name each

Both are in core/outcome.py now, beside Refused, which carries them. The literal for too many open transactions has a name too. Values stay, no behaviour changes. One commit, as each constant is moved out of two files.

--- a/lavenderstack/core/outcome.py
+++ b/lavenderstack/core/outcome.py
@@ -7,6 +7,11 @@
 
 from enum import StrEnum
 
+# Told to callers as the time to retry: after a refusal because the node's view is
+# stale, and after one because the target is not, or not much longer, the primary.
+STALE_RETRY_S = 1.0
+NO_PRIMARY_RETRY_S = 0.5
+
 
 class Reason(StrEnum):
     """Why a request was refused or its outcome is unknown."""
--- a/lavenderstack/node/entry.py
+++ b/lavenderstack/node/entry.py
@@ -14,7 +14,7 @@
 from lavenderstack.border.callers import CallerRequest, StatementBody
 from lavenderstack.core import clock, token
 from lavenderstack.core.keys import digest_of
-from lavenderstack.core.outcome import Reason, Refused, Unknown
+from lavenderstack.core.outcome import STALE_RETRY_S, Reason, Refused, Unknown
 from lavenderstack.core.request import (
     EVERYONE,
     NO_WATERMARK,
@@ -28,7 +28,6 @@
 from lavenderstack.node.router import Router
 
 REFRESH_TIMEOUT_S = 0.5
-STALE_RETRY_S = 1.0
 SLOW_REQUEST_S = 2.0
 
 log = structlog.get_logger()
--- a/lavenderstack/node/router.py
+++ b/lavenderstack/node/router.py
@@ -19,7 +19,7 @@
     Failed,
     Message,
 )
-from lavenderstack.core.outcome import Reason, Refused, Unknown
+from lavenderstack.core.outcome import NO_PRIMARY_RETRY_S, Reason, Refused, Unknown
 from lavenderstack.core.position import START, Position
 from lavenderstack.core.request import Answer, Caller, Request
 from lavenderstack.core.retry import (
@@ -41,7 +41,6 @@
 REPLY_GRACE_S = 0.25
 # How long a replica may wait until its log has reached the session's watermark.
 REPLICA_WAIT_S = 0.15
-NO_PRIMARY_RETRY_S = 0.5
 # Share of the time left that the first attempt of a repeatable request may use.
 FIRST_ATTEMPT_SHARE = 0.5
 
--- a/lavenderstack/node/target_holder.py
+++ b/lavenderstack/node/target_holder.py
@@ -22,17 +22,24 @@
 )
 from lavenderstack.core import clock
 from lavenderstack.core.messages import Begin, Begun, End, Execute, Executed
-from lavenderstack.core.outcome import Reason, Refused, Unknown
+from lavenderstack.core.outcome import (
+    NO_PRIMARY_RETRY_S,
+    STALE_RETRY_S,
+    Reason,
+    Refused,
+    Unknown,
+)
 from lavenderstack.core.position import START, Position
 from lavenderstack.core.view import Group, Target, View
 from lavenderstack.node.pool import CONTROL_CONNECTIONS, Pool
 from lavenderstack.node.slots import Slots
 from lavenderstack.node.target_runner import ALREADY_APPLIED, TargetRunner
-from lavenderstack.node.target_state_cache import NO_PRIMARY_RETRY_S, TargetStateCache
+from lavenderstack.node.target_state_cache import TargetStateCache
 from lavenderstack.node.transactions import TransactionName, Transactions
 
 # Share of the pool's connections that open transactions may hold.
 MAX_TRANSACTION_SHARE = 0.5
+TRANSACTIONS_RETRY_S = 1.0
 AGE_PROOF_TIMEOUT_S = 0.03
 # Queue limit for requests of callers without a plan.
 OPEN_MAX_QUEUED = 50
@@ -125,7 +132,9 @@
             return
         if not self._control.usable(clock.now()):
             raise Refused(
-                Reason.STALE_VIEW, "the node's view of the store is stale", 1.0
+                Reason.STALE_VIEW,
+                "the node's view of the store is stale",
+                STALE_RETRY_S,
             )
         key = self._control.view.keys.get(digest)
         if key is not None and key.withdrawn:
@@ -233,7 +242,9 @@
         self._check_leaving(write=False)
         await self._control.admit(msg.organisation, deadline)
         if len(self.transactions) >= self._pool.limit * MAX_TRANSACTION_SHARE:
-            raise Refused(Reason.CROWDED, "too many open transactions", 1.0)
+            raise Refused(
+                Reason.CROWDED, "too many open transactions", TRANSACTIONS_RETRY_S
+            )
         term = await self.state_cache.leading_term()
         async with self._slot(msg, deadline):
             self._check_key(msg.key_digest)
--- a/lavenderstack/node/target_runner.py
+++ b/lavenderstack/node/target_runner.py
@@ -17,9 +17,9 @@
 )
 from lavenderstack.core import clock
 from lavenderstack.core.messages import Execute
-from lavenderstack.core.outcome import Reason, Refused, Unknown
+from lavenderstack.core.outcome import NO_PRIMARY_RETRY_S, Reason, Refused, Unknown
 from lavenderstack.node.pool import Pool, PoolExhausted
-from lavenderstack.node.target_state_cache import NO_PRIMARY_RETRY_S, TargetStateCache
+from lavenderstack.node.target_state_cache import TargetStateCache
 
 BUSY_RETRY_S = 0.2
 
--- a/lavenderstack/node/target_state_cache.py
+++ b/lavenderstack/node/target_state_cache.py
@@ -9,14 +9,13 @@
     TargetUnreachable,
 )
 from lavenderstack.core import clock
-from lavenderstack.core.outcome import Reason, Refused
+from lavenderstack.core.outcome import NO_PRIMARY_RETRY_S, Reason, Refused
 from lavenderstack.core.position import START, Position
 from lavenderstack.core.view import Target
 from lavenderstack.node.probe import TargetProbe
 
 MIN_BACKOFF_S = 0.001
 MAX_BACKOFF_S = 0.02
-NO_PRIMARY_RETRY_S = 0.5
 
 
 class TargetStateCache:
