--- a/lavenderstack/core/replacement.py
+++ b/lavenderstack/core/replacement.py
@@ -89,7 +89,7 @@
     ``others`` are paused; the candidate continues to receive.
     """
     if candidate.received is None:
-        return Obstacle.NO_REPLICA
+        return Obstacle.SILENT_REPLICA
     if candidate.leads or any(replica.leads for replica in others):
         return Obstacle.LED
     if not replicated:
--- a/lavenderstack/core/replacement_test.py
+++ b/lavenderstack/core/replacement_test.py
@@ -175,6 +175,10 @@
                     lost += [after] * (not holds_all(after, REPLICAS[index]))
         assert lost
 
+    def test_a_candidate_that_gives_no_answer_is_named_as_silent(self):
+        candidate = ReplicaState("b", False, None)
+        assert takeover_obstacle(candidate, [], True) is Obstacle.SILENT_REPLICA
+
     @pytest.mark.parametrize("paused", [True, False])
     def test_another_replica_that_received_more_is_an_obstacle(self, paused):
         candidate = ReplicaState("b", False, Position(1, 3))
