Bound all that precedes a statement by its time limit

Cause: a holder took a statement from its queue shortly before the deadline and then opened a connection and a transaction, up to twice, under their own time-outs only; an entry waited 0.3 s beyond the limit for a holder that didn't answer; and the limit began after the wait for a token.

Connecting and beginning end at the deadline as 'not run'; a holder gets 0.05 s less than the caller's limit, and the entry waits no longer than that; the limit counts from the statement's arrival.

--- a/lavenderstack/node/dispatch.py
+++ b/lavenderstack/node/dispatch.py
@@ -26,8 +26,9 @@
 
 log = structlog.get_logger()
 
-# Time beyond the statement's own timeout to wait for a connection holder's answer.
-ANSWER_MARGIN_S = 0.3
+# Part of a statement's time that its connection holder doesn't get, so that the answer
+# of one that gives up at its own deadline arrives in time.
+ANSWER_MARGIN_S = 0.05
 # Fraction of the route's latency goal after which a read is sent to a second target.
 HEDGE_GOAL_SHARE = 0.5
 # How long a statement is retried, mainly while a primary is replaced: a fraction of its
@@ -288,7 +289,7 @@
             target=target,
             statement=call.statement,
             access=access,
-            left_s=left_s,
+            left_s=max(0.0, left_s - ANSWER_MARGIN_S),
             latency_goal_s=call.route.latency_goal_s,
             latency_goal_left_s=call.route.latency_goal_s
             - (clock.now() - call.began_at),
--- a/lavenderstack/node/executor.py
+++ b/lavenderstack/node/executor.py
@@ -63,6 +63,11 @@
 MinPositionFor = Callable[[str, float, float, float], Awaitable[Position]]
 
 
+def _time_limit(deadline: float) -> asyncio.Timeout:
+    """Return a context that raises ``TimeoutError`` at a time on the clock."""
+    return asyncio.timeout(max(0.0, deadline - clock.now()))
+
+
 class TargetExecutor:
     """The queue, connections and open transactions of one target."""
 
@@ -204,15 +209,18 @@
                     False, Reason.UNREACHABLE, self.health.unreachable_reason
                 )
             try:
-                pooled = await self.connections.acquire(
-                    work.organisation, work.values, force_new
-                )
+                async with _time_limit(deadline):
+                    pooled = await self.connections.acquire(
+                        work.organisation, work.values, force_new
+                    )
+            except TimeoutError:
+                return failure(False, Reason.DEADLINE, "no connection in time")
             except ConnectFailed as exc:
                 if exc.reason is Reason.UNREACHABLE:
                     self.health.mark_unreachable(exc.detail)
                 return failure(False, exc.reason, exc.detail)
             try:
-                if not await self._open_transaction(work, pooled, min_position):
+                if not await self._open_in_time(work, pooled, min_position, deadline):
                     # The connection failed before the caller's statement was sent.
                     # Other idle connections may have failed too, so the second
                     # attempt opens a new one.
@@ -221,11 +229,25 @@
             except Refused:
                 self.connections.release(pooled)
                 raise
+            except TimeoutError:
+                return failure(False, Reason.DEADLINE, "no transaction in time")
+            return await self._send(work, pooled, min_position, deadline)
+        return failure(False, Reason.UNREACHABLE, "no answer on a new connection")
+
+    async def _open_in_time(
+        self,
+        work: Work,
+        pooled: PooledConnection,
+        min_position: Position,
+        deadline: float,
+    ) -> bool:
+        """Call ``_open_transaction``; raises ``TimeoutError`` at the deadline."""
+        async with _time_limit(deadline):
+            try:
+                return await self._open_transaction(work, pooled, min_position)
             except asyncio.CancelledError:
                 self.connections.discard(pooled)
                 raise
-            return await self._send(work, pooled, min_position, deadline)
-        return failure(False, Reason.UNREACHABLE, "no answer on a new connection")
 
     async def _open_transaction(
         self, work: Work, pooled: PooledConnection, min_position: Position
--- a/lavenderstack/node/executor_test.py
+++ b/lavenderstack/node/executor_test.py
@@ -300,6 +300,21 @@
         assert answer.reason == Reason.TRANSACTION_LOST
 
 
+class TestTimeLimit:
+    @pytest.mark.parametrize("slow", [{"connect_s": 0.4}, {"silent": True}])
+    async def test_it_also_bounds_what_precedes_the_statement(self, slow):
+        """Found by the soak: a write was refused 0.24 s after its time limit."""
+        harness = ExecutorHarness()
+        for name, value in slow.items():
+            setattr(harness.targets["t1"], name, value)
+        began_at = clock.now()
+        answer = await harness.run(READ, access=Access.CURRENT_READ, left_s=0.1)
+        assert clock.now() - began_at < 0.2
+        assert (answer.run, answer.reason) == (False, Reason.DEADLINE)
+        assert harness.targets["t1"].executed == []
+        assert len(harness.executors.for_target("t1").connections) == 0
+
+
 class TestPositions:
     async def test_a_write_records_the_position_at_the_time_it_was_sent(self):
         harness = ExecutorHarness()
--- a/lavenderstack/node/session.py
+++ b/lavenderstack/node/session.py
@@ -58,6 +58,19 @@
     counters: Counters
 
 
+@dataclass(frozen=True, slots=True)
+class _Arrival:
+    """A statement for a target and when it arrived, in seconds on the clock.
+
+    Its time limit counts from then.
+    """
+
+    request: str
+    statement: Statement
+    prepared: Prepared | None
+    at: float
+
+
 @dataclass(slots=True)
 class Session:
     """One session. ``organisation`` is empty on a public route.
@@ -126,7 +139,9 @@
             )
         if statement.kind is StatementKind.COMMIT and self._tx is None:
             return self._refused(Reason.BAD_REQUEST, "no transaction is open")
-        return await self._run_on_target(request, statement, prepared)
+        return await self._run_on_target(
+            _Arrival(request, statement, prepared, clock.now())
+        )
 
     def _run_in_failed_transaction(self, statement: Statement) -> Reply:
         """Answer in a failed transaction, which accepts only COMMIT and ROLLBACK."""
@@ -183,9 +198,7 @@
             self._failed = True
         return error_reply(reason, detail)
 
-    async def _run_on_target(
-        self, request: str, statement: Statement, prepared: Prepared | None
-    ) -> Reply:
+    async def _run_on_target(self, arrival: _Arrival) -> Reply:
         route = self.services.directory.catalog.routes.get(self.database)
         if route is None:
             return self._refused(Reason.UNKNOWN_GROUP, "no such database")
@@ -194,13 +207,11 @@
             return self._refused(*refusal)
         tx = self._tx
         if tx is not None and tx.name:
-            return await self._run_in_transaction(
-                request, statement, prepared, route, tx
-            )
+            return await self._run_in_transaction(arrival, route, tx)
         failed = await self.services.admitter.admit(self.organisation)
         if failed is not None:
             return self._over_rate(failed)
-        return await self._run_first(request, statement, prepared, route, tx)
+        return await self._run_first(arrival, route, tx)
 
     def _over_rate(self, failed: Failed) -> Reply:
         retry_ms = int((failed.retry_after_s or 0) * 1000)
@@ -220,40 +231,29 @@
             return Reason.KEY_REFUSED, "the key is not in force"
         return Reason.STALE_VIEW, "this node can't check for withdrawn keys now"
 
-    def _call(
-        self,
-        request: str,
-        route: Route,
-        statement: Statement,
-        prepared: Prepared | None,
-        access: Access,
-    ) -> Call:
+    def _call(self, arrival: _Arrival, route: Route, access: Access) -> Call:
         return Call(
-            request=request,
+            request=arrival.request,
             route=route,
             organisation=self.organisation,
             key_digest=self.key_digest,
             version=self.services.directory.catalog.version,
-            statement=statement,
+            statement=arrival.statement,
             access=access,
-            deadline=clock.now() + route.timeout_s,
+            deadline=arrival.at + route.timeout_s,
             values=self.values,
-            prepared=prepared,
+            prepared=arrival.prepared,
             min_position=self.watermark,
             wrote_at=self.wrote_at,
+            began_at=arrival.at,
         )
 
     async def _run_first(
-        self,
-        request: str,
-        statement: Statement,
-        prepared: Prepared | None,
-        route: Route,
-        tx: SessionTransaction | None,
+        self, arrival: _Arrival, route: Route, tx: SessionTransaction | None
     ) -> Reply:
         """Run a single statement, or the first of a transaction."""
-        access = access_for(route, statement, tx)
-        call = self._call(request, route, statement, prepared, access)
+        access = access_for(route, arrival.statement, tx)
+        call = self._call(arrival, route, access)
         call.opens = transaction_start(route, tx)
         result = await self.services.dispatcher.run(call)
         reply = self._first_reply(result, call, tx)
@@ -282,17 +282,13 @@
         self.wrote_at = clock.now()
 
     async def _run_in_transaction(
-        self,
-        request: str,
-        statement: Statement,
-        prepared: Prepared | None,
-        route: Route,
-        tx: SessionTransaction,
+        self, arrival: _Arrival, route: Route, tx: SessionTransaction
     ) -> Reply:
         """Run a later statement of a transaction."""
+        statement = arrival.statement
         wrote = tx.wrote or statement.writes
         access = Access.WRITE if wrote else Access.CURRENT_READ
-        call = self._call(request, route, statement, prepared, access)
+        call = self._call(arrival, route, access)
         tx.wrote = wrote
         location = TransactionLocation(tx.node, tx.target)
         answer = await self.services.dispatcher.run_in_transaction(
