Add a soak of real processes with callers, without faults yet

python -m bench soak starts serve processes on loopback with a store, a group of three targets with a replicated log, and promotion orders, all reached through links. Callers use open sessions until they end. What callers and targets saw goes through the checks.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -3,6 +3,9 @@
 Usage:
   bench [NAME...] [--json FILE] [--seed N]
   bench --list
+  bench soak [OPTIONS...]
+
+``bench soak --help`` lists the options of the fault soak.
 
 Options:
   --json FILE  Write the results as JSON.
@@ -51,6 +54,11 @@
 
     It is 0 if all bounds are met, 1 if one is missed, and 2 if a name is unknown.
     """
+    words = sys.argv[1:] if argv is None else argv
+    if words[:1] == ["soak"]:
+        from bench import soak
+
+        return soak.main(words)
     args = docopt(__doc__, argv)
     if args["--list"]:
         print("\n".join(BENCHMARKS))
--- /dev/null
+++ b/bench/soak_record.py
@@ -0,0 +1,184 @@
+"""What the callers, the targets and the operator of a soak saw.
+
+The checks of ``bench.soak_checks`` read nothing else. All times are seconds on the
+clock of the process that plays the callers, the targets and the platform.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from standins.line_group import LineGroup
+from standins.promotion_orders import Order
+
+
+class Freshness(StrEnum):
+    """How current the reads of a database are, in the words of the settings."""
+
+    PRIMARY = "primary"
+    BOUNDED = "bounded"
+    SESSION = "read_your_writes"
+
+
+# Outcomes of a request other than the code of an error.
+DONE = "DONE"
+CUT = "cut"
+NO_ANSWER = "no answer"
+
+
+@dataclass(frozen=True, slots=True)
+class Database:
+    """A route: the group behind it and what its callers ask for."""
+
+    name: str
+    group: str
+    freshness: Freshness
+    timeout_s: float
+    max_age_s: float = 0.0
+
+
+@dataclass(slots=True)
+class Request:
+    """One statement that a caller sent on an open session.
+
+    ``operation`` is shared by the statements of a transaction, ``began_at`` is when
+    the first of them was sent. ``node`` is the process that took it, with the number
+    of its start. ``receipt`` and ``row`` are those of the answer.
+    """
+
+    name: str
+    operation: str
+    session: int
+    node: str
+    key: str
+    organisation: str
+    database: Database
+    text: str
+    began_at: float
+    sent_at: float
+    in_transaction: bool = False
+    ended_at: float | None = None
+    outcome: str = ""
+    receipt: str = ""
+    row: str = ""
+
+    @property
+    def verb(self) -> str:
+        """The first word of the statement."""
+        return self.text.split(" ", 1)[0]
+
+    @property
+    def commits(self) -> bool:
+        """Whether an acknowledgement promises that something is kept."""
+        return self.verb == "COMMIT" or (
+            self.verb == "WRITE" and not self.in_transaction
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class IdleCut:
+    """A session that ended inside a transaction, while no request was sent."""
+
+    at: float
+    node: str
+    began_at: float
+
+
+@dataclass(slots=True)
+class Disturbance:
+    """A fault that was injected into the parts named by ``scope``.
+
+    A fault without ``end`` is still on. ``planned`` faults are stops by SIGTERM.
+    """
+
+    kind: str
+    scope: frozenset[str]
+    start: float
+    end: float | None = None
+    planned: bool = False
+
+    def touches(self, start: float, end: float) -> bool:
+        """Return whether the fault was on at a moment of a span of time."""
+        return self.start <= end and (self.end is None or self.end >= start)
+
+
+@dataclass(frozen=True, slots=True)
+class KeyChange:
+    """A key that a version of the configuration granted or withdrew.
+
+    ``acked_at`` is when the store had the version.
+    """
+
+    key: str
+    version: int
+    acked_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Stop:
+    """The SIGTERM of a process, and its end; ``status`` is its exit status."""
+
+    node: str
+    at: float
+    ended_at: float | None = None
+    status: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """What an organisation may ask for: operations a second and a burst."""
+
+    rate: float
+    burst: float
+
+
+@dataclass
+class Record:
+    """All that was seen; ``late_moments`` are stalls of the observing process."""
+
+    plans: dict[str, Plan] = field(default_factory=dict)
+    groups: dict[str, LineGroup] = field(default_factory=dict)
+    requests: list[Request] = field(default_factory=list)
+    idle_cuts: list[IdleCut] = field(default_factory=list)
+    granted: dict[str, KeyChange] = field(default_factory=dict)
+    withdrawn: dict[str, KeyChange] = field(default_factory=dict)
+    disturbances: list[Disturbance] = field(default_factory=list)
+    stops: list[Stop] = field(default_factory=list)
+    own_ends: list[str] = field(default_factory=list)
+    orders: list[Order] = field(default_factory=list)
+    stalls: list[tuple[float, float]] = field(default_factory=list)
+
+    def by_name(self) -> dict[str, Request]:
+        """Return the requests by their names."""
+        return {request.name: request for request in self.requests}
+
+    def acknowledged(self) -> list[Request]:
+        """Return the acknowledged requests that promise that something is kept."""
+        return [one for one in self.requests if one.commits and one.outcome == DONE]
+
+    def is_calm(
+        self,
+        start: float,
+        end: float,
+        scope: Iterable[str] | None = None,
+        planned: bool = False,
+    ) -> bool:
+        """Return whether no fault was on in a span, in any part or in some.
+
+        Stops count as faults only if ``planned`` is set.
+        """
+        names = None if scope is None else set(scope)
+        return not any(
+            one.touches(start, end)
+            and (planned or not one.planned)
+            and (names is None or names & one.scope)
+            for one in self.disturbances
+        )
+
+    def outcomes(self) -> dict[str, int]:
+        """Return how many requests ended in each way."""
+        counts: dict[str, int] = defaultdict(int)
+        for request in self.requests:
+            counts[request.outcome or "open"] += 1
+        return dict(sorted(counts.items()))
