--- a/bench/soak_log_checks.py
+++ b/bench/soak_log_checks.py
@@ -5,8 +5,8 @@
 from collections.abc import Iterator
 from itertools import accumulate
 
-from bench.soak_record import DONE, Freshness, Record, Request
-from standins.line_group import Commit, LineGroup, LogPosition
+from bench.soak_record import DONE, Freshness, GroupView, Record, Request
+from standins.line_group import Commit, LogPosition
 
 # After these codes nothing of the attempt may be kept.
 PROMISES = frozenset({"BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "MAXCONN"})
@@ -20,7 +20,7 @@
     return found
 
 
-def _group_of(record: Record, request: Request) -> LineGroup:
+def _group_of(record: Record, request: Request) -> GroupView:
     return record.groups[request.database.group]
 
 
@@ -131,7 +131,7 @@
     Commits that a promotion rolled back don't count; ``lost_writes`` reports them.
     """
 
-    def __init__(self, record: Record, group: LineGroup) -> None:
+    def __init__(self, record: Record, group: GroupView) -> None:
         commits = _commits_by_request(record)
         found: dict[int | None, list[tuple[float, LogPosition]]] = defaultdict(list)
         for request in record.acknowledged():
--- a/bench/soak_record.py
+++ b/bench/soak_record.py
@@ -6,10 +6,17 @@
 
 from collections import defaultdict
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import StrEnum
 
-from standins.line_group import LineGroup
+from standins.line_group import (
+    Commit,
+    Lineage,
+    LineGroup,
+    LogPosition,
+    Promotion,
+    Run,
+)
 from standins.promotion_orders import Order
 
 
@@ -133,12 +140,36 @@
     burst: float
 
 
+@dataclass(frozen=True)
+class GroupView:
+    """What a ``LineGroup`` had recorded at a moment."""
+
+    name: str
+    end: LogPosition
+    lineage: Lineage
+    runs: list[Run]
+    commits: list[Commit]
+    promotions: list[Promotion]
+
+
+def view_of(group: "LineGroup | GroupView") -> GroupView:
+    """Return what a group has recorded up to now."""
+    return GroupView(
+        group.name,
+        group.end,
+        Lineage(dict(group.lineage.bases)),
+        list(group.runs),
+        list(group.commits),
+        list(group.promotions),
+    )
+
+
 @dataclass
 class Record:
-    """All that was seen; ``late_moments`` are stalls of the observing process."""
+    """All that was seen; ``stalls`` are those of the observing process."""
 
     plans: dict[str, Plan] = field(default_factory=dict)
-    groups: dict[str, LineGroup] = field(default_factory=dict)
+    groups: dict[str, LineGroup | GroupView] = field(default_factory=dict)
     requests: list[Request] = field(default_factory=list)
     idle_cuts: list[IdleCut] = field(default_factory=list)
     granted: dict[str, KeyChange] = field(default_factory=dict)
@@ -149,6 +180,23 @@
     orders: list[Order] = field(default_factory=list)
     stalls: list[tuple[float, float]] = field(default_factory=list)
 
+    def snapshot(self) -> "Record":
+        """Return a copy for checks in another thread, while more is recorded."""
+        return replace(
+            self,
+            groups={name: view_of(one) for name, one in self.groups.items()},
+            requests=[
+                replace(one) if one.ended_at is None else one for one in self.requests
+            ],
+            idle_cuts=list(self.idle_cuts),
+            granted=dict(self.granted),
+            withdrawn=dict(self.withdrawn),
+            disturbances=[replace(one) for one in self.disturbances],
+            stops=list(self.stops),
+            own_ends=list(self.own_ends),
+            orders=list(self.orders),
+        )
+
     def by_name(self) -> dict[str, Request]:
         """Return the requests by their names."""
         return {request.name: request for request in self.requests}
--- a/standins/line_group.py
+++ b/standins/line_group.py
@@ -103,6 +103,8 @@
 
     ``deaf`` replicas receive nothing but answer. ``held_term`` is that of a pause. A
     target that is not ``up`` answers nothing. ``on_down`` breaks its connections.
+    ``on_dark`` returns a function that breaks those that are open now, for connections
+    whose far end has gone dark.
     """
 
     name: str
@@ -118,6 +120,7 @@
     held_term: int = 0
     connections: int = 0
     on_down: Callable[[], None] = lambda: None
+    on_dark: Callable[[], Callable[[], None]] = lambda: lambda: None
 
     @property
     def received(self) -> LogPosition:
--- a/standins/line_server.py
+++ b/standins/line_server.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import itertools
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
 from lavenderstack.core import clock
@@ -177,7 +177,16 @@
         for task in tasks:
             task.cancel()
 
-    target.on_down = break_connections
+    def open_now() -> Callable[[], None]:
+        opened = set(tasks)
+
+        def break_opened() -> None:
+            for task in opened & tasks:
+                task.cancel()
+
+        return break_opened
+
+    target.on_down, target.on_dark = break_connections, open_now
     follower = asyncio.ensure_future(group.follow(target))
     server = await asyncio.start_server(accept, "127.0.0.1", 0)
     try:
