--- a/bench/soak.py
+++ b/bench/soak.py
@@ -16,6 +16,7 @@
 
 import asyncio
 import json
+import logging
 import random
 import sys
 import tempfile
@@ -238,6 +239,8 @@
     )
     folder = Path(args["--folder"] or tempfile.mkdtemp(prefix="soak-"))
     folder.mkdir(parents=True, exist_ok=True)
+    # Connections that faults break make the stand-ins' server log errors.
+    logging.basicConfig(filename=folder / "standins.log")
     report, record = asyncio.run(play(options, folder))
     (folder / "report.json").write_text(json.dumps(asdict(report), indent=1) + "\n")
     with (folder / "requests.jsonl").open("w") as out:
