--- a/bench/soak.py
+++ b/bench/soak.py
@@ -2,7 +2,7 @@
 
 Usage:
   bench soak [--seed N] [--seconds S] [--nodes N] [--groups N] [--callers N]
-             [--no-faults] [--folder DIR]
+             [--no-faults] [--go-on] [--folder DIR]
 
 Options:
   --seed N       Seed of the schedule of faults and of the callers [default: 1].
@@ -11,6 +11,7 @@
   --groups N     Number of database groups of three targets [default: 2].
   --callers N    Number of callers [default: 24].
   --no-faults    Inject no faults.
+  --go-on        Play to the end after a violation, too.
   --folder DIR   Where the logs and the report are kept; a new folder unless given.
 """
 
@@ -54,6 +55,7 @@
     groups: int = 2
     callers: int = 24
     faults: bool = True
+    go_on: bool = False
 
 
 @dataclass
@@ -113,8 +115,11 @@
     """Inject no faults."""
 
 
-async def _show_progress(fleet: Fleet, until: float) -> None:
-    """Print a line regularly; return at the end or at the first violation."""
+async def _show_progress(fleet: Fleet, until: float, go_on: bool) -> None:
+    """Print a line regularly; return at the end or at the first violation.
+
+    With ``go_on`` violations don't end the play.
+    """
     checks_s = 0.0
     while (left_s := until - clock.now()) > 0:
         pause_s = max(PROGRESS_INTERVAL_S, checks_s * CHECKS_PAUSE)
@@ -132,7 +137,7 @@
             f"violations: {len(found)}",
             flush=True,
         )
-        if found:
+        if found and not go_on:
             return
 
 
@@ -163,7 +168,7 @@
         faults = asyncio.ensure_future(schedule.run() if options.faults else _nothing())
         others.append(faults)
         try:
-            await _show_progress(fleet, until)
+            await _show_progress(fleet, until, options.go_on)
             await schedule.heal(faults)
             await asyncio.sleep(SETTLE_S)
         finally:
@@ -236,6 +241,7 @@
         groups=int(args["--groups"]),
         callers=int(args["--callers"]),
         faults=not args["--no-faults"],
+        go_on=args["--go-on"],
     )
     folder = Path(args["--folder"] or tempfile.mkdtemp(prefix="soak-"))
     folder.mkdir(parents=True, exist_ok=True)
