Check bounded age on session databases and refusals by operation

A refusal of any statement promises that nothing of its operation is kept, and a session database owes commits of others that are older than its age, too.

--- a/bench/soak_checks_test.py
+++ b/bench/soak_checks_test.py
@@ -30,7 +30,7 @@
 
 NOW = Database("now", "g", Freshness.PRIMARY, 2.0)
 AGED = Database("aged", "g", Freshness.BOUNDED, 2.0, max_age_s=1.5)
-OWN = Database("own", "g", Freshness.SESSION, 2.0)
+OWN = Database("own", "g", Freshness.SESSION, 2.0, max_age_s=3.0)
 
 
 class Play:
@@ -132,6 +132,14 @@
     play.write("w1", 1.0, outcome="BUSY")
 
 
+def plant_false_refusal_inside_a_transaction(play):
+    fields = {"operation": "t1", "in_transaction": True}
+    play.run(play.request("t1.1", "WRITE x 1", 1.0, outcome="ABORTED", **fields))
+    request = play.request("t1.2", "COMMIT", 1.2, outcome="UNKNOWN", **fields)
+    play.run(request)
+    play.commit(request)
+
+
 def plant_unasked(play):
     request = Play().request("elsewhere", "WRITE x 1", 1.0)
     play.commit(request)
@@ -170,6 +178,11 @@
     play.read("r1", 1.2, LogPosition(1, 1), database=OWN)
 
 
+def plant_stale_session_of_others(play):
+    play.write("w1", 1.0, database=OWN, session=2)
+    play.read("r1", 4.2, LogPosition(1, 1), database=OWN)
+
+
 def plant_replaced_primary(play):
     play.group.promote("b")
     request = play.request("w1", "WRITE x 1", 1.0)
@@ -241,6 +254,7 @@
     (plant_never_committed, {"lost_writes"}),
     (plant_doubled, {"doubled_writes"}),
     (plant_false_refusal, {"false_refusals"}),
+    (plant_false_refusal_inside_a_transaction, {"false_refusals"}),
     (plant_unasked, {"unasked_commits"}),
     (plant_uncommitted_transaction, {"unasked_commits"}),
     (plant_wrong_receipt, {"unasked_commits"}),
@@ -248,6 +262,7 @@
     (plant_stale_primary, {"stale_reads"}),
     (plant_stale_bounded, {"stale_reads"}),
     (plant_stale_session, {"stale_reads"}),
+    (plant_stale_session_of_others, {"stale_reads"}),
     (plant_replaced_primary, {"replaced_primaries", "lost_writes"}),
     (plant_epoch_of_two, {"replaced_primaries"}),
     (plant_over_rate, {"rates"}),
--- a/bench/soak_log_checks.py
+++ b/bench/soak_log_checks.py
@@ -68,17 +68,25 @@
 
 
 def false_refusals(record: Record) -> Iterator[str]:
-    """Nothing is kept of a request whose refusal promises so."""
-    commits = _commits_by_request(record)
-    for request in record.requests:
-        if request.outcome not in PROMISES:
-            continue
-        group = _group_of(record, request)
-        for commit in commits.get(request.name, []):
-            if group.lineage.holds(group.end, commit.entry.position):
+    """Nothing is kept of an operation that a refusal says nothing is kept of.
+
+    That holds for all statements of a transaction, whichever of them was refused.
+    """
+    requests = record.by_name()
+    refused = {
+        request.operation: request
+        for request in record.requests
+        if request.outcome in PROMISES
+    }
+    for group in record.groups.values():
+        for commit in group.commits:
+            request = requests.get(commit.entry.request)
+            refusal = refused.get(request.operation) if request else None
+            if refusal and group.lineage.holds(group.end, commit.entry.position):
                 yield (
-                    f"{request.name} was refused with {request.outcome} through "
-                    f"{request.node}, but is kept at {commit.entry.position}"
+                    f"{refusal.name} was refused with {refusal.outcome} through "
+                    f"{refusal.node}, but {request.name} of the same operation is kept "
+                    f"at {commit.entry.position}"
                 )
 
 
@@ -156,9 +164,12 @@
     def needed_by(self, request: Request) -> LogPosition | None:
         """Return the commit that a read must see, None if there is none."""
         database = request.database
-        if database.freshness is Freshness.SESSION:
-            return self._before(request.session, request.began_at)
-        return self._before(None, request.began_at - database.max_age_s)
+        needed = self._before(None, request.began_at - database.max_age_s)
+        if database.freshness is not Freshness.SESSION:
+            return needed
+        own = self._before(request.session, request.began_at)
+        found = [position for position in (needed, own) if position is not None]
+        return max(found, default=None)
 
 
 def replaced_primaries(record: Record) -> Iterator[str]:
--- a/bench/soak_operator.py
+++ b/bench/soak_operator.py
@@ -11,7 +11,7 @@
 from standins.metadata_store import MetadataStore
 
 TIMEOUT_S = 2.0
-MAX_AGE_S = 1.5
+MAX_AGE_S = {Freshness.PRIMARY: 0.0, Freshness.BOUNDED: 1.5, Freshness.SESSION: 3.0}
 CHANGE_INTERVAL_S = (2.0, 5.0)
 PLANS = {"wide": Plan(2000.0, 500.0), "narrow": Plan(15.0, 10.0)}
 _KINDS = {
@@ -39,10 +39,9 @@
         self.groups = groups
         for group in groups:
             for kind, freshness in _KINDS.items():
-                max_age_s = MAX_AGE_S if freshness is Freshness.BOUNDED else 0.0
                 name = f"{group}{kind}"
                 self.databases[name] = Database(
-                    name, group, freshness, TIMEOUT_S, max_age_s
+                    name, group, freshness, TIMEOUT_S, MAX_AGE_S[freshness]
                 )
         self.record.plans.update(PLANS)
         granted = []
