--- a/lavenderstack/platform/restore_process_test.py
+++ b/lavenderstack/platform/restore_process_test.py
@@ -64,6 +64,10 @@
             target.leads = name == body["id"]
             target.term += 1
             target.seq = newest
+            target.paused_term = 0
+            target.replicas = [
+                other for other in self.targets.values() if other is not target
+            ]
         for name in self.targets:
             self.report(name)
         return web.json_response({})
@@ -140,6 +144,7 @@
     store.put("ls/era", b'{"era":4}')
     store.put("op/config", config_with_keys(1, "k1", "k2"))
     targets = {"i-1": LineTarget("i-1"), "i-2": LineTarget("i-2", leads=False)}
+    targets["i-1"].replicas = [targets["i-2"]]
     group = Group(store, targets)
     async with AsyncExitStack() as stack:
         addr = await stack.enter_async_context(metadata_store.serving(store))
@@ -235,9 +240,8 @@
             assert len(epochs) >= 2
 
     def check_writes(self, group, writers):
-        items, effects = {}, []
+        items, effects = group.targets[group.primary].items, []
         for target in group.targets.values():
-            items |= target.items
             effects += target.effects
         assert len(effects) == len(set(effects))
         for writer in writers:
--- a/standins/line_target.py
+++ b/standins/line_target.py
@@ -3,8 +3,8 @@
 The protocol is described in ``lavenderstack.platform.line_protocol``.
 
 It supports a table of items, prepared statements and transactions, and answers each
-statement with a receipt. It has no replication; ``node/backend_fake.py`` simulates
-replication faults in memory.
+statement with a receipt. Its replicas receive each commit at once, unless they are
+paused; ``line_group.py`` has replication with delays and faults.
 """
 
 import asyncio
@@ -35,12 +35,23 @@
     max_connections: int = 30
     open_connections: int = 0
     drop_after: int | None = None
+    replicas: list["LineTarget"] = field(default_factory=list)
+    paused_term: int = 0
 
     @property
     def position(self) -> str:
         """The position of the last log entry, as ``term.seq``."""
         return f"{self.term}.{self.seq}"
 
+    def commit(self, changes: list[tuple[str, str]]) -> None:
+        """Append a log entry, here and at each replica that isn't paused."""
+        self.items.update(changes)
+        self.seq += 1
+        for replica in self.replicas:
+            if not replica.paused_term:
+                replica.items.update(changes)
+                replica.term, replica.seq = self.term, self.seq
+
 
 class _Conn:
     def __init__(self, target: LineTarget):
@@ -87,11 +98,20 @@
                 self.prepared[name] = statement
                 return ["DONE -"]
             case "STATUS" | "PAUSE" | "RESUME":
+                self._order(verb, rest)
                 role = "primary" if target.leads else "replica"
-                row = f"ROW {role} {target.term} {target.position} 0 0 0 1"
+                paused_term = target.paused_term
+                row = f"ROW {role} {target.term} {target.position} {paused_term} 0 0 1"
                 return [row, "DONE -"]
         return self._run(statement_id, verb, rest, text)
 
+    def _order(self, verb: str, term: str) -> None:
+        """Pause above the target's own term, or resume."""
+        if verb == "PAUSE" and int(term) > self.target.term:
+            self.target.paused_term = int(term)
+        elif verb == "RESUME":
+            self.target.paused_term = 0
+
     def _run(self, statement_id: str, verb: str, rest: str, text: str) -> list[str]:
         target = self.target
         if verb == "EXEC":
@@ -110,9 +130,8 @@
             if self.transaction_state == "T":
                 return [receipt]
         if self.pending_writes:
-            target.items.update(self.pending_writes)
             target.effects.append(statement_id)
-            target.seq += 1
+            target.commit(self.pending_writes)
         self.transaction_state, self.pending_writes = "I", []
         return [receipt]
 
