Keep replicas paused through later attempts while an order is pending

Found by reading: after an order without an answer the next attempt could find an obstacle and resume the replicas, while the order might still be carried out.

--- a/lavenderstack/core/events.py
+++ b/lavenderstack/core/events.py
@@ -430,7 +430,7 @@
     Event(
         "replacer: replicas stay paused",
         LineKind.STATE,
-        ("group", "target"),
+        ("group",),
         "an order without an answer may still be carried out",
     ),
     Event(
--- a/lavenderstack/node/promoter_test.py
+++ b/lavenderstack/node/promoter_test.py
@@ -37,6 +37,16 @@
         await harness.group.promote(*order)
         assert harness.group.incomplete == []
 
+    @pytest.mark.parametrize("leaving", [False, True])
+    async def test_replicas_stay_paused_if_the_next_attempt_finds_an_obstacle(
+        self, leaving
+    ):
+        harness, order = await self.send_unanswered(leaving)
+        others = {"t2", "t3"} - {order[1]}
+        harness.targets[order[1]].reachable = False
+        await harness.check()
+        assert all(harness.targets[name].paused for name in others)
+
     async def test_it_has_no_effect_once_the_replicas_are_resumed(self):
         harness, order = await self.send_unanswered()
         harness.primary_answers = True
--- a/lavenderstack/node/replacer.py
+++ b/lavenderstack/node/replacer.py
@@ -55,16 +55,18 @@
     """State of this node's supervision of one group.
 
     ``misses`` counts checks in a row without a known primary. ``may_be_paused`` tells
-    that an earlier attempt, also of a former owner, may have left replicas paused. The
-    other fields are in seconds on the clock: the first of the latest checks in a row at
-    which the primary had no connection free, the last accepted order, and the last try
-    to resume replicas.
+    that an earlier attempt, also of a former owner, may have left replicas paused,
+    ``order_pending`` that an order of this node may still be carried out. The other
+    fields are in seconds on the clock: the first of the latest checks in a row at which
+    the primary had no connection free, the last accepted order, and the last try to
+    resume replicas.
     """
 
     misses: int = 0
     full_since: float | None = None
     acted_at: float = 0.0
     may_be_paused: bool = True
+    order_pending: bool = False
     released_at: float = float("-inf")
 
 
@@ -122,7 +124,7 @@
         status = self._groups[group]
         claim = await self._group_claims.own(group)
         if claim is None:
-            status.may_be_paused = True
+            status.may_be_paused, status.order_pending = True, False
             return
         if not self._may_act():
             return
@@ -210,7 +212,7 @@
                 missing=self._sets.missing(group),
                 primary=self._positions.describe_last_answer(group),
             )
-            await self._resume(group, followers)
+            await self._resume(group, status, followers)
             return
         log.warning(
             "replacer: primary lost",
@@ -255,7 +257,7 @@
                     group=group,
                     obstacle=obstacle.name,
                 )
-                await self._resume(group, others)
+                await self._resume(group, status, others)
                 return
             await asyncio.sleep(CATCH_UP_POLL_S)
         log.info(
@@ -278,16 +280,19 @@
         outcome = await self._promoter.promote(group, target)
         if outcome is OrderOutcome.TAKEN:
             status.acted_at = clock.now()
-            status.misses = 0
-        elif outcome is OrderOutcome.NOT_TAKEN:
-            await self._resume(group, paused)
-        else:
-            status.may_be_paused = True
-            log.warning("replacer: replicas stay paused", group=group, target=target)
+            status.misses, status.order_pending = 0, False
+            return
+        if outcome is OrderOutcome.UNKNOWN:
+            status.may_be_paused = status.order_pending = True
+        await self._resume(group, status, paused)
 
-    async def _resume(self, group: str, followers: list[TargetState]) -> None:
-        """Resume replicas, unless the next owner may have paused them by now."""
-        if self._promoter.lease_holds():
+    async def _resume(
+        self, group: str, status: _GroupStatus, followers: list[TargetState]
+    ) -> None:
+        """Resume replicas, unless an order is pending or the next owner may act."""
+        if status.order_pending:
+            log.warning("replacer: replicas stay paused", group=group)
+        elif self._promoter.lease_holds():
             await self._replicas.resume(group, followers)
         else:
             log.warning("replacer: lease too old to act", group=group)
@@ -311,12 +316,12 @@
             for follower, state in zip(followers, states, strict=True)
             if state.paused
         ]
-        if paused:
+        if paused or status.order_pending:
             if not await self._promoter.raise_fence(group, primary.target.name):
                 return
             # Another owner's order must not follow this one closely.
-            status.acted_at = now
-            await self._resume(group, paused)
+            status.acted_at, status.order_pending = now, False
+            await self._resume(group, status, paused)
         status.may_be_paused = any(state.received is None for state in states)
 
     def _has_other_primary(self, group: str, lost: str) -> bool:
