Don't lose a cancellation that comes with a node's answer

Likely cause: asyncio.wait_for on Python 3.11 returns the result when a cancellation comes in the tick in which the answer arrives, so a part that the stop cancels goes on for ever, and the stop waits for it. StreamPool.call uses asyncio.timeout, which passes the cancellation on. The test failed before ('DID NOT RAISE CancelledError') and passes.

--- a/lavenderstack/node/streams.py
+++ b/lavenderstack/node/streams.py
@@ -347,7 +347,9 @@
             raise NotSent("stream closed")
         number, fut = stream.ask(body)
         try:
-            return await asyncio.wait_for(fut, max(0.0, deadline - clock.now()))
+            # ``wait_for`` would lose a cancellation that comes with the answer.
+            async with asyncio.timeout(max(0.0, deadline - clock.now())):
+                return await fut
         finally:
             with suppress(Exception):
                 stream.cancel(number)
--- a/lavenderstack/node/streams_test.py
+++ b/lavenderstack/node/streams_test.py
@@ -118,6 +118,28 @@
         assert all(isinstance(answer, NotSent) for answer in answers)
         assert len(attempts) == 1
 
+    async def test_cancellation_as_the_answer_arrives_is_not_lost(self, monkeypatch):
+        """A part that goes on after its cancellation keeps a stop from ending."""
+        answer = asyncio.get_running_loop().create_future()
+        asked = asyncio.Event()
+
+        def ask(stream, body):
+            asked.set()
+            return 1, answer
+
+        async def handler(message):
+            return Begun("t")
+
+        async with running_server(handler) as (pool, addr, _):
+            monkeypatch.setattr(streams._ClientStream, "ask", ask)
+            call = asyncio.ensure_future(pool.call(addr, BEGIN, 1.0))
+            await asked.wait()
+            await asyncio.sleep(0)
+            answer.set_result(Begun("t"))
+            call.cancel()
+            with pytest.raises(asyncio.CancelledError):
+                await call
+
     async def test_cancelled_request_leaves_the_connection_to_others(self):
         async def handler(message):
             return Begun(message.request)
