Plant the cut stop only at a node that a caller uses

Cause: no caller had an open session at the node when it was paused and killed, so nothing was cut, and the callers avoid a node that stops. The test waits until a caller uses the node; what the check must find is the same.

--- a/bench/soak_planted_test.py
+++ b/bench/soak_planted_test.py
@@ -44,6 +44,17 @@
     return lines
 
 
+async def in_use(fleet, node):
+    """Wait until a caller uses an open session at a node."""
+    until = clock.now() + FOUND_TIMEOUT_S
+    while not any(
+        request.node == node.identity and clock.now() - request.sent_at < 0.1
+        for request in fleet.record.snapshot().requests
+    ):
+        assert clock.now() < until, f"nobody uses {node.identity}"
+        await asyncio.sleep(0.05)
+
+
 class TestPlantedInStandIns:
     async def test_each_is_found(self, tmp_path, monkeypatch):
         async with played(tmp_path) as fleet:
@@ -87,6 +98,7 @@
             # A stop that is no stop.
             await asyncio.sleep(1.0)
             node = fleet.nodes["n1"]
+            await in_use(fleet, node)
             node.stopping = True
             fleet.record.stops.append(Stop(node.identity, clock.now()))
             await asyncio.sleep(0.3)
