Serve stand-ins by one function, say acknowledged where positions are

What nodes tell is what they acknowledged, so the type and functions are named so (they said observed, from before the review).

--- a/lavenderstack/core/replica_set.py
+++ b/lavenderstack/core/replica_set.py
@@ -13,7 +13,7 @@
 
 If a replica of the set is gone and the primary is lost as well, no proof is possible
 any more. A replica may then take over only if it has received everything that the
-nodes, through which all acknowledgements pass, have seen in the primary's log.
+nodes have acknowledged; all acknowledgements pass through them.
 """
 
 from collections.abc import Iterable
@@ -48,10 +48,10 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ObservedPosition:
-    """The highest position of a primary's log that a node has observed.
+class AcknowledgedPosition:
+    """The highest position that a node has acknowledged since its start.
 
-    ``uptime_s`` is how long the node has been running, and so observing, in seconds.
+    The node started ``uptime_s`` seconds ago.
     """
 
     position: Position
@@ -117,8 +117,8 @@
     return ReplicaSet(primary, members.present, members.as_of)
 
 
-def highest_observed(
-    position: Position, age_s: float, nodes: Iterable[ObservedPosition | None]
+def highest_acknowledged(
+    position: Position, age_s: float, nodes: Iterable[AcknowledgedPosition | None]
 ) -> Position | None:
     """Return the highest position that may have been acknowledged, if it is known.
 
--- a/lavenderstack/core/replica_set_test.py
+++ b/lavenderstack/core/replica_set_test.py
@@ -15,11 +15,11 @@
 from lavenderstack.core.position import START, Position
 from lavenderstack.core.replacement import ReplicaState, choose_successor
 from lavenderstack.core.replica_set import (
+    AcknowledgedPosition,
     Membership,
-    ObservedPosition,
     ReplicaSet,
     TargetRun,
-    highest_observed,
+    highest_acknowledged,
     is_complete,
     is_proof,
     joined,
@@ -200,13 +200,13 @@
         assert missing_replicas(recorded, known) == {TargetRun("b", 5)}
 
 
-class TestObservedPositions:
+class TestAcknowledgedPositions:
     def test_a_replica_with_all_that_nodes_observed_has_every_acknowledged_write(self):
         """Each acknowledgement passes through a node, so one observed the last one."""
         chosen_count = 0
         for state in explored():
-            node = ObservedPosition(Position(1, state.acknowledged), 60.0)
-            end = highest_observed(START, 5.0, [node])
+            node = AcknowledgedPosition(Position(1, state.acknowledged), 60.0)
+            end = highest_acknowledged(START, 5.0, [node])
             chosen = choose_successor(statuses(state), replicated=True)
             if isinstance(chosen, ReplicaState) and chosen.received >= end:
                 chosen_count += 1
@@ -217,12 +217,12 @@
         ("nodes", "expected"),
         [
             ([], Position(1, 4)),
-            ([ObservedPosition(Position(1, 3), 60.0)], Position(1, 4)),
-            ([ObservedPosition(Position(1, 6), 60.0)], Position(1, 6)),
-            ([ObservedPosition(Position(1, 6), 60.0), None], None),
-            ([ObservedPosition(Position(1, 3), 1.9)], None),
+            ([AcknowledgedPosition(Position(1, 3), 60.0)], Position(1, 4)),
+            ([AcknowledgedPosition(Position(1, 6), 60.0)], Position(1, 6)),
+            ([AcknowledgedPosition(Position(1, 6), 60.0), None], None),
+            ([AcknowledgedPosition(Position(1, 3), 1.9)], None),
         ],
         ids=["no node", "older", "newer", "one is silent", "one has started since"],
     )
     def test_all_nodes_that_ran_since_the_last_answer_must_tell(self, nodes, expected):
-        assert highest_observed(Position(1, 4), 2.0, nodes) == expected
+        assert highest_acknowledged(Position(1, 4), 2.0, nodes) == expected
--- a/lavenderstack/node/group_positions.py
+++ b/lavenderstack/node/group_positions.py
@@ -12,7 +12,7 @@
 from lavenderstack.core import clock, replica_set
 from lavenderstack.core.catalog import TargetState
 from lavenderstack.core.position import START, Position
-from lavenderstack.core.replica_set import ObservedPosition
+from lavenderstack.core.replica_set import AcknowledgedPosition
 from lavenderstack.core.work_messages import (
     GroupPosition,
     GroupPositionRequest,
@@ -104,7 +104,7 @@
         told = [Position(*one.position) for one in answers if one is not None]
         return max(told, default=START)
 
-    async def observed_end(self, group: str, primary: str) -> Position | None:
+    async def acknowledged_end(self, group: str, primary: str) -> Position | None:
         """Return the highest position that may have been acknowledged, if it is known.
 
         Every acknowledgement passes through a node, so a replica that has received
@@ -121,10 +121,10 @@
             *(self._ask_node(name, msg, PROBE_TIMEOUT_S) for name in names)
         )
         nodes = [
-            _observed(answer, name in last.nodes)
+            _proved_by(answer, name in last.nodes)
             for name, answer in zip(names, answers, strict=True)
         ]
-        return replica_set.highest_observed(last.position, age_s, nodes)
+        return replica_set.highest_acknowledged(last.position, age_s, nodes)
 
     async def _ask_node(
         self, name: str, msg: GroupPositionRequest, timeout_s: float
@@ -138,9 +138,9 @@
         return answer if isinstance(answer, GroupPosition) else None
 
 
-def _observed(
+def _proved_by(
     answer: GroupPosition | None, was_registered: bool
-) -> ObservedPosition | None:
+) -> AcknowledgedPosition | None:
     """Return what a node's answer proves.
 
     A node that was registered at the primary's last answer must have run since then. A
@@ -149,4 +149,4 @@
     if answer is None:
         return None
     uptime_s = answer.uptime_s if was_registered else float("inf")
-    return ObservedPosition(Position(*answer.position), uptime_s)
+    return AcknowledgedPosition(Position(*answer.position), uptime_s)
--- a/lavenderstack/node/replica_sets.py
+++ b/lavenderstack/node/replica_sets.py
@@ -132,6 +132,7 @@
         claim: RecordedOwnership,
         followers: list[TargetState],
     ) -> None:
+        """Record the set as it is now, or as a proof shows it, if that changed."""
         group, name = primary.group, primary.target.name
         recorded = self._directory.replica_sets.get(group)
         members = self._directory.members(group, name)
@@ -215,7 +216,7 @@
         now, before = clock.now(), self._blocked.get(group)
         if before is not None and now - before.at < BLOCKED_RETRY_S:
             return None
-        end = await self._positions.observed_end(group, primary)
+        end = await self._positions.acknowledged_end(group, primary)
         states = await self._replicas.send(followers, statement.STATUS)
         blocked = _Blocked(now, {one.name: one.received for one in states})
         self._blocked[group] = blocked
--- a/standins/faulty_store.py
+++ b/standins/faulty_store.py
@@ -14,7 +14,8 @@
 from aiohttp import web
 
 from lavenderstack.core import clock
-from standins.metadata_store import MetadataStore, _era_sender
+from standins.metadata_store import MetadataStore, make_app
+from standins.web_app import serving_app
 
 SWEEP_INTERVAL_S = 0.05
 LATE_CALL_S = (0.5, 4.0)
@@ -107,20 +108,5 @@
 @asynccontextmanager
 async def serving_node(store: FaultyStore, node: str) -> AsyncIterator[int]:
     """Serve the store to one node on a free port of loopback; yield the port."""
-    app = web.Application(middlewares=[store.faults_for(node)])
-    app.on_response_prepare.append(_era_sender(store))
-    app.router.add_get("/api/kv-key", store.get)
-    app.router.add_get("/api/kv-range", store.list)
-    app.router.add_get("/api/kv-watch", store.watch)
-    app.router.add_post("/api/kv-txn", store.change)
-    app.router.add_post("/api/kv-lease", store.grant_lease)
-    app.router.add_post("/api/kv-keep/{id}", store.renew_lease)
-    app.router.add_delete("/api/kv-lease-end/{id}", store.revoke_lease)
-    runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
-    await runner.setup()
-    site = web.TCPSite(runner, "127.0.0.1", 0)
-    await site.start()
-    try:
-        yield site._server.sockets[0].getsockname()[1]
-    finally:
-        await runner.cleanup()
+    async with serving_app(make_app(store, [store.faults_for(node)])) as port:
+        yield port
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -7,12 +7,14 @@
 import asyncio
 import base64
 import copy
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
 from aiohttp import web
 
+from standins.web_app import serving_app
+
 DEFAULT_PAGE_SIZE = 50
 
 
@@ -226,10 +228,9 @@
     return send_era
 
 
-@asynccontextmanager
-async def serving(store: MetadataStore) -> AsyncIterator[str]:
-    """Serve a store on a free port of loopback; yield its ``host:port``."""
-    app = web.Application()
+def make_app(store: MetadataStore, middlewares: Sequence = ()) -> web.Application:
+    """Return an application with the calls of a store."""
+    app = web.Application(middlewares=middlewares)
     app.on_response_prepare.append(_era_sender(store))
     app.router.add_get("/api/kv-key", store.get)
     app.router.add_get("/api/kv-range", store.list)
@@ -238,12 +239,11 @@
     app.router.add_post("/api/kv-lease", store.grant_lease)
     app.router.add_post("/api/kv-keep/{id}", store.renew_lease)
     app.router.add_delete("/api/kv-lease-end/{id}", store.revoke_lease)
-    runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
-    await runner.setup()
-    site = web.TCPSite(runner, "127.0.0.1", 0)
-    await site.start()
-    port = site._server.sockets[0].getsockname()[1]
-    try:
+    return app
+
+
+@asynccontextmanager
+async def serving(store: MetadataStore) -> AsyncIterator[str]:
+    """Serve a store on a free port of loopback; yield its ``host:port``."""
+    async with serving_app(make_app(store)) as port:
         yield f"127.0.0.1:{port}"
-    finally:
-        await runner.cleanup()
--- a/standins/promotion_orders.py
+++ b/standins/promotion_orders.py
@@ -15,6 +15,7 @@
 from lavenderstack.core import clock
 from lavenderstack.platform.orders import FENCE_HEADER, HOLDER_HEADER
 from standins.line_group import LineGroup
+from standins.web_app import serving_app
 
 EFFECT_DELAY_S = (0.1, 0.4)
 LATE_ORDER_S = (1.0, 4.0)
@@ -80,11 +81,5 @@
     """Serve the call on a free port of loopback; yield the port."""
     app = web.Application()
     app.router.add_post("/promote", orders.promote)
-    runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
-    await runner.setup()
-    site = web.TCPSite(runner, "127.0.0.1", 0)
-    await site.start()
-    try:
-        yield site._server.sockets[0].getsockname()[1]
-    finally:
-        await runner.cleanup()
+    async with serving_app(app) as port:
+        yield port
