Agree on the interfaces of evacuation and load control

Nothing uses them yet: the decision whether a caller's statement may be sent to an evacuated zone, the rule which groups are under load control, the report of a target's load as the last field of answers (None from nodes that don't send it), two reasons, and the settings that the platform's template fills in. The template gives an empty value where a deployment has no such bound, which is read as none.

--- a/lavenderstack/core/explanation.py
+++ b/lavenderstack/core/explanation.py
@@ -55,6 +55,8 @@
     "unconfirmed": "the write was not confirmed by a majority",
     "not_allowed": "the organisation may not use the database",
     "bad_token": "the session token can't be used",
+    "evacuated": "its zone is evacuated, and no target outside could run it",
+    "outside_homes": "no target in the home regions could run it",
 }
 
 
--- a/lavenderstack/core/messages.py
+++ b/lavenderstack/core/messages.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from lavenderstack.core.position import Position
+from lavenderstack.core.target_load import TargetLoad
 
 
 class Message(msgspec.Struct, array_like=True, frozen=True, gc=False):
@@ -98,6 +99,7 @@
 
     ``primary`` and ``term`` are what the sender knows of the group's primary;
     ``admitted`` means that the request was counted against its organisation's rate.
+    ``load`` is the load of the target, if the holder reports it.
     """
 
     run: bool
@@ -107,6 +109,7 @@
     primary: str = ""
     term: int = 0
     admitted: bool = False
+    load: TargetLoad | None = None
 
 
 class Cancel(Message, tag="cancel"):
--- a/lavenderstack/core/outcome.py
+++ b/lavenderstack/core/outcome.py
@@ -40,6 +40,8 @@
     WRONG_TARGET = "wrong_target"
     NO_CONNECTION = "no_connection"
     OUTCOME_UNKNOWN = "outcome_unknown"
+    EVACUATED = "evacuated"
+    OUTSIDE_HOMES = "outside_homes"
 
 
 # Reasons that don't pass by themselves, so that sending the request again is no use.
--- a/lavenderstack/core/work_messages.py
+++ b/lavenderstack/core/work_messages.py
@@ -11,6 +11,7 @@
 from lavenderstack.core.position import START, Position
 from lavenderstack.core.reply import TxState
 from lavenderstack.core.statement import Prepared, Statement
+from lavenderstack.core.target_load import TargetLoad
 
 
 class Access(IntEnum):
@@ -69,13 +70,17 @@
 
 
 class WorkDone(Message, tag="work_done", kw_only=True):
-    """The statement succeeded; ``receipt`` is the target's proof of it."""
+    """The statement succeeded; ``receipt`` is the target's proof of it.
+
+    ``load`` is the load of the target, if the holder reports it.
+    """
 
     rows: list[str]
     receipt: str
     position: Position
     state: TxState = TxState.NONE
     tx: str = ""
+    load: TargetLoad | None = None
 
 
 class EndWork(Message, tag="end_work"):
--- a/lavenderstack/node/directory.py
+++ b/lavenderstack/node/directory.py
@@ -13,6 +13,7 @@
 
 from lavenderstack.core import primary_selection
 from lavenderstack.core.catalog import Catalog, RecordedOwnership, Reserve, TargetState
+from lavenderstack.core.contention import LoadControl, is_load_controlled
 from lavenderstack.core.replica_set import Membership, ReplicaSet, TargetRun
 from lavenderstack.core.view import Target, View, Vm
 from lavenderstack.core.view_proof import ViewProof
@@ -25,7 +26,10 @@
 
 
 class Directory:
-    """The view of one node; ``proof`` tells until when the node may act on it."""
+    """The view of one node; ``proof`` tells until when the node may act on it.
+
+    ``load_control`` is the setting that tells for which groups load control is enabled.
+    """
 
     def __init__(self, name: str, zone: str, proof: ViewProof) -> None:
         self.name = name
@@ -37,6 +41,7 @@
         self.ownerships: dict[str, RecordedOwnership] = {}
         self.replica_sets: dict[str, ReplicaSet] = {}
         self.reserve = Reserve()
+        self.load_control = LoadControl.AUTO
         self._groups: dict[str, dict[str, TargetState]] = defaultdict(dict)
         # All changes of the store up to this position are known.
         self.as_of = 0
@@ -232,6 +237,10 @@
         log.info("directory: primary observed", target=name, group=group)
         self._signal_change()
 
+    def is_load_controlled(self, group: str) -> bool:
+        """Return whether load control is enabled for a group."""
+        return is_load_controlled(self.load_control, self.catalog, group)
+
     def group(self, name: str) -> list[TargetState]:
         """Return the targets of a group."""
         return list(self._groups[name].values())
--- a/lavenderstack/platform/main.py
+++ b/lavenderstack/platform/main.py
@@ -111,6 +111,7 @@
     """Create the parts of a node and connect them."""
     proof = ViewProof(cfg.withdrawn_key_limit_ms / 1000)
     directory = Directory(cfg.name, cfg.availability_zone, proof)
+    directory.load_control = cfg.load_control
     vm = Vm(cfg.name, cfg.availability_zone, cfg.host, cfg.peers_port)
     pool = StreamPool(STREAM_LIMITS)
     peers = Peers(cfg.name, lambda: directory.view, pool, Members(cfg.name))
@@ -289,6 +290,7 @@
         if getattr(cfg, field) != getattr(previous, field)
     ]
     node.directory.proof.limit_s = cfg.withdrawn_key_limit_ms / 1000
+    node.directory.load_control = cfg.load_control
     log.info("node: settings read", changed=changed)
 
 
--- a/lavenderstack/platform/settings.py
+++ b/lavenderstack/platform/settings.py
@@ -13,6 +13,7 @@
 from msgspec import Meta
 
 from lavenderstack.border.address import parse_address
+from lavenderstack.core.contention import LoadControl
 
 PATH_VARIABLE = "LAVENDERSTACK_CONFIG"
 
@@ -35,7 +36,11 @@
     If ``metrics_port`` is 0, no metrics are served. ``descriptors`` is the number of
     file descriptors that the process may use, ``withdrawn_key_limit_ms`` how long a
     withdrawn key may still be accepted, ``stop_limit_s`` how long the node may take to
-    stop.
+    stop. ``evacuation_limit_ms`` is how long after its acknowledgement an evacuation
+    must be in force, None if there is no such limit. ``cold_excess`` and ``cold_slack``
+    limit what targets get shortly after their start, None if nothing does. ``zones``
+    maps zones to regions. ``orders_per_s`` is how many promotions the platform accepts
+    from all nodes. ``load_control`` tells for which groups load control is enabled.
     """
 
     name: Name
@@ -51,6 +56,12 @@
     withdrawn_key_limit_ms: Annotated[float, Meta(gt=0)] = 5000.0
     stop_limit_s: Annotated[float, Meta(gt=0)] = 6.0
     log_level: str = "info"
+    evacuation_limit_ms: Annotated[float, Meta(gt=0)] | None = None
+    cold_excess: Annotated[float, Meta(gt=0)] | None = None
+    cold_slack: Annotated[float, Meta(ge=0)] | None = None
+    zones: dict[str, str] = {}
+    orders_per_s: Annotated[float, Meta(gt=0)] = 50.0
+    load_control: LoadControl = LoadControl.AUTO
 
 
 def _address_mistakes(cfg: Settings) -> list[str]:
--- a/tests/layers_test.py
+++ b/tests/layers_test.py
@@ -74,6 +74,11 @@
     "Fence-Token",
     "/promote",
     "LAVENDERSTACK_CONFIG",
+    "op/evacuate",
+    "evac_ms",
+    "cold_per_s",
+    "cold_left_ms",
+    "cold_start_s",
 )
 
 
