Freeze the node of the planted stop only while a caller waits for it

Cause: the test waited until a caller uses the node and froze it 0.3 s later; a caller's session may end in between, and then no request is cut by the kill, so the check has nothing to find. Ruled out: the limit of the route (2 s, the request is held for 1 to 1.3 s), and disturbances on record (none are injected there). Now the node is frozen first, and is killed only if a request waits there; else it goes on and is tried again. The check and its bound are the same.

--- a/bench/soak_planted_test.py
+++ b/bench/soak_planted_test.py
@@ -55,6 +55,25 @@
         await asyncio.sleep(0.05)
 
 
+async def freeze_under_a_request(fleet, node):
+    """Stop a node's process at a moment when a caller waits for its answer.
+
+    A session may end between its last answer and the signal, so that nobody waits.
+    """
+    until = clock.now() + FOUND_TIMEOUT_S
+    while True:
+        await in_use(fleet, node)
+        node.process.signal(signal.SIGSTOP)
+        await asyncio.sleep(1.0)
+        if any(
+            request.node == node.identity and not request.outcome
+            for request in fleet.record.snapshot().requests
+        ):
+            return
+        assert clock.now() < until, f"nobody waits for {node.identity}"
+        node.process.signal(signal.SIGCONT)
+
+
 class TestPlantedInStandIns:
     async def test_each_is_found(self, tmp_path, monkeypatch):
         async with played(tmp_path) as fleet:
@@ -98,12 +117,9 @@
             # A stop that is no stop.
             await asyncio.sleep(1.0)
             node = fleet.nodes["n1"]
-            await in_use(fleet, node)
+            await freeze_under_a_request(fleet, node)
             node.stopping = True
             fleet.record.stops.append(Stop(node.identity, clock.now()))
-            await asyncio.sleep(0.3)
-            node.process.signal(signal.SIGSTOP)
-            await asyncio.sleep(1.0)
             node.process.signal(signal.SIGKILL)
             await found(fleet, soak_checks.planned_stops)
 
