--- a/lavenderstack/core/replacement.py
+++ b/lavenderstack/core/replacement.py
@@ -23,7 +23,8 @@
 class ReplicaState:
     """The state of a replica; ``received`` is None if it gave no answer.
 
-    ``leads`` means that it is no longer a replica but has become the primary.
+    ``leads`` means that it is no longer a replica but has become the primary,
+    ``evacuated`` that its zone is evacuated.
     """
 
     name: str
@@ -31,6 +32,7 @@
     received: Position | None
     paused: bool = False
     leads: bool = False
+    evacuated: bool = False
 
 
 class Obstacle(Enum):
@@ -38,7 +40,8 @@
 
     ``SILENT_REPLICA``: a replica gave no answer or isn't paused. ``LED``: a replica has
     already become the primary. ``MISSING_REPLICA``: a replica that may alone have a
-    commit is not registered any more (``core/replica_set.py``).
+    commit is not registered any more (``core/replica_set.py``). ``EVACUATED``: the
+    replica that received most is in an evacuated zone.
     """
 
     NO_REPLICA = auto()
@@ -46,10 +49,13 @@
     BEHIND = auto()
     LED = auto()
     MISSING_REPLICA = auto()
+    EVACUATED = auto()
 
 
 def most_advanced(replicas: Sequence[ReplicaState]) -> ReplicaState | None:
-    """Return the replica that received most; of equals, one that is not leaving.
+    """Return the replica that received most.
+
+    Of equals, one is taken that is not in an evacuated zone and is not leaving.
 
     >>> most_advanced([ReplicaState("a", False, Position(1, 2)),
     ...                ReplicaState("b", False, Position(1, 3))]).name
@@ -58,7 +64,12 @@
     answered = [replica for replica in replicas if replica.received is not None]
     return max(
         answered,
-        key=lambda replica: (replica.received, not replica.leaving, replica.name),
+        key=lambda replica: (
+            replica.received,
+            not replica.evacuated,
+            not replica.leaving,
+            replica.name,
+        ),
         default=None,
     )
 
@@ -78,7 +89,7 @@
         return Obstacle.NO_REPLICA
     if replicated and not all(replica.paused for replica in replicas):
         return Obstacle.SILENT_REPLICA
-    return chosen
+    return Obstacle.EVACUATED if chosen.evacuated else chosen
 
 
 def takeover_obstacle(
@@ -92,6 +103,8 @@
         return Obstacle.SILENT_REPLICA
     if candidate.leads or any(replica.leads for replica in others):
         return Obstacle.LED
+    if candidate.evacuated:
+        return Obstacle.EVACUATED
     if not replicated:
         return None
     if any(replica.received is None or not replica.paused for replica in others):
