Evacuate availability zones on the platform path

The loader reads op/evacuate/ZONE whatever its value; the holder decides at the moment of sending, also before a BEGIN and for statements that waited; the entry selects targets and refuses at once, without a token, where nothing outside can help; owners replace primaries in turn after asking them, so that a lost one is replaced as lost. With evacuation_limit_ms a node without a recent enough proof sends no caller's statement, on public routes as well. Without the setting and without a request nothing changes.

Evacuations of a listing are applied after the targets of their zones, else a start would report each zone as unknown; still before anything is proved. One idle connection is kept to an evacuated primary, since replicas outside need its position for aged reads.

--- a/lavenderstack/core/events.py
+++ b/lavenderstack/core/events.py
@@ -205,6 +205,42 @@
         ("target", "revision"),
         "the target answered that it is not the primary",
     ),
+    Event(
+        "directory: zone evacuated",
+        LineKind.LIFE,
+        ("zone", "revision", "targets"),
+        "nothing more is sent to its targets; revision: position of the request",
+    ),
+    Event(
+        "directory: evacuated zone is unknown",
+        LineKind.LIFE,
+        ("zone", "revision"),
+        "no target and no node is there; it takes effect should targets appear",
+    ),
+    Event(
+        "directory: zone returned",
+        LineKind.LIFE,
+        ("zone", "revision"),
+        "the request to evacuate it was withdrawn",
+    ),
+    Event(
+        "executor: target out of use",
+        LineKind.STATE,
+        ("target", "zone"),
+        "its zone is evacuated; this holder sends no more statements of callers",
+    ),
+    Event(
+        "executor: target in use again",
+        LineKind.STATE,
+        ("target", "zone"),
+        "its zone is not evacuated any more",
+    ),
+    Event(
+        "executor: transactions ended, zone evacuated",
+        LineKind.STATE,
+        ("target", "ended"),
+        "they were open after the grace period; rolled back here",
+    ),
     Event(
         "executor: connection discarded",
         LineKind.STATE,
@@ -385,6 +421,12 @@
         ("group", "lost", "chosen", "followers", "primary"),
         "a replica is being promoted",
     ),
+    Event(
+        "replacer: evacuated primary not replaced",
+        LineKind.STATE,
+        ("group", "target", "obstacle"),
+        "no replica outside of the evacuated zones can take over",
+    ),
     Event(
         "replacer: primary leaves",
         LineKind.STATE,
--- a/lavenderstack/core/events_test.py
+++ b/lavenderstack/core/events_test.py
@@ -15,6 +15,9 @@
 NODE = (
     "admitter",
     "directory",
+    "evacuated_zones",
+    "evacuation_guard",
+    "planned_failover",
     "dispatch",
     "executor",
     "active_connections",
--- a/lavenderstack/node/counters.py
+++ b/lavenderstack/node/counters.py
@@ -36,6 +36,11 @@
             "refused_connections", "Connections of callers refused", ["reason"]
         )
         self.orders = self._counter("orders", "Promotions ordered", ["outcome"])
+        self.evacuation_refusals = self._counter(
+            "evacuation_refusals",
+            "Statements refused because of an evacuation, by the part that refused",
+            ["by"],
+        )
         self.latency = Histogram(
             "request_seconds",
             "Time from a caller's statement to the answer",
--- a/lavenderstack/node/directory.py
+++ b/lavenderstack/node/directory.py
@@ -17,6 +17,7 @@
 from lavenderstack.core.replica_set import Membership, ReplicaSet, TargetRun
 from lavenderstack.core.view import Target, View, Vm
 from lavenderstack.core.view_proof import ViewProof
+from lavenderstack.node.evacuated_zones import EvacuatedZones
 
 log = structlog.get_logger()
 
@@ -25,13 +26,14 @@
 MAX_DEPARTED = 50
 
 
-class Directory:
+class Directory(EvacuatedZones):
     """The view of one node; ``proof`` tells until when the node may act on it.
 
     ``load_control`` is the setting that tells for which groups load control is enabled.
     """
 
     def __init__(self, name: str, zone: str, proof: ViewProof) -> None:
+        super().__init__()
         self.name = name
         self.zone = zone
         self.proof = proof
--- a/lavenderstack/node/dispatch.py
+++ b/lavenderstack/node/dispatch.py
@@ -14,6 +14,12 @@
 
 from lavenderstack.core import clock
 from lavenderstack.core.catalog import Route, TargetState
+from lavenderstack.core.evacuation import Use
+from lavenderstack.core.evacuation_routing import (
+    EVACUATED_RETRY_S,
+    Prospect,
+    use_of,
+)
 from lavenderstack.core.messages import Failed, Message
 from lavenderstack.core.outcome import Reason
 from lavenderstack.core.position import START, Position
@@ -21,6 +27,11 @@
 from lavenderstack.core.work_messages import Access, TransactionStart, Work, WorkDone
 from lavenderstack.node.counters import Counters
 from lavenderstack.node.directory import Directory
+from lavenderstack.node.evacuation_refusals import (
+    evacuated,
+    group_prospect,
+    refusal_at_once,
+)
 from lavenderstack.node.peers import Peers
 from lavenderstack.node.streams import NotSent, StreamLost
 
@@ -66,6 +77,7 @@
         Reason.LEAVING,
         Reason.CROWDED,
         Reason.DEADLINE,
+        Reason.EVACUATED,
     }
 )
 
@@ -104,6 +116,11 @@
         retry_s = min(self.route.timeout_s * RETRY_TIMEOUT_SHARE, MAX_RETRY_S)
         return self.began_at + retry_s
 
+    @property
+    def use(self) -> Use:
+        """What the statement requires of its target."""
+        return use_of(self.access, self.opens, self.statement.kind)
+
     @property
     def repeatable(self) -> bool:
         """Whether the statement may run twice, which is true for reads."""
@@ -143,6 +160,15 @@
         """
         backoff_s = FIRST_MAX_BACKOFF_S
         while True:
+            refusal = refusal_at_once(
+                self._directory,
+                self._counters,
+                call.route.group,
+                call.use,
+                call.retry_until,
+            )
+            if refusal is not None:
+                return DispatchResult(refusal)
             result = await self._run_round(call)
             left_s = call.retry_until - clock.now()
             if left_s <= 0 or not _may_retry(call, result.answer):
@@ -150,6 +176,12 @@
             backoff_s = await self._pause(backoff_s, left_s)
 
     async def _run_round(self, call: Call) -> DispatchResult:
+        outlook = group_prospect(
+            self._directory, call.route.group, call.use, clock.now()
+        )
+        if outlook is Prospect.WAIT:
+            detail = "its primary is being replaced"
+            return DispatchResult(evacuated(detail, EVACUATED_RETRY_S))
         if call.access is Access.AGED_READ:
             return await self._run_hedged(call, self._read_choices(call))
         primary = self._directory.primary(call.route.group)
@@ -172,12 +204,14 @@
     def _read_choices(self, call: Call) -> list[tuple[TargetState, Access]]:
         """Return the targets for an aged read and how to read there, best first."""
         group = call.route.group
-        replicas = self._directory.replicas(group)
+        replicas = self._usable(self._directory.replicas(group))
         random.shuffle(replicas)
         # A replica in the entry's own zone avoids two messages between zones.
         replicas.sort(key=lambda state: state.target.zone != self._directory.zone)
         choices = [(state, Access.AGED_READ) for state in replicas]
         primary = self._directory.primary(group)
+        if primary is not None and not self._usable([primary]):
+            primary = None
         if primary is not None and call.opens is not TransactionStart.READ_ONLY:
             index = len(choices)
             if clock.now() - call.wrote_at < RECENT_WRITE_S:
@@ -187,6 +221,11 @@
             choices.append((primary, Access.AGED_READ))
         return choices
 
+    def _usable(self, states: list[TargetState]) -> list[TargetState]:
+        """Return the targets outside of every evacuated zone."""
+        is_evacuated = self._directory.is_evacuated
+        return [state for state in states if not is_evacuated(state.target.zone)]
+
     async def _run_hedged(
         self, call: Call, choices: list[tuple[TargetState, Access]]
     ) -> DispatchResult:
@@ -267,6 +306,8 @@
     def _record_failure(self, call: Call, result: DispatchResult) -> None:
         failed = result.answer
         self._counters.attempts.labels(str(failed.reason)).inc()
+        if failed.reason == Reason.EVACUATED:
+            self._counters.evacuation_refusals.labels("holder").inc()
         log.info(
             "dispatch: target attempt failed",
             request=call.request,
--- a/lavenderstack/node/executor.py
+++ b/lavenderstack/node/executor.py
@@ -43,6 +43,7 @@
 )
 from lavenderstack.node.connection_setup import setup_commands, target_statement
 from lavenderstack.node.directory import Directory
+from lavenderstack.node.evacuation_guard import EvacuationGuard
 from lavenderstack.node.open_transactions import OpenTransactions
 from lavenderstack.node.slots import Slots
 from lavenderstack.node.target_connections import PooledConnection, TargetConnections
@@ -97,6 +98,9 @@
             self.health.positions,
             acknowledged,
         )
+        self._evacuation = EvacuationGuard(
+            directory, self.connections, self.transactions
+        )
 
     def update_state(self, state: TargetState) -> bool:
         """Apply changed limits of the target; return False if its address changed."""
@@ -125,11 +129,13 @@
 
     def _refusal(self, work: Work) -> Failed | None:
         """Return why the work may not be sent to the target now, or None."""
+        if not self._directory.is_view_recent(clock.now()):
+            return failure(False, Reason.STALE_VIEW)
         known = self._directory.is_work_allowed(
             work.organisation, work.key_digest, work.version, clock.now()
         )
         if known:
-            return None
+            return self._evacuation.refusal(self.target, work, clock.now())
         holds = self._directory.proof.holds(clock.now())
         reason = Reason.KEY_REFUSED if holds else Reason.STALE_VIEW
         return failure(False, reason)
@@ -208,6 +214,7 @@
                 return failure(
                     False, Reason.UNREACHABLE, self.health.unreachable_reason
                 )
+            self._evacuation.require_use(self.target, work, clock.now())
             try:
                 async with _time_limit(deadline):
                     pooled = await self.connections.acquire(
@@ -257,8 +264,10 @@
         Before a write on a connection that was idle, probes the connection instead.
         The answer must arrive before the statement is sent: a read after a refused
         BEGIN would run outside any transaction, where nothing proves that the target
-        is the primary. Raises ``Refused`` if the target refuses the transaction.
+        is the primary. Raises ``Refused`` if the target refuses the transaction or may
+        not be used any more.
         """
+        self._evacuation.require_use(self.target, work, clock.now())
         proves_primary = work.access is Access.CURRENT_READ and not work.opens
         if proves_primary or work.opens:
             read_only = work.opens is TransactionStart.READ_ONLY
@@ -338,6 +347,7 @@
     def sweep(self, now: float) -> None:
         """End idle transactions and close connections that this node need not hold."""
         self.transactions.sweep(now, self._directory.catalog.tx_idle_s)
+        self._evacuation.sweep(self.target, now)
         self.connections.close_idle(self._first_choice)
 
     def close(self) -> None:
--- a/lavenderstack/node/followers.py
+++ b/lavenderstack/node/followers.py
@@ -76,7 +76,12 @@
         """
         found = await asyncio.gather(*(self._query_status(s, command) for s in states))
         return [
-            ReplicaState(s.target.name, s.leaving, None)
+            ReplicaState(
+                s.target.name,
+                s.leaving,
+                None,
+                evacuated=self._directory.is_evacuated(s.target.zone),
+            )
             if status is None
             else ReplicaState(
                 s.target.name,
@@ -84,6 +89,7 @@
                 status.received,
                 paused=status.paused_term > status.term,
                 leads=status.leads,
+                evacuated=self._directory.is_evacuated(s.target.zone),
             )
             for s, status in zip(states, found, strict=True)
         ]
--- a/lavenderstack/node/open_transactions.py
+++ b/lavenderstack/node/open_transactions.py
@@ -135,6 +135,13 @@
             self._active.roll_back_and_release(tx.pooled)
         return WorkEnded()
 
+    def end_idle(self) -> int:
+        """Roll back the transactions in which no statement runs; return how many."""
+        idle = [name for name, tx in self._open.items() if not tx.busy]
+        for name in idle:
+            self.end(EndWork(name))
+        return len(idle)
+
     def sweep(self, now: float, idle_s: float) -> None:
         """End transactions idle for over ``idle_s`` plus ``IDLE_MARGIN_S`` seconds."""
         max_idle_s = idle_s + IDLE_MARGIN_S
--- a/lavenderstack/node/replacer.py
+++ b/lavenderstack/node/replacer.py
@@ -29,6 +29,7 @@
 from lavenderstack.node.group_claims import GroupClaims
 from lavenderstack.node.group_positions import GroupPositions
 from lavenderstack.node.peers import Peers
+from lavenderstack.node.planned_failover import PlannedFailover
 from lavenderstack.node.primary_probe import PrimaryProbe
 from lavenderstack.node.promoter import OrderOutcome, Promoter
 from lavenderstack.node.replica_sets import ReplicaSets
@@ -96,6 +97,7 @@
         self._promoter = Promoter(
             directory, peers, self._probe, claims, orders, counters
         )
+        self._planned = PlannedFailover(directory)
         self._groups: dict[str, _GroupStatus] = defaultdict(_GroupStatus)
         self.stopping = False
 
@@ -146,6 +148,9 @@
             self._sets.primary_answered(group)
             if status.may_be_paused:
                 await self._release_paused(group, status, primary)
+            if self._planned.is_due(group, primary):
+                await self._replace_leaving(group, status, primary)
+                return
             if self._is_replicated(group):
                 self._sets.maintain(primary, claim, self._followers(group, primary))
             await self._group_claims.hand_over(primary, claim, status.acted_at)
@@ -227,14 +232,14 @@
     async def _replace_leaving(
         self, group: str, status: _GroupStatus, primary: TargetState
     ) -> None:
-        """Promote a replica in place of a primary that is about to leave.
+        """Promote a replica in place of one that leaves or whose zone is evacuated.
 
         The other replicas are paused until the candidate has caught up with them.
         """
         followers = self._followers(group, primary)
         staying = [one for one in followers if not one.leaving]
         states = await self._replicas.send(staying, statement.STATUS)
-        candidate = most_advanced(states)
+        candidate = most_advanced([one for one in states if not one.evacuated])
         if candidate is None:
             log.info("replacer: no replica to take over yet", group=group)
             return
--- a/lavenderstack/node/session.py
+++ b/lavenderstack/node/session.py
@@ -37,6 +37,7 @@
     DispatchResult,
     TransactionLocation,
 )
+from lavenderstack.node.evacuation_refusals import refusal_at_once
 from lavenderstack.node.peers import Peers
 from lavenderstack.node.streams import NotSent, StreamLost
 
@@ -208,20 +209,41 @@
         tx = self._tx
         if tx is not None and tx.name:
             return await self._run_in_transaction(arrival, route, tx)
+        evacuated = self._evacuation_refusal(arrival, route)
+        if evacuated is not None:
+            return self._failure_reply(evacuated, arrival.statement)
         failed = await self.services.admitter.admit(self.organisation)
         if failed is not None:
             return self._over_rate(failed)
         return await self._run_first(arrival, route, tx)
 
+    def _evacuation_refusal(self, arrival: _Arrival, route: Route) -> Failed | None:
+        """Return a refusal that costs the organisation no token, or None."""
+        services = self.services
+        if not services.directory.evacuations:
+            return None
+        access = access_for(route, arrival.statement, self._tx)
+        call = self._call(arrival, route, access)
+        call.opens = transaction_start(route, self._tx)
+        return refusal_at_once(
+            services.directory,
+            services.counters,
+            route.group,
+            call.use,
+            call.retry_until,
+        )
+
     def _over_rate(self, failed: Failed) -> Reply:
         retry_ms = int((failed.retry_after_s or 0) * 1000)
         detail = f"{failed.detail}, retry after {retry_ms} ms"
         return self._refused(Reason(failed.reason), detail)
 
     def _key_refusal(self, route: Route) -> tuple[Reason, str] | None:
+        directory = self.services.directory
+        if not directory.is_view_recent(clock.now()):
+            return Reason.STALE_VIEW, "this node can't check for evacuated zones now"
         if route.public and not self.organisation:
             return None
-        directory = self.services.directory
         if not self.organisation:
             return Reason.NO_KEY, "the route needs a key"
         version, now = directory.catalog.version, clock.now()
--- a/lavenderstack/node/target_connections.py
+++ b/lavenderstack/node/target_connections.py
@@ -203,6 +203,12 @@
                 self._idle.remove(pooled)
                 self.discard(pooled)
 
+    def close_unused(self, keep: int) -> None:
+        """Close idle connections except the ``keep`` that were used last."""
+        surplus = len(self._idle) - keep
+        while surplus > 0 and self._evict():
+            surplus -= 1
+
     def close(self) -> None:
         """Close every connection."""
         for pooled in list(self._open):
--- a/lavenderstack/platform/documents.py
+++ b/lavenderstack/platform/documents.py
@@ -36,6 +36,7 @@
 
 CATALOG_KEY = "op/config"
 TARGETS_PREFIX = "servers/"
+EVACUATIONS_PREFIX = "op/evacuate/"
 SERVICE_PREFIX = "ls/"
 NODES_PREFIX = SERVICE_PREFIX + "nodes/"
 OWNERSHIP_PREFIX = SERVICE_PREFIX + "duties/"
@@ -193,6 +194,13 @@
     return TargetReport(target, server.service, leaving, leads, server.born)
 
 
+def evacuated_zone(key: str) -> str | None:
+    """Return the zone that an entry evacuates, whatever its value is, or None."""
+    if not key.startswith(EVACUATIONS_PREFIX):
+        return None
+    return key.removeprefix(EVACUATIONS_PREFIX) or None
+
+
 class _Node(msgspec.Struct):
     zone: str
     host: str
--- a/lavenderstack/platform/line_protocol.py
+++ b/lavenderstack/platform/line_protocol.py
@@ -134,6 +134,7 @@
     Reason.NO_CONNECTION: "BUSY",
     Reason.WRONG_TARGET: "BUSY",
     Reason.NO_PREPARED: "MALFORMED",
+    Reason.EVACUATED: "BUSY",
 }
 
 
--- a/lavenderstack/platform/loader.py
+++ b/lavenderstack/platform/loader.py
@@ -74,6 +74,16 @@
 REPLY_MARGIN_S = 0.4
 
 
+def _evacuations_last(items: list[Item]) -> list[Item]:
+    """Return changes with the evacuations after the targets and nodes of their zones.
+
+    A zone of which nothing is known yet would be reported as unknown.
+    """
+    return sorted(
+        items, key=lambda item: documents.evacuated_zone(item.key) is not None
+    )
+
+
 class Loader:
     """Copies the store's entries into a directory.
 
@@ -228,7 +238,7 @@
             Item(entry.key, entry.revision, entry.data, deleted=entry.deleted)
             for entry in reply.entries
         ]
-        for item in items:
+        for item in _evacuations_last(items):
             self._apply(item)
         if reply.whole:
             for key in self._entries.keys() - {item.key for item in items}:
@@ -289,14 +299,20 @@
         page = await self._store.list("")
         as_of, is_snapshot = page.as_of, not page.has_more
         seen: set[str] = set()
+        evacuations: list[Item] = []
         while True:
             self._record_store_answer()
             for item in page.items:
                 seen.add(item.key)
-                self._apply(item)
+                if documents.evacuated_zone(item.key) is None:
+                    self._apply(item)
+                else:
+                    evacuations.append(item)
             if not page.has_more or not page.items:
                 break
             page = await self._store.list("", after=page.items[-1].key)
+        for item in evacuations:
+            self._apply(item)
         for key in self._entries.keys() - seen:
             self._apply(Item(key=key, rev=as_of, deleted=True))
         # Changes before the first page can only be passed on as a whole listing. Those
@@ -349,7 +365,10 @@
             self._remove(item)
             return
         self._entries[item.key] = item
-        if data is not None:
+        zone = documents.evacuated_zone(item.key)
+        if zone is not None:
+            self._directory.put_evacuation(zone, item.rev)
+        elif data is not None:
             self._put(item, data)
 
     def _record_position(self, item: Item) -> None:
@@ -445,6 +464,8 @@
         elif key.startswith(documents.REPLICAS_PREFIX):
             group = key.removeprefix(documents.REPLICAS_PREFIX)
             directory.drop_replica_set(group, item.rev)
+        elif (zone := documents.evacuated_zone(key)) is not None:
+            directory.drop_evacuation(zone, item.rev)
 
     def _member_removed(self, key: str, rev: int) -> None:
         """Drop a node; wait first if this node's own registration has ended as well."""
--- a/lavenderstack/platform/main.py
+++ b/lavenderstack/platform/main.py
@@ -107,11 +107,18 @@
     parse_replication_status = staticmethod(targets.parse_replication_status)
 
 
+def _apply_evacuation_settings(directory: Directory, cfg: Settings) -> None:
+    limit_ms = cfg.evacuation_limit_ms
+    directory.evacuation_limit_s = None if limit_ms is None else limit_ms / 1000
+    directory.orders_per_s = cfg.orders_per_s
+
+
 def build(cfg: Settings, metadata_store: store.Store, orders: PlatformOrders) -> Node:
     """Create the parts of a node and connect them."""
     proof = ViewProof(cfg.withdrawn_key_limit_ms / 1000)
     directory = Directory(cfg.name, cfg.availability_zone, proof)
     directory.load_control = cfg.load_control
+    _apply_evacuation_settings(directory, cfg)
     vm = Vm(cfg.name, cfg.availability_zone, cfg.host, cfg.peers_port)
     pool = StreamPool(STREAM_LIMITS)
     peers = Peers(cfg.name, lambda: directory.view, pool, Members(cfg.name))
@@ -215,6 +222,9 @@
         "executors", "Targets held here", lambda: len(executors.target_executors)
     )
     counters.gauge("nodes", "Nodes known", lambda: len(directory.view.vms))
+    counters.gauge(
+        "evacuated_zones", "Zones evacuated", lambda: len(directory.evacuations)
+    )
     counters.gauge("store_calls", "Calls of the store", node.loader.store_calls)
     counters.gauge(
         "store_restores",
@@ -291,6 +301,7 @@
     ]
     node.directory.proof.limit_s = cfg.withdrawn_key_limit_ms / 1000
     node.directory.load_control = cfg.load_control
+    _apply_evacuation_settings(node.directory, cfg)
     log.info("node: settings read", changed=changed)
 
 
