--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -33,6 +33,7 @@
     "speed",
     "withdrawal",
     "failover",
+    "evacuation",
 )
 
 
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -77,6 +77,7 @@
     promotions: list[str]
     stops: list[str]
     faults: list[str] = field(default_factory=list)
+    evacuations: list[str] = field(default_factory=list)
     stalls: list[str] = field(default_factory=list)
     longest_stall_s: float = 0.0
 
@@ -94,6 +95,7 @@
             f"requests: {self.outcomes}",
             f"commits: {self.commits}; promotions: {len(self.promotions)}; "
             f"planned stops: {len(self.stops)}; faults: {len(self.faults)}; "
+            f"evacuations: {len(self.evacuations)}; "
             f"longest stall {self.longest_stall_s:.3f} s",
         ]
         lines += [f"VIOLATED {line}" for line in self.violations[:20]]
@@ -223,6 +225,10 @@
             f"{one.start:.2f} to {one.end or 0:.2f} {one.kind} {sorted(one.scope)}"
             for one in record.disturbances
         ],
+        evacuations=[
+            f"{one.acked_at:.2f} to {one.end or 0:.2f} {one.zone}"
+            for one in record.evacuations
+        ],
         stalls=[f"{at:.2f} for {late_s:.3f} s" for at, late_s in record.stalls],
         longest_stall_s=longest_s,
     )
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -17,6 +17,7 @@
 from bench.soak_record import Record
 from bench.soak_time_checks import (
     deadlines,
+    evacuated_zones,
     own_ends,
     planned_stops,
     rates,
@@ -36,6 +37,7 @@
     rates,
     withdrawn_keys,
     reverted_configurations,
+    evacuated_zones,
     planned_stops,
     deadlines,
     own_ends,
--- a/bench/soak_checks_test.py
+++ b/bench/soak_checks_test.py
@@ -10,6 +10,7 @@
     NO_ANSWER,
     Database,
     Disturbance,
+    EvacuatedSpan,
     Freshness,
     IdleCut,
     KeyChange,
@@ -40,6 +41,7 @@
         targets = {name: GroupTarget(name, "z1") for name in ("a", "b", "c")}
         self.group = LineGroup("g", targets)
         self.record = Record(plans={"org": Plan(10, 5)}, groups={"g": self.group})
+        self.record.zones = dict.fromkeys(targets, "z1")
         self.record.granted["k"] = KeyChange("k", 1, 0.0)
 
     def request(self, name, text, at, took_s=0.1, outcome=DONE, **fields):
@@ -215,6 +217,11 @@
     play.run(play.request("r2", "READ x", 2.5))
 
 
+def plant_evacuated(play):
+    play.record.evacuations.append(EvacuatedSpan("z1", 1.0))
+    play.run(play.request("r1", "READ x", 6.3))
+
+
 def plant_granted_forgotten(play):
     play.record.granted["k2"] = KeyChange("k2", 2, 1.0)
     play.run(play.request("r1", "READ x", 2.0, key="k2"))
@@ -268,6 +275,7 @@
     (plant_over_rate, {"rates"}),
     (plant_withdrawn_key, {"withdrawn_keys"}),
     (plant_withdrawn_again_in_force, {"reverted_configurations"}),
+    (plant_evacuated, {"evacuated_zones"}),
     (plant_granted_forgotten, {"reverted_configurations"}),
     (plant_cut_by_stop, {"planned_stops"}),
     (plant_cut_before_it_ran, {"planned_stops"}),
@@ -323,6 +331,14 @@
         play.run(play.request("r1", "READ x", 5.9))
         assert play.found() == set()
 
+    @pytest.mark.parametrize(
+        "span", [("z1", 1.3), ("z1", 1.0, 6.3), ("z2", 1.0)], ids=str
+    )
+    def test_a_read_before_the_limit_or_of_another_zone(self, play, span):
+        play.record.evacuations.append(EvacuatedSpan(*span))
+        play.run(play.request("r1", "READ x", 6.3))
+        assert play.found() == set()
+
     def test_a_connection_that_ends_as_a_request_is_sent(self, play):
         play.record.stops.append(Stop("n1#1", 10.0))
         play.request("r1", "READ x", 11.0, took_s=0.1, outcome=CUT)
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -1,8 +1,8 @@
 """The schedule of a soak's faults, drawn from a seed.
 
 Each round has a planned stop in a calm span, then faults in series, then several that
-overlap. The faults themselves are in ``bench.soak_node_faults`` and
-``bench.soak_store_faults``.
+overlap. The faults themselves are in ``bench.soak_node_faults``,
+``bench.soak_store_faults`` and ``bench.soak_evacuations``.
 """
 
 import asyncio
@@ -10,7 +10,7 @@
 from contextlib import AbstractAsyncContextManager, suppress
 from dataclasses import dataclass, field
 
-from bench import soak_node_faults, soak_store_faults
+from bench import soak_evacuations, soak_node_faults, soak_store_faults
 from bench.soak_fault import Fault, NotPossible
 from bench.soak_fleet import Fleet
 from bench.soak_time_checks import STABLE_WINDOW_S
@@ -25,6 +25,7 @@
 FAULTS: tuple[tuple[Fault, int], ...] = (
     *soak_node_faults.FAULTS,
     *soak_store_faults.FAULTS,
+    *soak_evacuations.FAULTS,
 )
 
 
--- a/bench/soak_fleet.py
+++ b/bench/soak_fleet.py
@@ -16,7 +16,7 @@
 
 from bench.soak_operator import Operator
 from bench.soak_record import Record, Stop
-from bench.soak_time_checks import GRACE_S
+from bench.soak_time_checks import EVACUATION_LIMIT_S, GRACE_S
 from lavenderstack.core import clock
 from standins import faulty_store, line_server, promotion_orders
 from standins.faulty_store import FaultyStore
@@ -216,6 +216,7 @@
         "store": f"{HOST}:{links['store'].port}",
         "orders": f"{HOST}:{links['orders'].port}",
         "stop_limit_s": GRACE_S,
+        "evacuation_limit_ms": EVACUATION_LIMIT_S * 1000,
     }
     path = fleet.folder / f"{name}.json"
     path.write_text(json.dumps(settings))
@@ -246,7 +247,12 @@
         rng.shuffle(targets)
         name = f"g{number}"
         groups[name] = LineGroup(name, {one.name: one for one in targets}, rng)
-    record = Record(groups=groups)
+    in_zones = {
+        target.name: target.zone
+        for group in groups.values()
+        for target in group.targets.values()
+    }
+    record = Record(groups=groups, zones=in_zones)
     store = FaultyStore(rng=rng, era=1)
     store.put("ls/era", b'{"era":1}')
     operator = Operator(store, record, rng)
--- a/bench/soak_operator.py
+++ b/bench/soak_operator.py
@@ -5,7 +5,14 @@
 import random
 from dataclasses import dataclass, field
 
-from bench.soak_record import Database, Freshness, KeyChange, Plan, Record
+from bench.soak_record import (
+    Database,
+    EvacuatedSpan,
+    Freshness,
+    KeyChange,
+    Plan,
+    Record,
+)
 from lavenderstack.core import clock
 from standins.line_group import MAX_CONNECTIONS
 from standins.metadata_store import MetadataStore
@@ -21,6 +28,10 @@
 }
 
 
+def _evacuation_key(zone: str) -> str:
+    return f"op/evacuate/{zone}"
+
+
 @dataclass
 class Operator:
     """``keys`` maps an organisation to the keys in force, oldest first."""
@@ -103,8 +114,29 @@
             self.record.withdrawn[key] = KeyChange(key, self.version, now)
 
     def write_again(self) -> None:
-        """Write the present configuration again, after the store came from a copy."""
+        """Write the present lists again, after the store came from a copy."""
         self.store.put("op/config", self._config())
+        for span in self.record.evacuations:
+            if span.end is not None:
+                self.store.delete(_evacuation_key(span.zone))
+        for zone in self.evacuated():
+            self.store.put(_evacuation_key(zone), b"{}")
+
+    def evacuated(self) -> list[str]:
+        """Return the zones that are evacuated."""
+        return [one.zone for one in self.record.evacuations if one.end is None]
+
+    def evacuate(self, zone: str) -> EvacuatedSpan:
+        """Evacuate a zone."""
+        self.store.put(_evacuation_key(zone), b"{}")
+        span = EvacuatedSpan(zone, clock.now())
+        self.record.evacuations.append(span)
+        return span
+
+    def give_back(self, span: EvacuatedSpan) -> None:
+        """Return a zone that was evacuated."""
+        span.end = clock.now()
+        self.store.delete(_evacuation_key(span.zone))
 
     async def run(self) -> None:
         """Grant a key and withdraw the oldest one from time to time."""
--- a/bench/soak_record.py
+++ b/bench/soak_record.py
@@ -132,6 +132,18 @@
     status: int | None = None
 
 
+@dataclass(slots=True)
+class EvacuatedSpan:
+    """When a zone was evacuated: from the store's acknowledgement on.
+
+    It ends when the request is withdrawn; without ``end`` it is still in force.
+    """
+
+    zone: str
+    acked_at: float
+    end: float | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class Plan:
     """What an organisation may ask for: operations a second and a burst."""
@@ -166,7 +178,10 @@
 
 @dataclass
 class Record:
-    """All that was seen; ``stalls`` are those of the observing process."""
+    """All that was seen; ``stalls`` are those of the observing process.
+
+    ``zones`` maps targets to their zones.
+    """
 
     plans: dict[str, Plan] = field(default_factory=dict)
     groups: dict[str, LineGroup | GroupView] = field(default_factory=dict)
@@ -176,6 +191,8 @@
     withdrawn: dict[str, KeyChange] = field(default_factory=dict)
     disturbances: list[Disturbance] = field(default_factory=list)
     stops: list[Stop] = field(default_factory=list)
+    evacuations: list[EvacuatedSpan] = field(default_factory=list)
+    zones: dict[str, str] = field(default_factory=dict)
     own_ends: list[str] = field(default_factory=list)
     orders: list[Order] = field(default_factory=list)
     stalls: list[tuple[float, float]] = field(default_factory=list)
@@ -193,6 +210,7 @@
             withdrawn=dict(self.withdrawn),
             disturbances=[replace(one) for one in self.disturbances],
             stops=list(self.stops),
+            evacuations=[replace(one) for one in self.evacuations],
             own_ends=list(self.own_ends),
             orders=list(self.orders),
         )
--- a/bench/soak_time_checks.py
+++ b/bench/soak_time_checks.py
@@ -14,6 +14,7 @@
 GRACE_S = 6.0
 LOSS_SLACK_S = 0.2
 WITHDRAWN_KEY_LIMIT_S = 5.0
+EVACUATION_LIMIT_S = 5.0
 REGRESSION_LIMIT_S = 0.25
 QUOTA_WINDOW_S = 5.0
 QUOTA_TOLERANCE = 0.1
@@ -69,6 +70,32 @@
             )
 
 
+def evacuated_zones(record: Record) -> Iterator[str]:
+    """Nothing reaches a target in a zone evacuated too long before.
+
+    While something is disturbed, a statement may arrive long after it was sent, so it
+    then counts by when the caller sent it.
+    """
+    requests = record.by_name()
+    for group in record.groups.values():
+        for run in group.runs:
+            request = requests.get(run.request)
+            if request is None:
+                continue
+            calm = record.is_calm(request.sent_at, run.at)
+            at = run.at - LOSS_SLACK_S if calm else request.sent_at
+            for span in record.evacuations:
+                if span.zone != record.zones[run.target]:
+                    continue
+                is_over = span.end is not None and run.at >= span.end
+                late_s = at - span.acked_at
+                if late_s > EVACUATION_LIMIT_S and not is_over:
+                    yield (
+                        f"{run.request} ran on {run.target}, {late_s:.2f} s after "
+                        f"{span.zone} was evacuated"
+                    )
+
+
 def _requests_that_ran(record: Record) -> list[Request]:
     requests = record.by_name()
     names = {run.request for group in record.groups.values() for run in group.runs}
