Place targets under load control on the larger VMs of their zone

Cause: the ring gives each VM the same part of the targets, and 71 of 77 VMs have a tenth of the link and a quarter of the processor of the others. Ruled out: the mean processor time (0.03 of a core); points on the ring by capacity (still four of ten on small VMs). Now holders are chosen by consistent hashing with bounded loads, larger VMs first, only for groups under load control and only where VMs register different capacities.

--- a/lavenderstack/core/events.py
+++ b/lavenderstack/core/events.py
@@ -61,6 +61,12 @@
         ("part", "exc_info"),
         "a part is restarted after an error",
     ),
+    Event(
+        "placement: assigned targets changed",
+        LineKind.STATE,
+        ("taken", "given_up"),
+        "this VM became, or is no longer, the first choice as holder of targets",
+    ),
     Event(
         "loader: store lost",
         LineKind.LIFE,
--- a/lavenderstack/core/events_test.py
+++ b/lavenderstack/core/events_test.py
@@ -35,6 +35,7 @@
     "target_health",
     "token_coordinator",
     "followers",
+    "holder_placement",
 )
 MODULES = [
     *(p for p in (PACKAGE / "platform").glob("*.py") if "_test" not in p.name),
--- a/lavenderstack/core/members.py
+++ b/lavenderstack/core/members.py
@@ -81,14 +81,20 @@
     def _suspected(self, name: str, now: float) -> bool:
         return self.suspect_until.get(name, 0.0) > now
 
-    def holders(self, view: View, target: Target, now: float) -> list[Vm]:
+    def holders(
+        self, view: View, target: Target, now: float, assigned: str | None = None
+    ) -> list[Vm]:
         """Return candidates for a target's connection holder, the first choice first.
 
         VMs of the target's own availability zone come first, so that the connection
         between zones is the one to the holder and no second one is needed. Suspected
-        VMs come last but are included: there may be no others.
+        VMs come last but are included: there may be no others. ``assigned`` is the VM
+        to which the placement assigns the target, None if the ring alone decides.
         """
         found = self._rings_by_vms.value_for(view.vms).candidates(view, target)
+        if assigned is not None and assigned in view.vms:
+            others = [vm for vm in found if vm.name != assigned]
+            found = [view.vms[assigned], *others]
         if not self.suspect_until:
             return found
         return sorted(found, key=lambda vm: self._suspected(vm.name, now))
--- a/lavenderstack/core/view.py
+++ b/lavenderstack/core/view.py
@@ -84,7 +84,8 @@
     """A VM of the platform's list, which may be outdated.
 
     ``kind`` is ``entry`` or ``target``, ``state`` is ``live`` or ``leaving``. ``port``
-    is that of the node-to-node streams (entry) or the database (target).
+    is that of the node-to-node streams (entry) or the database (target). ``capacity``
+    is how many statements a second it can pass on, 0 if it isn't known.
     """
 
     name: str
@@ -93,6 +94,7 @@
     port: int
     kind: str = "entry"
     state: str = "live"
+    capacity: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/lavenderstack/node/directory.py
+++ b/lavenderstack/node/directory.py
@@ -40,6 +40,8 @@
         self.catalog = Catalog()
         self.view = View()
         self.targets: dict[str, TargetState] = {}
+        # How often a target was added, removed, or moved to another zone or group.
+        self.target_changes = 0
         self.ownerships: dict[str, RecordedOwnership] = {}
         self.replica_sets: dict[str, ReplicaSet] = {}
         self.reserve = Reserve()
@@ -98,6 +100,8 @@
             self._record_departed(before, revision)
         self.targets[target.name] = state
         self._groups[group][target.name] = state
+        if before is None or before.target.zone != target.zone or before.group != group:
+            self.target_changes += 1
         if before is None or (before.leads, before.leaving) != (leads, leaving):
             log.info(
                 "directory: target changed",
@@ -138,6 +142,7 @@
             return
         del self.targets[name]
         del self._groups[state.group][name]
+        self.target_changes += 1
         self._record_departed(state, revision)
         self._not_primary_at.pop(name, None)
         log.info(
--- a/lavenderstack/node/peers.py
+++ b/lavenderstack/node/peers.py
@@ -13,10 +13,19 @@
 from lavenderstack.node.streams import NotSent, StreamLost, StreamPool
 
 CallVm = Callable[[str, Message, float], Awaitable[Message]]
+# Returns the VM to which the placement assigns a target, None if the ring decides.
+AssignedTo = Callable[[Target], str | None]
+
+
+def _by_ring(_: Target) -> None:
+    return None
 
 
 class Peers:
-    """Sends messages to nodes at their addresses in the platform's list of VMs."""
+    """Sends messages to nodes at their addresses in the platform's list of VMs.
+
+    ``assigned_to`` tells the placement of targets; without one the ring decides.
+    """
 
     def __init__(
         self, name: str, view: Callable[[], View], pool: StreamPool, members: Members
@@ -26,6 +35,7 @@
         self._view = view
         self._members = members
         self._handlers: Mapping[type, Callable] = {}
+        self.assigned_to: AssignedTo = _by_ring
 
     def set_handlers(self, handlers: Mapping[type, Callable]) -> None:
         """Set the handlers of messages that this node sends to itself."""
@@ -66,4 +76,5 @@
 
     def holders(self, target: Target) -> list[Vm]:
         """Return the VMs that may hold a target's connections, preferred first."""
-        return self._members.holders(self._view(), target, clock.now())
+        assigned = self.assigned_to(target)
+        return self._members.holders(self._view(), target, clock.now(), assigned)
--- a/lavenderstack/platform/documents.py
+++ b/lavenderstack/platform/documents.py
@@ -207,6 +207,7 @@
     port: int
     leaving: bool = False
     era: int | None = None
+    capacity: float = 0.0
 
 
 class _Ownership(msgspec.Struct):
@@ -256,7 +257,8 @@
 def encode_node(vm: Vm, era: int) -> bytes:
     """Return a node's registration in the format of the store."""
     leaving = vm.state == "leaving"
-    return msgspec.json.encode(_Node(vm.zone, vm.host, vm.port, leaving, era))
+    node = _Node(vm.zone, vm.host, vm.port, leaving, era, vm.capacity)
+    return msgspec.json.encode(node)
 
 
 def decode_node(key: str, value: bytes) -> Vm | None:
@@ -268,7 +270,9 @@
         return None
     state = "leaving" if node.leaving else "live"
     name = key.removeprefix(NODES_PREFIX)
-    return Vm(name, node.zone, node.host, node.port, state=state)
+    return Vm(
+        name, node.zone, node.host, node.port, state=state, capacity=node.capacity
+    )
 
 
 class _Reserve(msgspec.Struct):
--- a/lavenderstack/platform/main.py
+++ b/lavenderstack/platform/main.py
@@ -21,6 +21,7 @@
 from lavenderstack.core.log_rate_limit import LogRateLimiter
 from lavenderstack.core.members import Members
 from lavenderstack.core.messages import Message
+from lavenderstack.core.placement import capacity
 from lavenderstack.core.position_history import PositionHistory
 from lavenderstack.core.view import Vm
 from lavenderstack.core.view_proof import ViewProof
@@ -38,6 +39,7 @@
 from lavenderstack.node.directory import Directory
 from lavenderstack.node.dispatch import Dispatcher
 from lavenderstack.node.executors import Executors
+from lavenderstack.node.holder_placement import HolderPlacement
 from lavenderstack.node.peers import Peers
 from lavenderstack.node.primary_positions import PrimaryPositions
 from lavenderstack.node.replacer import Replacer
@@ -113,15 +115,29 @@
     directory.orders_per_s = cfg.orders_per_s
 
 
+def _capacity(cfg: Settings) -> float:
+    """Return the statements a second that this VM can pass on, 0 if unknown."""
+    if cfg.cores is None or cfg.core_share is None or cfg.link_mbps is None:
+        return 0.0
+    return capacity(cfg.cores * cfg.core_share, cfg.link_mbps)
+
+
 def build(cfg: Settings, metadata_store: store.Store, orders: PlatformOrders) -> Node:
     """Create the parts of a node and connect them."""
     proof = ViewProof(cfg.withdrawn_key_limit_ms / 1000)
     directory = Directory(cfg.name, cfg.availability_zone, proof)
     directory.load_control = cfg.load_control
     _apply_evacuation_settings(directory, cfg)
-    vm = Vm(cfg.name, cfg.availability_zone, cfg.host, cfg.peers_port)
+    vm = Vm(
+        cfg.name,
+        cfg.availability_zone,
+        cfg.host,
+        cfg.peers_port,
+        capacity=_capacity(cfg),
+    )
     pool = StreamPool(STREAM_LIMITS)
     peers = Peers(cfg.name, lambda: directory.view, pool, Members(cfg.name))
+    peers.assigned_to = HolderPlacement(directory).assigned_to
     executors: Executors
 
     def local_positions(group: str) -> PositionHistory | None:
--- a/lavenderstack/platform/registration.py
+++ b/lavenderstack/platform/registration.py
@@ -13,6 +13,7 @@
 import random
 import secrets
 from collections.abc import Mapping
+from dataclasses import replace
 
 import structlog
 
@@ -120,7 +121,7 @@
     async def leave(self) -> None:
         """Register this node as leaving, so that others send it no new work."""
         vm = self._vm
-        self._vm = Vm(vm.name, vm.zone, vm.host, vm.port, state="leaving")
+        self._vm = replace(vm, state="leaving")
         if not self._lease or self._lease_is_of_older_era():
             # ``run`` registers the node as leaving with its next lease.
             self._registered = False
--- a/lavenderstack/platform/settings.py
+++ b/lavenderstack/platform/settings.py
@@ -41,6 +41,8 @@
     limit what targets get shortly after their start, None if nothing does. ``zones``
     maps zones to regions. ``orders_per_s`` is how many promotions the platform accepts
     from all nodes. ``load_control`` tells for which groups load control is enabled.
+    ``cores`` times ``core_share`` is the processor of the VM in cores, ``link_mbps``
+    its link in Mbit/s; None if they aren't known.
     """
 
     name: Name
@@ -62,6 +64,9 @@
     zones: dict[str, str] = {}
     orders_per_s: Annotated[float, Meta(gt=0)] = 50.0
     load_control: LoadControl = LoadControl.AUTO
+    cores: Annotated[float, Meta(gt=0)] | None = None
+    core_share: Annotated[float, Meta(gt=0)] | None = None
+    link_mbps: Annotated[float, Meta(gt=0)] | None = None
 
 
 def _address_mistakes(cfg: Settings) -> list[str]:
