Decide who has every commit from all that were ever registered

An owner without a recorded replica set and without an answer of the primary may conclude two things if it knows all changes of the store from the first one on: what the nodes ever registered tell bounds the acknowledged commits, and of all targets ever in the group at most one may be absent. The model of replica sets gets nodes that start again; without the silent node, the runs of nodes or targets, the targets that left, or with two absent ones, a write is lost in it.

--- a/lavenderstack/core/replica_set_test.py
+++ b/lavenderstack/core/replica_set_test.py
@@ -6,9 +6,13 @@
 one step. In every state in which the replica set is complete, the most advanced of the
 registered replicas has every acknowledged write. Tests without one of the guards show
 that a write is lost then.
+
+For an owner without a recorded set, each write is acknowledged through one of two
+nodes, which may start again and so forget it.
 """
 
 from dataclasses import dataclass, replace
+from functools import cache
 
 import pytest
 
@@ -25,12 +29,20 @@
     joined,
     missing_replicas,
 )
+from lavenderstack.core.store_history import (
+    ToldPosition,
+    highest_told,
+    holds_every_commit,
+)
 from tests.explore import depth, explore
 
 NAMES = ("b", "c")
+PRIMARY = TargetRun("a", 1)
 MAX_WRITES = 3
 MAX_RUNS = 2
 SHORT_DEPTH = 8
+# States with nodes are many more.
+NODES_DEPTH = 6
 
 
 @dataclass(frozen=True)
@@ -43,6 +55,14 @@
     registered: bool = True
 
 
+@dataclass(frozen=True)
+class Node:
+    """One node; ``run`` counts its starts, ``acknowledged`` is of the present run."""
+
+    run: int = 1
+    acknowledged: int = 0
+
+
 @dataclass(frozen=True)
 class State:
     """The group's state; ``recorded`` is the replica set in the store."""
@@ -52,6 +72,7 @@
     replicas: tuple[Replica, Replica] = (Replica(), Replica())
     recorded: ReplicaSet | None = None
     departed: frozenset[TargetRun] = frozenset()
+    nodes: tuple[Node, Node] = (Node(), Node())
 
 
 def members(state):
@@ -78,7 +99,13 @@
     return replace(state, replicas=tuple(replicas))
 
 
-def write(state):
+def with_node(state, index, **changes):
+    nodes = list(state.nodes)
+    nodes[index] = replace(nodes[index], **changes)
+    return replace(state, nodes=tuple(nodes))
+
+
+def write(state, node=0):
     last = state.last + 1
     after = replace(state, last=last)
     for index, replica in enumerate(state.replicas):
@@ -86,6 +113,7 @@
             after = replace(
                 with_replica(after, index, received=last), acknowledged=last
             )
+            after = with_node(after, node, acknowledged=last)
     return after
 
 
@@ -226,3 +254,131 @@
     )
     def test_all_nodes_that_ran_since_the_last_answer_must_tell(self, nodes, expected):
         assert highest_acknowledged(Position(1, 4), 2.0, nodes) == expected
+
+
+def steps_with_nodes(state):
+    """Return the steps while no set gets recorded; nodes start again as well."""
+    yield from steps_with(lambda state: state)(state)
+    if state.last < MAX_WRITES:
+        yield write(state, node=1)
+    for index, node in enumerate(state.nodes):
+        if node.run < MAX_RUNS:
+            yield with_node(state, index, run=node.run + 1, acknowledged=0)
+
+
+@cache
+def explored_with_nodes():
+    return explore(State(), steps_with_nodes, depth(NODES_DEPTH))
+
+
+def registered_runs(state):
+    """Return the runs of all nodes that were ever registered, by node."""
+    return {
+        index: {f"{index}#{run}" for run in range(1, node.run + 1)}
+        for index, node in enumerate(state.nodes)
+    }
+
+
+def told(state, silent):
+    """Return what the nodes tell of which ``silent`` don't answer."""
+    return {
+        index: ToldPosition(f"{index}#{node.run}", Position(1, node.acknowledged))
+        if index not in silent
+        else None
+        for index, node in enumerate(state.nodes)
+    }
+
+
+def is_told(state, silent, nodes):
+    """Return whether a replica has what the nodes tell, if that is known."""
+    end = highest_told(nodes, told(state, silent))
+    chosen = choose_successor(statuses(state), replicated=True)
+    return (
+        end is not None and isinstance(chosen, ReplicaState) and chosen.received >= end
+    )
+
+
+def all_runs(state):
+    """Return every run that was ever in the group; the primary has one."""
+    return frozenset(
+        TargetRun(name, run)
+        for name, replica in zip(NAMES, state.replicas, strict=True)
+        for run in range(1, replica.run + 1)
+    ) | {PRIMARY}
+
+
+def names_only(runs):
+    return frozenset(TargetRun(run.name, 1) for run in runs)
+
+
+class TestOwnerWithoutRecord:
+    """It knows all that were ever registered, and nothing of the primary's log."""
+
+    @pytest.fixture
+    def states(self):
+        return explored_with_nodes()
+
+    def test_what_all_nodes_tell_bounds_the_acknowledged_writes(self, states):
+        safe = [
+            state
+            for state in states
+            for silent in ((), (0,), (1,))
+            if is_told(state, silent, registered_runs(state))
+        ]
+        assert len(safe) > 100
+        assert not any(is_lost(state) for state in safe)
+
+    def test_without_waiting_for_a_silent_node_a_write_is_lost(self, states):
+        assert any(
+            is_lost(state) and is_told(state, (1,), {0: registered_runs(state)[0]})
+            for state in states
+        )
+
+    def test_without_telling_runs_of_a_node_apart_a_write_is_lost(self, states):
+        assert any(
+            is_lost(state)
+            and is_told(
+                state, (), {i: {f"{i}#{one.run}"} for i, one in enumerate(state.nodes)}
+            )
+            for state in states
+        )
+
+    def test_the_targets_hold_every_write_if_at_most_one_run_is_absent(self, states):
+        """Guards against counting only the targets that are registered now."""
+        safe = [
+            state
+            for state in states
+            if holds_every_commit(all_runs(state), members(state).present)
+        ]
+        assert len(safe) > 100
+        assert not any(is_lost(state) for state in safe)
+
+    def test_with_two_absent_runs_a_write_is_lost(self, states):
+        assert any(
+            is_lost(state)
+            and holds_every_commit(all_runs(state), members(state).present, 2)
+            for state in states
+        )
+
+    def test_without_those_that_left_a_write_is_lost(self, states):
+        assert any(
+            is_lost(state) and holds_every_commit(present | {PRIMARY}, present)
+            for state in states
+            if (present := members(state).present)
+        )
+
+    def test_without_telling_runs_of_a_target_apart_a_write_is_lost(self, states):
+        assert any(
+            is_lost(state)
+            and holds_every_commit(
+                names_only(all_runs(state)), names_only(members(state).present)
+            )
+            for state in states
+        )
+
+    @pytest.mark.parametrize(
+        "runs", [None, {PRIMARY}, {PRIMARY, TargetRun("b"), TargetRun("c", 1)}]
+    )
+    def test_nothing_follows_from_an_incomplete_history(self, runs):
+        present = frozenset({TargetRun("b"), TargetRun("c", 1)})
+        assert not holds_every_commit(runs and frozenset(runs), present)
