Let a new owner conclude from all that were ever registered

A group stayed without a primary if its owner had no recorded replica set and never had an answer of the primary. The owner now reads the store's changes from the first one on at its start, and follows them as the directory does. If none can be missing it draws the two conclusions of core/store_history.py: every run of a node that was ever registered tells what it acknowledged, or at most one run of a target is absent. A run of a node is the identity in its registration, which its answer repeats; both fields are the last and optional, so builds without them count as unknown.

The history ends with a new listing, a truncated answer, a restore of the store, a change without the one before it or a report that isn't understood. With one absent run all registered nodes must tell as well, since a target may have started again unreported. Which targets are present is decided after the replicas' status: decided before, a target that leaves meanwhile isn't paused and isn't counted as absent.

The log line names the obstacle (SILENT_NODE, UNKNOWN_HISTORY, BEHIND, PRIMARY_RUNS, NO_REPLICA beside MISSING_REPLICA), what a replica must have received and the nodes that didn't tell.

--- a/lavenderstack/core/events.py
+++ b/lavenderstack/core/events.py
@@ -86,6 +86,24 @@
         "nothing is taken over from the store for 2.5 s, nothing claimed for 3 s; "
         "before: the last position known, ERA.REVISION",
     ),
+    Event(
+        "history: read",
+        LineKind.STATE,
+        ("changes", "known"),
+        "all changes of the store from the first one on were read at the start",
+    ),
+    Event(
+        "history: not read",
+        LineKind.STATE,
+        ("as_of", "reason"),
+        "who was registered before the start of this node isn't known here",
+    ),
+    Event(
+        "history: ended",
+        LineKind.STATE,
+        ("reason",),
+        "a registration may have been missed, so nothing follows from the history",
+    ),
     Event(
         "loader: record of an older era ignored",
         LineKind.STATE,
@@ -113,6 +131,12 @@
         ("key", "error"),
         "the store entry names no usable target",
     ),
+    Event(
+        "documents: target's run not understood",
+        LineKind.STATE,
+        ("key", "error"),
+        "the history of the store ends here",
+    ),
     Event(
         "documents: node not understood", LineKind.STATE, ("key", "error"), "ignored"
     ),
@@ -376,8 +400,16 @@
     Event(
         "replacer: no replica may take over",
         LineKind.STATE,
-        ("group", "obstacle", "followers", "missing", "primary"),
-        "a commit could be lost; ``missing`` are replicas that left without a proof",
+        (
+            "group",
+            "obstacle",
+            "followers",
+            "required",
+            "missing",
+            "nodes",
+            "primary",
+        ),
+        "a commit could be lost; ``obstacle`` tells why, see OPERATIONS",
     ),
     Event(
         "replacer: primary lost",
--- a/lavenderstack/core/replacement.py
+++ b/lavenderstack/core/replacement.py
@@ -36,9 +36,13 @@
 class Obstacle(Enum):
     """Why no replica may take over now; the names appear in the log.
 
-    ``SILENT_REPLICA``: a replica gave no answer or isn't paused. ``LED``: a replica has
-    already become the primary. ``MISSING_REPLICA``: a replica that may alone have a
-    commit is not registered any more (``core/replica_set.py``).
+    ``SILENT_REPLICA``: a replica gave no answer or isn't paused. ``BEHIND``: it lacks
+    what another replica received or a node acknowledged. ``LED``: a replica has already
+    become the primary. ``MISSING_REPLICA``: a replica that may alone have a commit is
+    not registered any more (``core/replica_set.py``). ``SILENT_NODE``: a node that may
+    have acknowledged more didn't tell, or started again. ``UNKNOWN_HISTORY``: the owner
+    doesn't know all that were ever registered (``core/store_history.py``) and never had
+    an answer of the primary. ``PRIMARY_RUNS``: the replicas receive log entries.
     """
 
     NO_REPLICA = auto()
@@ -46,6 +50,9 @@
     BEHIND = auto()
     LED = auto()
     MISSING_REPLICA = auto()
+    SILENT_NODE = auto()
+    UNKNOWN_HISTORY = auto()
+    PRIMARY_RUNS = auto()
 
 
 def most_advanced(replicas: Sequence[ReplicaState]) -> ReplicaState | None:
--- a/lavenderstack/core/work_messages.py
+++ b/lavenderstack/core/work_messages.py
@@ -125,11 +125,13 @@
 class GroupPosition(Message, tag="group_position"):
     """The highest position of a group that the node has acknowledged since its start.
 
-    The node started ``uptime_s`` seconds ago.
+    The node started ``uptime_s`` seconds ago. ``run`` identifies its process, as in its
+    registration; it is empty if the process doesn't know it.
     """
 
     position: Position
     uptime_s: float
+    run: str = ""
 
 
 class LeadTaken(Message, tag="lead_taken"):
--- a/lavenderstack/node/directory.py
+++ b/lavenderstack/node/directory.py
@@ -15,6 +15,7 @@
 from lavenderstack.core.catalog import Catalog, RecordedOwnership, Reserve, TargetState
 from lavenderstack.core.contention import LoadControl, is_load_controlled
 from lavenderstack.core.replica_set import Membership, ReplicaSet, TargetRun
+from lavenderstack.core.store_history import StoreHistory
 from lavenderstack.core.view import Target, View, Vm
 from lavenderstack.core.view_proof import ViewProof
 
@@ -41,6 +42,7 @@
         self.ownerships: dict[str, RecordedOwnership] = {}
         self.replica_sets: dict[str, ReplicaSet] = {}
         self.reserve = Reserve()
+        self.history = StoreHistory()
         self.load_control = LoadControl.AUTO
         self._groups: dict[str, dict[str, TargetState]] = defaultdict(dict)
         # All changes of the store up to this position are known.
--- a/lavenderstack/node/executors.py
+++ b/lavenderstack/node/executors.py
@@ -29,7 +29,7 @@
     """The executors of this node, created when work for a target first arrives.
 
     ``first_choice`` tells whether this node is the first choice as the connection
-    holder of a target.
+    holder of a target. ``run_id`` identifies this process, as in its registration.
     """
 
     directory: Directory
@@ -38,6 +38,7 @@
     first_choice: Callable[[TargetState], bool]
     target_executors: dict[str, TargetExecutor] = field(default_factory=dict)
     acknowledged: AcknowledgedPositions = field(default_factory=AcknowledgedPositions)
+    run_id: str = ""
 
     def for_target(self, target: str) -> TargetExecutor | None:
         """Return the executor of a target, None if the target is unknown.
@@ -90,7 +91,8 @@
     async def group_position(self, msg: GroupPositionRequest) -> Message:
         """Handle ``GroupPositionRequest``."""
         position = self.acknowledged.tell(msg.group, msg.term)
-        return GroupPosition(position, clock.now() - self.acknowledged.started_at)
+        uptime_s = clock.now() - self.acknowledged.started_at
+        return GroupPosition(position, uptime_s, self.run_id)
 
     @property
     def open_transactions(self) -> int:
--- a/lavenderstack/node/group_positions.py
+++ b/lavenderstack/node/group_positions.py
@@ -9,10 +9,12 @@
 
 import structlog
 
-from lavenderstack.core import clock, replica_set
+from lavenderstack.core import clock, replica_set, store_history
+from lavenderstack.core.acknowledged_end import AcknowledgedEnd
 from lavenderstack.core.catalog import TargetState
 from lavenderstack.core.position import START, Position
 from lavenderstack.core.replica_set import AcknowledgedPosition
+from lavenderstack.core.store_history import ToldPosition
 from lavenderstack.core.work_messages import (
     GroupPosition,
     GroupPositionRequest,
@@ -30,6 +32,8 @@
 NODE_MEMORY_S = 6.0
 # How long nodes may take to object to a promotion that the replica set allows.
 OBJECTION_TIMEOUT_S = 0.1
+# Above the term of any primary; used where that of the lost one isn't known.
+ANY_TERM = 2**62
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,7 +108,7 @@
         told = [Position(*one.position) for one in answers if one is not None]
         return max(told, default=START)
 
-    async def acknowledged_end(self, group: str, primary: str) -> Position | None:
+    async def acknowledged_end(self, group: str, primary: str) -> AcknowledgedEnd:
         """Return the highest position that may have been acknowledged, if it is known.
 
         Every acknowledgement passes through a node, so a replica that has received
@@ -112,19 +116,55 @@
         acknowledge no more of what they have sent before.
         """
         last = self._last_answers.get(group)
-        if last is None or primary not in ("", last.primary):
-            return None
-        age_s = clock.now() - last.at
-        names = sorted(last.nodes.union(self._directory.view.vms))
-        msg = GroupPositionRequest(group, last.position.term)
+        if last is not None and primary not in ("", last.primary):
+            last = None
+        asked_at = clock.now()
+        names = sorted({*self._directory.view.vms, *(last.nodes if last else ())})
+        msg = GroupPositionRequest(group, last.position.term if last else ANY_TERM)
         answers = await asyncio.gather(
             *(self._ask_node(name, msg, PROBE_TIMEOUT_S) for name in names)
         )
-        nodes = [
-            _proved_by(answer, name in last.nodes)
-            for name, answer in zip(names, answers, strict=True)
-        ]
-        return replica_set.highest_acknowledged(last.position, age_s, nodes)
+        told = dict(zip(names, answers, strict=True))
+        end = (
+            _end_since(last, asked_at, told)
+            if last
+            else self._end_since_beginning(told)
+        )
+        if end.position is not None:
+            return end
+        return self._end_by_targets(group, primary, told) or end
+
+    def _end_since_beginning(
+        self, told: dict[str, GroupPosition | None]
+    ) -> AcknowledgedEnd:
+        """Return what all nodes that were ever registered acknowledged."""
+        nodes = self._directory.history.nodes()
+        if nodes is None:
+            return AcknowledgedEnd()
+        positions = {
+            name: ToldPosition(one.run, Position(*one.position)) if one else None
+            for name, one in told.items()
+        }
+        return AcknowledgedEnd(
+            store_history.highest_told(nodes, positions),
+            tuple(store_history.untold(nodes, positions)),
+        )
+
+    def _end_by_targets(
+        self, group: str, primary: str, told: dict[str, GroupPosition | None]
+    ) -> AcknowledgedEnd | None:
+        """Return what the registered nodes acknowledged, if the targets have the rest.
+
+        All nodes that are registered must tell, since a target may have started again
+        without its log and not have reported that yet.
+        """
+        runs = self._directory.history.targets(group)
+        present = self._directory.members(group, primary).present
+        answers = [told.get(name) for name in self._directory.view.vms]
+        if None in answers or not store_history.holds_every_commit(runs, present):
+            return None
+        positions = (Position(*one.position) for one in answers)
+        return AcknowledgedEnd(max(positions, default=START))
 
     async def _ask_node(
         self, name: str, msg: GroupPositionRequest, timeout_s: float
@@ -138,6 +178,23 @@
         return answer if isinstance(answer, GroupPosition) else None
 
 
+def _end_since(
+    last: _LastAnswer, asked_at: float, told: dict[str, GroupPosition | None]
+) -> AcknowledgedEnd:
+    """Return the end of the primary's log in its last answer and what came after."""
+    age_s = asked_at - last.at
+    proved = {name: _proved_by(one, name in last.nodes) for name, one in told.items()}
+    untold = (
+        name
+        for name, one in proved.items()
+        if replica_set.highest_acknowledged(last.position, age_s, [one]) is None
+    )
+    return AcknowledgedEnd(
+        replica_set.highest_acknowledged(last.position, age_s, proved.values()),
+        tuple(sorted(untold)),
+    )
+
+
 def _proved_by(
     answer: GroupPosition | None, was_registered: bool
 ) -> AcknowledgedPosition | None:
--- a/lavenderstack/node/replacer.py
+++ b/lavenderstack/node/replacer.py
@@ -200,18 +200,11 @@
             and isinstance(chosen, ReplicaState)
             and chosen.received < required
         ):
-            chosen = Obstacle.MISSING_REPLICA
+            chosen = Obstacle.BEHIND
         if self._has_other_primary(group, name):
             chosen = Obstacle.LED
         if isinstance(chosen, Obstacle):
-            log.warning(
-                "replacer: no replica may take over",
-                group=group,
-                obstacle=chosen.name,
-                followers=format_positions(states),
-                missing=self._sets.missing(group),
-                primary=self._positions.describe_last_answer(group),
-            )
+            self._sets.log_blocked(group, chosen, states, required)
             await self._resume(group, status, followers)
             return
         log.warning(
--- a/lavenderstack/node/replica_sets.py
+++ b/lavenderstack/node/replica_sets.py
@@ -11,10 +11,11 @@
 
 import structlog
 
-from lavenderstack.core import clock, replica_set, statement
+from lavenderstack.core import clock, replica_set, statement, store_history
+from lavenderstack.core.acknowledged_end import takeover_blocker
 from lavenderstack.core.catalog import RecordedOwnership, TargetState
 from lavenderstack.core.position import Position
-from lavenderstack.core.replacement import Obstacle, most_advanced
+from lavenderstack.core.replacement import Obstacle, ReplicaState, most_advanced
 from lavenderstack.core.replica_set import ReplicaSet, TargetRun
 from lavenderstack.core.work_messages import (
     PrimaryPosition,
@@ -94,7 +95,10 @@
         """
         recorded = self._directory.replica_sets.get(group)
         members = self._directory.members(group, primary)
-        return replica_set.is_complete(recorded, primary, members)
+        if replica_set.is_complete(recorded, primary, members):
+            return True
+        runs = self._directory.history.targets(group)
+        return store_history.holds_every_commit(runs, members.present, max_absent=0)
 
     def maintain(
         self,
@@ -216,23 +220,45 @@
         now, before = clock.now(), self._blocked.get(group)
         if before is not None and now - before.at < BLOCKED_RETRY_S:
             return None
-        end = await self._positions.acknowledged_end(group, primary)
         states = await self._replicas.send(followers, statement.STATUS)
+        # Last, since it may rest on the targets that are registered now.
+        end = await self._positions.acknowledged_end(group, primary)
         blocked = _Blocked(now, {one.name: one.received for one in states})
         self._blocked[group] = blocked
-        best = most_advanced(states)
-        known = end is not None and best is not None and best.received >= end
-        if known and not (before is not None and blocked.has_grown_since(before)):
-            return end
+        obstacle = takeover_blocker(
+            end,
+            most_advanced(states),
+            missing=bool(self.missing(group)),
+            grown=before is not None and blocked.has_grown_since(before),
+        )
+        if obstacle is None:
+            return end.position
+        self.log_blocked(group, obstacle, states, end.position, end.untold)
+        return None
+
+    def log_blocked(
+        self,
+        group: str,
+        obstacle: Obstacle,
+        states: list[ReplicaState],
+        required: Position | None = None,
+        untold: Iterable[str] = (),
+    ) -> None:
+        """Log why no replica may take over.
+
+        ``required`` is what one must have received, ``untold`` the nodes that may have
+        acknowledged more.
+        """
         log.warning(
             "replacer: no replica may take over",
             group=group,
-            obstacle=Obstacle.MISSING_REPLICA.name,
+            obstacle=obstacle.name,
             followers=format_positions(states),
+            required="unknown" if required is None else str(tuple(required)),
             missing=self.missing(group),
+            nodes=list(untold),
             primary=self._positions.describe_last_answer(group),
         )
-        return None
 
 
 def _format_runs(runs: Iterable[TargetRun]) -> list[str]:
--- a/lavenderstack/platform/documents.py
+++ b/lavenderstack/platform/documents.py
@@ -193,12 +193,32 @@
     return TargetReport(target, server.service, leaving, leads, server.born)
 
 
+class _TargetRun(msgspec.Struct):
+    service: str
+    born: int = 0
+
+
+def decode_target_run(key: str, value: bytes) -> tuple[str, TargetRun] | None:
+    """Return the group and the run of a target, whatever state it reports.
+
+    Returns None if the report is invalid.
+    """
+    try:
+        report = msgspec.json.decode(value, type=_TargetRun)
+    except msgspec.MsgspecError as exc:
+        log.info("documents: target's run not understood", key=key, error=str(exc))
+        return None
+    return report.service, TargetRun(key.removeprefix(TARGETS_PREFIX), report.born)
+
+
 class _Node(msgspec.Struct):
     zone: str
     host: str
     port: int
     leaving: bool = False
     era: int | None = None
+    # Identifies the process; a build that doesn't write it is unknown.
+    run: str = ""
 
 
 class _Ownership(msgspec.Struct):
@@ -245,10 +265,22 @@
         return None
 
 
-def encode_node(vm: Vm, era: int) -> bytes:
-    """Return a node's registration in the format of the store."""
+def encode_node(vm: Vm, era: int, run: str = "") -> bytes:
+    """Return a node's registration in the format of the store.
+
+    ``run`` identifies its process.
+    """
     leaving = vm.state == "leaving"
-    return msgspec.json.encode(_Node(vm.zone, vm.host, vm.port, leaving, era))
+    return msgspec.json.encode(_Node(vm.zone, vm.host, vm.port, leaving, era, run))
+
+
+def decode_node_run(value: bytes) -> str:
+    """Return the process that a registration names, empty if it names none."""
+    try:
+        return msgspec.json.decode(value, type=_Node).run
+    except msgspec.MsgspecError:
+        # ``decode_node`` reports it.
+        return ""
 
 
 def decode_node(key: str, value: bytes) -> Vm | None:
--- a/lavenderstack/platform/loader.py
+++ b/lavenderstack/platform/loader.py
@@ -36,6 +36,7 @@
 from lavenderstack.node.peers import Peers
 from lavenderstack.node.streams import NotSent, StreamLost
 from lavenderstack.platform import documents
+from lavenderstack.platform.history import HistoryReader
 from lavenderstack.platform.store import (
     Changes,
     HistoryGone,
@@ -102,6 +103,7 @@
         self._listed_at = float("-inf")
         self._restores_seen = 0
         self._store_lost_at: float | None = None
+        self._history = HistoryReader(store, directory.history)
 
     def store_calls(self) -> int:
         """Return the number of calls to the store that this process has made."""
@@ -161,6 +163,7 @@
             return
         self._restores_seen = era.restores
         self._listed = False
+        self._history.end("the store was restored from a copy")
         log.warning(
             "loader: store restored from a copy",
             before=format_position(self._as_of),
@@ -231,6 +234,7 @@
         for item in items:
             self._apply(item)
         if reply.whole:
+            self._history.end("all entries were received anew")
             for key in self._entries.keys() - {item.key for item in items}:
                 self._apply(Item(key=key, rev=reply.as_of, deleted=True))
         self._advance_revision(reply.as_of)
@@ -286,6 +290,7 @@
         # A store that refuses every watch must not be asked for listings all the time.
         await asyncio.sleep(self._listed_at + RETRY_DELAY_S - clock.now())
         self._listed_at = sent_at = clock.now()
+        self._history.end("all entries are listed anew")
         page = await self._store.list("")
         as_of, is_snapshot = page.as_of, not page.has_more
         seen: set[str] = set()
@@ -311,6 +316,7 @@
         self._listed = True
         if is_snapshot and self._store.era.read_wait_s(clock.now()) <= 0:
             self._prove(sent_at)
+        await self._history.read_once(as_of)
 
     async def _watch(self) -> None:
         proof_holds = self._directory.proof.holds(clock.now())
@@ -327,12 +333,15 @@
         self._advance_revision(changes.as_of)
         if len(changes.events) <= MAX_EVENTS:
             self._prove(sent_at)
+        else:
+            self._history.end("an answer may be truncated")
 
     def _apply(self, item: Item) -> None:
         """Apply a change unless a later one of the same entry is known."""
         if item.rev <= self._revisions.get(item.key, 0):
             return
         self._record_position(item)
+        self._history.record(item)
         if len(self._recent) == MAX_RECENT_CHANGES:
             self._recent_after = max(self._recent_after, self._recent[0].rev)
         try:
--- a/lavenderstack/platform/main.py
+++ b/lavenderstack/platform/main.py
@@ -136,6 +136,7 @@
     counters = Counters()
     dispatcher = Dispatcher(directory, peers, counters)
     registration = Registration(metadata_store, vm)
+    executors.run_id = registration.identity
     admitter = Admitter(directory, peers, registration)
     replacer = Replacer(directory, peers, backend, registration, orders, counters)
 
@@ -215,6 +216,11 @@
         "executors", "Targets held here", lambda: len(executors.target_executors)
     )
     counters.gauge("nodes", "Nodes known", lambda: len(directory.view.vms))
+    counters.gauge(
+        "history_known",
+        "1 if all that were ever registered in the store are known",
+        lambda: int(directory.history.known),
+    )
     counters.gauge("store_calls", "Calls of the store", node.loader.store_calls)
     counters.gauge(
         "store_restores",
--- a/lavenderstack/platform/registration.py
+++ b/lavenderstack/platform/registration.py
@@ -111,7 +111,8 @@
 
     async def _register(self, vm: Vm) -> None:
         key = documents.NODES_PREFIX + vm.name
-        put = Put(key, documents.encode_node(vm, self._store.era.number), self._lease)
+        data = documents.encode_node(vm, self._store.era.number, self.identity)
+        put = Put(key, data, self._lease)
         try:
             await self._store.change(puts=[put])
         except Conflict as exc:
