--- a/bench/soak_fleet.py
+++ b/bench/soak_fleet.py
@@ -216,6 +216,8 @@
         "store": f"{HOST}:{links['store'].port}",
         "orders": f"{HOST}:{links['orders'].port}",
         "stop_limit_s": GRACE_S,
+        # The store of the soak begins in this era.
+        "first_store_era": 1,
     }
     path = fleet.folder / f"{name}.json"
     path.write_text(json.dumps(settings))
--- a/lavenderstack/platform/history.py
+++ b/lavenderstack/platform/history.py
@@ -8,7 +8,11 @@
 import structlog
 
 from lavenderstack.core.store_history import StoreHistory
-from lavenderstack.core.store_position import era_of, revision_of
+from lavenderstack.core.store_position import (
+    era_of,
+    revision_of,
+    store_position,
+)
 from lavenderstack.platform import documents
 from lavenderstack.platform.store import (
     HistoryGone,
@@ -30,31 +34,39 @@
 
 
 class HistoryReader:
-    """Records the changes of the store in a history."""
+    """Records the changes of the store in a history.
+
+    ``first_era`` is the era of the store when it was empty. In a later one it lacks the
+    changes that were lost with a restore.
+    """
 
-    def __init__(self, store: Store, history: StoreHistory) -> None:
+    def __init__(self, store: Store, history: StoreHistory, first_era: int) -> None:
         self._store = store
+        self._first_era = first_era
         self._history = history
         self._tried = False
 
     async def read_once(self, as_of: int) -> None:
         """Read all changes from the first one on, once a process.
 
-        ``as_of`` is the store's position now. A store that was restored from a copy
-        doesn't have those that it lost.
+        ``as_of`` is the store's position now.
         """
         if self._tried:
             return
         self._tried = True
-        if era_of(as_of) or revision_of(as_of) > MAX_REVISIONS:
-            log.info("history: not read", as_of=as_of, reason="not all changes kept")
+        if era_of(as_of) != self._first_era:
+            reason = "the store may have been restored from a copy"
+            log.info("history: not read", as_of=as_of, reason=reason)
+            return
+        if revision_of(as_of) > MAX_REVISIONS:
+            log.info("history: not read", as_of=as_of, reason="too many changes")
             return
         try:
             items = await self._changes(as_of)
         except (HistoryGone, StoreFailed, LeaseEnded) as exc:
             log.info("history: not read", as_of=as_of, reason=repr(exc))
             return
-        if items is None or self._store.era.number:
+        if items is None or self._store.era.number != self._first_era:
             log.info("history: not read", as_of=as_of, reason="too many changes")
             return
         self._history.begin()
@@ -65,7 +77,7 @@
     async def _changes(self, as_of: int) -> list[Item] | None:
         """Return all changes up to a position or later, None if they are too many."""
         found: list[Item] = []
-        after = 0
+        after = store_position(self._first_era, 0)
         for _ in range(MAX_CALLS):
             changes = await self._store.watch("", after, WAIT_S)
             found += changes.events
@@ -92,7 +104,7 @@
 
     def _check_complete(self, item: Item, known: bool) -> None:
         """End the history if a change of the entry before this one is missing."""
-        if not known and (item.deleted or 0 < item.created < item.rev):
+        if not known and (item.deleted or 0 < item.created < revision_of(item.rev)):
             self.end(f"changes of {item.key} are missing")
 
     def _record_value(self, item: Item) -> None:
--- a/lavenderstack/platform/history_test.py
+++ b/lavenderstack/platform/history_test.py
@@ -26,8 +26,8 @@
 
 
 @asynccontextmanager
-async def known_history(kv):
-    async with run_loader(kv) as directory:
+async def known_history(kv, first_era=0):
+    async with run_loader(kv, first_era) as directory:
         await wait_until(lambda: directory.proof.holds(clock.now()))
         # The watch that follows shows that the history was read or given up.
         await wait_until(lambda: kv.watching)
@@ -71,6 +71,15 @@
         async with known_history(kv) as found:
             assert found.targets("g1") is None
 
+    async def test_a_first_era_above_0_has_all_changes_if_the_settings_say_so(self):
+        kv = started_store(era=1)
+        kv.put("ls/era", b'{"era":1}')
+        async with known_history(kv, first_era=1) as found:
+            assert found.targets("g1") == {TargetRun("i-1", 5), TargetRun("i-2", 5)}
+            kv.put("servers/i-1", report(born=5))
+            kv.restore(kv.take_copy())
+            await wait_until(lambda: not found.known)
+
     async def test_a_new_listing_ends_it(self):
         kv = started_store()
         async with known_history(kv) as found:
--- a/lavenderstack/platform/loader.py
+++ b/lavenderstack/platform/loader.py
@@ -78,11 +78,16 @@
 class Loader:
     """Copies the store's entries into a directory.
 
-    ``peers`` is None if this node must always read the store itself.
+    ``peers`` is None if this node must always read the store itself. ``first_era`` is
+    the era of the store when it was empty.
     """
 
     def __init__(
-        self, store: Store, directory: Directory, peers: Peers | None = None
+        self,
+        store: Store,
+        directory: Directory,
+        peers: Peers | None = None,
+        first_era: int = 0,
     ) -> None:
         self._peers = peers
         # By node without a usable reply: the clock time until which it is not asked.
@@ -103,7 +108,7 @@
         self._listed_at = float("-inf")
         self._restores_seen = 0
         self._store_lost_at: float | None = None
-        self._history = HistoryReader(store, directory.history)
+        self._history = HistoryReader(store, directory.history, first_era)
 
     def store_calls(self) -> int:
         """Return the number of calls to the store that this process has made."""
--- a/lavenderstack/platform/loader_test.py
+++ b/lavenderstack/platform/loader_test.py
@@ -30,11 +30,11 @@
 
 
 @asynccontextmanager
-async def run_loader_object(kv):
+async def run_loader_object(kv, first_era=0):
     """Run a loader on a stand-in of the store; yield it and its directory."""
     directory = Directory("n1", "z1", ViewProof(limit_s=5.0))
     async with serving(kv) as addr, store.open_store(addr) as client:
-        follower = Loader(client, directory)
+        follower = Loader(client, directory, first_era=first_era)
         task = asyncio.ensure_future(follower.run())
         try:
             yield follower, directory
@@ -43,9 +43,9 @@
 
 
 @asynccontextmanager
-async def run_loader(kv):
+async def run_loader(kv, first_era=0):
     """Run a loader on a stand-in of the store; yield its directory."""
-    async with run_loader_object(kv) as (_, directory):
+    async with run_loader_object(kv, first_era) as (_, directory):
         yield directory
 
 
--- a/lavenderstack/platform/main.py
+++ b/lavenderstack/platform/main.py
@@ -144,7 +144,7 @@
         directory.record_primary(msg.group, msg.target)
         return LeadAcknowledged()
 
-    loader = Loader(metadata_store, directory, peers)
+    loader = Loader(metadata_store, directory, peers, cfg.first_store_era)
     handlers = {
         ChangesRequest: loader.handle_changes_request,
         LeadTaken: lead_taken,
--- a/lavenderstack/platform/settings.py
+++ b/lavenderstack/platform/settings.py
@@ -41,6 +41,7 @@
     limit what targets get shortly after their start, None if nothing does. ``zones``
     maps zones to regions. ``orders_per_s`` is how many promotions the platform accepts
     from all nodes. ``load_control`` tells for which groups load control is enabled.
+    ``first_store_era`` is the era of the store when it was empty.
     """
 
     name: Name
@@ -62,6 +63,7 @@
     zones: dict[str, str] = {}
     orders_per_s: Annotated[float, Meta(gt=0)] = 50.0
     load_control: LoadControl = LoadControl.AUTO
+    first_store_era: Annotated[int, Meta(ge=0)] = 0
 
 
 def _address_mistakes(cfg: Settings) -> list[str]:
