--- a/bench/soak_fleet.py
+++ b/bench/soak_fleet.py
@@ -217,6 +217,8 @@
         "orders": f"{HOST}:{links['orders'].port}",
         "stop_limit_s": GRACE_S,
         "evacuation_limit_ms": EVACUATION_LIMIT_S * 1000,
+        # The store of the soak begins in this era.
+        "first_store_era": 1,
     }
     path = fleet.folder / f"{name}.json"
     path.write_text(json.dumps(settings))
--- a/lavenderstack/core/replacement.py
+++ b/lavenderstack/core/replacement.py
@@ -38,10 +38,14 @@
 class Obstacle(Enum):
     """Why no replica may take over now; the names appear in the log.
 
-    ``SILENT_REPLICA``: a replica gave no answer or isn't paused. ``LED``: a replica has
-    already become the primary. ``MISSING_REPLICA``: a replica that may alone have a
-    commit is not registered any more (``core/replica_set.py``). ``EVACUATED``: the
-    replica that received most is in an evacuated zone.
+    ``SILENT_REPLICA``: a replica gave no answer or isn't paused. ``BEHIND``: it lacks
+    what another replica received or a node acknowledged. ``LED``: a replica has already
+    become the primary. ``MISSING_REPLICA``: a replica that may alone have a commit is
+    not registered any more (``core/replica_set.py``). ``SILENT_NODE``: a node that may
+    have acknowledged more didn't tell, or started again. ``UNKNOWN_HISTORY``: the owner
+    doesn't know all that were ever registered (``core/store_history.py``) and never had
+    an answer of the primary. ``PRIMARY_RUNS``: the replicas receive log entries.
+    ``EVACUATED``: the replica that received most is in an evacuated zone.
     """
 
     NO_REPLICA = auto()
@@ -50,6 +54,9 @@
     LED = auto()
     MISSING_REPLICA = auto()
     EVACUATED = auto()
+    SILENT_NODE = auto()
+    UNKNOWN_HISTORY = auto()
+    PRIMARY_RUNS = auto()
 
 
 def most_advanced(replicas: Sequence[ReplicaState]) -> ReplicaState | None:
--- a/lavenderstack/core/replica_set_test.py
+++ b/lavenderstack/core/replica_set_test.py
@@ -6,9 +6,13 @@
 one step. In every state in which the replica set is complete, the most advanced of the
 registered replicas has every acknowledged write. Tests without one of the guards show
 that a write is lost then.
+
+For an owner without a recorded set, each write is acknowledged through one of two
+nodes, which may start again and so forget it.
 """
 
 from dataclasses import dataclass, replace
+from functools import cache
 
 import pytest
 
@@ -25,12 +29,21 @@
     joined,
     missing_replicas,
 )
+from lavenderstack.core.store_history import (
+    MAX_ABSENT,
+    ToldPosition,
+    highest_told,
+    holds_every_commit,
+)
 from tests.explore import depth, explore
 
 NAMES = ("b", "c")
+PRIMARY = TargetRun("a", 1)
 MAX_WRITES = 3
 MAX_RUNS = 2
 SHORT_DEPTH = 8
+# States with nodes are many more.
+NODES_DEPTH = 6
 
 
 @dataclass(frozen=True)
@@ -43,6 +56,14 @@
     registered: bool = True
 
 
+@dataclass(frozen=True)
+class Node:
+    """One node; ``run`` counts its starts, ``acknowledged`` is of the present run."""
+
+    run: int = 1
+    acknowledged: int = 0
+
+
 @dataclass(frozen=True)
 class State:
     """The group's state; ``recorded`` is the replica set in the store."""
@@ -52,6 +73,7 @@
     replicas: tuple[Replica, Replica] = (Replica(), Replica())
     recorded: ReplicaSet | None = None
     departed: frozenset[TargetRun] = frozenset()
+    nodes: tuple[Node, Node] = (Node(), Node())
 
 
 def members(state):
@@ -78,7 +100,13 @@
     return replace(state, replicas=tuple(replicas))
 
 
-def write(state):
+def with_node(state, index, **changes):
+    nodes = list(state.nodes)
+    nodes[index] = replace(nodes[index], **changes)
+    return replace(state, nodes=tuple(nodes))
+
+
+def write(state, node=0):
     last = state.last + 1
     after = replace(state, last=last)
     for index, replica in enumerate(state.replicas):
@@ -86,6 +114,7 @@
             after = replace(
                 with_replica(after, index, received=last), acknowledged=last
             )
+            after = with_node(after, node, acknowledged=last)
     return after
 
 
@@ -226,3 +255,107 @@
     )
     def test_all_nodes_that_ran_since_the_last_answer_must_tell(self, nodes, expected):
         assert highest_acknowledged(Position(1, 4), 2.0, nodes) == expected
+
+
+def steps_with_nodes(state):
+    """Return the steps while no set gets recorded; nodes start again as well."""
+    yield from steps_with(lambda state: state)(state)
+    if state.last < MAX_WRITES:
+        yield write(state, node=1)
+    for index, node in enumerate(state.nodes):
+        if node.run < MAX_RUNS:
+            yield with_node(state, index, run=node.run + 1, acknowledged=0)
+
+
+@cache
+def explored_with_nodes():
+    return explore(State(), steps_with_nodes, depth(NODES_DEPTH))
+
+
+def registered_runs(state):
+    """Return the runs of all nodes that were ever registered, by node."""
+    return {
+        index: {f"{index}#{run}" for run in range(1, node.run + 1)}
+        for index, node in enumerate(state.nodes)
+    }
+
+
+def told(state, silent):
+    """Return what the nodes tell of which ``silent`` don't answer."""
+    return {
+        index: ToldPosition(f"{index}#{node.run}", Position(1, node.acknowledged))
+        if index not in silent
+        else None
+        for index, node in enumerate(state.nodes)
+    }
+
+
+def is_told(state, silent=(), nodes=None):
+    """Return whether a replica has what the nodes tell, if that is known."""
+    end = highest_told(nodes or registered_runs(state), told(state, silent))
+    chosen = choose_successor(statuses(state), replicated=True)
+    known = end is not None and isinstance(chosen, ReplicaState)
+    return known and chosen.received >= end
+
+
+def all_runs(state):
+    """Return every run that was ever in the group; the primary has one."""
+    return frozenset(
+        TargetRun(name, run)
+        for name, replica in zip(NAMES, state.replicas, strict=True)
+        for run in range(1, replica.run + 1)
+    ) | {PRIMARY}
+
+
+def are_present(state, runs=all_runs, max_absent=MAX_ABSENT, key=lambda run: run):
+    """Return whether the registered replicas have every write together."""
+    known, present = map(key, runs(state)), map(key, members(state).present)
+    return holds_every_commit(frozenset(known), frozenset(present), max_absent)
+
+
+class TestOwnerWithoutRecord:
+    """It knows all that were ever registered, and nothing of the primary's log."""
+
+    @pytest.mark.parametrize(
+        "concludes",
+        [
+            is_told,
+            lambda state: is_told(state, silent=(0,)),
+            lambda state: is_told(state, silent=(1,)),
+            are_present,
+        ],
+        ids=["all nodes", "without 0", "without 1", "targets"],
+    )
+    def test_no_write_is_lost(self, concludes):
+        safe = [state for state in explored_with_nodes() if concludes(state)]
+        assert not any(is_lost(state) for state in safe)
+
+    def test_a_conclusion_is_drawn_in_many_states(self):
+        states = explored_with_nodes()
+        assert sum(map(is_told, states)) > 100
+        assert sum(map(are_present, states)) > 100
+
+    @pytest.mark.parametrize(
+        "concludes",
+        [
+            lambda state: is_told(state, (1,), {0: registered_runs(state)[0]}),
+            lambda state: is_told(
+                state, (), {i: {f"{i}#{n.run}"} for i, n in enumerate(state.nodes)}
+            ),
+            lambda state: are_present(state, max_absent=2),
+            lambda state: are_present(
+                state, runs=lambda one: members(one).present | {PRIMARY}
+            ),
+            lambda state: are_present(state, key=lambda run: TargetRun(run.name, 1)),
+        ],
+        ids=["silent node", "runs of a node", "one absent", "those that left", "runs"],
+    )
+    def test_without_one_of_the_guards_a_write_is_lost(self, concludes):
+        assert any(is_lost(s) and concludes(s) for s in explored_with_nodes())
+
+    @pytest.mark.parametrize(
+        "runs", [None, {PRIMARY}, {PRIMARY, TargetRun("b"), TargetRun("c", 1)}]
+    )
+    def test_nothing_follows_from_an_incomplete_history(self, runs):
+        present = frozenset({TargetRun("b"), TargetRun("c", 1)})
+        assert not holds_every_commit(runs and frozenset(runs), present)
--- a/lavenderstack/platform/loader.py
+++ b/lavenderstack/platform/loader.py
@@ -36,6 +36,7 @@
 from lavenderstack.node.peers import Peers
 from lavenderstack.node.streams import NotSent, StreamLost
 from lavenderstack.platform import documents
+from lavenderstack.platform.history import HistoryReader
 from lavenderstack.platform.store import (
     Changes,
     HistoryGone,
@@ -87,11 +88,16 @@
 class Loader:
     """Copies the store's entries into a directory.
 
-    ``peers`` is None if this node must always read the store itself.
+    ``peers`` is None if this node must always read the store itself. ``first_era`` is
+    the era of the store when it was empty.
     """
 
     def __init__(
-        self, store: Store, directory: Directory, peers: Peers | None = None
+        self,
+        store: Store,
+        directory: Directory,
+        peers: Peers | None = None,
+        first_era: int = 0,
     ) -> None:
         self._peers = peers
         # By node without a usable reply: the clock time until which it is not asked.
@@ -112,6 +118,7 @@
         self._listed_at = float("-inf")
         self._restores_seen = 0
         self._store_lost_at: float | None = None
+        self._history = HistoryReader(store, directory.history, first_era)
 
     def store_calls(self) -> int:
         """Return the number of calls to the store that this process has made."""
@@ -126,6 +133,8 @@
         while True:
             try:
                 await self._wait_out_restore()
+                if self._owns_a_group():
+                    await self._history.read_once(self._as_of)
                 if await self._poll_upstream():
                     continue
                 if not self._listed:
@@ -140,6 +149,12 @@
                 self._record_store_lost(exc)
                 await asyncio.sleep(RETRY_DELAY_S)
 
+    def _owns_a_group(self) -> bool:
+        """Return whether a claim of this node is in force; only owners need history."""
+        prefix = self._directory.name + "#"
+        claims = self._directory.ownerships.values()
+        return self._listed and any(one.node.startswith(prefix) for one in claims)
+
     def _needs_watch_after_listing(self) -> bool:
         """Return whether the store must prove the view now rather than another node.
 
@@ -171,6 +186,7 @@
             return
         self._restores_seen = era.restores
         self._listed = False
+        self._history.end("the store was restored from a copy")
         log.warning(
             "loader: store restored from a copy",
             before=format_position(self._as_of),
@@ -241,6 +257,7 @@
         for item in _evacuations_last(items):
             self._apply(item)
         if reply.whole:
+            self._history.end("all entries were received anew")
             for key in self._entries.keys() - {item.key for item in items}:
                 self._apply(Item(key=key, rev=reply.as_of, deleted=True))
         self._advance_revision(reply.as_of)
@@ -296,6 +313,7 @@
         # A store that refuses every watch must not be asked for listings all the time.
         await asyncio.sleep(self._listed_at + RETRY_DELAY_S - clock.now())
         self._listed_at = sent_at = clock.now()
+        self._history.end("all entries are listed anew")
         page = await self._store.list("")
         as_of, is_snapshot = page.as_of, not page.has_more
         seen: set[str] = set()
@@ -343,12 +361,15 @@
         self._advance_revision(changes.as_of)
         if len(changes.events) <= MAX_EVENTS:
             self._prove(sent_at)
+        else:
+            self._history.end("an answer may be truncated")
 
     def _apply(self, item: Item) -> None:
         """Apply a change unless a later one of the same entry is known."""
         if item.rev <= self._revisions.get(item.key, 0):
             return
         self._record_position(item)
+        self._history.record(item)
         if len(self._recent) == MAX_RECENT_CHANGES:
             self._recent_after = max(self._recent_after, self._recent[0].rev)
         try:
--- a/lavenderstack/platform/main.py
+++ b/lavenderstack/platform/main.py
@@ -159,6 +159,7 @@
     counters = Counters()
     dispatcher = Dispatcher(directory, peers, counters)
     registration = Registration(metadata_store, vm)
+    executors.run_id = registration.identity
     admitter = Admitter(directory, peers, registration)
     replacer = Replacer(directory, peers, backend, registration, orders, counters)
 
@@ -166,7 +167,7 @@
         directory.record_primary(msg.group, msg.target)
         return LeadAcknowledged()
 
-    loader = Loader(metadata_store, directory, peers)
+    loader = Loader(metadata_store, directory, peers, cfg.first_store_era)
     handlers = {
         ChangesRequest: loader.handle_changes_request,
         LeadTaken: lead_taken,
@@ -241,6 +242,11 @@
     counters.gauge(
         "evacuated_zones", "Zones evacuated", lambda: len(directory.evacuations)
     )
+    counters.gauge(
+        "history_known",
+        "1 if all that were ever registered in the store are known",
+        lambda: int(directory.history.known),
+    )
     counters.gauge("store_calls", "Calls of the store", node.loader.store_calls)
     counters.gauge(
         "store_restores",
--- a/lavenderstack/platform/settings.py
+++ b/lavenderstack/platform/settings.py
@@ -43,6 +43,7 @@
     from all nodes. ``load_control`` tells for which groups load control is enabled.
     ``cores`` times ``core_share`` is the processor of the VM in cores, ``link_mbps``
     its link in Mbit/s; None if they aren't known.
+    ``first_store_era`` is the era of the store when it was empty.
     """
 
     name: Name
@@ -67,6 +68,7 @@
     cores: Annotated[float, Meta(gt=0)] | None = None
     core_share: Annotated[float, Meta(gt=0)] | None = None
     link_mbps: Annotated[float, Meta(gt=0)] | None = None
+    first_store_era: Annotated[int, Meta(ge=0)] = 0
 
 
 def _address_mistakes(cfg: Settings) -> list[str]:
