Decide on the order and the refusal of statements at a contended target

One weight decided between statements so far: routes of priority 0 and 1 counted as one, and the organisation's own priority wasn't read. A statement was refused by the wait of its organisation only, and came back at a random time.

ReturnCalendar tells each refused statement a time of its own.

--- /dev/null
+++ b/lavenderstack/core/full_targets.py
@@ -0,0 +1,23 @@
+"""What an entry node must know to refuse a statement without asking the holder."""
+
+from typing import Protocol
+
+
+class FullTargets(Protocol):
+    """Which targets have reported that they refuse statements."""
+
+    def full_until(self, target: str, priority: int) -> float:
+        """Return until when a target refuses statements of a route's priority.
+
+        The time is in seconds on the clock. It has passed if the target accepts them,
+        or if nothing recent is known of it.
+        """
+        ...
+
+
+class NoReports:
+    """Stands for ``FullTargets`` where holders don't report their load."""
+
+    def full_until(self, target: str, priority: int) -> float:
+        """Return a time that has passed."""
+        return float("-inf")
--- /dev/null
+++ b/lavenderstack/core/return_calendar.py
@@ -0,0 +1,87 @@
+"""When the statements that a target refused should come back.
+
+Each refused statement is told a time of its own, at which the room that it needs is
+expected to be there. Room is given out by level, the most valuable first: what a level
+books comes before everything that lower levels book from then on. Within a level, an
+organisation gets no more than its part of the room, so one with many refused statements
+doesn't send away the others for longer.
+
+This answers a burst at a target. ``core/return_schedule.py`` does it for an
+organisation above the rate of its plan.
+"""
+
+from dataclasses import dataclass, field
+
+# A level is the route's priority and that of the organisation; 0 is the highest.
+Level = tuple[int, int]
+
+# Longest time that is told. Callers with a later deadline may come back once more.
+MAX_RETRY_AFTER_S = 2.0
+# Shortest time that is told: a caller that comes back at once finds no room.
+MIN_RETRY_AFTER_S = 0.01
+MAX_ORGANISATIONS = 1000
+
+
+@dataclass(slots=True)
+class ReturnCalendar:
+    """The room of one target that has been given out to refused statements.
+
+    It holds for each level, and for each organisation at a level, until when its room
+    is booked, in seconds on the clock.
+    """
+
+    _levels: dict[Level, float] = field(default_factory=dict)
+    _organisations: dict[tuple[Level, str], float] = field(default_factory=dict)
+
+    def book(
+        self,
+        level: Level,
+        organisation: str,
+        now: float,
+        first_s: float,
+        room_s: float,
+        left_s: float,
+    ) -> float:
+        """Return in how many seconds a refused statement should come back.
+
+        ``first_s`` is the time until there is room at all, ``room_s`` how long it takes
+        until there is room for one more. Times are wrapped around within ``left_s``,
+        the time until the statement's deadline: a later one would be of no use to it.
+        """
+        first_s = max(first_s, MIN_RETRY_AFTER_S)
+        first_at = now + first_s
+        taken_until = self._taken_until(level, first_at)
+        own_until = self._organisations.get((level, organisation), first_at)
+        at = max(first_at, min(taken_until, own_until))
+        self._levels[level] = max(first_at, self._levels.get(level, 0.0)) + room_s
+        if len(self._organisations) >= MAX_ORGANISATIONS:
+            self._forget_past(now)
+        part_s = room_s * self._count(level, organisation, now)
+        self._organisations[level, organisation] = max(first_at, own_until) + part_s
+        span_s = min(left_s, MAX_RETRY_AFTER_S) - first_s
+        if span_s <= 0.0:
+            return min(first_s, MAX_RETRY_AFTER_S)
+        return first_s + (at - first_at) % span_s
+
+    def _taken_until(self, level: Level, first_at: float) -> float:
+        """Return until when room is taken by statements that go first."""
+        booked = [
+            max(0.0, until - first_at)
+            for other, until in self._levels.items()
+            if other <= level
+        ]
+        return first_at + sum(booked)
+
+    def _count(self, level: Level, organisation: str, now: float) -> int:
+        """Return the number of organisations with room at the level, with this one."""
+        others = sum(
+            1
+            for (other_level, other), until in self._organisations.items()
+            if other_level == level and other != organisation and until > now
+        )
+        return others + 1
+
+    def _forget_past(self, now: float) -> None:
+        kept = self._organisations
+        self._organisations = {key: at for key, at in kept.items() if at > now}
+        self._levels = {key: at for key, at in self._levels.items() if at > now}
