Apply load control at holders and entry nodes of contended groups

An overloaded group got five attempts for each request that it didn't serve: entry nodes repeated refused statements for up to 0.6 s, and asked holders that had just said no.

A refusal for want of room ends the entry's rounds. The tenant's prio becomes Plan.priority. Elsewhere nothing changes.

--- a/lavenderstack/core/events.py
+++ b/lavenderstack/core/events.py
@@ -241,6 +241,20 @@
         ),
         "this holder refused it or had no answer; run: whether it may have run",
     ),
+    Event(
+        "executor: statements shed",
+        LineKind.STATE,
+        ("target", "organisation", "priority", "wait_s", "waiting", "refused"),
+        "this holder refuses statements that it can't serve in time; at most one line "
+        "a second a target, with the last refused one; refused: all since the start",
+    ),
+    Event(
+        "dispatch: group full",
+        LineKind.STATE,
+        ("group", "priority", "retry_after_s", "refused"),
+        "statements are refused here since all targets reported full; at most one line "
+        "a second a group; refused: all since the start",
+    ),
     Event(
         "dispatch: target attempt failed",
         LineKind.RETRY,
--- a/lavenderstack/core/events_test.py
+++ b/lavenderstack/core/events_test.py
@@ -17,6 +17,8 @@
     "directory",
     "dispatch",
     "executor",
+    "load_control",
+    "attempt_limits",
     "active_connections",
     "open_transactions",
     "primary_positions",
--- a/lavenderstack/core/return_calendar.py
+++ b/lavenderstack/core/return_calendar.py
@@ -50,9 +50,10 @@
         """
         first_s = max(first_s, MIN_RETRY_AFTER_S)
         first_at = now + first_s
-        taken_until = self._taken_until(level, first_at)
         own_until = self._organisations.get((level, organisation), first_at)
-        at = max(first_at, min(taken_until, own_until))
+        level_s = max(0.0, self._levels.get(level, 0.0) - first_at)
+        own_s = max(0.0, own_until - first_at)
+        at = first_at + self._booked_above(level, first_at) + min(level_s, own_s)
         self._levels[level] = max(first_at, self._levels.get(level, 0.0)) + room_s
         if len(self._organisations) >= MAX_ORGANISATIONS:
             self._forget_past(now)
@@ -63,14 +64,13 @@
             return min(first_s, MAX_RETRY_AFTER_S)
         return first_s + (at - first_at) % span_s
 
-    def _taken_until(self, level: Level, first_at: float) -> float:
-        """Return until when room is taken by statements that go first."""
-        booked = [
+    def _booked_above(self, level: Level, first_at: float) -> float:
+        """Return the room after ``first_at`` that more valuable levels have booked."""
+        return sum(
             max(0.0, until - first_at)
             for other, until in self._levels.items()
-            if other <= level
-        ]
-        return first_at + sum(booked)
+            if other < level
+        )
 
     def _count(self, level: Level, organisation: str, now: float) -> int:
         """Return the number of organisations with room at the level, with this one."""
--- a/lavenderstack/core/view.py
+++ b/lavenderstack/core/view.py
@@ -20,13 +20,16 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+# Priority of organisations whose plan names none; 0 is the highest.
+DEFAULT_PRIORITY = 2
+
 
 @dataclass(frozen=True, slots=True)
 class Plan:
     """What a plan may use: ``rate`` in requests/s, ``burst`` in requests.
 
     ``weight`` is the organisation's share under contention, ``queue`` how many of its
-    requests may wait.
+    requests may wait. ``priority`` is the organisation's under load control.
     """
 
     name: str
@@ -34,6 +37,7 @@
     burst: float
     weight: float = 1.0
     queue: int = 200
+    priority: int = DEFAULT_PRIORITY
 
 
 @dataclass(frozen=True, slots=True)
--- a/lavenderstack/node/counters.py
+++ b/lavenderstack/node/counters.py
@@ -32,6 +32,9 @@
         self.attempts = self._counter(
             "attempts", "Attempts at targets by outcome", ["outcome"]
         )
+        self.retries = self._counter(
+            "retries", "Attempts beyond the first under load control", ["outcome"]
+        )
         self.refused_connections = self._counter(
             "refused_connections", "Connections of callers refused", ["reason"]
         )
--- a/lavenderstack/node/dispatch.py
+++ b/lavenderstack/node/dispatch.py
@@ -19,6 +19,7 @@
 from lavenderstack.core.position import START, Position
 from lavenderstack.core.statement import Prepared, Statement
 from lavenderstack.core.work_messages import Access, TransactionStart, Work, WorkDone
+from lavenderstack.node.attempt_limits import AttemptLimits
 from lavenderstack.node.counters import Counters
 from lavenderstack.node.directory import Directory
 from lavenderstack.node.peers import Peers
@@ -134,27 +135,44 @@
         self._counters = counters
         self._directory = directory
         self._peers = peers
+        self.limits = AttemptLimits(directory, counters)
 
     async def run(self, call: Call) -> DispatchResult:
         """Run the first or only statement of an operation, with retries.
 
         Each round tries all suitable targets. The next round starts after a change of
-        the directory or a pause, until ``call.retry_until``.
+        the directory or a pause, until ``call.retry_until``. Under load control it
+        starts only if the retry budget allows it, and none follows a refusal by a
+        holder without room.
         """
         backoff_s = FIRST_MAX_BACKOFF_S
-        while True:
-            result = await self._run_round(call)
-            left_s = call.retry_until - clock.now()
-            if left_s <= 0 or not _may_retry(call, result.answer):
-                return result
+        self.limits.count_statement(call.route)
+        result = await self._run_round(call)
+        sent = bool(result.node)
+        while (left_s := call.retry_until - clock.now()) > 0:
+            if not _may_retry(call, result.answer):
+                break
+            if self.limits.is_final(call.route, result.answer):
+                break
             backoff_s = await self._pause(backoff_s, left_s)
+            if not sent or self.limits.may_send_again(call.route):
+                result = await self._run_round(call)
+                sent = sent or bool(result.node)
+        return result
 
     async def _run_round(self, call: Call) -> DispatchResult:
         if call.access is Access.AGED_READ:
-            return await self._run_hedged(call, self._read_choices(call))
+            choices = self._read_choices(call)
+            accepting = self.limits.accepting(call.route, choices)
+            if choices and not accepting:
+                return DispatchResult(self.limits.refusal(call.route, choices))
+            return await self._run_hedged(call, accepting)
         primary = self._directory.primary(call.route.group)
         if primary is None:
             return DispatchResult(Failed(run=False, reason=Reason.NO_PRIMARY))
+        choices = [(primary, call.access)]
+        if not self.limits.accepting(call.route, choices):
+            return DispatchResult(self.limits.refusal(call.route, choices))
         if call.repeatable and not call.opens:
             return await self._run_hedged(call, [(primary, call.access)] * 2)
         return await self._attempt(call, primary, call.access)
@@ -203,6 +221,10 @@
         failed: list[DispatchResult] = []
         try:
             while remaining or running:
+                if tried and remaining and not self.limits.may_send_again(call.route):
+                    remaining.clear()
+                    if not running:
+                        break
                 if remaining:
                     state, access = remaining.pop(0)
                     skip = tried.count(state.target.name)
@@ -248,6 +270,8 @@
                 return DispatchResult(Failed(run=False, reason=Reason.DEADLINE))
             if result.node and call.retry_until <= clock.now():
                 break
+            if result.node and not self.limits.may_send_again(call.route):
+                break
             answer = await self._send_work(
                 vm, self._build_work(call, target.name, access, left_s)
             )
--- a/lavenderstack/node/executor.py
+++ b/lavenderstack/node/executor.py
@@ -11,6 +11,7 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable
+from contextlib import AbstractAsyncContextManager
 
 import structlog
 
@@ -43,6 +44,7 @@
 )
 from lavenderstack.node.connection_setup import setup_commands, target_statement
 from lavenderstack.node.directory import Directory
+from lavenderstack.node.load_control import TargetLoadControl
 from lavenderstack.node.open_transactions import OpenTransactions
 from lavenderstack.node.slots import Slots
 from lavenderstack.node.target_connections import PooledConnection, TargetConnections
@@ -85,6 +87,7 @@
         self.slots = Slots(state.target.slots)
         self.connections = TargetConnections(backend, state.target, state.group)
         self._directory = directory
+        self.load_control = TargetLoadControl(state.target.name, self.slots, directory)
         self._min_position_for = min_position_for
         self._acknowledged = acknowledged
         self.health = TargetHealth(state.target, self.connections, directory)
@@ -144,27 +147,12 @@
         if self.health.unreachable_reason:
             return failure(False, Reason.UNREACHABLE, self.health.unreachable_reason)
         deadline = clock.now() + work.left_s
-        retry_s = refusal_retry_after_s(
-            self.slots.queue_load(work.organisation),
-            work.latency_goal_left_s if work.latency_goal_s else work.left_s,
-            work.latency_goal_s,
-            work.left_s,
-        )
-        if retry_s is not None:
-            return Failed(
-                run=False,
-                reason=Reason.CROWDED,
-                detail="the queue is too long for an answer in time",
-                retry_after_s=retry_s * random.uniform(1.0, 1.5),
-            )
-        weight = URGENT_WEIGHT if work.priority <= URGENT_PRIORITY else 1.0
         try:
+            slot = self._slot(work, deadline)
             # The position is determined before a slot is taken: the age of a read
             # counts from its arrival, and waiting for a position must not use a slot.
             min_position = await self._min_position(work)
-            async with self.slots.acquire(
-                work.organisation, weight, deadline, MAX_QUEUED
-            ):
+            async with slot:
                 return await self._run_in_slot(work, min_position, deadline)
         except Refused as exc:
             return Failed(
@@ -174,6 +162,28 @@
                 retry_after_s=exc.retry_after_s,
             )
 
+    def _slot(self, work: Work, deadline: float) -> AbstractAsyncContextManager[None]:
+        """Return a context that holds a slot for a new statement.
+
+        Raises ``Refused`` if the wait would be too long for an answer in time.
+        """
+        if self._directory.is_load_controlled(self.group):
+            return self.load_control.slot(work, MAX_QUEUED)
+        retry_s = refusal_retry_after_s(
+            self.slots.queue_load(work.organisation),
+            work.latency_goal_left_s if work.latency_goal_s else work.left_s,
+            work.latency_goal_s,
+            work.left_s,
+        )
+        if retry_s is not None:
+            raise Refused(
+                Reason.CROWDED,
+                "the queue is too long for an answer in time",
+                retry_s * random.uniform(1.0, 1.5),
+            )
+        weight = URGENT_WEIGHT if work.priority <= URGENT_PRIORITY else 1.0
+        return self.slots.acquire(work.organisation, weight, deadline, MAX_QUEUED)
+
     def log_failure(self, work: Work, failed: Failed) -> None:
         """Log why a statement was not run on this target, or why it has no answer."""
         log.info(
@@ -184,7 +194,7 @@
             run=failed.run,
             reason=failed.reason,
             detail=failed.detail,
-            queue=len(self.slots.queue),
+            queue=self.slots.waiting,
             min_position=list(work.min_position),
         )
 
--- a/lavenderstack/node/slots.py
+++ b/lavenderstack/node/slots.py
@@ -10,6 +10,10 @@
 request ends, so an organisation with slow statements gets no more slot time than
 others. Time beyond ``MAX_COST_S`` isn't charged, since a hanging target is not the
 organisation's fault.
+
+Where load control is enabled, requests wait in a ``LoadShedder`` instead. While load
+control is being switched, requests of both queues wait; those of the fair queue go
+first, since nothing is added to it any more.
 """
 
 import asyncio
@@ -19,8 +23,10 @@
 
 from lavenderstack.core import clock
 from lavenderstack.core.fair_queue import FairQueue, QueueFull
+from lavenderstack.core.load_shedding import LoadShedder, Shed
 from lavenderstack.core.outcome import Reason, Refused
 from lavenderstack.core.queue_load import QueueLoad
+from lavenderstack.core.statement_order import Urgency
 
 # Cost assumed for an organisation before its first request has ended.
 INITIAL_COST_S = 0.01
@@ -42,6 +48,7 @@
         self.free = slots
         self.slots = slots
         self.queue = FairQueue()
+        self.shedder = LoadShedder(slots)
         self._now = now
         self._costs: dict[str, float] = {}
         self._timer: asyncio.TimerHandle | None = None
@@ -68,6 +75,49 @@
             self.queue.correct_cost(organisation, weight, held_s - cost)
             self._release()
 
+    @property
+    def waiting(self) -> int:
+        """The number of requests that wait for a slot."""
+        return len(self.queue) + len(self.shedder.order)
+
+    @asynccontextmanager
+    async def acquire_by_urgency(
+        self, organisation: str, urgency: Urgency, late: bool, max_queued: int
+    ) -> AsyncIterator[None]:
+        """Hold a slot as ``acquire`` does, for a request under load control.
+
+        ``late`` tells whether it is expected to miss its latency goal.
+        """
+        await self._wait_by_urgency(organisation, urgency, late, max_queued)
+        started = self._now()
+        try:
+            yield
+        finally:
+            held_s = min(MAX_COST_S, self._now() - started)
+            self.shedder.order.record_cost(organisation, urgency, held_s)
+            self._release()
+
+    async def _wait_by_urgency(
+        self, organisation: str, urgency: Urgency, late: bool, max_queued: int
+    ) -> None:
+        order = self.shedder.order
+        if self.free > 0 and not self.waiting:
+            self.free -= 1
+            order.serve_directly(organisation, urgency)
+            return
+        fut = asyncio.get_running_loop().create_future()
+        try:
+            order.push(organisation, urgency, fut, max_queued, late)
+        except QueueFull:
+            raise Refused(Reason.CROWDED, "queue full", MIN_RETRY_S) from None
+        self._schedule_review()
+        self._start_waiting()
+        try:
+            await fut
+        except asyncio.CancelledError:
+            self._withdraw(fut)
+            raise
+
     async def _wait_for_slot(
         self,
         organisation: str,
@@ -79,7 +129,7 @@
         now = self._now()
         if now >= deadline:
             raise Refused(Reason.DEADLINE, "the deadline has passed")
-        if self.free and not len(self.queue):
+        if self.free and not self.waiting:
             self.free -= 1
             self.queue.serve_directly(organisation, weight, cost)
             return
@@ -100,7 +150,7 @@
 
     def _withdraw(self, fut: asyncio.Future) -> None:
         """Withdraw a cancelled request; pass on its slot if it already has one."""
-        if self.queue.remove(fut):
+        if self.queue.remove(fut) or self.shedder.order.remove(fut):
             return
         if fut.done() and not fut.cancelled() and fut.exception() is None:
             self._release()
@@ -113,9 +163,12 @@
         connection and locks, so running it immediately releases both sooner.
         """
         self.free -= 1
+        started = self._now()
         try:
             yield
         finally:
+            now = self._now()
+            self.shedder.immediate.add(min(MAX_COST_S, now - started), now)
             self._release()
 
     def queue_load(self, organisation: str) -> QueueLoad:
@@ -132,7 +185,7 @@
     def resize(self, slots: int) -> None:
         """Change the number of slots; running requests keep theirs."""
         self.free += slots - self.slots
-        self.slots = slots
+        self.slots = self.shedder.slots = slots
         self._start_waiting()
 
     def _release(self) -> None:
@@ -142,7 +195,7 @@
     def _start_waiting(self) -> None:
         now = self._now()
         while self.free > 0:
-            fut = self.queue.pop(now)
+            fut = self.queue.pop(now) or self.shedder.order.pop(now)
             if fut is None:
                 return
             if not fut.done():
@@ -160,11 +213,30 @@
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(delay_s, self._expire)
 
+    def _schedule_review(self) -> None:
+        """Set the timer that reviews the requests under load control."""
+        at = self.shedder.next_review()
+        if at is not None:
+            self._schedule_expiry(at)
+
     def _expire(self) -> None:
         self._timer = None
-        for fut in self.queue.expire(self._now()):
+        now = self._now()
+        for fut in self.queue.expire(now):
             if not fut.done():
                 fut.set_exception(Refused(Reason.DEADLINE, "no slot in time"))
+        for shed in self.shedder.review(now):
+            if not shed.item.done():
+                shed.item.set_exception(_refusal(shed))
         deadline = self.queue.next_deadline()
         if deadline is not None:
             self._schedule_expiry(deadline)
+        self._schedule_review()
+
+
+def _refusal(shed: Shed) -> Refused:
+    """Return why a waiting request is not run."""
+    if shed.retry_after_s is None:
+        return Refused(Reason.DEADLINE, "no slot in time")
+    detail = "more urgent statements came, so no slot would be free in time"
+    return Refused(Reason.CROWDED, detail, shed.retry_after_s)
--- a/lavenderstack/platform/documents.py
+++ b/lavenderstack/platform/documents.py
@@ -29,7 +29,7 @@
 )
 from lavenderstack.core.replica_set import ReplicaSet, TargetRun
 from lavenderstack.core.store_position import era_of
-from lavenderstack.core.view import Plan, Target, Vm
+from lavenderstack.core.view import DEFAULT_PRIORITY, Plan, Target, Vm
 from lavenderstack.platform.callers import digest_of
 
 log = structlog.get_logger()
@@ -43,7 +43,6 @@
 RESERVE_KEY = SERVICE_PREFIX + "reserve"
 ERA_KEY = SERVICE_PREFIX + "era"
 
-DEFAULT_PRIORITY = 2
 DEFAULT_TIMEOUT_MS = 1000.0
 MS_PER_S = 1000.0
 
@@ -111,7 +110,9 @@
             for service in cfg.services
         },
         plans={
-            tenant.name: Plan(tenant.name, tenant.per_s, tenant.burst)
+            tenant.name: Plan(
+                tenant.name, tenant.per_s, tenant.burst, priority=tenant.prio
+            )
             for tenant in cfg.tenants
         },
         keys={
--- a/lavenderstack/platform/documents_test.py
+++ b/lavenderstack/platform/documents_test.py
@@ -50,6 +50,13 @@
 
 
 class TestCatalog:
+    def test_the_priority_of_a_tenant_is_that_of_its_plan(self):
+        tenant = {"name": "org", "api_keys": [], "per_s": 1, "burst": 1}
+        for extra, priority in (({"prio": 0}, 0), ({}, 2)):
+            cfg = CONFIG | {"tenants": [tenant | extra]}
+            catalog = documents.decode_catalog(encode_json(cfg))
+            assert catalog.plans["org"].priority == priority
+
     def test_fields_are_translated_and_times_converted_to_seconds(self):
         catalog = documents.decode_catalog(encode_json(CONFIG))
         route = catalog.routes["db1"]
--- a/lavenderstack/platform/main.py
+++ b/lavenderstack/platform/main.py
@@ -187,8 +187,7 @@
 
     def queued() -> int:
         return sum(
-            len(executor.slots.queue)
-            for executor in executors.target_executors.values()
+            executor.slots.waiting for executor in executors.target_executors.values()
         )
 
     def handshakes() -> int:
@@ -211,6 +210,19 @@
     counters.gauge("target_connections", "Open connections to targets", connections)
     counters.gauge("target_handshakes", "Connections opened to targets", handshakes)
     counters.gauge("queued", "Statements that wait for a slot", queued)
+    counters.gauge(
+        "shed_statements",
+        "Statements refused here by load control, as their holder",
+        lambda: sum(
+            executor.slots.shedder.refused
+            for executor in executors.target_executors.values()
+        ),
+    )
+    counters.gauge(
+        "full_refusals",
+        "Statements refused here since all targets reported full",
+        lambda: node.callers.services.dispatcher.limits.refused,
+    )
     counters.gauge(
         "executors", "Targets held here", lambda: len(executors.target_executors)
     )
