--- a/lavenderstack/core/events_test.py
+++ b/lavenderstack/core/events_test.py
@@ -20,6 +20,8 @@
     "planned_failover",
     "dispatch",
     "executor",
+    "load_control",
+    "attempt_limits",
     "active_connections",
     "open_transactions",
     "primary_positions",
