--- /dev/null
+++ b/lavenderstack/core/load_report.py
@@ -0,0 +1,106 @@
+"""Builds a connection holder's report of its target's load.
+
+The mean time in a slot is measured over the latest statements of all organisations. The
+mean that the queue keeps for each organisation follows a change only after several
+statements of that organisation, which takes seconds where there are many of them.
+"""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field, replace
+from itertools import count
+from statistics import median_low
+
+from lavenderstack.core.queue_load import QueueLoad, refusal_retry_after_s
+from lavenderstack.core.target_load import TargetLoad
+
+# Weight of the latest statement in a mean. With 3 % of statements seven times as long
+# as the others, the mean still varies by no more than about a sixth.
+SMOOTHING = 0.05
+# Time in a slot that is assumed before the first statement has ended.
+INITIAL_MEAN_S = 0.01
+
+
+@dataclass(slots=True)
+class SlotTimes:
+    """Times of statements in the slots of one target, by priority; in seconds.
+
+    >>> times = SlotTimes()
+    >>> times.add(priority=0, took_s=0.02)
+    >>> times.mean_s(priority=0, now=5.0)
+    0.02
+    """
+
+    _means: dict[int, float] = field(default_factory=dict)
+    _mean_of_all: float | None = None
+    _started: dict[int, float] = field(default_factory=dict)
+    _numbers: Iterator[int] = field(default_factory=count)
+
+    @contextmanager
+    def measured(self, priority: int, now) -> Iterator[None]:
+        """Measure the block as one statement in a slot; ``now`` returns the time."""
+        number = next(self._numbers)
+        started = self._started[number] = now()
+        try:
+            yield
+        finally:
+            del self._started[number]
+            self.add(priority, now() - started)
+
+    def add(self, priority: int, took_s: float) -> None:
+        """Add a statement that has ended."""
+        self._means[priority] = _smoothed(self._means.get(priority), took_s)
+        self._mean_of_all = _smoothed(self._mean_of_all, took_s)
+
+    def mean_s(self, priority: int, now: float) -> float:
+        """Return the mean time of a statement of this priority.
+
+        If most running statements have already taken longer, the target has slowed
+        down or hangs, and their time is returned.
+        """
+        known = self._means.get(priority, self._mean_of_all)
+        return max(INITIAL_MEAN_S if known is None else known, self._running_s(now))
+
+    def mean_of_all_s(self, now: float) -> float:
+        """Return the mean time of statements of all priorities."""
+        known = INITIAL_MEAN_S if self._mean_of_all is None else self._mean_of_all
+        return max(known, self._running_s(now))
+
+    def _running_s(self, now: float) -> float:
+        if not self._started:
+            return 0.0
+        return now - median_low(sorted(self._started.values(), reverse=True))
+
+
+def _smoothed(mean_s: float | None, latest_s: float) -> float:
+    if mean_s is None:
+        return latest_s
+    return mean_s + SMOOTHING * (latest_s - mean_s)
+
+
+def build_report(
+    queue: QueueLoad,
+    times: SlotTimes,
+    priority: int,
+    latency_goal_s: float,
+    held_s: float,
+    now: float,
+) -> TargetLoad:
+    """Return the report to attach to the answer of a statement of this priority.
+
+    ``queue`` is the load for an organisation with none waiting. ``latency_goal_s`` is
+    the goal of the statement's route: the target is full while a statement that arrives
+    with its whole goal left would be refused.
+    """
+    queue = replace(queue, cost_s=times.mean_of_all_s(now))
+    goal_s = latency_goal_s
+    refused_s = refusal_retry_after_s(queue, goal_s, goal_s, goal_s) if goal_s else None
+    return TargetLoad(
+        waiting=queue.waiting,
+        running=queue.slots - queue.free,
+        limit=queue.slots,
+        mean_s=times.mean_s(priority, now),
+        wait_s=queue.wait_s,
+        full_s=refused_s or 0.0,
+        held_s=held_s,
+    )
--- a/lavenderstack/core/target_load.py
+++ b/lavenderstack/core/target_load.py
@@ -14,7 +14,10 @@
     that may run at once. ``mean_s`` is the mean time of a statement in a slot,
     ``wait_s`` the expected wait of a statement of an organisation with none waiting.
     ``full_s`` is for how long the holder expects to refuse statements of the same
-    priority, 0 if it accepts them. Times are in seconds.
+    priority, 0 if it accepts them. ``mean_s`` is for this priority, too. ``held_s`` is
+    how long the holder had the request that it answers with this report: the rest of
+    the round trip is the distance, and the greatest possible age of the report on
+    arrival. Times are in seconds.
     """
 
     waiting: int
@@ -23,3 +26,4 @@
     mean_s: float
     wait_s: float = 0.0
     full_s: float = 0.0
+    held_s: float = 0.0
