Report the load of targets in answers and use it to select targets of reads

Only for groups under load control. The holder measures the time in slots by priority and attaches its report to answers, except to those that say that it can't use the target: an empty queue there would attract reads. The entry node selects the target of each attempt of an aged read when it is made, hedged ones too. Retries of statements that were lost with a holder or its target are spread over the time that the lost queue would have taken.

--- a/lavenderstack/core/events.py
+++ b/lavenderstack/core/events.py
@@ -247,6 +247,13 @@
         ("request", "target", "holder", "reason", "detail"),
         "an attempt failed and may be retried",
     ),
+    Event(
+        "dispatch: loaded target passed over",
+        LineKind.STATE,
+        ("group", "target", "selected", "expected_ms", "selected_ms"),
+        "reads of this node leave their zone, since its target would take longer; at "
+        "most one line for a target in 5 s",
+    ),
     Event(
         "dispatch: attempt raised an exception",
         LineKind.STATE,
--- a/lavenderstack/core/events_test.py
+++ b/lavenderstack/core/events_test.py
@@ -32,6 +32,7 @@
     "target_health",
     "token_coordinator",
     "followers",
+    "read_choices",
 )
 MODULES = [
     *(p for p in (PACKAGE / "platform").glob("*.py") if "_test" not in p.name),
--- a/lavenderstack/core/load_report.py
+++ b/lavenderstack/core/load_report.py
@@ -21,6 +21,19 @@
 INITIAL_MEAN_S = 0.01
 
 
+@dataclass(slots=True)
+class _Mean:
+    """A moving average; the first values count equally."""
+
+    value_s: float = INITIAL_MEAN_S
+    _number: int = 0
+
+    def add(self, latest_s: float) -> None:
+        self._number += 1
+        weight = max(SMOOTHING, 1.0 / self._number)
+        self.value_s += weight * (latest_s - self.value_s)
+
+
 @dataclass(slots=True)
 class SlotTimes:
     """Times of statements in the slots of one target, by priority; in seconds.
@@ -31,8 +44,8 @@
     0.02
     """
 
-    _means: dict[int, float] = field(default_factory=dict)
-    _mean_of_all: float | None = None
+    _means: dict[int, _Mean] = field(default_factory=dict)
+    _mean_of_all: _Mean = field(default_factory=_Mean)
     _started: dict[int, float] = field(default_factory=dict)
     _numbers: Iterator[int] = field(default_factory=count)
 
@@ -49,8 +62,8 @@
 
     def add(self, priority: int, took_s: float) -> None:
         """Add a statement that has ended."""
-        self._means[priority] = _smoothed(self._means.get(priority), took_s)
-        self._mean_of_all = _smoothed(self._mean_of_all, took_s)
+        self._means.setdefault(priority, _Mean()).add(took_s)
+        self._mean_of_all.add(took_s)
 
     def mean_s(self, priority: int, now: float) -> float:
         """Return the mean time of a statement of this priority.
@@ -59,12 +72,11 @@
         down or hangs, and their time is returned.
         """
         known = self._means.get(priority, self._mean_of_all)
-        return max(INITIAL_MEAN_S if known is None else known, self._running_s(now))
+        return max(known.value_s, self._running_s(now))
 
     def mean_of_all_s(self, now: float) -> float:
         """Return the mean time of statements of all priorities."""
-        known = INITIAL_MEAN_S if self._mean_of_all is None else self._mean_of_all
-        return max(known, self._running_s(now))
+        return max(self._mean_of_all.value_s, self._running_s(now))
 
     def _running_s(self, now: float) -> float:
         if not self._started:
@@ -72,12 +84,6 @@
         return now - median_low(sorted(self._started.values(), reverse=True))
 
 
-def _smoothed(mean_s: float | None, latest_s: float) -> float:
-    if mean_s is None:
-        return latest_s
-    return mean_s + SMOOTHING * (latest_s - mean_s)
-
-
 def build_report(
     queue: QueueLoad,
     times: SlotTimes,
--- a/lavenderstack/core/target_choice.py
+++ b/lavenderstack/core/target_choice.py
@@ -33,8 +33,8 @@
 # Retries of statements that were lost with a holder are spread over the time that its
 # queue would have taken, or this if the queue isn't known.
 UNKNOWN_SPREAD_S = 0.05
-# The longest spread as a share of the latency goal.
-SPREAD_GOAL_SHARE = 0.5
+# The longest spread as a share of the latency goal, less than that of a hedged read.
+SPREAD_GOAL_SHARE = 0.4
 
 
 class ChoiceReason(StrEnum):
--- a/lavenderstack/node/counters.py
+++ b/lavenderstack/node/counters.py
@@ -44,6 +44,9 @@
             buckets=BUCKETS_S,
             registry=self.registry,
         )
+        self.target_choices = self._counter(
+            "target_choices", "Reads under load control by reason", ["reason"]
+        )
         self.gauges: dict[str, Gauge] = {}
 
     def _counter(self, name: str, description: str, labels: list[str]) -> Counter:
--- a/lavenderstack/node/dispatch.py
+++ b/lavenderstack/node/dispatch.py
@@ -22,6 +22,7 @@
 from lavenderstack.node.counters import Counters
 from lavenderstack.node.directory import Directory
 from lavenderstack.node.peers import Peers
+from lavenderstack.node.read_choices import ReadChoices
 from lavenderstack.node.streams import NotSent, StreamLost
 
 log = structlog.get_logger()
@@ -72,6 +73,8 @@
 
 # Failures of the node that was asked; another node may reach the same target.
 _NODE_FAILURES = frozenset({Reason.UNREACHABLE, Reason.STALE_VIEW})
+# Failures of all statements at a holder at once, when it or its target is lost.
+_LOST = frozenset({Reason.UNREACHABLE, Reason.CONNECTION_LOST})
 
 
 @dataclass(slots=True)
@@ -80,7 +83,8 @@
 
     ``version`` is the catalog version that the session used. ``deadline``,
     ``wrote_at`` (the session's last write) and ``began_at`` are in seconds on the
-    clock. ``min_position`` is the log position that an aged read must see.
+    clock. ``min_position`` is the log position that an aged read must see. ``spread``
+    tells that a retry was delayed already, so that lost statements don't come at once.
     """
 
     request: str
@@ -97,6 +101,7 @@
     wrote_at: float = 0.0
     opens: TransactionStart = TransactionStart.NONE
     began_at: float = field(default_factory=clock.now)
+    spread: bool = False
 
     @property
     def retry_until(self) -> float:
@@ -134,6 +139,7 @@
         self._counters = counters
         self._directory = directory
         self._peers = peers
+        self.read_choices = ReadChoices(directory, counters)
 
     async def run(self, call: Call) -> DispatchResult:
         """Run the first or only statement of an operation, with retries.
@@ -187,6 +193,15 @@
             choices.append((primary, Access.AGED_READ))
         return choices
 
+    def _pop_choice(
+        self, call: Call, choices: list[tuple[TargetState, Access]]
+    ) -> tuple[TargetState, Access]:
+        """Remove the next target to try from ``choices``, also for a hedged read."""
+        aged = call.access is Access.AGED_READ
+        if aged and self._directory.is_load_controlled(call.route.group):
+            return self.read_choices.pop(call.route, choices)
+        return choices.pop(0)
+
     async def _run_hedged(
         self, call: Call, choices: list[tuple[TargetState, Access]]
     ) -> DispatchResult:
@@ -204,7 +219,7 @@
         try:
             while remaining or running:
                 if remaining:
-                    state, access = remaining.pop(0)
+                    state, access = self._pop_choice(call, remaining)
                     skip = tried.count(state.target.name)
                     tried.append(state.target.name)
                     attempt = self._attempt(call, state, access, skip)
@@ -256,6 +271,7 @@
                 self._counters.attempts.labels("done").inc()
                 return result
             self._record_failure(call, result)
+            await self._spread_lost(call, result)
             if answer.run or answer.reason not in _NODE_FAILURES:
                 break
             if answer.reason == Reason.STALE_VIEW:
@@ -264,6 +280,21 @@
             self._directory.record_not_primary(target.name)
         return result
 
+    async def _spread_lost(self, call: Call, result: DispatchResult) -> None:
+        """Pause before a retry of a statement that was lost with its holder.
+
+        All statements that waited there come back at once. Once a statement is delayed,
+        its later retries are apart from those of others. Under load control only.
+        """
+        lost = result.answer.reason in _LOST and _may_retry(call, result.answer)
+        if not lost or call.spread:
+            return
+        call.spread = True
+        if self._directory.is_load_controlled(call.route.group):
+            delay_s = self.read_choices.retry_delay_s(call.route, result.target)
+            left_s = max(0.0, call.retry_until - clock.now())
+            await asyncio.sleep(min(delay_s, left_s))
+
     def _record_failure(self, call: Call, result: DispatchResult) -> None:
         failed = result.answer
         self._counters.attempts.labels(str(failed.reason)).inc()
@@ -304,6 +335,14 @@
         )
 
     async def _send_work(self, vm, work: Work) -> Message:
+        if not self._directory.is_load_controlled(work.group):
+            return await self._ask_holder(vm, work)
+        with self.read_choices.in_flight(work) as sent:
+            answer = await self._ask_holder(vm, work)
+        self.read_choices.record_answer(sent, vm, work, answer)
+        return answer
+
+    async def _ask_holder(self, vm, work: Work) -> Message:
         timeout_s = work.left_s + ANSWER_MARGIN_S
         try:
             return await self._peers.ask(vm, work, timeout_s)
--- a/lavenderstack/node/executor.py
+++ b/lavenderstack/node/executor.py
@@ -43,6 +43,7 @@
 )
 from lavenderstack.node.connection_setup import setup_commands, target_statement
 from lavenderstack.node.directory import Directory
+from lavenderstack.node.load_reports import LoadReports
 from lavenderstack.node.open_transactions import OpenTransactions
 from lavenderstack.node.slots import Slots
 from lavenderstack.node.target_connections import PooledConnection, TargetConnections
@@ -83,6 +84,7 @@
         self.group = state.group
         self._first_choice = False
         self.slots = Slots(state.target.slots)
+        self.load_reports = LoadReports(directory, self.slots)
         self.connections = TargetConnections(backend, state.target, state.group)
         self._directory = directory
         self._min_position_for = min_position_for
@@ -165,7 +167,8 @@
             async with self.slots.acquire(
                 work.organisation, weight, deadline, MAX_QUEUED
             ):
-                return await self._run_in_slot(work, min_position, deadline)
+                with self.load_reports.times.measured(work.priority, clock.now):
+                    return await self._run_in_slot(work, min_position, deadline)
         except Refused as exc:
             return Failed(
                 run=False,
--- a/lavenderstack/node/executors.py
+++ b/lavenderstack/node/executors.py
@@ -69,10 +69,11 @@
         if executor is None:
             detail = "the target is unknown at this node"
             return Failed(run=False, reason=Reason.UNREACHABLE, detail=detail)
+        arrived_at = clock.now()
         answer = await executor.run(msg)
         if isinstance(answer, Failed):
             executor.log_failure(msg, answer)
-        return answer
+        return executor.load_reports.attach(msg, answer, arrived_at)
 
     async def end(self, msg: EndWork) -> Message:
         """Handle ``EndWork``: roll back an open transaction."""
