Send reads to the primary only if it is better than all replicas

Half of the reads that left a loaded replica went to the primary while another replica was idle, since both were better than the loaded one. The primary must be better by 0.15 of the goal, no longer 0.25: with a slow and a frozen replica it is needed.

--- a/lavenderstack/core/target_choice.py
+++ b/lavenderstack/core/target_choice.py
@@ -22,12 +22,12 @@
 
 # Shares of the latency goal: the gain up to which a read stays where it is, and the one
 # from which all reads go to the faster target.
-MIN_GAIN_GOAL_SHARE = 0.05
-FULL_GAIN_GOAL_SHARE = 0.35
+MIN_GAIN_GOAL_SHARE = 0.1
+FULL_GAIN_GOAL_SHARE = 0.5
 # The wait that is assumed at a target without a recent report.
 USUAL_WAIT_GOAL_SHARE = 0.1
 # By how much a primary must be faster: only it can run writes.
-PRIMARY_GOAL_SHARE = 0.25
+PRIMARY_GOAL_SHARE = 0.15
 # A target that has answered nothing for some time is expected to take as long again.
 SILENCE_FACTOR = 2.0
 # Retries of statements that were lost with a holder are spread over the time that its
@@ -102,13 +102,19 @@
 def choose(candidates: Sequence[Candidate], goal_s: float, random: Random) -> Choice:
     """Select one of the candidates, of which there is at least one.
 
-    A target that refuses is selected only if all do.
+    A target that refuses is selected only if all do, a primary only if it is clearly
+    better than all replicas.
     """
     accepting = [one for one in candidates if not one.full] or list(candidates)
     replicas = [one for one in accepting if not one.primary] or accepting
     first = _draw([one for one in replicas if one.own_zone] or replicas, random)
     first_s = first.expected_s(goal_s)
-    faster = [one for one in accepting if one.expected_s(goal_s) < first_s]
+    best_s = min(one.expected_s(goal_s) for one in replicas)
+    faster = [
+        one
+        for one in accepting
+        if one.expected_s(goal_s) < (best_s if one.primary else first_s)
+    ]
     if not faster:
         return Choice(first)
     second = _draw(faster, random)
