--- a/lavenderstack/core/target_choice.py
+++ b/lavenderstack/core/target_choice.py
@@ -108,23 +108,26 @@
     accepting = [one for one in candidates if not one.full] or list(candidates)
     replicas = [one for one in accepting if not one.primary] or accepting
     first = _draw([one for one in replicas if one.own_zone] or replicas, random)
-    first_s = first.expected_s(goal_s)
-    best_s = min(one.expected_s(goal_s) for one in replicas)
+    expected_s = {one.target: one.expected_s(goal_s) for one in accepting}
+    first_s = expected_s[first.target]
+    best_s = min(expected_s[one.target] for one in replicas)
     faster = [
         one
         for one in accepting
-        if one.expected_s(goal_s) < (best_s if one.primary else first_s)
+        if expected_s[one.target] < (best_s if one.primary else first_s)
     ]
     if not faster:
         return Choice(first)
     second = _draw(faster, random)
-    gain_s = first_s - second.expected_s(goal_s)
+    gain_s = first_s - expected_s[second.target]
     if random.random() < _shift_probability(gain_s, goal_s):
         return Choice(second, first)
     return Choice(first)
 
 
 def _draw(candidates: Sequence[Candidate], random: Random) -> Candidate:
+    if len(candidates) == 1:
+        return candidates[0]
     return random.choices(candidates, [one.rate for one in candidates])[0]
 
 
--- a/lavenderstack/node/read_choices.py
+++ b/lavenderstack/node/read_choices.py
@@ -6,6 +6,7 @@
 from random import Random
 
 import structlog
+from prometheus_client import Counter
 
 from lavenderstack.core import clock
 from lavenderstack.core.catalog import Route, TargetState
@@ -14,6 +15,7 @@
 from lavenderstack.core.target_choice import (
     Candidate,
     Choice,
+    ChoiceReason,
     choose,
     retry_spread_s,
 )
@@ -37,11 +39,14 @@
     directory: Directory
     counters: Counters
     loads: LoadView = field(init=False)
+    _counts: dict[ChoiceReason, Counter] = field(init=False)
     _random: Random = field(default_factory=Random)
     _logged_at: dict[str, float] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self.loads = LoadView(self.directory.zone)
+        choices = self.counters.target_choices
+        self._counts = {reason: choices.labels(reason) for reason in ChoiceReason}
         self.counters.gauge(
             "known_target_loads",
             "Targets whose load is known from recent reports",
@@ -89,7 +94,7 @@
 
     def _record(self, route: Route, choice: Choice, now: float) -> None:
         selected, passed_over = choice.selected, choice.passed_over
-        self.counters.target_choices.labels(selected.reason).inc()
+        self._counts[selected.reason].inc()
         if passed_over is None or not passed_over.own_zone:
             return
         if now - self._logged_at.get(passed_over.target, 0.0) < LOG_INTERVAL_S:
