--- a/lavenderstack/core/load_view.py
+++ b/lavenderstack/core/load_view.py
@@ -187,14 +187,11 @@
         view = self._targets.get(target)
         reports = view.reports.values() if view else ()
         loads = [report.load for report in reports if report.weight(now)]
-        return (
-            max(
-                ((one.waiting + one.running) * one.mean_s / max(1, one.limit))
-                for one in loads
-            )
-            if loads
-            else None
+        times = (
+            (one.waiting + one.running) * one.mean_s / max(1, one.limit)
+            for one in loads
         )
+        return max(times, default=None)
 
     def distance_s(self, zone: str) -> float:
         """Return the round trip to a zone beyond that within this node's zone."""
