--- a/lavenderstack/core/events_test.py
+++ b/lavenderstack/core/events_test.py
@@ -38,6 +38,7 @@
     "token_coordinator",
     "followers",
     "holder_placement",
+    "read_choices",
 )
 MODULES = [
     *(p for p in (PACKAGE / "platform").glob("*.py") if "_test" not in p.name),
--- a/lavenderstack/core/load_shedding.py
+++ b/lavenderstack/core/load_shedding.py
@@ -230,6 +230,14 @@
         at = self.order.next_deadline()
         return None if at is None else min(at, self._reviewed_at + REVIEW_S)
 
+    def expected_wait_s(self, urgency: Urgency, free: int, now: float) -> float:
+        """Return the wait of a statement like this one.
+
+        This is that of an organisation with none waiting.
+        """
+        queue = self.order.kind(urgency.kind)
+        return self._assess(queue, "", urgency, free, now).wait_s
+
     def full_s(self, urgency: Urgency, free: int, now: float) -> float:
         """Return for how long statements like this one are expected to be refused.
 
--- a/lavenderstack/core/statement_order.py
+++ b/lavenderstack/core/statement_order.py
@@ -81,15 +81,17 @@
 class KindQueue:
     """The waiting statements of one kind.
 
-    ``cost_s`` is the mean time of a statement in a slot, ``load`` the slot time of the
-    statements accepted to be answered in time. ``credit_s`` is the slot time that the
-    kind got less than its minimum share while it waited.
+    ``cost_s`` is the mean time of a statement in a slot, ``served`` counts those that
+    it rests on. ``load`` is the slot time of the statements accepted to be answered in
+    time. ``credit_s`` is the slot time that the kind got less than its minimum share
+    while it waited.
     """
 
     kind: Kind
     on_time: StatementLane = field(default_factory=StatementLane)
     late: StatementLane = field(default_factory=StatementLane)
     cost_s: float = INITIAL_COST_S
+    served: int = 0
     load: DecayedRate = field(default_factory=DecayedRate)
     credit_s: float = 0.0
 
@@ -248,7 +250,9 @@
         difference_s = held_s - queue.cost_s
         fair = queue.on_time.queue
         fair.correct_cost(organisation, urgency.weight, difference_s)
-        queue.cost_s += COST_SMOOTHING * difference_s
+        queue.served += 1
+        # The first ones count equally, so that the initial cost is soon forgotten.
+        queue.cost_s += max(COST_SMOOTHING, 1.0 / queue.served) * difference_s
 
     def remove(self, item: Hashable) -> bool:
         """Remove a statement; return False if it isn't waiting."""
--- a/lavenderstack/node/executor.py
+++ b/lavenderstack/node/executor.py
@@ -46,6 +46,7 @@
 from lavenderstack.node.directory import Directory
 from lavenderstack.node.evacuation_guard import EvacuationGuard
 from lavenderstack.node.load_control import TargetLoadControl
+from lavenderstack.node.load_reports import LoadReports
 from lavenderstack.node.open_transactions import OpenTransactions
 from lavenderstack.node.slots import Slots
 from lavenderstack.node.target_connections import PooledConnection, TargetConnections
@@ -89,6 +90,7 @@
         self.connections = TargetConnections(backend, state.target, state.group)
         self._directory = directory
         self.load_control = TargetLoadControl(state.target.name, self.slots, directory)
+        self.load_reports = LoadReports(directory, self.slots, self.load_control)
         self._min_position_for = min_position_for
         self._acknowledged = acknowledged
         self.health = TargetHealth(state.target, self.connections, directory)
@@ -159,7 +161,8 @@
             # counts from its arrival, and waiting for a position must not use a slot.
             min_position = await self._min_position(work)
             async with slot:
-                return await self._run_in_slot(work, min_position, deadline)
+                with self.load_reports.times.measured(work.priority, clock.now):
+                    return await self._run_in_slot(work, min_position, deadline)
         except Refused as exc:
             return Failed(
                 run=False,
--- a/lavenderstack/node/load_control.py
+++ b/lavenderstack/node/load_control.py
@@ -53,13 +53,25 @@
             work.organisation, urgency, late, max_queued
         )
 
+    def expected_wait_s(self, work: Work) -> float:
+        """Return the wait of a statement like ``work`` that arrives now."""
+        urgency, slots = self._urgency_of_new(work), self._slots
+        return slots.shedder.expected_wait_s(urgency, slots.free, clock.now())
+
     def full_s(self, work: Work) -> float:
-        """Return for how long statements of the same priority will be refused.
+        """Return for how long statements like ``work`` will be refused."""
+        urgency, slots = self._urgency_of_new(work), self._slots
+        return slots.shedder.full_s(urgency, slots.free, clock.now())
+
+    def _urgency_of_new(self, work: Work) -> Urgency:
+        """Return the urgency of a statement of the same kind with its whole goal left.
 
-        It is the field ``full_s`` of ``TargetLoad`` in the answer to ``work``.
+        What is left of ``work`` itself says nothing about those that arrive next.
         """
-        urgency = self._urgency(work)
-        return self._slots.shedder.full_s(urgency, self._slots.free, clock.now())
+        goal_s, now = work.latency_goal_s or math.inf, clock.now()
+        goal_at, deadline = now + goal_s, now + max(goal_s, work.left_s)
+        kind = Kind(work.priority, goal_s)
+        return Urgency(kind, goal_at, deadline, DEFAULT_PRIORITY)
 
     def _urgency(self, work: Work) -> Urgency:
         now = clock.now()
