Let a settled first choice use more than half of a target's connections

Under load control only; nothing calls it yet.

A node that was the first choice for 5 s, with a view that was recent all the time, may open all but three connections a slot: 58 of 70, 43 of 58. What is left serves two nodes with second tries and a successor with one connection a slot, also while 58 of a dead holder count at the target. Weighed: three quarters of the connections (52 of 70) leaves a successor more for the 3 s, but has fewer all the time. A claim in the store would prove that nobody else is first, at a call of the store for each change; the target's own refusal shows the same, since it counts all nodes.

Tests: python -m pytest lavenderstack/core/connection_share_test.py -q

--- a/lavenderstack/core/connection_share_test.py
+++ b/lavenderstack/core/connection_share_test.py
@@ -211,3 +211,46 @@
     def test_two_nodes_that_both_believe_to_be_first_fit(self, allowed, slots):
         first = connection_share.max_connections(allowed, slots, first_choice=True)
         assert 2 * first <= allowed
+
+
+class TestSettledFirstChoice:
+    """Guards against two nodes that leave each other no connections."""
+
+    def settled_after(self, seconds, proof_age_s=0.5, state=None, start=100.0):
+        state = state or connection_share.SettledFirstChoice()
+        for step in range(int(seconds * 4) + 1):
+            state.update(True, proof_age_s, start + step / 4)
+        return state
+
+    @pytest.mark.parametrize(("allowed", "slots"), [(58, 5), (70, 4), *TARGETS])
+    def test_a_successor_gets_a_connection_for_each_slot_at_once(self, allowed, slots):
+        """Also while two nodes serve second tries and the former holder is dead."""
+        settled = connection_share.max_settled_connections(allowed, slots)
+        other = connection_share.max_connections(allowed, slots, first_choice=False)
+        assert allowed - settled - 2 * other >= slots
+        assert settled >= connection_share.max_connections(allowed, slots, True)
+
+    def test_a_new_first_choice_waits_until_its_predecessor_has_given_back(self):
+        assert not self.settled_after(connection_share.SETTLED_S - 0.5).settled
+        assert self.settled_after(connection_share.SETTLED_S).settled
+
+    def test_a_node_with_an_old_view_never_becomes_settled(self):
+        assert not self.settled_after(60.0, proof_age_s=3.0).settled
+
+    @pytest.mark.parametrize(
+        ("first_choice", "proof_age_s", "gap_s"),
+        [(False, 0.5, 0.25), (True, 5.0, 0.25), (True, 0.5, 3.0)],
+        ids=["no longer first", "no proof", "frozen"],
+    )
+    def test_what_it_may_no_longer_prove_is_given_back_at_once(
+        self, first_choice, proof_age_s, gap_s
+    ):
+        state = self.settled_after(10.0)
+        assert not state.update(first_choice, proof_age_s, 110.0 + gap_s)
+        assert not state.update(True, 0.5, 110.5 + gap_s)
+
+    def test_a_refusal_shows_that_another_node_has_connections(self):
+        state = self.settled_after(10.0)
+        state.record_refusal(110.0)
+        assert not state.update(True, 0.5, 110.25)
+        assert self.settled_after(5.0, state=state, start=110.25).settled
