Allocate connections under load control by need, with the larger share

AllocatedConnections extends the pool of a target where load control is enabled for its group; otherwise it is the plain pool. It closes the connection that is needed last, lets a statement wait for its own one for at most a handshake, refuses transactions that would keep too many before they wait for a slot, and gives a settled first choice its larger share.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -27,6 +27,7 @@
     "refusals",
     "fairness",
     "overload",
+    "connection_pools",
     "allotment_cost",
     "replica_reads",
     "control",
--- a/lavenderstack/core/connection_allocation.py
+++ b/lavenderstack/core/connection_allocation.py
@@ -141,11 +141,13 @@
         """Return whether the organisation may open another transaction.
 
         ``pinned`` maps organisations to the connections that their transactions keep.
-        Together they leave one for each slot. An organisation may have no more than
-        are still free, so the fewer are, the less one can take of what others need. It
-        also leaves one of its own share, where its other statements run.
+        Together they leave one for each slot, but no more than half. An organisation
+        may have no more than are still free, so the fewer are, the less one can take of
+        what others need. It also leaves one of its own share, where its other
+        statements run.
         """
-        free = max(1, limit - self.slots) - sum(pinned.values())
+        left = min(self.slots, limit // 2)
+        free = limit - left - sum(pinned.values())
         part = min(free, max(1, self.share(limit) - 1))
         return pinned.get(organisation, 0) < part
 
@@ -206,6 +208,8 @@
 
 def _at_least(count: int, mean: float) -> float:
     """Return how likely a Poisson variable with this mean is ``count`` or more."""
+    if count <= 0:
+        return 1.0
     term, below = math.exp(-mean), 0.0
     for number in range(count):
         below += term
--- a/lavenderstack/core/connection_allocation_test.py
+++ b/lavenderstack/core/connection_allocation_test.py
@@ -85,6 +85,10 @@
                 pinned[name] = pinned.get(name, 0) + 1
         assert sum(pinned.values()) == LIMIT - SLOTS
 
+    def test_a_second_holder_has_some_too(self):
+        """It has as many connections as the target has slots."""
+        assert ConnectionAllocation(SLOTS).may_pin({"a": 1}, "b", SLOTS)
+
     def test_one_organisation_leaves_room_for_others_and_for_itself(self):
         allocation, own = ConnectionAllocation(SLOTS), 0
         while allocation.may_pin({"a": own}, "a", LIMIT):
--- a/lavenderstack/core/events.py
+++ b/lavenderstack/core/events.py
@@ -226,6 +226,12 @@
     Event(
         "executor: idle transaction ended", LineKind.STATE, ("tx",), "rolled back here"
     ),
+    Event(
+        "executor: share of connections changed",
+        LineKind.STATE,
+        ("target", "max_open", "open"),
+        "load control: this node may now have max_open connections to the target",
+    ),
     Event(
         "executor: work failed",
         LineKind.FAILURE,
--- a/lavenderstack/core/events_test.py
+++ b/lavenderstack/core/events_test.py
@@ -18,6 +18,7 @@
     "dispatch",
     "executor",
     "active_connections",
+    "allocated_connections",
     "open_transactions",
     "primary_positions",
     "promoter",
--- a/lavenderstack/node/executor.py
+++ b/lavenderstack/node/executor.py
@@ -11,6 +11,7 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable
+from contextlib import AbstractContextManager, nullcontext
 
 import structlog
 
@@ -35,6 +36,7 @@
     replaced_while_committing,
     work_result,
 )
+from lavenderstack.node.allocated_connections import AllocatedConnections
 from lavenderstack.node.backend import (
     Backend,
     Command,
@@ -45,7 +47,7 @@
 from lavenderstack.node.directory import Directory
 from lavenderstack.node.open_transactions import OpenTransactions
 from lavenderstack.node.slots import Slots
-from lavenderstack.node.target_connections import PooledConnection, TargetConnections
+from lavenderstack.node.target_connections import PooledConnection
 from lavenderstack.node.target_health import TargetHealth
 
 log = structlog.get_logger()
@@ -83,7 +85,7 @@
         self.group = state.group
         self._first_choice = False
         self.slots = Slots(state.target.slots)
-        self.connections = TargetConnections(backend, state.target, state.group)
+        self.connections = AllocatedConnections(backend, state.target, state.group)
         self._directory = directory
         self._min_position_for = min_position_for
         self._acknowledged = acknowledged
@@ -116,7 +118,12 @@
         self._apply_connection_limits()
 
     def _apply_connection_limits(self) -> None:
-        self.connections.set_limits(self.target, self._first_choice)
+        self.connections.set_load_control(
+            self._directory.is_load_controlled(self.group)
+        )
+        self.connections.apply_limits(
+            self.target, self._first_choice, self._directory.proof.age_s(clock.now())
+        )
 
     @property
     def positions(self) -> PositionHistory:
@@ -134,6 +141,15 @@
         reason = Reason.KEY_REFUSED if holds else Reason.STALE_VIEW
         return failure(False, reason)
 
+    def expected(self, work: Work) -> AbstractContextManager[None]:
+        """Count the work as one that will need a connection, while it waits and runs.
+
+        A statement of an open transaction has its connection already.
+        """
+        if work.tx:
+            return nullcontext()
+        return self.connections.expected(work.organisation)
+
     async def run(self, work: Work) -> Message:
         """Run one statement; answer with ``WorkDone`` or ``Failed``."""
         refusal = self._refusal(work)
@@ -159,6 +175,8 @@
             )
         weight = URGENT_WEIGHT if work.priority <= URGENT_PRIORITY else 1.0
         try:
+            if work.opens:
+                self.connections.check_transaction(work.organisation)
             # The position is determined before a slot is taken: the age of a read
             # counts from its arrival, and waiting for a position must not use a slot.
             min_position = await self._min_position(work)
@@ -208,6 +226,8 @@
                 return failure(
                     False, Reason.UNREACHABLE, self.health.unreachable_reason
                 )
+            if work.opens:
+                self.connections.check_transaction(work.organisation)
             try:
                 async with _time_limit(deadline):
                     pooled = await self.connections.acquire(
--- a/lavenderstack/node/executors.py
+++ b/lavenderstack/node/executors.py
@@ -69,7 +69,8 @@
         if executor is None:
             detail = "the target is unknown at this node"
             return Failed(run=False, reason=Reason.UNREACHABLE, detail=detail)
-        answer = await executor.run(msg)
+        with executor.expected(msg):
+            answer = await executor.run(msg)
         if isinstance(answer, Failed):
             executor.log_failure(msg, answer)
         return answer
--- a/lavenderstack/node/open_transactions.py
+++ b/lavenderstack/node/open_transactions.py
@@ -76,6 +76,7 @@
             self._active.roll_back_and_release(pooled)
             return work_result(reply)
         name = f"{self._prefix}/{next(self._numbers)}"
+        self._connections.pin(pooled)
         self._open[name] = _Transaction(pooled, work.organisation, clock.now())
         return work_result(reply, name)
 
--- a/lavenderstack/node/target_connections.py
+++ b/lavenderstack/node/target_connections.py
@@ -3,11 +3,14 @@
 A connection belongs to one organisation and keeps the values and prepared statements
 that were set on it. It is used by one statement or transaction at a time. The pool
 prefers a connection with matching values, so that few have to be opened or reset.
+``node/allocated_connections.py`` extends it where load control is enabled.
 """
 
 import asyncio
+from collections import Counter
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from enum import StrEnum
 
 import structlog
 
@@ -26,16 +29,31 @@
 REFUSED_PAUSE_S = 0.1
 
 
+class OpenCause(StrEnum):
+    """Why a connection is opened.
+
+    ``ROOM``: the limit allows one more. ``REPLACED``: an idle one was closed for it.
+    ``FORCED``: for a probe, or because idle ones had failed.
+    """
+
+    ROOM = "room"
+    REPLACED = "replaced"
+    FORCED = "forced"
+
+
 @dataclass(slots=True, eq=False)
 class PooledConnection:
     """An open connection with the values and prepared statements set on it.
 
-    ``used_at`` is the time of the last release, in seconds on the clock.
+    ``used_at`` is the time of the last release and ``taken_at`` that since which it is
+    in use, in seconds on the clock. ``pinned`` tells that a transaction is open on it.
     """
 
     conn: Connection
     organisation: str
     used_at: float
+    taken_at: float = 0.0
+    pinned: bool = False
     values: dict[str, str] = field(default_factory=dict)
     prepared: set[str] = field(default_factory=set)
 
@@ -43,7 +61,8 @@
 class TargetConnections:
     """Pool of the open connections to one target.
 
-    ``opened`` counts all connections opened so far, ``max_open`` limits those open.
+    ``opened`` counts all connections opened so far by cause, ``max_open`` limits those
+    open.
     ``heard_at`` is when the target last answered on any of them, in seconds on the
     clock.
     """
@@ -55,7 +74,7 @@
         self._first_choice = False
         self._refused_until = float("-inf")
         self.set_limits(target, first_choice=False)
-        self.opened = 0
+        self.opened: Counter[OpenCause] = Counter()
         self.heard_at = float("-inf")
         self._backend = backend
         self._idle: list[PooledConnection] = []
@@ -99,9 +118,11 @@
             pooled = self._take_best_idle(organisation, values)
             if pooled is not None:
                 return pooled
-        if self._may_open() or self._evict():
+        cause = self._make_room()
+        if cause is not None:
+            cause = OpenCause.FORCED if force_new else cause
             try:
-                return await self._open_connection(organisation)
+                return await self._open_connection(organisation, cause)
             except ConnectFailed as exc:
                 if force_new or exc.reason is not Reason.NO_CONNECTION:
                     raise
@@ -123,6 +144,7 @@
             best = best or pooled
         if best is not None:
             self._idle.remove(best)
+            best.taken_at = clock.now()
         return best
 
     def _discard_closed(self) -> None:
@@ -130,6 +152,12 @@
             self._idle.remove(pooled)
             self.discard(pooled)
 
+    def _make_room(self) -> OpenCause | None:
+        """Return why a connection may be opened now; close an idle one if necessary."""
+        if self._may_open():
+            return OpenCause.ROOM
+        return OpenCause.REPLACED if self._evict() else None
+
     def _evict(self) -> bool:
         """Close the connection idle for the longest time; return False if none is."""
         if not self._idle:
@@ -146,20 +174,29 @@
         """
         until = clock.now() + RELEASE_WAIT_S
         while len(self) and (left_s := until - clock.now()) > 0:
-            self._released.clear()
-            try:
-                async with asyncio.timeout(left_s):
-                    await self._released.wait()
-            except TimeoutError:
+            if not await self._released_within(left_s):
                 break
             pooled = self._take_best_idle(organisation, values)
             if pooled is not None:
                 return pooled
-            if self._may_open() or self._evict():
-                return await self._open_connection(organisation)
+            cause = self._make_room()
+            if cause is not None:
+                return await self._open_connection(organisation, cause)
         raise ConnectFailed(Reason.NO_CONNECTION, "all connections are in use")
 
-    async def _open_connection(self, organisation: str) -> PooledConnection:
+    async def _released_within(self, timeout_s: float) -> bool:
+        """Wait until a connection is released or closed; False if none is in time."""
+        self._released.clear()
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._released.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    async def _open_connection(
+        self, organisation: str, cause: OpenCause
+    ) -> PooledConnection:
         self._opening += 1
         asked_at = clock.now()
         try:
@@ -172,18 +209,23 @@
                 detail = "no new connection in time"
                 raise ConnectFailed(Reason.NO_CONNECTION, detail, True) from exc
             if exc.reason is Reason.NO_CONNECTION:
-                self._refused_until = clock.now() + REFUSED_PAUSE_S
+                self._record_refusal()
                 if self._evict():
-                    return await self._open_connection(organisation)
+                    return await self._open_connection(organisation, cause)
             raise
         finally:
             self._opening -= 1
-        self.opened += 1
+        self.opened[cause] += 1
         self.record_answer()
-        pooled = PooledConnection(conn, organisation, clock.now())
+        now = clock.now()
+        pooled = PooledConnection(conn, organisation, used_at=now, taken_at=now)
         self._open.add(pooled)
         return pooled
 
+    def _record_refusal(self) -> None:
+        """Record that the target has too many connections."""
+        self._refused_until = clock.now() + REFUSED_PAUSE_S
+
     def release(self, pooled: PooledConnection) -> None:
         """Return a connection to the pool; no statement may be running on it."""
         if pooled.conn.closed:
@@ -199,11 +241,16 @@
         self._open.discard(pooled)
         self._released.set()
 
+    def pin(self, pooled: PooledConnection) -> None:
+        """Record that a transaction stays open on a connection until its release."""
+        pooled.pinned = True
+
     def take_idle(self) -> PooledConnection | None:
         """Acquire an idle connection of any organisation; None if there is none."""
         while self._idle:
             pooled = self._idle.pop()
             if not pooled.conn.closed:
+                pooled.taken_at = clock.now()
                 return pooled
             self.discard(pooled)
         return None
--- a/lavenderstack/platform/main.py
+++ b/lavenderstack/platform/main.py
@@ -34,6 +34,7 @@
 )
 from lavenderstack.node import supervisor
 from lavenderstack.node.admitter import Admitter
+from lavenderstack.node.connection_gauges import add_connection_gauges
 from lavenderstack.node.counters import Counters
 from lavenderstack.node.directory import Directory
 from lavenderstack.node.dispatch import Dispatcher
@@ -193,7 +194,7 @@
 
     def handshakes() -> int:
         return sum(
-            executor.connections.opened
+            executor.connections.opened.total()
             for executor in executors.target_executors.values()
         )
 
@@ -209,6 +210,7 @@
         "sessions", "Open sessions of callers", lambda: len(node.callers.connections)
     )
     counters.gauge("target_connections", "Open connections to targets", connections)
+    add_connection_gauges(counters, executors)
     counters.gauge("target_handshakes", "Connections opened to targets", handshakes)
     counters.gauge("queued", "Statements that wait for a slot", queued)
     counters.gauge(
