--- a/lavenderstack/core/events_test.py
+++ b/lavenderstack/core/events_test.py
@@ -23,6 +23,7 @@
     "load_control",
     "attempt_limits",
     "active_connections",
+    "allocated_connections",
     "open_transactions",
     "primary_positions",
     "promoter",
--- a/lavenderstack/node/executor.py
+++ b/lavenderstack/node/executor.py
@@ -11,7 +11,11 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable
-from contextlib import AbstractAsyncContextManager
+from contextlib import (
+    AbstractAsyncContextManager,
+    AbstractContextManager,
+    nullcontext,
+)
 
 import structlog
 
@@ -36,6 +40,7 @@
     replaced_while_committing,
     work_result,
 )
+from lavenderstack.node.allocated_connections import AllocatedConnections
 from lavenderstack.node.backend import (
     Backend,
     Command,
@@ -49,7 +54,7 @@
 from lavenderstack.node.load_reports import LoadReports
 from lavenderstack.node.open_transactions import OpenTransactions
 from lavenderstack.node.slots import Slots
-from lavenderstack.node.target_connections import PooledConnection, TargetConnections
+from lavenderstack.node.target_connections import PooledConnection
 from lavenderstack.node.target_health import TargetHealth
 
 log = structlog.get_logger()
@@ -87,7 +92,7 @@
         self.group = state.group
         self._first_choice = False
         self.slots = Slots(state.target.slots)
-        self.connections = TargetConnections(backend, state.target, state.group)
+        self.connections = AllocatedConnections(backend, state.target, state.group)
         self._directory = directory
         self.load_control = TargetLoadControl(state.target.name, self.slots, directory)
         self.load_reports = LoadReports(directory, self.slots, self.load_control)
@@ -125,7 +130,12 @@
         self._apply_connection_limits()
 
     def _apply_connection_limits(self) -> None:
-        self.connections.set_limits(self.target, self._first_choice)
+        self.connections.set_load_control(
+            self._directory.is_load_controlled(self.group)
+        )
+        self.connections.apply_limits(
+            self.target, self._first_choice, self._directory.proof.age_s(clock.now())
+        )
 
     @property
     def positions(self) -> PositionHistory:
@@ -145,6 +155,15 @@
         reason = Reason.KEY_REFUSED if holds else Reason.STALE_VIEW
         return failure(False, reason)
 
+    def expected(self, work: Work) -> AbstractContextManager[None]:
+        """Count the work as one that will need a connection, while it waits and runs.
+
+        A statement of an open transaction has its connection already.
+        """
+        if work.tx:
+            return nullcontext()
+        return self.connections.expected(work.organisation)
+
     async def run(self, work: Work) -> Message:
         """Run one statement; answer with ``WorkDone`` or ``Failed``."""
         refusal = self._refusal(work)
@@ -156,6 +175,8 @@
             return failure(False, Reason.UNREACHABLE, self.health.unreachable_reason)
         deadline = clock.now() + work.left_s
         try:
+            if work.opens:
+                self.connections.check_transaction(work.organisation)
             slot = self._slot(work, deadline)
             # The position is determined before a slot is taken: the age of a read
             # counts from its arrival, and waiting for a position must not use a slot.
@@ -228,6 +249,8 @@
                     False, Reason.UNREACHABLE, self.health.unreachable_reason
                 )
             self._evacuation.require_use(self.target, work, clock.now())
+            if work.opens:
+                self.connections.check_transaction(work.organisation)
             try:
                 async with _time_limit(deadline):
                     pooled = await self.connections.acquire(
--- a/lavenderstack/node/executors.py
+++ b/lavenderstack/node/executors.py
@@ -71,7 +71,8 @@
             detail = "the target is unknown at this node"
             return Failed(run=False, reason=Reason.UNREACHABLE, detail=detail)
         arrived_at = clock.now()
-        answer = await executor.run(msg)
+        with executor.expected(msg):
+            answer = await executor.run(msg)
         if isinstance(answer, Failed):
             executor.log_failure(msg, answer)
         return executor.load_reports.attach(msg, answer, arrived_at)
