Never promote a target in an evacuated zone, and hand over from one there

The view has the operators' evacuation requests (any value of the entry counts, so that a bad one can't be overlooked). A monitor treats a primary in an evacuated zone like a leaving one. Targets there still vote and count for commits, but a proposal never chooses them: a target outside leads if it is as advanced as each of some majority, which is what safety needs; waiting for it to be the most advanced of all would refuse more. Where those outside are too few to vote alone, the monitor waits until the log stands still, since a term that nobody may lead stops the replication too.

Weighed: asking only targets outside to adopt (a group with two evacuated zones of three could then never be handed over), and evacuated replicas first, as a pause (they would be left in a term without a primary if the rest fails).

The model of proposals excludes targets at random now.

--- a/lavenderstack/border/documents.py
+++ b/lavenderstack/border/documents.py
@@ -87,6 +87,12 @@
     epoch: int = Field(ge=1)
 
 
+class EvacuationModel(_Model):
+    """The optional content of a request to evacuate a zone."""
+
+    operator: str = ""
+
+
 PLANS = TypeAdapter(dict[Name, PlanModel])
 BOUGHT = TypeAdapter(dict[Name, Name])
 
@@ -145,6 +151,15 @@
     return view.Ownership(**dict(OwnershipModel.model_validate_json(raw)))
 
 
+def _parse_evacuation(name: str, raw: bytes) -> view.EvacuationRequest:
+    """Return the request; the entry alone makes it, so a bad value is no error."""
+    try:
+        operator = EvacuationModel.model_validate_json(raw).operator
+    except ValidationError:
+        operator = ""
+    return view.EvacuationRequest(name, operator)
+
+
 _PARSERS: dict[str, Callable[[str, bytes], Any]] = {
     "plans": _parse_plans,
     "bought": _parse_bought,
@@ -153,6 +168,7 @@
     "vms": _parse_vm,
     "secrets": _parse_secret,
     "duties": _parse_ownership,
+    "evacuations": _parse_evacuation,
 }
 
 
--- a/lavenderstack/core/documents.py
+++ b/lavenderstack/core/documents.py
@@ -24,6 +24,7 @@
 from lavenderstack.core.view import View
 
 PREFIXES = ("lavenderstack/", "platform/vms/")
+EVACUATIONS_FOLDER = "lavenderstack/evacuations/"
 # Bound the memory and copying cost of a snapshot; a node that lacks older changes
 # gets them from the entries or fetches everything.
 MAX_DELETIONS = 1000
@@ -35,6 +36,7 @@
     "lavenderstack/groups/": "groups",
     "lavenderstack/secrets/": "secrets",
     "lavenderstack/duties/": "duties",
+    EVACUATIONS_FOLDER: "evacuations",
     "platform/vms/": "vms",
 }
 
@@ -100,8 +102,16 @@
     def holds(self, change: Change) -> bool:
         """Return whether the change, or a later one of its key, is in force."""
         entry = self.entries.get(change.key)
+        if entry is None and change.value is None:
+            return self._holds_deletion(change)
         return entry is not None and entry.revision >= change.revision
 
+    def _holds_deletion(self, change: Change) -> bool:
+        if self.revision >= change.revision:
+            return True
+        deletions = (d for d in self.deletions if d.key == change.key)
+        return any(d.revision >= change.revision for d in deletions)
+
     def changes_since(self, revision: int) -> tuple[Change, ...] | None:
         """Return the changes after a revision, or None if some have been discarded."""
         if revision < self.floor:
--- a/lavenderstack/core/failure_detector.py
+++ b/lavenderstack/core/failure_detector.py
@@ -8,7 +8,8 @@
 reaches together with a majority is only partitioned from this monitor, not from the
 group. Such an answer delays a monitor by ``HOLD_OFF_S`` at most.
 
-A primary that answers is replaced in three cases only: it is leaving; a majority makes
+A primary that answers is replaced in four cases only: it is leaving; its zone is
+evacuated and a target outside of all evacuated zones can lead; a majority makes
 no progress towards what it wrote ``STALL_S`` ago; or a target has adopted a later term
 than the primary's, in which case a new term brings that target back into the group.
 
@@ -97,6 +98,7 @@
         self.majority = len(self.targets) // 2 + 1
         self.rank = rank
         self.leaving: frozenset[str] = frozenset()
+        self.evacuated: frozenset[str] = frozenset()
         self.seen: dict[str, Observation] = {}
         self._health = {name: _Health(-1e9, -1e9) for name in self.targets}
         self._silence_counted_from = now
@@ -193,7 +195,7 @@
         """Return whether there is no primary or a problem with it was seen."""
         primary = self._primary
         health = self._health.get(primary.target) if primary else None
-        if health is None or health.failures or primary.target in self.leaving:
+        if health is None or health.failures or self._should_hand_over(primary):
             return True
         return self.highest_term() > primary.term or self._stalled(primary)
 
@@ -243,7 +245,8 @@
         ):
             return HOLD
         failed_target = primary.target if primary else ""
-        if len(self._answering(now) - {failed_target}) < self.majority:
+        answering = self._answering(now) - {failed_target}
+        if len(answering) < self.majority or answering <= self.evacuated:
             return HOLD
         if now - self._peer_opinion_at > PEER_OPINION_MAX_AGE_S:
             return Decision(Verdict.ASK_OTHERS)
@@ -262,7 +265,7 @@
         elif not voters and self.highest_term() > primary.term:
             voters = self._answering(now)
             wait_s = LATER_TERM_S
-        if len(voters) < self.majority:
+        if len(voters) < self.majority or voters <= self.evacuated:
             self._fault_since = None
             return HOLD
         if self._fault_since is None:
@@ -282,23 +285,34 @@
         reached = [name for name in in_term if self.seen[name].last >= earlier_position]
         return earlier_position.term == primary.term and len(reached) < self.majority
 
+    def _should_hand_over(self, primary: TermPrimary) -> bool:
+        """Return whether the primary is to be replaced although it has no fault."""
+        if primary.target in self.leaving:
+            return True
+        outside = set(self.targets) - self.evacuated
+        return primary.target in self.evacuated and bool(outside)
+
     def _successors(self, primary: TermPrimary, now: float) -> set[str]:
-        """Return the targets that may replace a leaving primary, none if it stays.
+        """Return the targets that vote on a planned replacement, none if it stays.
 
-        They must be a majority that answered recently, and one of them must hold what
-        the primary held one probe ago.
+        They must be a majority that answered recently, and one of them, neither leaving
+        nor in an evacuated zone, must hold what the primary held one probe ago.
         """
-        if primary.target not in self.leaving:
+        if not self._should_hand_over(primary):
             return set()
-        staying = {
-            name
-            for name in self._answering(now) - self.leaving
-            if self._term_of(name) == primary.term
-        }
-        caught_up = any(
-            self.seen[n].last >= self._previous_primary_position for n in staying
-        )
-        return staying if caught_up else set()
+        in_term = {n for n in self._answering(now) if self._term_of(n) == primary.term}
+        staying = in_term - self.leaving - self.evacuated
+        earlier_position = self._previous_primary_position
+        caught_up = [n for n in staying if self.seen[n].last >= earlier_position]
+        if not caught_up:
+            return set()
+        if len(staying) >= self.majority or not self.evacuated:
+            return staying
+        # The others must vote too, so one that stays must hold all that they hold. The
+        # log no longer grows once writes to the zone are refused.
+        known = self.seen.get(primary.target)
+        is_quiet = known is not None and known.last == earlier_position
+        return in_term if is_quiet else set()
 
     def _term_of(self, target: str) -> int:
         seen = self.seen.get(target)
--- a/lavenderstack/core/failure_detector_test.py
+++ b/lavenderstack/core/failure_detector_test.py
@@ -21,12 +21,13 @@
     the primary as healthy.
     """
 
-    def __init__(self, rank=0, faults=(), opinion=False, leaving=()):
+    def __init__(self, rank=0, faults=(), opinion=False, leaving=(), evacuated=()):
         self.now = 0.0
         self.faults = dict(faults)
         self.opinion = opinion
         self.detector = FailureDetector(NAMES, rank, 0.0)
         self.leaving = frozenset(leaving)
+        self.evacuated = frozenset(evacuated)
         self.timeouts_at = {}
         self.probes = 0
         self.asked = 0
@@ -62,6 +63,7 @@
             self.now += STEP_S
             if self.now >= FAULT_AT:
                 self.detector.leaving = self.leaving
+                self.detector.evacuated = self.evacuated
             self.probe()
             decision = self.detector.decide(self.now)
             if decision.verdict is Verdict.ASK_OTHERS:
@@ -80,6 +82,10 @@
     return 3, (3, 9 + int(now * 100)), "primary", "a"
 
 
+def following(now):
+    return 3, (3, 9 + int((now - 0.1) * 100)), "replica", "a"
+
+
 def lagging(now):
     return 3, (3, 9 + int(now * 50)), "replica", "a"
 
@@ -109,6 +115,9 @@
             ),
             ("one target has a later term", {"faults": {"b": LATER_TERM}}, 1.9, 6.5),
             ("leaving", {"leaving": {"a"}}, 0.2, 0.8),
+            ("evacuated", {"evacuated": {"a"}}, 0.2, 0.8),
+            ("evacuated with a replica", {"evacuated": {"a", "b"}}, 0.2, 1.0),
+            ("lost", {"evacuated": {"b"}, "faults": {"a": "silent"}}, 0.4, 1.3),
             ("replicas make no progress", {"faults": {"a": writing}}, 3.0, 8.0),
             (
                 "leaving, successors behind",
@@ -134,6 +143,14 @@
             {"faults": {name: "silent" for name in NAMES}},
             {"leaving": {"a"}, "faults": {"b": "silent"}},
             {"leaving": {"b"}},
+            {"evacuated": {"b"}},
+            {"evacuated": set(NAMES)},
+            {"evacuated": {"b", "c"}, "faults": {"a": "silent"}},
+            {"evacuated": set(NAMES), "faults": {"b": LATER_TERM}},
+            {
+                "evacuated": {"a", "b"},
+                "faults": {"a": writing, "b": following, "c": following},
+            },
             {"faults": {"a": writing, "b": lagging, "c": lagging}},
         ],
     )
@@ -144,6 +161,13 @@
         decision, _ = SimulatedGroup(leaving={"a"}).until_proposal()
         assert decision.voters == ("b", "c")
 
+    def test_evacuated_replicas_vote_only_where_the_others_are_too_few(self):
+        """Guards against a zone's loss of its say while others can decide alone."""
+        decision, _ = SimulatedGroup(evacuated={"a"}).until_proposal()
+        assert decision.voters == ("b", "c")
+        decision, _ = SimulatedGroup(evacuated={"a", "b"}).until_proposal()
+        assert decision.voters == NAMES
+
     def test_a_group_without_terms_gets_its_first_primary(self):
         group = SimulatedGroup()
         group.answer = lambda name: group.detector.record_observation(
--- a/lavenderstack/core/promotion.py
+++ b/lavenderstack/core/promotion.py
@@ -15,7 +15,7 @@
 """
 
 import random
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from enum import Enum, auto
 from functools import singledispatchmethod
@@ -75,11 +75,13 @@
 class ProposalFailed:
     """The proposal failed; ``term`` is the highest known term.
 
-    A new proposal may start at ``retry_at``, in seconds on the caller's clock.
+    A new proposal may start at ``retry_at``, in seconds on the caller's clock. If
+    ``all_excluded``, the targets that have every acknowledged write may not lead.
     """
 
     term: int
     retry_at: float
+    all_excluded: bool = False
 
 
 Action = SendAdopt | SendLead | SendFollow | Wait | PrimaryElected | ProposalFailed
@@ -156,6 +158,7 @@
         self._deadline = 0.0
         self._voters: tuple[str, ...] = ()
         self._less_preferred: frozenset[str] = frozenset()
+        self._excluded: frozenset[str] = frozenset()
         self._adopted: dict[str, Position] = {}
         self._failed_voters: set[str] = set()
         self._choice = ""
@@ -166,11 +169,13 @@
         now: float,
         voters: Iterable[str] = (),
         less_preferred: Iterable[str] = (),
+        excluded: Iterable[str] = (),
     ) -> list[Action]:
         """Start a proposal for a term above all known ones, unless one is running.
 
         ``voters`` are asked to adopt the term, all targets if it is empty. A target in
-        ``less_preferred`` is chosen only if no other is as advanced.
+        ``less_preferred`` is chosen only if no other is as advanced, one in
+        ``excluded`` is never chosen.
         """
         if self.stage is not Stage.IDLE or now < self.retry_at:
             return []
@@ -178,6 +183,7 @@
         self.stage = Stage.ADOPTING
         self._voters = tuple(voters) or self.targets
         self._less_preferred = frozenset(less_preferred)
+        self._excluded = frozenset(excluded)
         self._adopted = {}
         self._failed_voters = set()
         self._choice = ""
@@ -206,8 +212,11 @@
         self._adopted[event.target] = event.last
         if len(self._adopted) < self.majority:
             return []
+        eligible = eligible_primaries(self._adopted, self._excluded, self.majority)
+        if not eligible:
+            return self._fail(now) if self._all_answered() else []
         self.stage = Stage.LEADING
-        self._choice = max(self._adopted, key=self._preference)
+        self._choice = max(eligible, key=self._preference)
         self._deadline = now + LEAD_TIMEOUT_S
         lead = SendLead(self._choice, self.term, self._followers())
         return [lead, Wait(self._deadline)]
@@ -232,6 +241,9 @@
     def _(self, event: TimedOut, now: float) -> list[Action]:
         return self._record_failure(event.target, now)
 
+    def _all_answered(self) -> bool:
+        return self._failed_voters | self._adopted.keys() >= set(self._voters)
+
     def _preference(self, target: str) -> tuple:
         return self._adopted[target], target not in self._less_preferred, target
 
@@ -245,14 +257,37 @@
             self._failed_voters.add(target)
         if len(self._voters) - len(self._failed_voters) < self.majority:
             return self._fail(now)
-        return []
+        return self._fail(now) if self._all_answered() else []
 
     def _fail(self, now: float) -> list[Action]:
+        is_adopted = len(self._adopted) >= self.majority
+        all_excluded = self.stage is Stage.ADOPTING and is_adopted
         self.stage = Stage.IDLE
         backoff_s = min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2**self._failures)
         self._failures += 1
         self.retry_at = now + backoff_s * self._rng.uniform(0.5, 1.5)
-        return [ProposalFailed(max(self.term, self._highest_term), self.retry_at)]
+        term = max(self.term, self._highest_term)
+        return [ProposalFailed(term, self.retry_at, all_excluded)]
+
+
+def eligible_primaries(
+    adopted: Mapping[str, Position], excluded: Collection[str], majority: int
+) -> list[str]:
+    """Return the targets that may lead a term, by the logs of those that adopted it.
+
+    An acknowledged write is in the log of one of any majority. So a target that is as
+    advanced as each of some majority has all of them, also if another is ahead.
+
+    >>> logs = {"a": Position(1, 7), "b": Position(1, 5), "c": Position(1, 4)}
+    >>> eligible_primaries(logs, excluded={"a"}, majority=2)
+    ['b']
+    """
+    return [
+        name
+        for name, last in adopted.items()
+        if name not in excluded
+        and sum(other <= last for other in adopted.values()) >= majority
+    ]
 
 
 def follow_actions(
--- a/lavenderstack/core/promotion_test.py
+++ b/lavenderstack/core/promotion_test.py
@@ -77,6 +77,32 @@
             lead, _ = proposer.handle_event(Adopted("c", 5, last), 0.1)
             assert lead.target == choice
 
+    @pytest.mark.parametrize(
+        ("logs", "excluded", "choice"),
+        [
+            ({"a": (1, 5), "b": (1, 5)}, {"a"}, "b"),
+            ({"a": (1, 6), "b": (1, 5), "c": (1, 5)}, {"a"}, "c"),
+            ({"a": (1, 6), "b": (1, 6), "c": (1, 5)}, {"a"}, "b"),
+            ({"a": (1, 6), "b": (1, 6), "c": (1, 5)}, {"a", "b"}, None),
+            ({"a": (2, 1), "b": (1, 9), "c": (1, 9)}, {"b", "c"}, "a"),
+        ],
+    )
+    def test_an_excluded_target_never_leads(self, logs, excluded, choice):
+        """Guards against a primary in an evacuated zone, and against a lost write."""
+        proposer = Proposer(NAMES, random.Random(1))
+        proposer.propose(4, 0.0, excluded=excluded)
+        if len(logs) < len(NAMES):
+            proposer.handle_event(TimedOut("c", 5), 0.1)
+        for name, last in logs.items():
+            actions = proposer.handle_event(Adopted(name, 5, Position(*last)), 0.1)
+            if actions:
+                break
+        if choice is None:
+            (failed,) = actions
+            assert failed.all_excluded
+        else:
+            assert actions[0].target == choice
+
 
 class TestFollowActions:
     @pytest.mark.parametrize(
--- a/lavenderstack/core/safety_test.py
+++ b/lavenderstack/core/safety_test.py
@@ -113,7 +113,9 @@
         proposer = self.proposers[x % 2]
         known = self.targets[NAMES[y % 3]].term
         voters = NAMES.replace(NAMES[x % 3], "") if y > 7 else ""
-        self.send(x % 2, proposer.propose(known, self.now * STEP_S, voters))
+        excluded = NAMES[x % 3] if y % 4 == 0 else ""
+        actions = proposer.propose(known, self.now * STEP_S, voters, (), excluded)
+        self.send(x % 2, actions)
 
     def send(self, proposer_index, actions):
         self.in_transit += [
--- a/lavenderstack/core/view.py
+++ b/lavenderstack/core/view.py
@@ -6,15 +6,16 @@
 
 Keys of the store, and the JSON object that each holds:
 
-==============================  ==============================================
-``lavenderstack/plans``         what each plan may use: name to ``Plan``
-``lavenderstack/bought``        the plans bought: organisation to plan name
-``lavenderstack/keys/DIGEST``   ``Key``: the organisation, whether withdrawn
-``lavenderstack/groups/NAME``   ``Group``: its targets, organisations, routes
-``lavenderstack/secrets/NAME``  a secret of the service itself: ``secret``
-``lavenderstack/duties/NAME``   ``Ownership``: the owner, and the epoch
-``platform/vms/NAME``           ``Vm``, written by the platform
-==============================  ==============================================
+==================================  ==========================================
+``lavenderstack/plans``             what each plan may use: name to ``Plan``
+``lavenderstack/bought``            the plans bought: organisation to plan name
+``lavenderstack/keys/DIGEST``       ``Key``: the organisation, whether withdrawn
+``lavenderstack/groups/NAME``       ``Group``: targets, organisations, routes
+``lavenderstack/secrets/NAME``      a secret of the service itself: ``secret``
+``lavenderstack/duties/NAME``       ``Ownership``: the owner, and the epoch
+``lavenderstack/evacuations/ZONE``  ``EvacuationRequest``; any value counts
+``platform/vms/NAME``               ``Vm``, written by the platform
+==================================  ==========================================
 """
 
 from collections.abc import Mapping
@@ -103,6 +104,17 @@
     epoch: int
 
 
+@dataclass(frozen=True, slots=True)
+class EvacuationRequest:
+    """An operator's request to evacuate a zone, in force while its entry exists.
+
+    ``operator`` is empty if the entry doesn't name one.
+    """
+
+    zone: str
+    operator: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class View:
     """Everything a node knows of the store; ``revision`` is its newest change."""
@@ -115,6 +127,7 @@
     vms: Mapping[str, Vm] = field(default_factory=dict)
     secrets: Mapping[str, str] = field(default_factory=dict)
     duties: Mapping[str, Ownership] = field(default_factory=dict)
+    evacuations: Mapping[str, EvacuationRequest] = field(default_factory=dict)
 
     def plan_of(self, organisation: str) -> Plan | None:
         """Return the plan that the organisation bought, or None."""
--- a/lavenderstack/node/group_monitor.py
+++ b/lavenderstack/node/group_monitor.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Collection, Iterable
 
 import structlog
 
@@ -61,6 +61,7 @@
         self._query_monitors = query_monitors
         self._query_task: asyncio.Task | None = None
         self._next_follow_at = 0.0
+        self._obstacle_logged = False
         self._links = {
             name: TargetLink(group.name, target, targets, self._on_result)
             for name, target in targets.items()
@@ -74,6 +75,28 @@
         """Set which targets are leaving; other names are ignored."""
         self.detector.leaving = frozenset(names) & self._links.keys()
 
+    def set_evacuated(self, zones: Collection[str]) -> None:
+        """Set which zones are evacuated; none of their targets is made primary."""
+        targets = self.group.targets
+        evacuated = frozenset(t.name for t in targets if t.zone in zones)
+        if evacuated == self.detector.evacuated:
+            return
+        self.detector.evacuated = evacuated
+        self._obstacle_logged = False
+        if len(evacuated) == len(targets):
+            self._log_obstacle()
+
+    def _log_obstacle(self) -> None:
+        """Log, once for each change, that only evacuated targets might lead."""
+        if not self._obstacle_logged:
+            self._obstacle_logged = True
+            log.warning(
+                "monitor: no target may lead",
+                group=self.group.name,
+                obstacle="EVACUATED",
+                evacuated=sorted(self.detector.evacuated),
+            )
+
     async def check(self) -> bool:
         """Probe all targets; return whether a primary with a majority answers.
 
@@ -117,9 +140,11 @@
         if decision.verdict is Verdict.ASK_OTHERS:
             self._start_query()
         elif decision.verdict is Verdict.PROPOSE:
-            leaving = self.detector.leaving
+            leaving, evacuated = self.detector.leaving, self.detector.evacuated
             self._execute(
-                self.proposer.propose(decision.term, now, decision.voters, leaving)
+                self.proposer.propose(
+                    decision.term, now, decision.voters, leaving, evacuated
+                )
             )
 
     def _probe(self, now: float) -> None:
@@ -158,8 +183,11 @@
                 case PrimaryElected(term, primary):
                     log.info("monitor: primary established", primary=primary, term=term)
                     self.detector.request_probes()
-                case ProposalFailed(term, _):
+                    self._obstacle_logged = False
+                case ProposalFailed(term, _, all_excluded):
                     log.info("monitor: proposal lost", group=self.group.name, term=term)
+                    if all_excluded:
+                        self._log_obstacle()
 
     def _on_result(self, result: CommandResult) -> None:
         now = clock.now()
--- a/lavenderstack/node/monitors.py
+++ b/lavenderstack/node/monitors.py
@@ -105,6 +105,7 @@
             leaving = _leaving_targets(view)
             for monitor in self._monitors.values():
                 monitor.set_leaving(leaving)
+                monitor.set_evacuated(view.evacuations.keys())
         self._last_view = view
         for name, monitor in self._monitors.items():
             if self._tasks[name].done():
@@ -147,6 +148,7 @@
 
     def _start(self, group: Group, rank: int) -> None:
         monitor = GroupMonitor(group, rank, self._query_monitors)
+        monitor.set_evacuated(self._view().evacuations.keys())
         self._monitors[group.name] = monitor
         task = asyncio.create_task(monitor.run(), name=f"monitor {group.name}")
         self._tasks[group.name] = task
