Evacuate zones in the product's own deployment

Operators evacuate a zone by PUT /v1/evacuations/ZONE (lavenderstack admin evacuate) and return it by DELETE. The request is the entry lavenderstack/evacuations/ZONE, so it comes to every node with the view, its proofs and its limits. The holder asks at the moment of sending, after slot and connection, by core/evacuation.py; reads stop at once, what only the primary can run goes on for the grace period, then open transactions are rolled back and idle connections closed. Entry nodes choose no replica there; where the primary is out of use they ask its monitors once and then refuse at once (evacuated, not run).

A return names the revision that was read, so that it withdraws no later request of another operator; a renewed request gives no further grace. A node that finds the request in its first view gives none either, since it may be old.

The client said 'nothing was changed' when a repetition after a lost answer was refused; it says 'may have changed' now.

--- a/lavenderstack/border/admin.py
+++ b/lavenderstack/border/admin.py
@@ -16,13 +16,13 @@
 ``GET /v1/keys?organisation=NAME``          keys by digest
 ``PUT /v1/keys/DIGEST``                     grant a key to an organisation
 ``POST /v1/keys/DIGEST/withdraw``           withdraw it permanently
+``/v1/evacuations``                         see ``border/evacuations.py``
 ``GET /v1/status``                          this node's view and its age
 ``GET /v1/revision?at=REVISION``            number of nodes where it is in force
 ==========================================  =====================================
 """
 
 import re
-import uuid
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import asdict
 from typing import Any
@@ -31,26 +31,28 @@
 from aiohttp import web
 from pydantic import TypeAdapter, ValidationError
 
-from lavenderstack.border import documents
+from lavenderstack.border import documents, evacuations
 from lavenderstack.border.admin_answers import Problem, answer, invalid
+from lavenderstack.border.admin_requests import (
+    OPERATOR,
+    change_id_from,
+    if_match,
+    log_change,
+    read_body,
+    with_revision,
+)
 from lavenderstack.border.changes import (
     CHANGE_ID,
-    Accepted,
     AdminRelay,
     ChangeWriter,
     Conflict,
-    Outcome,
-    Stored,
     document_of,
 )
 from lavenderstack.border.store import Store, StoreError
 from lavenderstack.core import clock, keys
-from lavenderstack.core.entry import Change
 
 MAX_BODY_B = 1024 * 1024
 MAX_WITHDRAW_ATTEMPTS = 5
-LOGGED_DIGEST_CHARS = 12  # logs never contain a whole digest
-OPERATOR = web.RequestKey("operator", str)
 
 log = structlog.get_logger()
 
@@ -84,6 +86,7 @@
     app.router.add_get("/v1/keys", admin.get_keys)
     app.router.add_put("/v1/keys/{digest}", admin.grant)
     app.router.add_post("/v1/keys/{digest}/withdraw", admin.withdraw)
+    evacuations.add_routes(app, store, relay)
     app.router.add_get("/v1/status", admin.status)
     app.router.add_get("/v1/revision", admin.revision)
     return app
@@ -118,29 +121,6 @@
     return check
 
 
-def _if_match(req: web.Request) -> int:
-    text = req.headers.get("If-Match", "").strip().strip('"')
-    if not text:
-        raise Problem(428, "no_revision")
-    if not text.isdecimal():
-        raise invalid("If-Match: expected the revision that was read")
-    return int(text)
-
-
-def _change_id(req: web.Request) -> str:
-    return req.headers.get("Change-Id") or uuid.uuid4().hex
-
-
-async def _read_body(req: web.Request) -> dict:
-    try:
-        body = await req.json()
-    except ValueError as exc:
-        raise invalid("the body is not JSON") from exc
-    if not isinstance(body, dict):
-        raise invalid("the body is not an object")
-    return body
-
-
 def _digest(req: web.Request) -> str:
     digest = req.match_info["digest"]
     if not _DIGEST.match(digest):
@@ -148,13 +128,6 @@
     return digest
 
 
-def _with_revision(document: Any, entry: Change | None) -> web.Response:
-    revision = entry.revision if entry else 0
-    resp = web.json_response({"revision": revision, "entries": document})
-    resp.headers["ETag"] = f'"{revision}"'
-    return resp
-
-
 class _Admin:
     """The request handlers; each serves one route of the table above."""
 
@@ -168,12 +141,12 @@
     async def get_list(self, req: web.Request) -> web.Response:
         """Return the plans or the bought plans, read from the store."""
         entry = await self._writer.read(f"lavenderstack/{req.match_info['list']}")
-        return _with_revision(documents.unwrap_entries(document_of(entry)) or {}, entry)
+        return with_revision(documents.unwrap_entries(document_of(entry)) or {}, entry)
 
     async def put_list(self, req: web.Request) -> web.Response:
         """Replace the plans or the bought plans."""
-        name, expected_revision, entries = req.match_info["list"], _if_match(req), None
-        entries = await _read_body(req)
+        name, expected_revision, entries = req.match_info["list"], if_match(req), None
+        entries = await read_body(req)
         if name == "plans":
             entries = _normalise(documents.PLANS, entries)
             await self._check_plans(entries)
@@ -199,11 +172,11 @@
     async def _write(
         self, req: web.Request, name: str, document: dict, expected_revision: int
     ) -> web.Response:
-        change_id = _change_id(req)
+        change_id = change_id_from(req)
         document = document | {CHANGE_ID: change_id, "operator": req[OPERATOR]}
         key = f"lavenderstack/{name}"
         outcome = await self._writer.write(key, document, expected_revision)
-        _log_change(req, name, change_id, outcome)
+        log_change(req, name, change_id, outcome)
         return answer(outcome, document, change_id)
 
     async def get_groups(self, _: web.Request) -> web.Response:
@@ -218,12 +191,12 @@
         entry = await self._writer.read(f"lavenderstack/groups/{_name(req)}")
         if entry is None:
             raise Problem(404, "not_found")
-        return _with_revision(document_of(entry), entry)
+        return with_revision(document_of(entry), entry)
 
     async def put_group(self, req: web.Request) -> web.Response:
         """Replace one group, or create it (``If-Match: "0"``)."""
-        name, expected_revision = _name(req), _if_match(req)
-        model = documents.GroupModel.model_validate(await _read_body(req))
+        name, expected_revision = _name(req), if_match(req)
+        model = documents.GroupModel.model_validate(await read_body(req))
         document = model.model_dump(mode="json")
         return await self._write(req, f"groups/{name}", document, expected_revision)
 
@@ -238,18 +211,18 @@
     async def grant(self, req: web.Request) -> web.Response:
         """Grant a new key; repeating the same grant announces it again."""
         digest = _digest(req)
-        model = documents.KeyModel.model_validate(await _read_body(req))
+        model = documents.KeyModel.model_validate(await read_body(req))
         document = {"organisation": model.organisation, "withdrawn": False}
         entry = await self._writer.read(f"lavenderstack/keys/{digest}")
         stored = document_of(entry) or {}
         if entry and document.items() <= stored.items():
             change_id = stored.get(CHANGE_ID, "")
             outcome = await self._writer.put_into_force(entry)
-            _log_change(req, f"keys/{digest}", change_id, outcome)
+            log_change(req, f"keys/{digest}", change_id, outcome)
             return answer(outcome, stored, change_id)
         if entry:
             outcome = Conflict(entry)
-            return answer(outcome, document, _change_id(req))
+            return answer(outcome, document, change_id_from(req))
         return await self._write(req, f"keys/{digest}", document, 0)
 
     async def withdraw(self, req: web.Request) -> web.Response:
@@ -302,18 +275,3 @@
     document["organisations"] = sorted(group.organisations)
     document["open_statements"] = sorted(group.open_statements)
     return document
-
-
-def _log_change(req: web.Request, name: str, change_id: str, outcome: Outcome) -> None:
-    folder, slash, name_part = name.rpartition("/")
-    if folder == "keys":
-        name_part = name_part[:LOGGED_DIGEST_CHARS]
-    in_store = isinstance(outcome, Accepted | Stored)
-    log.info(
-        "admin: change",
-        operator=req[OPERATOR],
-        what=folder + slash + name_part,
-        change_id=change_id,
-        outcome=type(outcome).__name__,
-        revision=outcome.revision if in_store else None,
-    )
--- /dev/null
+++ b/lavenderstack/border/admin_requests.py
@@ -0,0 +1,66 @@
+"""Shared by the handlers of the operators' API: headers, bodies, the log of changes."""
+
+import uuid
+from typing import Any
+
+import structlog
+from aiohttp import web
+
+from lavenderstack.border.admin_answers import Problem, invalid
+from lavenderstack.border.changes import Accepted, Outcome, Stored
+from lavenderstack.core.entry import Change
+
+LOGGED_DIGEST_CHARS = 12  # logs never contain a whole digest
+OPERATOR = web.RequestKey("operator", str)
+
+log = structlog.get_logger()
+
+
+def if_match(req: web.Request) -> int:
+    """Return the revision that the caller expects; raises ``Problem`` without one."""
+    text = req.headers.get("If-Match", "").strip().strip('"')
+    if not text:
+        raise Problem(428, "no_revision")
+    if not text.isdecimal():
+        raise invalid("If-Match: expected the revision that was read")
+    return int(text)
+
+
+def change_id_from(req: web.Request) -> str:
+    """Return the id of the change, a new one if the caller sent none."""
+    return req.headers.get("Change-Id") or uuid.uuid4().hex
+
+
+async def read_body(req: web.Request) -> dict:
+    """Return the JSON object in the body; raises ``Problem`` if there is none."""
+    try:
+        body = await req.json()
+    except ValueError as exc:
+        raise invalid("the body is not JSON") from exc
+    if not isinstance(body, dict):
+        raise invalid("the body is not an object")
+    return body
+
+
+def with_revision(document: Any, entry: Change | None) -> web.Response:
+    """Return the response with a document and the revision of its entry."""
+    revision = entry.revision if entry else 0
+    resp = web.json_response({"revision": revision, "entries": document})
+    resp.headers["ETag"] = f'"{revision}"'
+    return resp
+
+
+def log_change(req: web.Request, name: str, change_id: str, outcome: Outcome) -> None:
+    """Log an operator's change of the entry ``name``, in force or not."""
+    folder, slash, name_part = name.rpartition("/")
+    if folder == "keys":
+        name_part = name_part[:LOGGED_DIGEST_CHARS]
+    in_store = isinstance(outcome, Accepted | Stored)
+    log.info(
+        "admin: change",
+        operator=req[OPERATOR],
+        what=folder + slash + name_part,
+        change_id=change_id,
+        outcome=type(outcome).__name__,
+        revision=outcome.revision if in_store else None,
+    )
--- a/lavenderstack/border/answers.py
+++ b/lavenderstack/border/answers.py
@@ -35,6 +35,7 @@
     Reason.LEAVING: 503,
     Reason.UNREACHABLE: 503,
     Reason.STALE_VIEW: 503,
+    Reason.EVACUATED: 503,
 }
 STATUS_OF_UNKNOWN = 504
 
--- a/lavenderstack/border/changes.py
+++ b/lavenderstack/border/changes.py
@@ -12,6 +12,7 @@
 
 from lavenderstack.border.store import (
     Store,
+    StoreError,
     StoreOutcomeUnknown,
     StoreUnreachable,
     SwapDone,
@@ -166,9 +167,47 @@
         in_force = await self._relay.announce(stored)
         return (Accepted if in_force else Stored)(stored.revision)
 
+    async def remove(self, key: str, expected_revision: int) -> Outcome:
+        """Delete the entry if it has the expected revision.
+
+        An entry that is gone counts as deleted, whoever did it.
+        """
+        outcome = await self._swap(key, None, None, expected_revision)
+        if isinstance(outcome, Conflict) and outcome.current is None:
+            try:
+                return await self.put_absence_into_force(key, expected_revision)
+            except StoreError:
+                return MaybeChanged()
+        if not isinstance(outcome, Stored):
+            return outcome
+        return await self.put_into_force(Change(key, None, outcome.revision))
+
+    async def put_absence_into_force(self, key: str, after_revision: int) -> Outcome:
+        """Announce that an entry, last known at a revision, is gone from the store.
+
+        Raises ``StoreError``. The revision of the deletion isn't known, so the earliest
+        possible one is announced: with a later one than the store's watch delivers,
+        views could not be proved current.
+        """
+        known_entry = self._relay.snapshot.entries.get(key)
+        if known_entry is not None:
+            after_revision = max(after_revision, known_entry.revision)
+        listing = await self._store.list(key)
+        for entry in listing.entries:
+            if entry.key == key:
+                return Conflict(entry)
+        if listing.revision <= after_revision:
+            return _STORE_IS_OLDER
+        return await self.put_into_force(Change(key, None, after_revision + 1))
+
     async def _swap(
-        self, key: str, value: bytes, change_id: str, expected_revision: int
+        self,
+        key: str,
+        value: bytes | None,
+        change_id: str | None,
+        expected_revision: int,
     ) -> Outcome:
+        """Write or delete; ``change_id`` is None for a deletion, which stores none."""
         answer_lost = False
         for _ in range(MAX_SWAP_ATTEMPTS):
             try:
--- a/lavenderstack/border/operator_metrics.py
+++ b/lavenderstack/border/operator_metrics.py
@@ -6,7 +6,7 @@
 ===================  =========================================================
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import asdict, dataclass
 from typing import Any
 
@@ -39,12 +39,17 @@
     app: web.Application,
     summaries: Callable[[], Sequence[Any]],
     targets: Callable[[], Sequence[HeldTarget]],
+    more: Callable[[], Mapping[str, int]],
 ) -> None:
-    """Add the routes to the operators' application."""
+    """Add the routes to the operators' application.
+
+    ``more`` returns further gauges and counters by name.
+    """
 
     async def get_metrics(_: web.Request) -> web.Response:
         series = [asdict(summary) for summary in summaries()]
-        return web.json_response({"series": series, "traffic": asdict(TRAFFIC)})
+        body = {"series": series, "traffic": asdict(TRAFFIC), **more()}
+        return web.json_response(body)
 
     async def get_targets(_: web.Request) -> web.Response:
         return web.json_response({"targets": [asdict(target) for target in targets()]})
--- a/lavenderstack/core/events_test.py
+++ b/lavenderstack/core/events_test.py
@@ -32,6 +32,9 @@
     "target_health",
     "token_coordinator",
     "followers",
+    "zone_evacuations",
+    "evacuation_guard",
+    "group_monitor",
 )
 MODULES = [
     *(p for p in (PACKAGE / "platform").glob("*.py") if "_test" not in p.name),
--- a/lavenderstack/core/retry.py
+++ b/lavenderstack/core/retry.py
@@ -26,6 +26,7 @@
         Reason.NOT_PRIMARY,
         Reason.LEAVING,
         Reason.UNREACHABLE,
+        Reason.EVACUATED,
     }
 )
 
--- a/lavenderstack/core/routing.py
+++ b/lavenderstack/core/routing.py
@@ -53,6 +53,11 @@
             self.seen[target] = position
 
 
+def targets_in_zones(group: Group, zones: Collection[str]) -> set[str]:
+    """Return the names of a group's targets in the given zones."""
+    return {target.name for target in group.targets if target.zone in zones}
+
+
 def needs_primary(req: Request) -> bool:
     """Return whether only the primary can serve the request."""
     return req.write or req.fresh
@@ -67,9 +72,10 @@
 ) -> list[Target]:
     """Return the replicas to try for a read, the best first.
 
-    The primary and targets in ``avoid`` (leaving, or recently unreachable) are left
-    out. A target known to hold the watermark comes before one in the same zone: the
-    latency between zones is lower than waiting for a replica of unknown lag.
+    The primary and targets in ``avoid`` (leaving, in an evacuated zone, or recently
+    unreachable) are left out. A target known to hold the watermark comes before one in
+    the same zone: the latency between zones is lower than waiting for a replica of
+    unknown lag.
     """
     primary = status.primary.target if status.primary else ""
     replicas = [t for t in group.targets if t.name != primary and t.name not in avoid]
--- a/lavenderstack/node/control.py
+++ b/lavenderstack/node/control.py
@@ -5,6 +5,7 @@
 from lavenderstack.core import clock
 from lavenderstack.core.view import View
 from lavenderstack.node.admission import Admission
+from lavenderstack.node.zone_evacuations import ZoneEvacuations
 
 
 class ViewSource(Protocol):
@@ -19,7 +20,10 @@
 class NodeControl:
     """Implements ``node.target_holder.Control``."""
 
-    def __init__(self, relay: ViewSource, admission: Admission) -> None:
+    def __init__(
+        self, relay: ViewSource, admission: Admission, evacuations: ZoneEvacuations
+    ) -> None:
+        self.evacuations = evacuations
         self._relay = relay
         self._admission = admission
 
--- /dev/null
+++ b/lavenderstack/node/evacuation_guard.py
@@ -0,0 +1,55 @@
+"""Keeps callers' statements from one target while its zone is evacuated.
+
+The connection holder asks immediately before it sends a statement. Once the grace
+period of the evacuation has passed, the target is out of use: the holder closes its
+idle connections and rolls back transactions that are still open there.
+"""
+
+import structlog
+
+from lavenderstack.core.evacuation import Use
+from lavenderstack.core.messages import Execute
+from lavenderstack.core.view import Target
+from lavenderstack.node.zone_evacuations import ZoneEvacuations
+
+log = structlog.get_logger()
+
+
+def use_of(msg: Execute) -> Use:
+    """Return what a statement requires of its target."""
+    if msg.transaction:
+        return Use.OPEN
+    return Use.PRIMARY if msg.write or msg.fresh else Use.READ
+
+
+class EvacuationGuard:
+    """Decides for one target whether statements may be sent to it."""
+
+    def __init__(self, target: Target, evacuations: ZoneEvacuations) -> None:
+        self._target = target
+        self._evacuations = evacuations
+        self._out_of_use = False
+
+    def check(self, use: Use) -> None:
+        """Raise ``Refused`` if the statement may not be sent now.
+
+        No other task may run between this call and the first byte that is sent.
+        """
+        zone = self._target.zone
+        if not self._evacuations.may_send(zone, use):
+            raise self._evacuations.refusal(zone)
+
+    def is_out_of_use(self) -> bool:
+        """Return whether no statement of any kind may be sent; log each change."""
+        zone = self._target.zone
+        out_of_use = not self._evacuations.may_send(zone, Use.FINISH)
+        if out_of_use != self._out_of_use:
+            self._out_of_use = out_of_use
+            log.info(
+                "evacuation: target out of use"
+                if out_of_use
+                else "evacuation: target used again",
+                target=self._target.name,
+                zone=zone,
+            )
+        return out_of_use
--- a/lavenderstack/node/holder_test.py
+++ b/lavenderstack/node/holder_test.py
@@ -18,6 +18,7 @@
 from lavenderstack.node.confirm import running_confirmer
 from lavenderstack.node.holder import Holders
 from lavenderstack.node.target_holder import TargetHolder
+from lavenderstack.node.zone_evacuations_test import FakeEvacuations
 from standins.replica_log import ReplicaLog
 from standins.target import Limits, serve
 
@@ -33,6 +34,7 @@
         self.view = view
         self.fresh = True
         self.admitted = 0
+        self.evacuations = FakeEvacuations()
 
     def usable(self, now):
         return self.fresh
--- a/lavenderstack/node/main.py
+++ b/lavenderstack/node/main.py
@@ -36,6 +36,7 @@
 from lavenderstack.node.streams import StreamPool, StreamServer
 from lavenderstack.node.supervisor import Part
 from lavenderstack.node.target_holder import TargetHolder
+from lavenderstack.node.zone_evacuations import ZoneEvacuations
 
 VIEW_POLL_S = 0.05
 PROOF_WAIT_S = 10.0
@@ -62,6 +63,7 @@
     admission: Admission
     entry: Entry
     metrics: metrics.Metrics
+    evacuations: ZoneEvacuations
     stop: asyncio.Event = field(default_factory=asyncio.Event)
 
 
@@ -74,7 +76,8 @@
     peers = Peers(cfg.name, lambda: relay.view, pool, members)
     coordinator = QuotaCoordinator(cfg.name, relay, lambda: relay.view, peers.call)
     admission = Admission(cfg.name, lambda: relay.view, peers.call)
-    control = NodeControl(relay, admission)
+    evacuations = ZoneEvacuations(relay)
+    control = NodeControl(relay, admission, evacuations)
     confirmers = Confirmers(peers)
 
     def make_holder(target: Target, group: Group) -> TargetHolder:
@@ -84,7 +87,8 @@
     holders = Holders(control, make_holder)
     monitors = Monitors(cfg.name, lambda: relay.view, peers.live, pool)
     primaries = Primaries(peers.ask, monitors.monitoring_nodes)
-    router = Router(cfg.availability_zone, lambda: relay.view, peers, primaries)
+    zone = cfg.availability_zone
+    router = Router(zone, lambda: relay.view, peers, primaries, evacuations)
     request_metrics = metrics.Metrics()
     entry = Entry(relay, router, request_metrics)
     parts = (holders, relay, monitors, coordinator, admission)
@@ -105,6 +109,7 @@
         admission=admission,
         entry=entry,
         metrics=request_metrics,
+        evacuations=evacuations,
     )
 
 
@@ -112,6 +117,7 @@
     parts = [
         Part("streams", node.pool.run),
         Part("relay", node.relay.run),
+        Part("evacuations", node.evacuations.run),
         Part("holders", node.holders.run),
         Part("confirm", node.confirmers.run),
         Part("monitors", node.monitors.run),
@@ -138,7 +144,9 @@
     cfg, relay = node.cfg.administration, node.relay
     locate = partial(where_in_force, relay)
     app = admin.make_app(relay.store, relay, cfg.operators, locate)
-    operator_metrics.add_routes(app, node.metrics.summaries, node.holders.statuses)
+    operator_metrics.add_routes(
+        app, node.metrics.summaries, node.holders.statuses, node.evacuations.metrics
+    )
     limits = node.cfg.callers.header_timeout_s, drain.RUNNING_LIMIT_S
     return listening(app, cfg.host, cfg.port, *limits)
 
--- a/lavenderstack/node/monitors_test.py
+++ b/lavenderstack/node/monitors_test.py
@@ -8,8 +8,8 @@
 
 from lavenderstack.core.group_messages import PrimaryReply, PrimaryRequest
 from lavenderstack.core.routing import TermPrimary
-from lavenderstack.core.view import Group, Target, View, Vm
-from lavenderstack.node.monitors import Monitors
+from lavenderstack.core.view import EvacuationRequest, Group, Target, View, Vm
+from lavenderstack.node.monitors import VIEW_INTERVAL_S, Monitors
 from lavenderstack.node.streams import StreamPool, StreamServer
 from standins.link import open_link
 from standins.target import Limits, serve
@@ -62,6 +62,11 @@
 
         return await self.until(found)
 
+    def evacuate(self, *names):
+        """Evacuate the zones of these targets and of no others."""
+        zones = {f"z{name}": EvacuationRequest(f"z{name}") for name in names}
+        self.view = replace(self.view, evacuations=zones)
+
     def mark_leaving(self, name):
         vm = Vm(name, "z", "127.0.0.1", 1, "target", "leaving")
         self.view = replace(self.view, vms={name: vm})
@@ -150,3 +155,30 @@
             new = await cluster.new_primary_after(old)
             await cluster.until(lambda: cluster.is_followed(new))
             assert new.term > old.term
+
+
+class TestEvacuation:
+    async def test_a_primary_in_the_zone_hands_over_to_one_outside(self):
+        """Guards against a group that is refused though it has targets outside."""
+        async with monitor_cluster() as cluster:
+            old = await cluster.first_primary()
+            other = next(name for name in NAMES if name != old.target)
+            cluster.evacuate(old.target, other)
+            new = await cluster.new_primary_after(old)
+            assert new.target not in (old.target, other)
+            await cluster.until(lambda: cluster.is_followed(new))
+
+    async def test_a_lost_primary_is_not_replaced_by_a_target_in_the_zone(self):
+        """Guards against a failover into a zone that the operators want empty."""
+        async with monitor_cluster() as cluster:
+            old = await cluster.first_primary()
+            replicas = [name for name in NAMES if name != old.target]
+            cluster.evacuate(*replicas)
+            await asyncio.sleep(2 * VIEW_INTERVAL_S)
+            cluster.targets[old.target].fault("down_s", 60.0)
+            await asyncio.sleep(4.0)
+            roles = [cluster.targets[name].log.role for name in replicas]
+            assert roles == ["replica", "replica"]
+            cluster.evacuate(replicas[0])
+            new = await cluster.new_primary_after(old)
+            assert new.target == replicas[1]
--- a/lavenderstack/node/router.py
+++ b/lavenderstack/node/router.py
@@ -36,6 +36,8 @@
 from lavenderstack.node.primaries import Primaries
 from lavenderstack.node.streams import NotSent, StreamLost
 from lavenderstack.node.transactions import parse
+from lavenderstack.node.usable_primaries import UsablePrimaries
+from lavenderstack.node.zone_evacuations import ZoneEvacuations
 
 # Added to the time left of a request when waiting for the holder's own answer.
 REPLY_GRACE_S = 0.25
@@ -62,24 +64,34 @@
     """State of one request across its attempts.
 
     ``admitted`` tells whether it was charged to its organisation's rate, ``avoid``
-    has the targets that failed, and ``last`` the latest failure.
+    has the targets that failed, ``evacuated`` those whose holder refused because of an
+    evacuation, and ``last`` is the latest failure.
     """
 
     count: int = 0
     admitted: bool = False
     may_have_run: bool = False
     avoid: set[str] = field(default_factory=set)
+    evacuated: set[str] = field(default_factory=set)
     last: Failed | None = None
 
 
 class Router:
     """Routes the requests that one node's entry accepts."""
 
-    def __init__(self, zone: str, view, peers: Peers, primaries: Primaries) -> None:
+    def __init__(
+        self,
+        zone: str,
+        view,
+        peers: Peers,
+        primaries: Primaries,
+        evacuations: ZoneEvacuations,
+    ) -> None:
         self._zone = zone
         self._view = view
         self._peers = peers
         self._primaries = primaries
+        self._usable_primaries = UsablePrimaries(primaries, evacuations)
         self._budget = RetryBudget()
 
     def _group(self, name: str) -> Group:
@@ -129,13 +141,17 @@
         group_status = self._primaries.of(group.name)
         view: View = self._view()
         leaving = {t.name for t in group.targets if view.is_leaving(t.name)}
-        avoid = attempts.avoid | leaving
+        evacuated = self._usable_primaries.evacuated(group)
+        avoid = attempts.avoid | leaving | evacuated
         order = read_order(group, req.watermark, self._zone, group_status, avoid)
         return order[0] if order else None
 
     async def _primary(self, group: Group, attempts: _Attempts) -> Target | None:
-        primary = await self._primaries.find(group.name)
-        target = group.target(primary.target) if primary else None
+        try:
+            target = await self._usable_primaries.find(group, attempts.evacuated)
+        except Refused as exc:
+            attempts.last = _to_failed(exc)
+            raise _final_exception(attempts) from exc
         if target is None:
             attempts.last = _no_primary()
             attempts.count += 1
@@ -222,6 +238,8 @@
         attempts.admitted |= reply.admitted
         attempts.may_have_run |= reply.run and write
         attempts.avoid.add(target.name)
+        if reply.reason == Reason.EVACUATED:
+            attempts.evacuated.add(target.name)
         group_status = self._primaries.of(group.name)
         if reply.reason in _PRIMARY_DOUBTFUL_REASONS and group_status.leads(
             target.name
@@ -238,7 +256,8 @@
             raise _final_exception(attempts)
         if not self._budget.take():
             raise _final_exception(attempts)
-        pause = 0.0 if failed.reason == Reason.BEHIND else backoff_s(attempts.count)
+        is_elsewhere = failed.reason in (Reason.BEHIND, Reason.EVACUATED)
+        pause = 0.0 if is_elsewhere else backoff_s(attempts.count)
         await _pause(attempts, pause, req.deadline)
 
     # Transactions.
@@ -364,6 +383,15 @@
     )
 
 
+def _to_failed(exc: Refused) -> Failed:
+    return Failed(
+        run=False,
+        reason=exc.reason,
+        detail=exc.detail,
+        retry_after_s=exc.retry_after_s,
+    )
+
+
 def _no_holder(target: Target) -> Failed:
     return Failed(
         run=False,
--- a/lavenderstack/node/router_test.py
+++ b/lavenderstack/node/router_test.py
@@ -12,6 +12,7 @@
 from lavenderstack.node.primaries import Primaries
 from lavenderstack.node.router import Router
 from lavenderstack.node.streams import NotSent, StreamLost
+from lavenderstack.node.zone_evacuations_test import FakeEvacuations
 
 CALLER = Caller("lipa", "d")
 
@@ -43,7 +44,8 @@
     peers = FakePeers(answers)
     primaries = Primaries(peers.ask, lambda group: [])
     primaries.of("g").record_primary(1, primary)
-    return Router("za", lambda: view, peers, primaries), peers
+    evacuations = FakeEvacuations()
+    return Router("za", lambda: view, peers, primaries, evacuations), peers
 
 
 def request(**options):
--- a/lavenderstack/node/target_holder.py
+++ b/lavenderstack/node/target_holder.py
@@ -1,10 +1,11 @@
 """The holder of one target: its connections, its slots and its cached state.
 
-Every request passes the same checks in the same order: the target is not leaving, the
-organisation is within its rate, the target's log has reached the session's watermark,
-a slot is free, and, immediately before use, the key is still valid. Only then is
-anything sent to the target. The result is confirmed before it is returned: a write by
-a majority that stores it, a fresh read by a majority that is still in the same term.
+Every request passes the same checks in the same order: the target is not leaving and
+its zone not evacuated, the organisation is within its rate, the target's log has
+reached the session's watermark, a slot is free, and, immediately before use, the key is
+still valid and the zone still not evacuated. Only then is anything sent to the target.
+The result is confirmed before it is returned: a write by a majority that stores it, a
+fresh read by a majority that is still in the same term.
 """
 
 from contextlib import AbstractAsyncContextManager
@@ -21,6 +22,7 @@
     TargetUnreachable,
 )
 from lavenderstack.core import clock
+from lavenderstack.core.evacuation import Use
 from lavenderstack.core.messages import Begin, Begun, End, Execute, Executed
 from lavenderstack.core.outcome import (
     NO_PRIMARY_RETRY_S,
@@ -31,11 +33,13 @@
 )
 from lavenderstack.core.position import START, Position
 from lavenderstack.core.view import Group, Target, View
+from lavenderstack.node.evacuation_guard import EvacuationGuard, use_of
 from lavenderstack.node.pool import CONTROL_CONNECTIONS, Pool
 from lavenderstack.node.slots import Slots
 from lavenderstack.node.target_runner import ALREADY_APPLIED, BUSY_RETRY_S, TargetRunner
 from lavenderstack.node.target_state_cache import TargetStateCache
 from lavenderstack.node.transactions import TransactionName, Transactions
+from lavenderstack.node.zone_evacuations import ZoneEvacuations
 
 # Share of the pool's connections that open transactions may hold.
 MAX_TRANSACTION_SHARE = 0.5
@@ -75,6 +79,10 @@
     def view(self) -> View:
         """The current view of the store."""
 
+    @property
+    def evacuations(self) -> ZoneEvacuations:
+        """The evacuations in the current view."""
+
     def usable(self, now: float) -> bool:
         """Return whether the view is recent enough for requests that carry a key."""
 
@@ -103,7 +111,8 @@
         self._confirmer: ConfirmerInterface = confirmer
         limit = max(1, target.connections - CONTROL_CONNECTIONS)
         self._pool = Pool(target, group.name, limit)
-        self._runner = TargetRunner(self._pool, self.state_cache)
+        self._guard = EvacuationGuard(target, control.evacuations)
+        self._runner = TargetRunner(self._pool, self.state_cache, self._guard)
         self._slots = Slots(target.slots)
         self.transactions = Transactions()
         self._leaving_since: float | None = None
@@ -172,6 +181,7 @@
         if msg.transaction:
             return await self._execute_in_transaction(msg, deadline, admission)
         self._check_leaving(msg.write)
+        self._guard.check(use_of(msg))
         await self._admit(msg, deadline, admission)
         if msg.write:
             return await self._write(msg, deadline)
@@ -241,6 +251,7 @@
         """Open a transaction and pin it to a connection."""
         deadline = clock.now() + msg.left_s
         self._check_leaving(write=False)
+        self._guard.check(Use.PRIMARY)
         await self._control.admit(msg.organisation, deadline)
         if len(self.transactions) >= self._pool.limit * MAX_TRANSACTION_SHARE:
             raise Refused(
@@ -276,6 +287,8 @@
                 # Nothing of a transaction takes effect before its commit.
                 self.roll_back(msg.transaction)
                 raise Refused(Reason.TRANSACTION_LOST, "connection lost") from exc
+            except Refused as exc:
+                raise self._ended_if_evacuated(msg.transaction, exc) from exc
         return Executed(result=outcome.result, position=outcome.last)
 
     async def end(self, msg: End) -> Executed:
@@ -298,6 +311,10 @@
         left_s = deadline - clock.now()
         if left_s <= 0:
             raise Refused(Reason.DEADLINE, "the deadline has passed", 0.0)
+        try:
+            self._guard.check(Use.FINISH)
+        except Refused as exc:
+            raise self._ended_if_evacuated(msg.transaction, exc) from exc
         self.transactions.record_commit(msg.transaction)
         try:
             return await self._runner.await_outcome(
@@ -311,6 +328,16 @@
             self.transactions.remove(msg.transaction)
             self._pool.release(conn)
 
+    def _ended_if_evacuated(self, name: str, exc: Refused) -> Refused:
+        """Roll back a transaction whose zone is evacuated; return its refusal.
+
+        Returns ``exc`` itself if it was refused for another reason.
+        """
+        if exc.reason is not Reason.EVACUATED:
+            return exc
+        self.roll_back(name)
+        return Refused(Reason.TRANSACTION_LOST, exc.detail)
+
     def roll_back(self, name: str) -> None:
         """Roll back a transaction by closing its connection."""
         conn = self.transactions.remove(name)
@@ -342,6 +369,17 @@
             log.info("holder: transaction dropped", target=self.target.name)
             self.roll_back(name)
         self._pool.sweep(now)
+        if self._guard.is_out_of_use():
+            self._leave_zone()
+
+    def _leave_zone(self) -> None:
+        """Roll back what is open, except what still runs, and close idle connections.
+
+        A commit that was sent before the zone was evacuated still gets its answer.
+        """
+        for name in self.transactions.not_running():
+            self.roll_back(name)
+        self._pool.drop_idle()
 
     def retire(self) -> None:
         """Stop taking work; running statements keep their connections until done."""
--- a/lavenderstack/node/target_runner.py
+++ b/lavenderstack/node/target_runner.py
@@ -16,8 +16,10 @@
     TargetUnreachable,
 )
 from lavenderstack.core import clock
+from lavenderstack.core.evacuation import Use
 from lavenderstack.core.messages import Execute
 from lavenderstack.core.outcome import NO_PRIMARY_RETRY_S, Reason, Refused, Unknown
+from lavenderstack.node.evacuation_guard import EvacuationGuard, use_of
 from lavenderstack.node.pool import Pool, PoolExhausted
 from lavenderstack.node.target_state_cache import TargetStateCache
 
@@ -30,9 +32,12 @@
 class TargetRunner:
     """Runs statements on the connections of one target's pool."""
 
-    def __init__(self, pool: Pool, state_cache: TargetStateCache) -> None:
+    def __init__(
+        self, pool: Pool, state_cache: TargetStateCache, guard: EvacuationGuard
+    ) -> None:
         self._pool = pool
         self._state_cache = state_cache
+        self._guard = guard
 
     async def run(self, msg: Execute, term: int, deadline: float) -> StatementResult:
         """Run a statement on a connection of the pool."""
@@ -57,6 +62,7 @@
         left_s = deadline - clock.now()
         if left_s <= 0:
             raise Refused(Reason.DEADLINE, "the deadline has passed", 0.0)
+        self._guard.check(use_of(msg))
         running = conn.run(
             msg.statement,
             msg.args,
@@ -117,7 +123,11 @@
         except TargetRefused as exc:
             raise self.refusal(exc) from exc
         try:
+            self._guard.check(Use.PRIMARY)
             await conn.begin(term, max(0.0, deadline - clock.now()))
+        except Refused:
+            self._pool.release(conn)
+            raise
         except TargetRefused as exc:
             self._pool.release(conn)
             raise self.refusal(exc) from exc
--- a/lavenderstack/node/transactions.py
+++ b/lavenderstack/node/transactions.py
@@ -110,6 +110,10 @@
         """Return the names of transactions that timed out or lost their connection."""
         return [t.name for t in self._open.values() if _is_abandoned(t, now)]
 
+    def not_running(self) -> list[str]:
+        """Return the names of transactions that run no statement now."""
+        return [t.name for t in self._open.values() if not t.lock.locked()]
+
     def names(self) -> list[str]:
         """Return the names of all open transactions."""
         return list(self._open)
--- a/lavenderstack/tools/admin.py
+++ b/lavenderstack/tools/admin.py
@@ -1,4 +1,4 @@
-"""Operators' commands for plans, bought plans, keys, groups and the state of nodes.
+"""Operators' commands for plans, keys, groups, evacuations and the state of nodes.
 
 Usage:
   lavenderstack admin [options] plans show
@@ -11,6 +11,9 @@
   lavenderstack admin [options] groups list
   lavenderstack admin [options] groups show NAME
   lavenderstack admin [options] groups apply NAME FILE
+  lavenderstack admin [options] evacuate ZONE
+  lavenderstack admin [options] return ZONE
+  lavenderstack admin [options] evacuations
   lavenderstack admin [options] status
   lavenderstack admin [options] metrics
   lavenderstack admin [options] targets
@@ -21,14 +24,17 @@
 another operator has changed them since, "apply" changes nothing and shows what differs.
 FILE may be "-" for standard input. "keys grant" creates the key locally and prints it
 once: the service only gets its digest. "keys withdraw -" reads the key itself from
-standard input. "metrics" shows latencies and outcomes by organisation and class,
-"targets" the targets that the node holds: term, position, slots, connections.
+standard input. "evacuate" keeps statements of callers from all targets in a zone until
+"return"; "evacuations" lists the evacuated zones. "metrics" shows latencies and
+outcomes by organisation and class, "targets" the targets that the node holds: term,
+position, slots, connections.
 
 Options:
   --url URL            Address of the operators' API of any node
                        [default: $LAVENDERSTACK_URL].
   --key-file FILE      File with the operator's key, instead of $LAVENDERSTACK_KEY.
-  --revision N         The revision to replace, instead of the one in FILE.
+  --revision N         The revision to replace, instead of the one in FILE; for
+                       "return" the one to withdraw, instead of the one in force.
   --change-id ID       Repeat a change whose outcome was unknown.
   --organisation NAME  Only this organisation's keys.
   --json               Print the node's answer as JSON.
@@ -83,7 +89,8 @@
     Exit.CONFLICT: "changed by another operator; show it again, merge and apply again",
     Exit.STORED: 'stored, not yet known to be in force; check with "admin revision"',
     Exit.NOT_CHANGED: "nothing was changed; try again, or through another node",
-    Exit.MAYBE_CHANGED: "may have changed; repeat it with this --change-id",
+    Exit.MAYBE_CHANGED: "may have changed; repeat it with this --change-id, and with "
+    "--revision if one is shown",
     Exit.NO_OPERATOR: "not an operator's key; check --key-file",
 }
 
@@ -124,7 +131,9 @@
 def _send_command(client: Client, args: dict) -> Response:
     if args["keys"]:
         return _send_keys_command(client, args)
-    for name in ("status", "metrics", "targets"):
+    if args["evacuate"] or args["return"]:
+        return _send_evacuation(client, args)
+    for name in ("status", "metrics", "targets", "evacuations"):
         if args[name]:
             return client.get(f"/v1/{name}")
     if args["revision"]:
@@ -159,6 +168,25 @@
     return _grant(client, args["ORGANISATION"])
 
 
+def _send_evacuation(client: Client, args: dict) -> Response:
+    path = f"/v1/evacuations/{quote(args['ZONE'], safe='')}"
+    revision = args["--revision"]
+    if revision is not None and not revision.isdecimal():
+        raise UsageError("--revision: expected a number, as printed by evacuations")
+    if args["evacuate"]:
+        return client.change("PUT", path, {}, revision, args["--change-id"])
+    if revision is None:
+        stored = client.get(path)
+        if stored.status != 200:
+            # Nothing was sent yet that could change anything.
+            status = NOT_SENT if stored.status == NO_ANSWER else stored.status
+            return Response(status, stored.body)
+        revision = stored.body["revision"]
+    response = client.change("DELETE", path, {}, revision, args["--change-id"])
+    # A repetition must not withdraw a request that was made in between.
+    return Response(response.status, {"revision": int(revision)} | response.body)
+
+
 def _grant(client: Client, organisation: str) -> Response:
     """Create and grant a key; it is printed only if it is in the store."""
     key = keys.generate()
--- a/lavenderstack/tools/admin_client.py
+++ b/lavenderstack/tools/admin_client.py
@@ -54,6 +54,9 @@
         answer_lost = False
         for _ in range(MAX_ATTEMPTS):
             answer = self._send(method, path, body, headers)
+            if answer.status == 503 and answer_lost:
+                # This attempt changed nothing, but an earlier one may have.
+                continue
             if answer.status not in (NOT_SENT, NO_ANSWER, 504):
                 return answer
             answer_lost = answer_lost or answer.status != NOT_SENT
--- a/lavenderstack/tools/admin_test.py
+++ b/lavenderstack/tools/admin_test.py
@@ -53,6 +53,24 @@
             assert (await run("keys", "withdraw", digest))[0] == 0
             assert relay.view.keys[digest].withdrawn
 
+    async def test_a_return_is_repeated_for_the_request_that_it_was_meant_for(
+        self, capsys, monkeypatch
+    ):
+        """Guards against a repetition that withdraws another operator's request."""
+        async with self.running_command(capsys, monkeypatch) as (run, store, relay):
+            assert (await run("evacuate", "a"))[0] == admin.Exit.DONE
+            store.script = ["lost after"] * 3 + ["refused"] * 9
+            status, _, err = await run("return", "a", "--change-id", "c1", "--json")
+            assert status == admin.Exit.MAYBE_CHANGED
+            revision = str(json.loads(err.splitlines()[0])["revision"])
+            store.script = ()
+            assert (await run("evacuate", "a"))[0] == admin.Exit.DONE
+            repeated = ("return", "a", "--change-id", "c1", "--revision", revision)
+            assert (await run(*repeated))[0] == admin.Exit.CONFLICT
+            assert "a" in relay.view.evacuations
+            assert (await run("return", "a"))[0] == admin.Exit.DONE
+            assert not relay.view.evacuations
+
     @pytest.mark.parametrize(
         ("fault", "argv", "status"),
         [
@@ -64,6 +82,15 @@
             ({}, ["plans", "apply", "/no/such/file"], admin.Exit.INVALID),
             ({"key": "eve"}, ["status"], admin.Exit.NO_OPERATOR),
             ({"url": "http://127.0.0.1:1"}, ["status"], admin.Exit.NOT_CHANGED),
+            ({}, ["evacuate", "a"], 0),
+            ({"is_cut_off": True}, ["evacuate", "a"], admin.Exit.STORED),
+            ({"down": True}, ["evacuate", "a"], admin.Exit.NOT_CHANGED),
+            ({}, ["evacuate", "a", "--revision", "7"], admin.Exit.CONFLICT),
+            ({"script": ["lost before"] * 9}, ["evacuate", "a"], 5),
+            ({}, ["return", "a"], admin.Exit.INVALID),
+            ({}, ["return", "a", "--revision", "x"], admin.Exit.INVALID),
+            ({"down": True}, ["return", "a"], admin.Exit.NOT_CHANGED),
+            ({}, ["evacuations"], 0),
             ({}, ["status"], 0),
             ({}, ["revision"], 0),
             ({}, ["groups", "list"], 0),
