--- a/lavenderstack/border/operator_metrics.py
+++ b/lavenderstack/border/operator_metrics.py
@@ -1,7 +1,8 @@
 """Metrics of a running node for operators: latencies, targets held, traffic.
 
 ===================  =========================================================
-``GET /v1/metrics``  latencies and outcomes by organisation and class; traffic
+``GET /v1/metrics``  latencies and outcomes by organisation and class; traffic;
+                     evacuated zones and refusals because of them
 ``GET /v1/targets``  the targets whose connections this node holds
 ===================  =========================================================
 """
--- a/lavenderstack/node/usable_primaries_test.py
+++ b/lavenderstack/node/usable_primaries_test.py
@@ -22,7 +22,7 @@
 # Evacuated zones, what the monitors answer, request options, answers of the holders,
 # targets asked in order, whether the request is served.
 CASES = [
-    ("no replica there is chosen", ["zc"], "", {}, [done()], "b", True),
+    ("no replica there is chosen", ["zb"], "", {}, [done()], "c", True),
     ("reads fall back to the primary", ["zb", "zc"], "", {}, [done()], "a", True),
     ("a holder that knew first is left", [], "", {}, [EVACUATED, done()], "bc", True),
     ("a replaced primary is left", ["za"], "b", WRITE, [done()], "b", True),
