--- a/lavenderstack/core/events.py
+++ b/lavenderstack/core/events.py
@@ -61,6 +61,12 @@
         ("part", "exc_info"),
         "a part is restarted after an error",
     ),
+    Event(
+        "placement: assigned targets changed",
+        LineKind.STATE,
+        ("taken", "given_up"),
+        "this VM became, or is no longer, the first choice as holder of targets",
+    ),
     Event(
         "loader: store lost",
         LineKind.LIFE,
@@ -86,6 +92,25 @@
         "nothing is taken over from the store for 2.5 s, nothing claimed for 3 s; "
         "before: the last position known, ERA.REVISION",
     ),
+    Event(
+        "history: read",
+        LineKind.STATE,
+        ("changes", "known"),
+        "all changes of the store from the first one on were read when this node first "
+        "owned a group",
+    ),
+    Event(
+        "history: not read",
+        LineKind.STATE,
+        ("as_of", "reason"),
+        "who was registered before the start of this node isn't known here",
+    ),
+    Event(
+        "history: ended",
+        LineKind.STATE,
+        ("reason",),
+        "a registration may have been missed, so nothing follows from the history",
+    ),
     Event(
         "loader: record of an older era ignored",
         LineKind.STATE,
@@ -113,6 +138,12 @@
         ("key", "error"),
         "the store entry names no usable target",
     ),
+    Event(
+        "documents: target's run not understood",
+        LineKind.STATE,
+        ("key", "error"),
+        "the history of the store ends here",
+    ),
     Event(
         "documents: node not understood", LineKind.STATE, ("key", "error"), "ignored"
     ),
@@ -205,6 +236,42 @@
         ("target", "revision"),
         "the target answered that it is not the primary",
     ),
+    Event(
+        "directory: zone evacuated",
+        LineKind.LIFE,
+        ("zone", "revision", "targets"),
+        "nothing more is sent to its targets; revision: position of the request",
+    ),
+    Event(
+        "directory: evacuated zone is unknown",
+        LineKind.LIFE,
+        ("zone", "revision"),
+        "no target and no node is there; it takes effect should targets appear",
+    ),
+    Event(
+        "directory: zone returned",
+        LineKind.LIFE,
+        ("zone", "revision"),
+        "the request to evacuate it was withdrawn",
+    ),
+    Event(
+        "executor: target out of use",
+        LineKind.STATE,
+        ("target", "zone"),
+        "its zone is evacuated; this holder sends no more statements of callers",
+    ),
+    Event(
+        "executor: target in use again",
+        LineKind.STATE,
+        ("target", "zone"),
+        "its zone is not evacuated any more",
+    ),
+    Event(
+        "executor: transactions ended, zone evacuated",
+        LineKind.STATE,
+        ("target", "ended"),
+        "they were open after the grace period; rolled back here",
+    ),
     Event(
         "executor: connection discarded",
         LineKind.STATE,
@@ -376,8 +443,16 @@
     Event(
         "replacer: no replica may take over",
         LineKind.STATE,
-        ("group", "obstacle", "followers", "missing", "primary"),
-        "a commit could be lost; ``missing`` are replicas that left without a proof",
+        (
+            "group",
+            "obstacle",
+            "followers",
+            "required",
+            "missing",
+            "nodes",
+            "primary",
+        ),
+        "a commit could be lost; ``obstacle`` tells why, see OPERATIONS",
     ),
     Event(
         "replacer: primary lost",
@@ -385,6 +460,12 @@
         ("group", "lost", "chosen", "followers", "primary"),
         "a replica is being promoted",
     ),
+    Event(
+        "replacer: evacuated primary not replaced",
+        LineKind.STATE,
+        ("group", "target", "obstacle"),
+        "no replica outside of the evacuated zones can take over",
+    ),
     Event(
         "replacer: primary leaves",
         LineKind.STATE,
--- a/lavenderstack/core/events_test.py
+++ b/lavenderstack/core/events_test.py
@@ -15,6 +15,9 @@
 NODE = (
     "admitter",
     "directory",
+    "evacuated_zones",
+    "evacuation_guard",
+    "planned_failover",
     "dispatch",
     "executor",
     "active_connections",
@@ -33,8 +36,9 @@
     "token_coordinator",
     "followers",
     "zone_evacuations",
-    "evacuation_guard",
+    "holder_evacuation_guard",
     "group_monitor",
+    "holder_placement",
 )
 MODULES = [
     *(p for p in (PACKAGE / "platform").glob("*.py") if "_test" not in p.name),
--- a/lavenderstack/node/directory.py
+++ b/lavenderstack/node/directory.py
@@ -15,8 +15,10 @@
 from lavenderstack.core.catalog import Catalog, RecordedOwnership, Reserve, TargetState
 from lavenderstack.core.contention import LoadControl, is_load_controlled
 from lavenderstack.core.replica_set import Membership, ReplicaSet, TargetRun
+from lavenderstack.core.store_history import StoreHistory
 from lavenderstack.core.view import Target, View, Vm
 from lavenderstack.core.view_proof import ViewProof
+from lavenderstack.node.evacuated_zones import EvacuatedZones
 
 log = structlog.get_logger()
 
@@ -25,22 +27,26 @@
 MAX_DEPARTED = 50
 
 
-class Directory:
+class Directory(EvacuatedZones):
     """The view of one node; ``proof`` tells until when the node may act on it.
 
     ``load_control`` is the setting that tells for which groups load control is enabled.
     """
 
     def __init__(self, name: str, zone: str, proof: ViewProof) -> None:
+        super().__init__()
         self.name = name
         self.zone = zone
         self.proof = proof
         self.catalog = Catalog()
         self.view = View()
         self.targets: dict[str, TargetState] = {}
+        # How often a target was added, removed, or moved to another zone or group.
+        self.target_changes = 0
         self.ownerships: dict[str, RecordedOwnership] = {}
         self.replica_sets: dict[str, ReplicaSet] = {}
         self.reserve = Reserve()
+        self.history = StoreHistory()
         self.load_control = LoadControl.AUTO
         self._groups: dict[str, dict[str, TargetState]] = defaultdict(dict)
         # All changes of the store up to this position are known.
@@ -96,6 +102,8 @@
             self._record_departed(before, revision)
         self.targets[target.name] = state
         self._groups[group][target.name] = state
+        if before is None or before.target.zone != target.zone or before.group != group:
+            self.target_changes += 1
         if before is None or (before.leads, before.leaving) != (leads, leaving):
             log.info(
                 "directory: target changed",
@@ -136,6 +144,7 @@
             return
         del self.targets[name]
         del self._groups[state.group][name]
+        self.target_changes += 1
         self._record_departed(state, revision)
         self._not_primary_at.pop(name, None)
         log.info(
--- a/lavenderstack/node/evacuation_guard.py
+++ b/lavenderstack/node/evacuation_guard.py
@@ -1,55 +1,96 @@
-"""Keeps callers' statements from one target while its zone is evacuated.
+"""Applies evacuations at the connection holder of one target.
 
-The connection holder asks immediately before it sends a statement. Once the grace
-period of the evacuation has passed, the target is out of use: the holder closes its
-idle connections and rolls back transactions that are still open there.
+The holder decides at the moment of sending. Entry nodes use evacuations only to select
+targets, and may learn of one later than the holder.
 """
 
 import structlog
 
 from lavenderstack.core.evacuation import Use
-from lavenderstack.core.messages import Execute
+from lavenderstack.core.evacuation_routing import EVACUATED_RETRY_S, use_of
+from lavenderstack.core.messages import Failed
+from lavenderstack.core.outcome import Reason, Refused
 from lavenderstack.core.view import Target
-from lavenderstack.node.zone_evacuations import ZoneEvacuations
+from lavenderstack.core.work_messages import Work
+from lavenderstack.node.directory import Directory
+from lavenderstack.node.open_transactions import OpenTransactions
+from lavenderstack.node.target_connections import TargetConnections
 
 log = structlog.get_logger()
 
-
-def use_of(msg: Execute) -> Use:
-    """Return what a statement requires of its target."""
-    if msg.transaction:
-        return Use.OPEN
-    return Use.PRIMARY if msg.write or msg.fresh else Use.READ
+# Idle connections kept to an evacuated primary, for the service's own probes: it stays
+# the primary if nothing can replace it, and reads on replicas need its position.
+KEPT_FOR_PROBES = 1
 
 
 class EvacuationGuard:
-    """Decides for one target whether statements may be sent to it."""
+    """Refuses callers' statements for a target in an evacuated zone.
+
+    Ends what is open there once the grace period is over.
+    """
 
-    def __init__(self, target: Target, evacuations: ZoneEvacuations) -> None:
-        self._target = target
-        self._evacuations = evacuations
+    def __init__(
+        self,
+        directory: Directory,
+        connections: TargetConnections,
+        transactions: OpenTransactions,
+    ) -> None:
+        self._directory = directory
+        self._connections = connections
+        self._transactions = transactions
         self._out_of_use = False
 
-    def check(self, use: Use) -> None:
-        """Raise ``Refused`` if the statement may not be sent now.
-
-        No other task may run between this call and the first byte that is sent.
-        """
-        zone = self._target.zone
-        if not self._evacuations.may_send(zone, use):
-            raise self._evacuations.refusal(zone)
-
-    def is_out_of_use(self) -> bool:
-        """Return whether no statement of any kind may be sent; log each change."""
-        zone = self._target.zone
-        out_of_use = not self._evacuations.may_send(zone, Use.FINISH)
-        if out_of_use != self._out_of_use:
-            self._out_of_use = out_of_use
-            log.info(
-                "evacuation: target out of use"
-                if out_of_use
-                else "evacuation: target used again",
-                target=self._target.name,
-                zone=zone,
-            )
-        return out_of_use
+    def refusal(self, target: Target, work: Work, now: float) -> Failed | None:
+        """Return why work may not be sent to the target now, or None."""
+        if not self._directory.evacuations:
+            return None
+        use = use_of(work.access, work.opens, work.statement.kind, bool(work.tx))
+        if self._directory.may_send(target.zone, use, now):
+            return None
+        detail = f"zone {target.zone} is evacuated"
+        if work.tx:
+            return Failed(run=False, reason=Reason.TRANSACTION_LOST, detail=detail)
+        return Failed(
+            run=False,
+            reason=Reason.EVACUATED,
+            detail=detail,
+            retry_after_s=EVACUATED_RETRY_S,
+        )
+
+    def require_use(self, target: Target, work: Work, now: float) -> None:
+        """Raise ``Refused`` if work may not be sent to the target now."""
+        failed = self.refusal(target, work, now)
+        if failed is not None:
+            raise Refused(Reason(failed.reason), failed.detail, failed.retry_after_s)
+
+    def sweep(self, target: Target, now: float) -> None:
+        """End open transactions and close idle connections that may not be used."""
+        directory = self._directory
+        evacuated = directory.is_evacuated(target.zone)
+        if evacuated != self._out_of_use:
+            self._log_change(target, evacuated)
+        if not evacuated:
+            return
+        if not directory.may_send(target.zone, Use.OPEN, now):
+            ended = self._transactions.end_idle()
+            if ended:
+                log.info(
+                    "executor: transactions ended, zone evacuated",
+                    target=target.name,
+                    ended=ended,
+                )
+        state = directory.targets.get(target.name)
+        if state is None or not state.leads:
+            self._connections.close_unused(keep=0)
+        elif not directory.may_send(target.zone, Use.PRIMARY, now):
+            self._connections.close_unused(keep=KEPT_FOR_PROBES)
+
+    def _log_change(self, target: Target, evacuated: bool) -> None:
+        self._out_of_use = evacuated
+        log.info(
+            "executor: target out of use"
+            if evacuated
+            else "executor: target in use again",
+            target=target.name,
+            zone=target.zone,
+        )
--- a/lavenderstack/node/evacuation_guard_test.py
+++ b/lavenderstack/node/evacuation_guard_test.py
@@ -1,151 +1,119 @@
-"""Tests of a holder whose target's zone is evacuated, with simulated targets.
-
-All three targets are in zone ``z``; ``a`` is the primary.
-"""
+"""Tests of evacuations at the connection holder of a target."""
 
 import asyncio
 
 import pytest
-from structlog.testing import capture_logs
 
-from lavenderstack.core import evacuation
-from lavenderstack.core.messages import Begun, Executed
+from lavenderstack.core import clock
 from lavenderstack.core.outcome import Reason
-from lavenderstack.node import target_holder
-from lavenderstack.node.holder_test import running_holders
-from lavenderstack.node.pool import Pool
-
-
-@pytest.fixture
-def no_grace(monkeypatch):
-    monkeypatch.setattr(evacuation, "GRACE_S", 0.0)
-
-
-def evacuate(node):
-    node.control.evacuations.evacuate("z")
-
-
-def written(node):
-    entries = node.targets["a"].log.entries
-    return [change.value for entry in entries for change in entry.changes]
-
-
-async def until(condition):
-    for _ in range(10_000):
-        if condition():
-            return
-        await asyncio.sleep(0.001)
-    raise TimeoutError
-
-
-def assert_evacuated(failed):
-    assert (failed.run, failed.reason) == (False, Reason.EVACUATED)
-    assert failed.retry_after_s
-
-
-class TestStatements:
-    async def test_reads_stop_at_once_and_writes_after_the_grace_period(
+from lavenderstack.core.work_messages import Access, TransactionStart, WorkDone
+from lavenderstack.node.backend_fake import FakeConnection
+from lavenderstack.node.executor_test import COMMIT, READ, WRITE, ExecutorHarness
+
+
+def evacuate(harness, ago_s=0.0):
+    """Evacuate the zone of all targets; the node has learned it ``ago_s`` ago."""
+    harness.directory.put_evacuation("z1", 50)
+    if ago_s:
+        known = harness.directory.evacuations["z1"]
+        changed = type(known)("z1", 50, known.learned_at - ago_s, known.proved_before)
+        harness.directory._evacuations.in_force["z1"] = changed
+
+
+class TestSending:
+    async def test_a_read_that_waited_is_not_sent_after_the_evacuation(self):
+        harness = ExecutorHarness(slots=1)
+        harness.targets["t2"].work_s = 0.1
+        works = [
+            harness.run(READ, Access.AGED_READ, "t2", request=f"r{number}")
+            for number in range(3)
+        ]
+        running = [asyncio.ensure_future(work) for work in works]
+        await asyncio.sleep(0.03)
+        evacuate(harness)
+        first, *others = await asyncio.gather(*running)
+        assert isinstance(first, WorkDone)
+        assert {(one.run, one.reason) for one in others} == {(False, Reason.EVACUATED)}
+        assert others[0].retry_after_s > 0
+        assert len(harness.targets["t2"].executed) == 1
+
+    async def test_a_prepared_transaction_is_not_begun_after_the_evacuation(
         self, monkeypatch
     ):
-        """Guards against reads that go on, and writes cut before a replacement."""
-        async with running_holders() as node:
-            evacuate(node)
-            assert_evacuated(await node.run("get", "t", "k", target="b"))
-            assert isinstance(await node.put("k", 1), Executed)
-            assert node.control.admitted == 1
-            monkeypatch.setattr(evacuation, "GRACE_S", 0.0)
-            assert_evacuated(await node.put("k", 2))
-            assert_evacuated(await node.run("get", "t", "k", fresh=True))
-            assert_evacuated(await node.begin())
-            assert node.control.evacuations.refusals == 4
-            node.control.evacuations.bring_back("z")
-            assert (await node.run("get", "t", "k", fresh=True)).result == 1
-
-    @pytest.mark.parametrize("step", ["slot", "connection"])
-    async def test_a_write_that_waited_is_refused_when_it_would_be_sent(
-        self, no_grace, monkeypatch, step
+        """The connection is opened meanwhile; BEGIN would be the first statement."""
+        sent = []
+        monkeypatch.setattr(
+            FakeConnection, "send", lambda conn, commands: sent.extend(commands)
+        )
+        harness = ExecutorHarness()
+        harness.targets["t2"].connect_s = 0.05
+        work = harness.run(
+            READ, Access.AGED_READ, "t2", opens=TransactionStart.READ_ONLY
+        )
+        running = asyncio.ensure_future(work)
+        await asyncio.sleep(0.02)
+        evacuate(harness)
+        assert (await running).reason == Reason.EVACUATED
+        assert sent == []
+        assert harness.executors.open_transactions == 0
+
+    async def test_the_primary_is_used_until_the_grace_period_ends(self):
+        harness = ExecutorHarness()
+        evacuate(harness)
+        assert isinstance(await harness.run(WRITE), WorkDone)
+        evacuate(harness, ago_s=1.5)
+        answer = await harness.run(WRITE)
+        assert (answer.run, answer.reason) == (False, Reason.EVACUATED)
+        harness.directory.drop_evacuation("z1", 51)
+        assert isinstance(await harness.run(WRITE), WorkDone)
+
+    @pytest.mark.parametrize(("limit_s", "served"), [(5.0, False), (None, True)])
+    async def test_an_old_proof_stops_public_routes_only_where_a_limit_is_set(
+        self, limit_s, served
     ):
-        """Guards against statements that pass the check and are sent much later."""
-        async with running_holders() as node:
-            await node.put("k", 1)
-            waiting = asyncio.Event()
-            acquire = Pool.acquire
-
-            async def slow_acquire(pool):
-                waiting.set()
-                await asyncio.sleep(0.05)
-                return await acquire(pool)
-
-            holder = node.holders._holders["a"]
-            if step == "slot":
-                holder._slots.resize(0)
-                running = asyncio.ensure_future(node.put("k", 2))
-                await until(lambda: len(holder._slots.queue))
-            else:
-                monkeypatch.setattr(Pool, "acquire", slow_acquire)
-                running = asyncio.ensure_future(node.put("k", 2))
-                await waiting.wait()
-            evacuate(node)
-            holder._slots.resize(2)
-            assert_evacuated(await running)
-            assert (await node.run("get", "t", "k", target="b")).run is False
-            assert written(node) == [1]
-
-
-class TestTransactions:
-    @pytest.mark.parametrize("step", ["statement", "commit", "sweep"])
-    async def test_an_open_one_is_rolled_back_and_told(
-        self, no_grace, monkeypatch, step
-    ):
-        """Guards against a transaction that stays open, or whose loss isn't told."""
-        monkeypatch.setattr("lavenderstack.node.holder.SWEEP_INTERVAL_S", 0.01)
-        async with running_holders() as node:
-            name = (await node.begin()).transaction
-            done = await node.run("put", "t", "k", 1, write=True, transaction=name)
-            assert isinstance(done, Executed)
-            holder = node.holders._holders["a"]
-            if step != "sweep":
-                monkeypatch.setattr(holder, "sweep", lambda now: None)
-            evacuate(node)
-            if step == "sweep":
-                await until(lambda: not len(holder.transactions))
-            if step == "commit":
-                failed = await node.end(name)
-            else:
-                failed = await node.run(
-                    "put", "t", "k", 2, write=True, transaction=name
-                )
-            assert (failed.run, failed.reason) == (False, Reason.TRANSACTION_LOST)
-            assert len(holder.transactions) == holder._pool.in_use == 0
-            assert written(node) == []
-
-    async def test_one_that_was_begun_in_the_grace_period_can_be_committed(self):
-        """Guards against a grace period that ends transactions at its beginning."""
-        async with running_holders() as node:
-            evacuate(node)
-            begun = await node.begin()
-            assert isinstance(begun, Begun)
-            assert isinstance(await node.end(begun.transaction), Executed)
-
-
-class TestConnections:
-    async def test_idle_ones_are_closed_and_each_change_is_logged_once(self, no_grace):
-        """Guards against connections to a zone that may be switched off."""
-        async with running_holders() as node:
-            await node.put("k", 1)
-            holder = node.holders._holders["a"]
-            assert holder._pool._idle
-            evacuations = node.control.evacuations
-            with capture_logs() as logs:
-                evacuate(node)
-                for _ in range(2):
-                    holder.sweep(target_holder.clock.now())
-                assert not holder._pool._idle
-                evacuations.bring_back("z")
-                holder.sweep(target_holder.clock.now())
-            events = [line["event"] for line in logs if "target" in line["event"]]
-            assert events == [
-                "evacuation: target out of use",
-                "evacuation: target used again",
+        """Without a proof the zone may be evacuated without this node knowing it."""
+        harness = ExecutorHarness()
+        harness.directory.evacuation_limit_s = limit_s
+        harness.directory.proof.at = clock.now() - 4.9
+        answer = await harness.run(WRITE, organisation="", key_digest="")
+        assert isinstance(answer, WorkDone) is served
+        assert served or (answer.run, answer.reason) == (False, Reason.STALE_VIEW)
+
+
+class TestOpenTransactions:
+    @pytest.mark.parametrize("swept", [False, True])
+    async def test_one_that_is_open_after_the_grace_period_keeps_nothing(self, swept):
+        harness = ExecutorHarness()
+        opened = await harness.run(WRITE, opens=TransactionStart.READ_WRITE)
+        evacuate(harness)
+        assert isinstance(await harness.run(WRITE, tx=opened.tx), WorkDone)
+        evacuate(harness, ago_s=1.5)
+        executor = harness.executors.for_target("t1")
+        if swept:
+            executor.sweep(clock.now())
+        answer = await harness.run(COMMIT, tx=opened.tx)
+        assert (answer.run, answer.reason) == (False, Reason.TRANSACTION_LOST)
+        assert harness.group.acknowledged == 0
+        executor.sweep(clock.now())
+        assert harness.executors.open_transactions == 0
+
+
+class TestIdleConnections:
+    async def test_they_are_closed_and_callers_are_served_after_the_return(self):
+        harness = ExecutorHarness()
+        for target, access in (("t1", Access.WRITE), ("t2", Access.AGED_READ)):
+            works = [
+                harness.run(READ, access, target, request=f"r{number}")
+                for number in range(2)
             ]
-            assert isinstance(await node.put("k", 2), Executed)
+            await asyncio.gather(*works)
+        evacuate(harness, ago_s=1.5)
+        executors = harness.executors
+        for name in ("t1", "t2"):
+            executors.for_target(name).sweep(clock.now())
+        assert len(executors.for_target("t2").connections) == 0
+        # One is kept to the primary for the service's own probes.
+        assert len(executors.for_target("t1").connections) == 1
+        harness.directory.drop_evacuation("z1", 51)
+        answer = await harness.run(READ, Access.AGED_READ, "t2")
+        assert isinstance(answer, WorkDone)
--- a/lavenderstack/node/target_holder.py
+++ b/lavenderstack/node/target_holder.py
@@ -33,7 +33,7 @@
 )
 from lavenderstack.core.position import START, Position
 from lavenderstack.core.view import Group, Target, View
-from lavenderstack.node.evacuation_guard import EvacuationGuard, use_of
+from lavenderstack.node.holder_evacuation_guard import HolderEvacuationGuard, use_of
 from lavenderstack.node.pool import CONTROL_CONNECTIONS, Pool
 from lavenderstack.node.slots import Slots
 from lavenderstack.node.target_runner import ALREADY_APPLIED, BUSY_RETRY_S, TargetRunner
@@ -111,7 +111,7 @@
         self._confirmer: ConfirmerInterface = confirmer
         limit = max(1, target.connections - CONTROL_CONNECTIONS)
         self._pool = Pool(target, group.name, limit)
-        self._guard = EvacuationGuard(target, control.evacuations)
+        self._guard = HolderEvacuationGuard(target, control.evacuations)
         self._runner = TargetRunner(self._pool, self.state_cache, self._guard)
         self._slots = Slots(target.slots)
         self.transactions = Transactions()
--- a/lavenderstack/node/target_runner.py
+++ b/lavenderstack/node/target_runner.py
@@ -19,7 +19,7 @@
 from lavenderstack.core.evacuation import Use
 from lavenderstack.core.messages import Execute
 from lavenderstack.core.outcome import NO_PRIMARY_RETRY_S, Reason, Refused, Unknown
-from lavenderstack.node.evacuation_guard import EvacuationGuard, use_of
+from lavenderstack.node.holder_evacuation_guard import HolderEvacuationGuard, use_of
 from lavenderstack.node.pool import Pool, PoolExhausted
 from lavenderstack.node.target_state_cache import TargetStateCache
 
@@ -33,7 +33,7 @@
     """Runs statements on the connections of one target's pool."""
 
     def __init__(
-        self, pool: Pool, state_cache: TargetStateCache, guard: EvacuationGuard
+        self, pool: Pool, state_cache: TargetStateCache, guard: HolderEvacuationGuard
     ) -> None:
         self._pool = pool
         self._state_cache = state_cache
--- a/lavenderstack/platform/documents.py
+++ b/lavenderstack/platform/documents.py
@@ -36,6 +36,7 @@
 
 CATALOG_KEY = "op/config"
 TARGETS_PREFIX = "servers/"
+EVACUATIONS_PREFIX = "op/evacuate/"
 SERVICE_PREFIX = "ls/"
 NODES_PREFIX = SERVICE_PREFIX + "nodes/"
 OWNERSHIP_PREFIX = SERVICE_PREFIX + "duties/"
@@ -193,12 +194,40 @@
     return TargetReport(target, server.service, leaving, leads, server.born)
 
 
+def evacuated_zone(key: str) -> str | None:
+    """Return the zone that an entry evacuates, whatever its value is, or None."""
+    if not key.startswith(EVACUATIONS_PREFIX):
+        return None
+    return key.removeprefix(EVACUATIONS_PREFIX) or None
+
+
+class _TargetRun(msgspec.Struct):
+    service: str
+    born: int = 0
+
+
+def decode_target_run(key: str, value: bytes) -> tuple[str, TargetRun] | None:
+    """Return the group and the run of a target, whatever state it reports.
+
+    Returns None if the report is invalid.
+    """
+    try:
+        report = msgspec.json.decode(value, type=_TargetRun)
+    except msgspec.MsgspecError as exc:
+        log.info("documents: target's run not understood", key=key, error=str(exc))
+        return None
+    return report.service, TargetRun(key.removeprefix(TARGETS_PREFIX), report.born)
+
+
 class _Node(msgspec.Struct):
     zone: str
     host: str
     port: int
     leaving: bool = False
     era: int | None = None
+    capacity: float = 0.0
+    # Identifies the process; a build that doesn't write it is unknown.
+    run: str = ""
 
 
 class _Ownership(msgspec.Struct):
@@ -245,10 +274,23 @@
         return None
 
 
-def encode_node(vm: Vm, era: int) -> bytes:
-    """Return a node's registration in the format of the store."""
+def encode_node(vm: Vm, era: int, run: str = "") -> bytes:
+    """Return a node's registration in the format of the store.
+
+    ``run`` identifies its process.
+    """
     leaving = vm.state == "leaving"
-    return msgspec.json.encode(_Node(vm.zone, vm.host, vm.port, leaving, era))
+    node = _Node(vm.zone, vm.host, vm.port, leaving, era, vm.capacity, run)
+    return msgspec.json.encode(node)
+
+
+def decode_node_run(value: bytes) -> str:
+    """Return the process that a registration names, empty if it names none."""
+    try:
+        return msgspec.json.decode(value, type=_Node).run
+    except msgspec.MsgspecError:
+        # ``decode_node`` reports it.
+        return ""
 
 
 def decode_node(key: str, value: bytes) -> Vm | None:
@@ -260,7 +302,9 @@
         return None
     state = "leaving" if node.leaving else "live"
     name = key.removeprefix(NODES_PREFIX)
-    return Vm(name, node.zone, node.host, node.port, state=state)
+    return Vm(
+        name, node.zone, node.host, node.port, state=state, capacity=node.capacity
+    )
 
 
 class _Reserve(msgspec.Struct):
--- a/lavenderstack/platform/loader.py
+++ b/lavenderstack/platform/loader.py
@@ -36,6 +36,7 @@
 from lavenderstack.node.peers import Peers
 from lavenderstack.node.streams import NotSent, StreamLost
 from lavenderstack.platform import documents
+from lavenderstack.platform.history import HistoryReader
 from lavenderstack.platform.store import (
     Changes,
     HistoryGone,
@@ -74,14 +75,29 @@
 REPLY_MARGIN_S = 0.4
 
 
+def _evacuations_last(items: list[Item]) -> list[Item]:
+    """Return changes with the evacuations after the targets and nodes of their zones.
+
+    A zone of which nothing is known yet would be reported as unknown.
+    """
+    return sorted(
+        items, key=lambda item: documents.evacuated_zone(item.key) is not None
+    )
+
+
 class Loader:
     """Copies the store's entries into a directory.
 
-    ``peers`` is None if this node must always read the store itself.
+    ``peers`` is None if this node must always read the store itself. ``first_era`` is
+    the era of the store when it was empty.
     """
 
     def __init__(
-        self, store: Store, directory: Directory, peers: Peers | None = None
+        self,
+        store: Store,
+        directory: Directory,
+        peers: Peers | None = None,
+        first_era: int = 0,
     ) -> None:
         self._peers = peers
         # By node without a usable reply: the clock time until which it is not asked.
@@ -102,6 +118,7 @@
         self._listed_at = float("-inf")
         self._restores_seen = 0
         self._store_lost_at: float | None = None
+        self._history = HistoryReader(store, directory.history, first_era)
 
     def store_calls(self) -> int:
         """Return the number of calls to the store that this process has made."""
@@ -116,6 +133,8 @@
         while True:
             try:
                 await self._wait_out_restore()
+                if self._owns_a_group():
+                    await self._history.read_once(self._as_of)
                 if await self._poll_upstream():
                     continue
                 if not self._listed:
@@ -130,6 +149,12 @@
                 self._record_store_lost(exc)
                 await asyncio.sleep(RETRY_DELAY_S)
 
+    def _owns_a_group(self) -> bool:
+        """Return whether a claim of this node is in force; only owners need history."""
+        prefix = self._directory.name + "#"
+        claims = self._directory.ownerships.values()
+        return self._listed and any(one.node.startswith(prefix) for one in claims)
+
     def _needs_watch_after_listing(self) -> bool:
         """Return whether the store must prove the view now rather than another node.
 
@@ -161,6 +186,7 @@
             return
         self._restores_seen = era.restores
         self._listed = False
+        self._history.end("the store was restored from a copy")
         log.warning(
             "loader: store restored from a copy",
             before=format_position(self._as_of),
@@ -228,9 +254,10 @@
             Item(entry.key, entry.revision, entry.data, deleted=entry.deleted)
             for entry in reply.entries
         ]
-        for item in items:
+        for item in _evacuations_last(items):
             self._apply(item)
         if reply.whole:
+            self._history.end("all entries were received anew")
             for key in self._entries.keys() - {item.key for item in items}:
                 self._apply(Item(key=key, rev=reply.as_of, deleted=True))
         self._advance_revision(reply.as_of)
@@ -286,17 +313,24 @@
         # A store that refuses every watch must not be asked for listings all the time.
         await asyncio.sleep(self._listed_at + RETRY_DELAY_S - clock.now())
         self._listed_at = sent_at = clock.now()
+        self._history.end("all entries are listed anew")
         page = await self._store.list("")
         as_of, is_snapshot = page.as_of, not page.has_more
         seen: set[str] = set()
+        evacuations: list[Item] = []
         while True:
             self._record_store_answer()
             for item in page.items:
                 seen.add(item.key)
-                self._apply(item)
+                if documents.evacuated_zone(item.key) is None:
+                    self._apply(item)
+                else:
+                    evacuations.append(item)
             if not page.has_more or not page.items:
                 break
             page = await self._store.list("", after=page.items[-1].key)
+        for item in evacuations:
+            self._apply(item)
         for key in self._entries.keys() - seen:
             self._apply(Item(key=key, rev=as_of, deleted=True))
         # Changes before the first page can only be passed on as a whole listing. Those
@@ -327,12 +361,15 @@
         self._advance_revision(changes.as_of)
         if len(changes.events) <= MAX_EVENTS:
             self._prove(sent_at)
+        else:
+            self._history.end("an answer may be truncated")
 
     def _apply(self, item: Item) -> None:
         """Apply a change unless a later one of the same entry is known."""
         if item.rev <= self._revisions.get(item.key, 0):
             return
         self._record_position(item)
+        self._history.record(item)
         if len(self._recent) == MAX_RECENT_CHANGES:
             self._recent_after = max(self._recent_after, self._recent[0].rev)
         try:
@@ -349,7 +386,10 @@
             self._remove(item)
             return
         self._entries[item.key] = item
-        if data is not None:
+        zone = documents.evacuated_zone(item.key)
+        if zone is not None:
+            self._directory.put_evacuation(zone, item.rev)
+        elif data is not None:
             self._put(item, data)
 
     def _record_position(self, item: Item) -> None:
@@ -445,6 +485,8 @@
         elif key.startswith(documents.REPLICAS_PREFIX):
             group = key.removeprefix(documents.REPLICAS_PREFIX)
             directory.drop_replica_set(group, item.rev)
+        elif (zone := documents.evacuated_zone(key)) is not None:
+            directory.drop_evacuation(zone, item.rev)
 
     def _member_removed(self, key: str, rev: int) -> None:
         """Drop a node; wait first if this node's own registration has ended as well."""
--- a/lavenderstack/platform/main.py
+++ b/lavenderstack/platform/main.py
@@ -21,6 +21,7 @@
 from lavenderstack.core.log_rate_limit import LogRateLimiter
 from lavenderstack.core.members import Members
 from lavenderstack.core.messages import Message
+from lavenderstack.core.placement import capacity
 from lavenderstack.core.position_history import PositionHistory
 from lavenderstack.core.view import Vm
 from lavenderstack.core.view_proof import ViewProof
@@ -38,6 +39,7 @@
 from lavenderstack.node.directory import Directory
 from lavenderstack.node.dispatch import Dispatcher
 from lavenderstack.node.executors import Executors
+from lavenderstack.node.holder_placement import HolderPlacement
 from lavenderstack.node.peers import Peers
 from lavenderstack.node.primary_positions import PrimaryPositions
 from lavenderstack.node.replacer import Replacer
@@ -107,14 +109,35 @@
     parse_replication_status = staticmethod(targets.parse_replication_status)
 
 
+def _apply_evacuation_settings(directory: Directory, cfg: Settings) -> None:
+    limit_ms = cfg.evacuation_limit_ms
+    directory.evacuation_limit_s = None if limit_ms is None else limit_ms / 1000
+    directory.orders_per_s = cfg.orders_per_s
+
+
+def _capacity(cfg: Settings) -> float:
+    """Return the statements a second that this VM can pass on, 0 if unknown."""
+    if cfg.cores is None or cfg.core_share is None or cfg.link_mbps is None:
+        return 0.0
+    return capacity(cfg.cores * cfg.core_share, cfg.link_mbps)
+
+
 def build(cfg: Settings, metadata_store: store.Store, orders: PlatformOrders) -> Node:
     """Create the parts of a node and connect them."""
     proof = ViewProof(cfg.withdrawn_key_limit_ms / 1000)
     directory = Directory(cfg.name, cfg.availability_zone, proof)
     directory.load_control = cfg.load_control
-    vm = Vm(cfg.name, cfg.availability_zone, cfg.host, cfg.peers_port)
+    _apply_evacuation_settings(directory, cfg)
+    vm = Vm(
+        cfg.name,
+        cfg.availability_zone,
+        cfg.host,
+        cfg.peers_port,
+        capacity=_capacity(cfg),
+    )
     pool = StreamPool(STREAM_LIMITS)
     peers = Peers(cfg.name, lambda: directory.view, pool, Members(cfg.name))
+    peers.assigned_to = HolderPlacement(directory).assigned_to
     executors: Executors
 
     def local_positions(group: str) -> PositionHistory | None:
@@ -136,6 +159,7 @@
     counters = Counters()
     dispatcher = Dispatcher(directory, peers, counters)
     registration = Registration(metadata_store, vm)
+    executors.run_id = registration.identity
     admitter = Admitter(directory, peers, registration)
     replacer = Replacer(directory, peers, backend, registration, orders, counters)
 
@@ -143,7 +167,7 @@
         directory.record_primary(msg.group, msg.target)
         return LeadAcknowledged()
 
-    loader = Loader(metadata_store, directory, peers)
+    loader = Loader(metadata_store, directory, peers, cfg.first_store_era)
     handlers = {
         ChangesRequest: loader.handle_changes_request,
         LeadTaken: lead_taken,
@@ -215,6 +239,14 @@
         "executors", "Targets held here", lambda: len(executors.target_executors)
     )
     counters.gauge("nodes", "Nodes known", lambda: len(directory.view.vms))
+    counters.gauge(
+        "evacuated_zones", "Zones evacuated", lambda: len(directory.evacuations)
+    )
+    counters.gauge(
+        "history_known",
+        "1 if all that were ever registered in the store are known",
+        lambda: int(directory.history.known),
+    )
     counters.gauge("store_calls", "Calls of the store", node.loader.store_calls)
     counters.gauge(
         "store_restores",
@@ -291,6 +323,7 @@
     ]
     node.directory.proof.limit_s = cfg.withdrawn_key_limit_ms / 1000
     node.directory.load_control = cfg.load_control
+    _apply_evacuation_settings(node.directory, cfg)
     log.info("node: settings read", changed=changed)
 
 
--- a/tests/evacuation_test.py
+++ b/tests/evacuation_test.py
@@ -1,111 +1,89 @@
-"""A test of a whole service, as processes on loopback, whose zone is evacuated."""
+"""A real evacuation under load: node processes with stand-ins around them."""
 
 import asyncio
-import itertools
-from contextlib import asynccontextmanager
-
-from standins.caller import Caller
-from standins.cluster import Cluster, eventually
-from tests.whole_test import service
-
-# Keeps the targets' records of calls within what they store.
-PAUSE_S = 0.03
-STATEMENTS = ("run", "begin", "commit")
-
-
-async def change(cluster: Cluster, method: str, zone: str, **headers: str) -> int:
-    """Evacuate or return a zone through the first node; return the revision."""
-    node = next(iter(cluster.nodes.values()))
-    url = f"http://127.0.0.1:{node.admin_port}/v1/evacuations/{zone}"
-    headers["Authorization"] = f"Bearer {cluster.operator_key}"
-    async with cluster.http.request(method, url, headers=headers) as resp:
-        assert resp.status == 200, await resp.text()
-        return (await resp.json())["revision"]
-
-
-async def statements(cluster: Cluster, target: str) -> int:
-    """Return how many statements of callers a target has received."""
-    calls = (await cluster.target_snapshot(target))["calls"]
-    return sum(calls.get(method, 0) for method in STATEMENTS)
-
-
-async def metric(cluster: Cluster, name: str) -> int:
-    """Return a gauge or counter of the first node."""
-    node = next(iter(cluster.nodes.values()))
-    url = f"http://127.0.0.1:{node.admin_port}/v1/metrics"
-    headers = {"Authorization": f"Bearer {cluster.operator_key}"}
-    async with cluster.http.get(url, headers=headers) as resp:
-        return (await resp.json())[name]
-
-
-@asynccontextmanager
-async def load(svc):
-    """Write and read through every node until the block ends; give the reads."""
-    reads = []
-
-    async def write(node):
-        while True:
-            await svc.book(node)
-            await asyncio.sleep(PAUSE_S)
-
-    async def read(node):
-        caller = Caller(svc.caller.http, svc.cluster.keys["south"])
-        for _ in itertools.count():
-            port = svc.port(node)
-            reply = await caller.run(port, svc.group, "get", "bay", "booking-1")
-            reads.append(reply)
-            await asyncio.sleep(PAUSE_S)
-
-    work = [job(node) for node in svc.nodes() for job in (write, read)]
-    tasks = [asyncio.create_task(one) for one in work]
-    try:
-        yield reads
-    finally:
-        for task in tasks:
-            task.cancel()
-        results = await asyncio.gather(*tasks, return_exceptions=True)
-    assert all(isinstance(r, asyncio.CancelledError) for r in results)
+import random
+
+import pytest
+
+from bench import soak_checks
+from bench.soak_callers import Caller
+from bench.soak_fleet import run_fleet
+from bench.soak_record import DONE
+from bench.soak_time_checks import EVACUATION_LIMIT_S
+from lavenderstack.core import clock
+
+CALLERS = 10
+LIMIT_S = 15.0
+
+
+async def wait_until(condition):
+    deadline = clock.now() + LIMIT_S
+    while not condition():
+        assert clock.now() < deadline, "condition not met in time"
+        await asyncio.sleep(0.05)
+
+
+def primaries_in(fleet, zone):
+    groups = fleet.groups.values()
+    return [one for one in groups if one.targets[one.leader].zone == zone]
+
+
+def runs_in(fleet, zone):
+    """Return what callers ran on the targets of a zone."""
+    return [
+        run
+        for group in fleet.groups.values()
+        for run in group.runs
+        if run.request and fleet.record.zones[run.target] == zone
+    ]
+
+
+def committed(fleet, since):
+    """Return the groups that acknowledged a commit sent after a time."""
+    return {
+        request.database.group
+        for request in fleet.record.acknowledged()
+        if request.sent_at > since
+    }
 
 
 class TestEvacuation:
-    async def test_a_zone_is_left_under_load_and_used_again(self, tmp_path):
-        """Guards against lost writes, and statements sent to an evacuated zone."""
-        async with service(tmp_path, "studio") as svc, load(svc) as reads:
-            cluster = svc.cluster
-            old = await cluster.primary(svc.group)
-            zone = svc.zone_of(old)
-            revision = await change(cluster, "PUT", zone)
-
-            async def is_replaced():
-                return await cluster.primary(svc.group) != old
-
-            async def is_out_of_use():
-                logs = [(cluster.folder / f"{n}.log").read_text() for n in svc.nodes()]
-                return any("evacuation: target out of use" in text for text in logs)
-
-            await eventually(is_replaced)
-            await eventually(is_out_of_use)
-            received = await statements(cluster, old)
-            done, served = len(svc.done), len(reads)
-
-            async def is_served_on():
-                return len(svc.done) > done + 100 and len(reads) > served + 100
-
-            await eventually(is_served_on)
-            assert await statements(cluster, old) == received
-            assert await metric(cluster, "evacuated_zones") == 1
-            assert svc.unanswered == []
-            refused = [reply.reason for reply in svc.refusals]
-            assert all(reply.retry_after_s for reply in svc.refusals), refused
-            # The rate of an organisation is shared out while the test begins.
-            assert {r.reason for r in reads if r.outcome != "done"} <= {"over_rate"}
-            await change(cluster, "DELETE", zone, **{"If-Match": str(revision)})
-
-            async def is_used_again():
-                return await statements(cluster, old) > received
-
-            await eventually(is_used_again)
-            for node in svc.nodes():
-                log = (cluster.folder / f"{node}.log").read_text()
-                assert log.count("evacuation: zone evacuated") == 1
-                assert log.count("evacuation: zone returned") == 1
+    @pytest.mark.parametrize("seed", [3])
+    async def test_callers_are_served_on_outside_and_nothing_is_lost(
+        self, tmp_path, seed
+    ):
+        async with run_fleet(tmp_path, seed, 3, 2) as fleet:
+            callers = [
+                Caller(fleet, "wide", random.Random(number), 0.03)
+                for number in range(CALLERS)
+            ]
+            tasks = [asyncio.ensure_future(caller.run()) for caller in callers]
+            try:
+                group = fleet.groups["g1"]
+                zone = group.targets[group.leader].zone
+                await wait_until(lambda: runs_in(fleet, zone))
+
+                span = fleet.operator.evacuate(zone)
+                await wait_until(lambda: not primaries_in(fleet, zone))
+                moved_at = clock.now()
+                await wait_until(lambda: committed(fleet, moved_at) == {"g1", "g2"})
+                await asyncio.sleep(EVACUATION_LIMIT_S)
+                last_at = max(run.at for run in runs_in(fleet, zone))
+                assert last_at < span.acked_at + EVACUATION_LIMIT_S
+                served = [
+                    one
+                    for one in fleet.record.requests
+                    if one.sent_at > moved_at and one.ended_at is not None
+                ]
+                share = sum(one.outcome == DONE for one in served) / len(served)
+                assert share > 0.9
+
+                fleet.operator.give_back(span)
+                await wait_until(
+                    lambda: any(run.at > span.end for run in runs_in(fleet, zone))
+                )
+                assert soak_checks.violations(fleet.record.snapshot()) == []
+            finally:
+                for task in tasks:
+                    task.cancel()
+                await asyncio.gather(*tasks, return_exceptions=True)
