Keep evacuations and their rules once for both ways of deployment

core/known_evacuations.py and core/evacuations.py kept the same state; the nodes of the product's own deployment now use Evacuations too. A zone that a view no longer has is dropped at the revision of its request, not of the view: the view's revision may be later than that of a new request that is still on its way, which would then be taken for an outdated one. prospect() decides for both who is refused at once; it takes the zones of a group, since the two ways describe targets by different types. The time to retry, the log lines and the wording for a change have one place each (node/evacuation_log.py).

Two behaviours change. A request that is renewed while its zone is evacuated is no longer logged again over HTTP, as on the platform: nothing changes on the node. On the platform, "target out of use" is written when nothing more may be sent, so after the grace period; before, it was written while writes were still sent to the primary.

use_of() stays in two places: it maps Execute there and Work here.

--- a/lavenderstack/core/evacuation_routing.py
+++ b/lavenderstack/core/evacuation_routing.py
@@ -1,6 +1,7 @@
 """What the evacuations that a node knows mean for a statement and its group."""
 
 from collections.abc import Collection, Mapping
+from dataclasses import dataclass
 from enum import Enum, auto
 
 from lavenderstack.core.catalog import TargetState
@@ -9,7 +10,8 @@
 from lavenderstack.core.view_proof import MARGIN_S
 from lavenderstack.core.work_messages import Access, TransactionStart
 
-# Told to callers when only an operator or a new target can end the refusal.
+# Told to callers as the time to retry. A planned replacement takes about this time;
+# where only an operator or a new target can end the refusal, it is a guess.
 EVACUATED_RETRY_S = 1.0
 
 
@@ -57,34 +59,54 @@
     return limit_s is None or age_s <= limit_s - MARGIN_S
 
 
+@dataclass(frozen=True, slots=True)
+class GroupZones:
+    """The zones of a group's targets, of its primary, and of what may take over.
+
+    ``primary`` is None if the primary is unknown.
+    """
+
+    targets: Collection[str]
+    primary: str | None
+    candidates: Collection[str]
+
+
 def prospect(
-    targets: Collection[TargetState],
-    primary: TargetState | None,
+    zones: GroupZones,
     evacuations: Mapping[str, Evacuation],
     use: Use,
     now: float,
     limit_s: float | None,
 ) -> Prospect:
-    """Return what to do with a statement for a group with these targets.
-
-    ``primary`` is the group's primary, None if it is unknown.
-    """
-    if not evacuations or not targets:
+    """Return what to do with a statement for a group with targets in these zones."""
+    if not evacuations or not zones.targets:
         return Prospect.SERVE
-    outside = [one for one in targets if one.target.zone not in evacuations]
-    if use is Use.READ or primary is None:
-        return Prospect.SERVE if outside else Prospect.REFUSE
-    evacuation = evacuations.get(primary.target.zone)
-    if may_send(evacuation, use, now, limit_s):
+    if use is Use.READ or zones.primary is None:
+        is_outside = _any_outside(zones.targets, evacuations)
+        return Prospect.SERVE if is_outside else Prospect.REFUSE
+    if may_send(evacuations.get(zones.primary), use, now, limit_s):
         return Prospect.SERVE
-    return Prospect.WAIT if has_candidate(outside, evacuations) else Prospect.REFUSE
+    can_move = _any_outside(zones.candidates, evacuations)
+    return Prospect.WAIT if can_move else Prospect.REFUSE
+
+
+def zones_of(
+    targets: Collection[TargetState], primary: TargetState | None
+) -> GroupZones:
+    """Return the zones of a group; replicas that aren't leaving may take over."""
+    return GroupZones(
+        {one.target.zone for one in targets},
+        primary.target.zone if primary else None,
+        {one.target.zone for one in targets if not one.leads and not one.leaving},
+    )
+
+
+def _any_outside(zones: Collection[str], evacuations: Mapping[str, Evacuation]) -> bool:
+    return any(zone not in evacuations for zone in zones)
 
 
 def has_candidate(
     targets: Collection[TargetState], evacuations: Mapping[str, Evacuation]
 ) -> bool:
     """Return whether a replica outside of every evacuated zone could take over."""
-    return any(
-        not one.leads and not one.leaving and one.target.zone not in evacuations
-        for one in targets
-    )
+    return _any_outside(zones_of(targets, None).candidates, evacuations)
--- a/lavenderstack/core/evacuation_test.py
+++ b/lavenderstack/core/evacuation_test.py
@@ -17,6 +17,7 @@
     is_proof_recent,
     prospect,
     use_of,
+    zones_of,
 )
 from lavenderstack.core.evacuations import Evacuations, Turns
 from lavenderstack.core.statement import StatementKind
@@ -119,7 +120,8 @@
     )
     def test_it_follows_from_the_targets_outside(self, targets, use, now, expected):
         primary = next((one for one in targets if one.leads), None)
-        found = prospect(targets, primary, {"a": KNOWN}, use, now, LIMIT_S)
+        zones = zones_of(targets, primary)
+        found = prospect(zones, {"a": KNOWN}, use, now, LIMIT_S)
         assert found is expected
 
 
--- a/lavenderstack/core/events_test.py
+++ b/lavenderstack/core/events_test.py
@@ -16,6 +16,7 @@
     "admitter",
     "directory",
     "evacuated_zones",
+    "evacuation_log",
     "evacuation_guard",
     "planned_failover",
     "dispatch",
--- a/lavenderstack/node/evacuated_zones.py
+++ b/lavenderstack/node/evacuated_zones.py
@@ -5,16 +5,13 @@
 
 from collections.abc import Mapping
 
-import structlog
-
 from lavenderstack.core import clock, evacuation, evacuation_routing
 from lavenderstack.core.catalog import TargetState
 from lavenderstack.core.evacuation import Evacuation, Use
 from lavenderstack.core.evacuations import Evacuations, Turns
 from lavenderstack.core.view import View
 from lavenderstack.core.view_proof import ViewProof
-
-log = structlog.get_logger()
+from lavenderstack.node.evacuation_log import log_evacuated, log_returned
 
 DEFAULT_ORDERS_PER_S = 50.0
 
@@ -47,23 +44,14 @@
         if not self._evacuations.put(zone, revision, clock.now(), self.proof.at):
             return
         targets = sum(one.target.zone == zone for one in self.targets.values())
-        if targets or any(vm.zone == zone for vm in self.view.vms.values()):
-            log.warning(
-                "directory: zone evacuated",
-                zone=zone,
-                revision=revision,
-                targets=targets,
-            )
-        else:
-            log.warning(
-                "directory: evacuated zone is unknown", zone=zone, revision=revision
-            )
+        nodes = sum(vm.zone == zone for vm in self.view.vms.values())
+        log_evacuated(zone, revision, targets, nodes)
         self._signal_change()
 
     def drop_evacuation(self, zone: str, revision: int) -> None:
         """Record that the request to evacuate a zone was deleted at ``revision``."""
         if self._evacuations.drop(zone, revision):
-            log.warning("directory: zone returned", zone=zone, revision=revision)
+            log_returned(zone, revision)
             self._signal_change()
 
     def is_evacuated(self, zone: str) -> bool:
--- a/lavenderstack/node/evacuation_guard.py
+++ b/lavenderstack/node/evacuation_guard.py
@@ -13,6 +13,7 @@
 from lavenderstack.core.view import Target
 from lavenderstack.core.work_messages import Work
 from lavenderstack.node.directory import Directory
+from lavenderstack.node.evacuation_log import TargetUseLog
 from lavenderstack.node.open_transactions import OpenTransactions
 from lavenderstack.node.target_connections import TargetConnections
 
@@ -38,7 +39,7 @@
         self._directory = directory
         self._connections = connections
         self._transactions = transactions
-        self._out_of_use = False
+        self._use_log = TargetUseLog()
 
     def refusal(self, target: Target, work: Work, now: float) -> Failed | None:
         """Return why work may not be sent to the target now, or None."""
@@ -66,12 +67,11 @@
     def sweep(self, target: Target, now: float) -> None:
         """End open transactions and close idle connections that may not be used."""
         directory = self._directory
-        evacuated = directory.is_evacuated(target.zone)
-        if evacuated != self._out_of_use:
-            self._log_change(target, evacuated)
-        if not evacuated:
+        out_of_use = not directory.may_send(target.zone, Use.OPEN, now)
+        self._use_log.record(target, out_of_use)
+        if not directory.is_evacuated(target.zone):
             return
-        if not directory.may_send(target.zone, Use.OPEN, now):
+        if out_of_use:
             ended = self._transactions.end_idle()
             if ended:
                 log.info(
@@ -84,13 +84,3 @@
             self._connections.close_unused(keep=0)
         elif not directory.may_send(target.zone, Use.PRIMARY, now):
             self._connections.close_unused(keep=KEPT_FOR_PROBES)
-
-    def _log_change(self, target: Target, evacuated: bool) -> None:
-        self._out_of_use = evacuated
-        log.info(
-            "executor: target out of use"
-            if evacuated
-            else "executor: target in use again",
-            target=target.name,
-            zone=target.zone,
-        )
--- a/lavenderstack/node/evacuation_refusals.py
+++ b/lavenderstack/node/evacuation_refusals.py
@@ -9,6 +9,7 @@
     EVACUATED_RETRY_S,
     Prospect,
     prospect,
+    zones_of,
 )
 from lavenderstack.core.messages import Failed
 from lavenderstack.core.outcome import NO_PRIMARY_RETRY_S, Reason
@@ -47,8 +48,7 @@
     if not directory.evacuations:
         return Prospect.SERVE
     return prospect(
-        directory.group(group),
-        directory.primary(group),
+        zones_of(directory.group(group), directory.primary(group)),
         directory.evacuations,
         use,
         now,
--- a/lavenderstack/node/group_monitor.py
+++ b/lavenderstack/node/group_monitor.py
@@ -31,7 +31,7 @@
     TimedOut,
     follow_actions,
 )
-from lavenderstack.core.routing import TermPrimary
+from lavenderstack.core.routing import TermPrimary, targets_in_zones
 from lavenderstack.core.view import Group
 from lavenderstack.node.target_link import CommandResult, ProbeCommand, TargetLink
 
@@ -78,7 +78,7 @@
     def set_evacuated(self, zones: Collection[str]) -> None:
         """Set which zones are evacuated; none of their targets is made primary."""
         targets = self.group.targets
-        evacuated = frozenset(t.name for t in targets if t.zone in zones)
+        evacuated = frozenset(targets_in_zones(self.group, zones))
         if evacuated == self.detector.evacuated:
             return
         self.detector.evacuated = evacuated
--- a/lavenderstack/node/holder_evacuation_guard.py
+++ b/lavenderstack/node/holder_evacuation_guard.py
@@ -5,15 +5,12 @@
 idle connections and rolls back transactions that are still open there.
 """
 
-import structlog
-
 from lavenderstack.core.evacuation import Use
 from lavenderstack.core.messages import Execute
 from lavenderstack.core.view import Target
+from lavenderstack.node.evacuation_log import TargetUseLog
 from lavenderstack.node.zone_evacuations import ZoneEvacuations
 
-log = structlog.get_logger()
-
 
 def use_of(msg: Execute) -> Use:
     """Return what a statement requires of its target."""
@@ -28,7 +25,7 @@
     def __init__(self, target: Target, evacuations: ZoneEvacuations) -> None:
         self._target = target
         self._evacuations = evacuations
-        self._out_of_use = False
+        self._use_log = TargetUseLog()
 
     def check(self, use: Use) -> None:
         """Raise ``Refused`` if the statement may not be sent now.
@@ -37,19 +34,11 @@
         """
         zone = self._target.zone
         if not self._evacuations.may_send(zone, use):
-            raise self._evacuations.refusal(zone)
+            raise self._evacuations.refusal(f"zone {zone} is evacuated")
 
     def is_out_of_use(self) -> bool:
         """Return whether no statement of any kind may be sent; log each change."""
         zone = self._target.zone
         out_of_use = not self._evacuations.may_send(zone, Use.FINISH)
-        if out_of_use != self._out_of_use:
-            self._out_of_use = out_of_use
-            log.info(
-                "evacuation: target out of use"
-                if out_of_use
-                else "evacuation: target used again",
-                target=self._target.name,
-                zone=zone,
-            )
+        self._use_log.record(self._target, out_of_use)
         return out_of_use
--- a/lavenderstack/node/usable_primaries.py
+++ b/lavenderstack/node/usable_primaries.py
@@ -6,7 +6,9 @@
 
 from collections.abc import Collection
 
+from lavenderstack.core import clock
 from lavenderstack.core.evacuation import Use
+from lavenderstack.core.evacuation_routing import GroupZones, Prospect, prospect
 from lavenderstack.core.routing import targets_in_zones
 from lavenderstack.core.view import Group, Target
 from lavenderstack.node.primaries import Primaries
@@ -22,7 +24,7 @@
 
     def evacuated(self, group: Group) -> set[str]:
         """Return the names of a group's targets in evacuated zones."""
-        return targets_in_zones(group, self._evacuations.zones())
+        return targets_in_zones(group, self._evacuations.in_force())
 
     async def find(self, group: Group, refused: Collection[str]) -> Target | None:
         """Return a group's primary, None if it isn't known at the moment.
@@ -33,24 +35,30 @@
         passed.
         """
         target = await self._known(group)
-        if target is None:
-            if len(self.evacuated(group)) == len(group.targets):
-                raise self._evacuations.refusal(group.targets[0].zone)
-            return None
-        if not self._is_out_of_use(target, refused):
-            return target
-        if len(self.evacuated(group)) < len(group.targets):
+        outlook = self._prospect(group, target, refused)
+        if outlook is Prospect.WAIT:
             self._primaries.of(group.name).primary_uncertain = True
-            replacement = await self._known(group)
-            if replacement and not self._is_out_of_use(replacement, refused):
-                return replacement
-        raise self._evacuations.refusal(target.zone)
+            target = await self._known(group)
+            outlook = self._prospect(group, target, refused)
+        if outlook is Prospect.SERVE:
+            return target
+        zone = target.zone if target else group.targets[0].zone
+        raise self._evacuations.refusal(f"zone {zone} is evacuated")
 
     async def _known(self, group: Group) -> Target | None:
         primary = await self._primaries.find(group.name)
         return group.target(primary.target) if primary else None
 
-    def _is_out_of_use(self, target: Target, refused: Collection[str]) -> bool:
-        if target.name in refused:
-            return True
-        return not self._evacuations.may_send(target.zone, Use.PRIMARY)
+    def _prospect(
+        self, group: Group, primary: Target | None, refused: Collection[str]
+    ) -> Prospect:
+        evacuations = self._evacuations.in_force()
+        zones = GroupZones(
+            {target.zone for target in group.targets},
+            primary.zone if primary else None,
+            {target.zone for target in group.targets if target is not primary},
+        )
+        found = prospect(zones, evacuations, Use.PRIMARY, clock.now(), limit_s=None)
+        if found is Prospect.SERVE and primary and primary.name in refused:
+            return Prospect.WAIT
+        return found
--- a/lavenderstack/node/zone_evacuations.py
+++ b/lavenderstack/node/zone_evacuations.py
@@ -5,23 +5,22 @@
 no statement needs a decision, so that the grace period starts then and not later.
 """
 
+import math
+from collections.abc import Mapping
 from typing import Protocol
 
-import structlog
-
 from lavenderstack.core import clock
 from lavenderstack.core.documents import EVACUATIONS_FOLDER, Snapshot
 from lavenderstack.core.evacuation import Evacuation, Use, may_send
-from lavenderstack.core.known_evacuations import KnownEvacuations
+from lavenderstack.core.evacuation_routing import EVACUATED_RETRY_S
+from lavenderstack.core.evacuations import Evacuations
 from lavenderstack.core.outcome import Reason, Refused
 from lavenderstack.core.view import View
 from lavenderstack.core.view_freshness import ViewFreshness
+from lavenderstack.node.evacuation_log import log_evacuated, log_returned
 
-# Told to callers as the time to retry: the primary is replaced within about this time.
-EVACUATED_RETRY_S = 1.0
 POLL_INTERVAL_S = 1.0
-
-log = structlog.get_logger()
+LONG_AGO = -math.inf
 
 
 class SnapshotSource(Protocol):
@@ -40,32 +39,27 @@
     def __init__(self, relay: SnapshotSource) -> None:
         self.refusals = 0
         self._relay = relay
-        self._known = KnownEvacuations()
+        self._known = Evacuations()
         self._applied: View | None = None
+        self._proved_at = LONG_AGO
 
-    def of(self, zone: str) -> Evacuation | None:
-        """Return the evacuation of a zone, None if it isn't evacuated."""
-        self._take_over()
-        return self._known.of(zone)
-
-    def zones(self) -> frozenset[str]:
-        """Return the evacuated zones."""
+    def in_force(self) -> Mapping[str, Evacuation]:
+        """Return the evacuations in force, by zone."""
         self._take_over()
-        return self._known.zones()
+        return self._known.in_force
 
     def may_send(self, zone: str, use: Use) -> bool:
         """Return whether a statement may be sent to a target in a zone now."""
-        return may_send(self.of(zone), use, clock.now(), limit_s=None)
+        return may_send(self.in_force().get(zone), use, clock.now(), limit_s=None)
 
-    def refusal(self, zone: str) -> Refused:
-        """Return the refusal of a statement for an evacuated zone, and count it."""
+    def refusal(self, detail: str) -> Refused:
+        """Return the refusal of a statement because of an evacuation, and count it."""
         self.refusals += 1
-        detail = f"zone {zone} is evacuated"
         return Refused(Reason.EVACUATED, detail, EVACUATED_RETRY_S)
 
     def metrics(self) -> dict[str, int]:
         """Return the gauge of evacuated zones and the counter of refusals."""
-        zones = len(self.zones())
+        zones = len(self.in_force())
         return {"evacuated_zones": zones, "evacuation_refusals": self.refusals}
 
     async def run(self) -> None:
@@ -76,37 +70,29 @@
 
     def _take_over(self) -> None:
         snapshot = self._relay.snapshot
-        view, applied = snapshot.view, self._applied
-        if view is applied or not snapshot.revision:
+        view = snapshot.view
+        if view is self._applied or not snapshot.revision:
             return
+        is_first = self._applied is None
         self._applied = view
-        entries = snapshot.entries
-        revisions = {
-            zone: entries[EVACUATIONS_FOLDER + zone].revision
-            for zone in view.evacuations
-        }
-        proved_at = self._relay.freshness.current_at
-        changes = self._known.update(revisions, clock.now(), proved_at)
-        for evacuation in changes.evacuated:
-            _log_evacuated(view, evacuation)
-        for zone in changes.returned:
-            log.info("evacuation: zone returned", zone=zone, revision=view.revision)
-
-
-def _log_evacuated(view: View, evacuation: Evacuation) -> None:
-    zone = evacuation.zone
-    targets = [
-        target.name
+        # Requests in the first view were made at an unknown time before.
+        learned_at = LONG_AGO if is_first else clock.now()
+        for zone in self._known.in_force.keys() - view.evacuations.keys():
+            # The view's revision may be later than that of a request still on its way.
+            self._known.drop(zone, self._known.in_force[zone].revision)
+            log_returned(zone, view.revision)
+        for zone in view.evacuations:
+            revision = snapshot.entries[EVACUATIONS_FOLDER + zone].revision
+            if self._known.put(zone, revision, learned_at, self._proved_at):
+                _log_evacuated(view, zone, revision)
+        self._proved_at = self._relay.freshness.current_at
+
+
+def _log_evacuated(view: View, zone: str, revision: int) -> None:
+    targets = sum(
+        target.zone == zone
         for group in view.groups.values()
         for target in group.targets
-        if target.zone == zone
-    ]
-    if targets or any(vm.zone == zone for vm in view.vms.values()):
-        log.info(
-            "evacuation: zone evacuated",
-            zone=zone,
-            revision=evacuation.revision,
-            targets=len(targets),
-        )
-    else:
-        log.warning("evacuation: zone unknown", zone=zone, revision=evacuation.revision)
+    )
+    nodes = sum(vm.zone == zone for vm in view.vms.values())
+    log_evacuated(zone, revision, targets, nodes)
--- a/lavenderstack/node/zone_evacuations_test.py
+++ b/lavenderstack/node/zone_evacuations_test.py
@@ -73,12 +73,12 @@
         """Guards against a zone that is never left since its request is repeated."""
         evacuations = FakeEvacuations()
         evacuations.evacuate("a")
-        learned_at = evacuations.of("a").learned_at
+        learned_at = evacuations.in_force()["a"].learned_at
         later = clock.now() + GRACE_S
         monkeypatch.setattr(clock, "now", lambda: later)
         evacuations.evacuate("a")
-        assert evacuations.of("a").learned_at == learned_at
-        assert evacuations.of("a").revision == 3
+        assert evacuations.in_force()["a"].learned_at == learned_at
+        assert evacuations.in_force()["a"].revision == 3
 
     def test_an_unreadable_value_evacuates_too(self):
         """Guards against a request that is ignored since its value is not JSON."""
@@ -89,7 +89,7 @@
         relay.snapshot = documents.apply(
             relay.snapshot, [change], change.revision, "1", parse
         )
-        assert evacuations.zones() == {"a"}
+        assert evacuations.in_force().keys() == {"a"}
 
     @pytest.mark.parametrize(
         ("zone", "event"),
@@ -101,8 +101,8 @@
         with capture_logs() as logs:
             evacuations.evacuate(zone)
             for _ in range(3):
-                evacuations.zones()
+                evacuations.in_force()
             evacuations.bring_back(zone)
-            evacuations.zones()
+            evacuations.in_force()
         lines = [(line["event"], line["revision"]) for line in logs]
         assert lines == [(event, 2), ("evacuation: zone returned", 3)]
--- a/lavenderstack/platform/evacuation_test.py
+++ b/lavenderstack/platform/evacuation_test.py
@@ -28,7 +28,7 @@
 
 
 def changes(lines):
-    events = ("directory: zone", "directory: evacuated zone")
+    events = ("evacuation: zone",)
     return [line["event"] for line in lines if line["event"].startswith(events)]
 
 
@@ -64,7 +64,7 @@
             async with run_loader(kv) as directory:
                 await wait_until(lambda: directory.proof.holds(clock.now()))
                 assert directory.evacuations["z1"].proved_before == float("-inf")
-        assert changes(lines) == ["directory: zone evacuated"]
+        assert changes(lines) == ["evacuation: zone evacuated"]
 
     async def test_evacuate_return_and_evacuate_at_once_ends_evacuated(self):
         kv = store_with_target()
@@ -94,7 +94,7 @@
                 await wait_until(lambda: directory.is_evacuated("z9"))
                 kv.put("servers/i-9", report(zone="z9"))
                 await wait_until(lambda: "i-9" in directory.targets)
-        assert changes(lines) == ["directory: evacuated zone is unknown"]
+        assert changes(lines) == ["evacuation: zone unknown"]
 
     def test_a_key_without_a_zone_evacuates_nothing(self):
         assert documents.evacuated_zone("op/evacuate/") is None
