Refuse at once while only evacuated targets could lead a group

Over HTTP, callers of a group whose primary was lost, and where only targets in evacuated zones have all commits, got no_primary after the retry time, since entry nodes didn't know of the obstacle. Monitors now tell it in their answer to PrimaryRequest, with the term concerned, and entry nodes refuse with "evacuated" and a time to retry. A monitor that still names a primary of the same term or a later one outweighs the others: one that is cut off must not refuse for a group that is served.

Seen red, one break each: the flag ignored at the entry node (usable_primaries_test, "a lost primary can't be replaced"), a lost proposal not recorded (monitors_test "behind"), a proposal that is held back not recorded (monitors_test "down").

--- a/lavenderstack/core/failure_detector.py
+++ b/lavenderstack/core/failure_detector.py
@@ -57,12 +57,14 @@
     """What a monitor should do now.
 
     ``HOLD``: nothing. ``ASK_OTHERS``: ask the other monitors whether they reach the
-    primary. ``PROPOSE``: propose a new term.
+    primary. ``PROPOSE``: propose a new term. ``EVACUATED``: the primary is lost, but
+    only targets in evacuated zones answer, and none of them may lead.
     """
 
     HOLD = auto()
     ASK_OTHERS = auto()
     PROPOSE = auto()
+    EVACUATED = auto()
 
 
 @dataclass(frozen=True, slots=True)
@@ -246,8 +248,10 @@
             return HOLD
         failed_target = primary.target if primary else ""
         answering = self._answering(now) - {failed_target}
-        if len(answering) < self.majority or answering <= self.evacuated:
+        if len(answering) < self.majority:
             return HOLD
+        if answering <= self.evacuated:
+            return Decision(Verdict.EVACUATED, self.highest_term())
         if now - self._peer_opinion_at > PEER_OPINION_MAX_AGE_S:
             return Decision(Verdict.ASK_OTHERS)
         if self._held_off_since is not None and now - self._held_off_since < HOLD_OFF_S:
--- a/lavenderstack/core/group_messages.py
+++ b/lavenderstack/core/group_messages.py
@@ -39,9 +39,12 @@
     """The primary known to a monitor, empty if it knows none.
 
     ``healthy`` is True if the primary and a majority of the group's targets under its
-    term have just answered the monitor.
+    term have just answered the monitor. ``evacuated`` is True if the primary is lost
+    and none is promoted since only targets in evacuated zones could lead; ``term`` is
+    then the term concerned (``core/evacuation_block.py``).
     """
 
     term: int = 0
     primary: str = ""
     healthy: bool = False
+    evacuated: bool = False
--- a/lavenderstack/core/routing.py
+++ b/lavenderstack/core/routing.py
@@ -28,11 +28,13 @@
     """What this node knows of a group: its primary and its targets' positions.
 
     ``primary_uncertain`` means that the known primary may have been replaced. ``seen``
-    holds the highest position that each target is known to have reached.
+    holds the highest position that each target is known to have reached. ``blocked``
+    means that there is no primary and that an evacuation keeps targets from promotion.
     """
 
     primary: TermPrimary | None = None
     primary_uncertain: bool = False
+    blocked: bool = False
     seen: dict[str, Position] = field(default_factory=dict)
 
     def record_primary(self, term: int, target: str) -> None:
@@ -41,7 +43,11 @@
             return
         if self.primary is None or term >= self.primary.term:
             self.primary = TermPrimary(term, target)
-            self.primary_uncertain = False
+            self.primary_uncertain = self.blocked = False
+
+    def record_blocked(self) -> None:
+        """Record that the primary is lost and none can be promoted for now."""
+        self.primary_uncertain = self.blocked = True
 
     def leads(self, target: str) -> bool:
         """Return whether a target is the known primary."""
--- a/lavenderstack/node/group_monitor.py
+++ b/lavenderstack/node/group_monitor.py
@@ -12,7 +12,8 @@
 import structlog
 
 from lavenderstack.core import clock
-from lavenderstack.core.failure_detector import FailureDetector, Verdict
+from lavenderstack.core.evacuation_block import EvacuationBlock
+from lavenderstack.core.failure_detector import Decision, FailureDetector, Verdict
 from lavenderstack.core.group_messages import PrimaryReply
 from lavenderstack.core.promotion import (
     Action,
@@ -62,6 +63,7 @@
         self._query_task: asyncio.Task | None = None
         self._next_follow_at = 0.0
         self._obstacle_logged = False
+        self._block = EvacuationBlock()
         self._links = {
             name: TargetLink(group.name, target, targets, self._on_result)
             for name, target in targets.items()
@@ -71,6 +73,14 @@
         """Return the group's primary, or None if this monitor knows none."""
         return self.detector.primary()
 
+    def blocked_term(self) -> int | None:
+        """Return the term that only evacuated targets could lead, or None.
+
+        A group has one while its primary is lost and an evacuation keeps all targets
+        that have every commit from being promoted.
+        """
+        return self._block.term(self.detector.primary())
+
     def set_leaving(self, names: Iterable[str]) -> None:
         """Set which targets are leaving; other names are ignored."""
         self.detector.leaving = frozenset(names) & self._links.keys()
@@ -83,6 +93,7 @@
             return
         self.detector.evacuated = evacuated
         self._obstacle_logged = False
+        self._block = EvacuationBlock()
         if len(evacuated) == len(targets):
             self._log_obstacle()
 
@@ -137,6 +148,7 @@
             self._execute(self.proposer.handle_event(Tick(), now))
             return
         decision = self.detector.decide(now)
+        self._record_hold(decision)
         if decision.verdict is Verdict.ASK_OTHERS:
             self._start_query()
         elif decision.verdict is Verdict.PROPOSE:
@@ -147,6 +159,15 @@
                 )
             )
 
+    def _record_hold(self, decision: Decision) -> None:
+        was_held = self._block.held_term is not None
+        is_held = decision.verdict is Verdict.EVACUATED
+        self._block.record_decision(is_held, decision.term)
+        if is_held:
+            self._log_obstacle()
+        elif was_held:
+            self._obstacle_logged = False
+
     def _probe(self, now: float) -> None:
         due = self.detector.due(now)
         for name, link in self._links.items():
@@ -184,7 +205,9 @@
                     log.info("monitor: primary established", primary=primary, term=term)
                     self.detector.request_probes()
                     self._obstacle_logged = False
+                    self._block = EvacuationBlock()
                 case ProposalFailed(term, _, all_excluded):
+                    self._block.record_loss(term, all_excluded)
                     log.info("monitor: proposal lost", group=self.group.name, term=term)
                     if all_excluded:
                         self._log_obstacle()
--- a/lavenderstack/node/monitors.py
+++ b/lavenderstack/node/monitors.py
@@ -71,6 +71,9 @@
         if monitor is None:
             return PrimaryReply()
         healthy = await monitor.check() if message.check else False
+        blocked_term = monitor.blocked_term()
+        if blocked_term is not None:
+            return PrimaryReply(blocked_term, healthy=healthy, evacuated=True)
         primary = monitor.primary()
         if primary is None:
             return PrimaryReply(healthy=healthy)
--- a/lavenderstack/node/monitors_test.py
+++ b/lavenderstack/node/monitors_test.py
@@ -5,11 +5,13 @@
 from dataclasses import replace
 
 import pytest
+from structlog.testing import capture_logs
 
 from lavenderstack.core.group_messages import PrimaryReply, PrimaryRequest
 from lavenderstack.core.routing import TermPrimary
 from lavenderstack.core.view import EvacuationRequest, Group, Target, View, Vm
 from lavenderstack.node.monitors import Monitors
+from lavenderstack.node.primaries import Primaries
 from lavenderstack.node.streams import StreamPool, StreamServer
 from standins.link import open_link
 from standins.target import Limits, serve
@@ -71,6 +73,22 @@
         group_monitors = [one._monitors["studio"] for one in self.monitors]
         return all(one.detector.evacuated == names for one in group_monitors)
 
+    async def until_blocked(self, expected):
+        """Ask the monitors as an entry node does, until the group is blocked or not."""
+
+        def ask(vm, msg, timeout_s):
+            return self.pool.call((vm.host, vm.port), msg, timeout_s)
+
+        primaries = Primaries(ask, self.monitors[0].monitoring_nodes)
+        status = primaries.of("studio")
+        for _ in range(int(WAIT_LIMIT_S / POLL_S)):
+            await primaries.find("studio")
+            if status.blocked is expected:
+                return
+            status.primary_uncertain = True
+            await asyncio.sleep(POLL_S)
+        raise TimeoutError
+
     def mark_leaving(self, name):
         vm = Vm(name, "z", "127.0.0.1", 1, "target", "leaving")
         self.view = replace(self.view, vms={name: vm})
@@ -183,3 +201,29 @@
             cluster.targets[old.target].fault("down_s", 60.0)
             new = await cluster.new_primary_after(old)
             assert new.target == chosen
+
+    @pytest.mark.parametrize("outside", ["down", "behind"])
+    async def test_a_group_that_only_evacuated_targets_could_lead_is_told(
+        self, outside
+    ):
+        """Guards against callers that wait for a primary until their deadline."""
+        async with monitor_cluster() as cluster:
+            old = await cluster.first_primary()
+            other, inside = (name for name in NAMES if name != old.target)
+            cluster.evacuate(inside)
+            await cluster.until(lambda: cluster.knows_evacuated({inside}))
+            if outside == "behind":
+                cluster.targets[other].fault("lag_ms", 60_000.0)
+                written = cluster.targets[old.target].log.append([], "").position
+                log = cluster.targets[inside].log
+                await cluster.until(lambda: log.last == written)
+            else:
+                cluster.evacuate(inside, other)
+                await cluster.until(lambda: cluster.knows_evacuated({inside, other}))
+            cluster.targets[old.target].fault("down_s", 60.0)
+            with capture_logs() as logs:
+                await cluster.until_blocked(True)
+            assert "monitor: no target may lead" in {line["event"] for line in logs}
+            cluster.evacuate()
+            await cluster.new_primary_after(old)
+            await cluster.until_blocked(False)
--- a/lavenderstack/node/primaries.py
+++ b/lavenderstack/node/primaries.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+from lavenderstack.core.evacuation_block import is_blocked
 from lavenderstack.core.group_messages import PrimaryReply, PrimaryRequest
 from lavenderstack.core.messages import Message
 from lavenderstack.core.routing import GroupStatus, TermPrimary
@@ -52,13 +53,21 @@
         return known.primary
 
     async def _ask_monitors(self, group: str) -> None:
+        known = self.of(group)
         asked = [self._ask_one(vm, group) for vm in self._monitors(group)]
-        await asyncio.gather(*asked)
+        answers = await asyncio.gather(*asked)
+        if is_blocked(answer for answer in answers if answer):
+            # The next request asks again.
+            known.record_blocked()
+        else:
+            known.blocked = False
 
-    async def _ask_one(self, vm: Vm, group: str) -> None:
+    async def _ask_one(self, vm: Vm, group: str) -> PrimaryReply | None:
         try:
             answer = await self._ask(vm, PrimaryRequest(group), ASK_TIMEOUT_S)
         except (NotSent, StreamLost, TimeoutError):
-            return
-        if isinstance(answer, PrimaryReply):
-            self.of(group).record_primary(answer.term, answer.primary)
+            return None
+        if not isinstance(answer, PrimaryReply):
+            return None
+        self.of(group).record_primary(answer.term, answer.primary)
+        return answer
--- a/lavenderstack/node/usable_primaries.py
+++ b/lavenderstack/node/usable_primaries.py
@@ -14,6 +14,8 @@
 from lavenderstack.node.primaries import Primaries
 from lavenderstack.node.zone_evacuations import ZoneEvacuations
 
+BLOCKED_DETAIL = "only targets in evacuated zones could lead the group"
+
 
 class UsablePrimaries:
     """The primaries as an entry node knows them, without those out of use."""
@@ -32,7 +34,8 @@
         ``refused`` are targets whose holder has answered that they are evacuated.
         Raises ``Refused`` if the primary is evacuated and the monitors know of no
         other: a planned replacement takes less time than the grace period that has
-        passed.
+        passed. Raises it too if the primary is lost and only targets in evacuated zones
+        could take over.
         """
         target = await self._known(group)
         outlook = self._prospect(group, target, refused)
@@ -40,6 +43,8 @@
             self._primaries.of(group.name).primary_uncertain = True
             target = await self._known(group)
             outlook = self._prospect(group, target, refused)
+        if self._primaries.of(group.name).blocked:
+            raise self._evacuations.refusal(BLOCKED_DETAIL)
         if outlook is Prospect.SERVE:
             return target
         zone = target.zone if target else group.targets[0].zone
--- a/lavenderstack/node/usable_primaries_test.py
+++ b/lavenderstack/node/usable_primaries_test.py
@@ -16,6 +16,8 @@
 )
 
 EVACUATED = failed(Reason.EVACUATED)
+LOST = failed(Reason.UNREACHABLE)
+BLOCKED = PrimaryReply(2, evacuated=True)
 FRESH = {"fresh": True}
 ALL = ["za", "zb", "zc"]
 
@@ -30,6 +32,7 @@
      True),
     ("one that isn't replaced is refused", ["za"], "a", FRESH, [], "", False),
     ("so it is if its holder knew first", [], "a", WRITE, [EVACUATED], "a", False),
+    ("a lost primary can't be replaced", ["zb"], BLOCKED, WRITE, [LOST], "a", False),
     ("all zones: a read is refused", ALL, "a", {}, [], "", False),
     ("all zones: a write is refused", ALL, "b", WRITE, [], "", False),
 ]  # fmt: skip
@@ -75,13 +78,13 @@
 
 
 def routed(answers, told, zones, primary="a"):
-    """Return a router whose group's monitor names ``told`` as the primary."""
+    """Return a router whose group's monitor names ``told``, or answers with it."""
     router, peers = make_router(*answers, primary=primary)
     ask = peers.ask
 
     async def ask_holder_or_monitor(vm, msg, timeout_s):
         if vm.name == "monitor":
-            return PrimaryReply(2, told) if told else PrimaryReply()
+            return told if isinstance(told, PrimaryReply) else PrimaryReply(2, told)
         return await ask(vm, msg, timeout_s)
 
     peers.ask = router._primaries._ask = ask_holder_or_monitor
