Check the proof and the key again before BEGIN at a target

The holder looked at evacuations before it opened a connection and before BEGIN, but at the age of its proof only when the slot was free and before the statement itself. Opening a connection takes up to 0.4 s, more than the margin of 0.25 s, so a node that had lost the store could send a caller's BEGIN, with its values and prepared statement, to an evacuated target after the limit. All checks are the same one now.

Found in review. test_a_prepared_transaction_is_not_begun_after_the_evacuation[False] fails on the code before.

--- a/lavenderstack/node/evacuation_guard.py
+++ b/lavenderstack/node/evacuation_guard.py
@@ -9,7 +9,7 @@
 from lavenderstack.core.evacuation import Use
 from lavenderstack.core.evacuation_routing import EVACUATED_RETRY_S, use_of
 from lavenderstack.core.messages import Failed
-from lavenderstack.core.outcome import Reason, Refused
+from lavenderstack.core.outcome import Reason
 from lavenderstack.core.view import Target
 from lavenderstack.core.work_messages import Work
 from lavenderstack.node.directory import Directory
@@ -58,12 +58,6 @@
             retry_after_s=EVACUATED_RETRY_S,
         )
 
-    def require_use(self, target: Target, work: Work, now: float) -> None:
-        """Raise ``Refused`` if work may not be sent to the target now."""
-        failed = self.refusal(target, work, now)
-        if failed is not None:
-            raise Refused(Reason(failed.reason), failed.detail, failed.retry_after_s)
-
     def sweep(self, target: Target, now: float) -> None:
         """End open transactions and close idle connections that may not be used."""
         directory = self._directory
--- a/lavenderstack/node/evacuation_guard_test.py
+++ b/lavenderstack/node/evacuation_guard_test.py
@@ -37,10 +37,14 @@
         assert others[0].retry_after_s > 0
         assert len(harness.targets["t2"].executed) == 1
 
+    @pytest.mark.parametrize("is_known", [True, False])
     async def test_a_prepared_transaction_is_not_begun_after_the_evacuation(
-        self, monkeypatch
+        self, monkeypatch, is_known
     ):
-        """The connection is opened meanwhile; BEGIN would be the first statement."""
+        """The connection is opened meanwhile; BEGIN would be the first statement.
+
+        A node that can't know of the evacuation has no recent proof any more.
+        """
         sent = []
         monkeypatch.setattr(
             FakeConnection, "send", lambda conn, commands: sent.extend(commands)
@@ -52,8 +56,13 @@
         )
         running = asyncio.ensure_future(work)
         await asyncio.sleep(0.02)
-        evacuate(harness)
-        assert (await running).reason == Reason.EVACUATED
+        if is_known:
+            evacuate(harness)
+        else:
+            harness.directory.evacuation_limit_s = 5.0
+            harness.directory.proof.at = clock.now() - 4.9
+        reason = Reason.EVACUATED if is_known else Reason.STALE_VIEW
+        assert (await running).reason == reason
         assert sent == []
         assert harness.executors.open_transactions == 0
 
--- a/lavenderstack/node/executor.py
+++ b/lavenderstack/node/executor.py
@@ -140,6 +140,13 @@
         reason = Reason.KEY_REFUSED if holds else Reason.STALE_VIEW
         return failure(False, reason)
 
+    def _require_allowed(self, work: Work) -> None:
+        """Raise ``Refused`` if the work may not be sent to the target now."""
+        refusal = self._refusal(work)
+        if refusal is not None:
+            reason = Reason(refusal.reason)
+            raise Refused(reason, refusal.detail, refusal.retry_after_s)
+
     async def run(self, work: Work) -> Message:
         """Run one statement; answer with ``WorkDone`` or ``Failed``."""
         refusal = self._refusal(work)
@@ -214,7 +221,7 @@
                 return failure(
                     False, Reason.UNREACHABLE, self.health.unreachable_reason
                 )
-            self._evacuation.require_use(self.target, work, clock.now())
+            self._require_allowed(work)
             try:
                 async with _time_limit(deadline):
                     pooled = await self.connections.acquire(
@@ -267,7 +274,7 @@
         is the primary. Raises ``Refused`` if the target refuses the transaction or may
         not be used any more.
         """
-        self._evacuation.require_use(self.target, work, clock.now())
+        self._require_allowed(work)
         proves_primary = work.access is Access.CURRENT_READ and not work.opens
         if proves_primary or work.opens:
             read_only = work.opens is TransactionStart.READ_ONLY
