--- a/lavenderstack/node/zone_evacuations_test.py
+++ b/lavenderstack/node/zone_evacuations_test.py
@@ -69,6 +69,19 @@
         evacuations = ZoneEvacuations(relay)
         assert not evacuations.may_send("a", Use.FINISH)
 
+    def test_a_request_that_arrives_after_a_later_change_is_in_force(self):
+        """Guards against a request that is taken for one withdrawn before."""
+        evacuations = FakeEvacuations()
+        relay = evacuations.relay
+        evacuations.evacuate("a")
+        evacuations.in_force()
+        key = "lavenderstack/evacuations/a"
+        later = Change("lavenderstack/groups/h", json.dumps(GROUP).encode(), 9)
+        for change in (later, Change(key, None, 3), Change(key, b"{}", 5)):
+            relay.snapshot = documents.apply(relay.snapshot, [change], 0, "1", parse)
+            evacuations.in_force()
+        assert evacuations.in_force()["a"].revision == 5
+
     def test_an_unreadable_value_evacuates_too(self):
         """Guards against a request that is ignored since its value is not JSON."""
         evacuations = FakeEvacuations()
