--- a/lavenderstack/core/events_test.py
+++ b/lavenderstack/core/events_test.py
@@ -16,6 +16,7 @@
     "admitter",
     "directory",
     "evacuated_zones",
+    "evacuation_log",
     "evacuation_guard",
     "planned_failover",
     "dispatch",
@@ -38,6 +39,9 @@
     "target_health",
     "token_coordinator",
     "followers",
+    "zone_evacuations",
+    "holder_evacuation_guard",
+    "group_monitor",
     "holder_placement",
     "read_choices",
 )
--- a/lavenderstack/core/routing.py
+++ b/lavenderstack/core/routing.py
@@ -28,11 +28,13 @@
     """What this node knows of a group: its primary and its targets' positions.
 
     ``primary_uncertain`` means that the known primary may have been replaced. ``seen``
-    holds the highest position that each target is known to have reached.
+    holds the highest position that each target is known to have reached. ``blocked``
+    means that there is no primary and that an evacuation keeps targets from promotion.
     """
 
     primary: TermPrimary | None = None
     primary_uncertain: bool = False
+    blocked: bool = False
     seen: dict[str, Position] = field(default_factory=dict)
 
     def record_primary(self, term: int, target: str) -> None:
@@ -41,7 +43,11 @@
             return
         if self.primary is None or term >= self.primary.term:
             self.primary = TermPrimary(term, target)
-            self.primary_uncertain = False
+            self.primary_uncertain = self.blocked = False
+
+    def record_blocked(self) -> None:
+        """Record that the primary is lost and none can be promoted for now."""
+        self.primary_uncertain = self.blocked = True
 
     def leads(self, target: str) -> bool:
         """Return whether a target is the known primary."""
@@ -53,6 +59,11 @@
             self.seen[target] = position
 
 
+def targets_in_zones(group: Group, zones: Collection[str]) -> set[str]:
+    """Return the names of a group's targets in the given zones."""
+    return {target.name for target in group.targets if target.zone in zones}
+
+
 def needs_primary(req: Request) -> bool:
     """Return whether only the primary can serve the request."""
     return req.write or req.fresh
@@ -67,9 +78,10 @@
 ) -> list[Target]:
     """Return the replicas to try for a read, the best first.
 
-    The primary and targets in ``avoid`` (leaving, or recently unreachable) are left
-    out. A target known to hold the watermark comes before one in the same zone: the
-    latency between zones is lower than waiting for a replica of unknown lag.
+    The primary and targets in ``avoid`` (leaving, in an evacuated zone, or recently
+    unreachable) are left out. A target known to hold the watermark comes before one in
+    the same zone: the latency between zones is lower than waiting for a replica of
+    unknown lag.
     """
     primary = status.primary.target if status.primary else ""
     replicas = [t for t in group.targets if t.name != primary and t.name not in avoid]
--- a/lavenderstack/node/group_monitor.py
+++ b/lavenderstack/node/group_monitor.py
@@ -7,12 +7,13 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Collection, Iterable
 
 import structlog
 
 from lavenderstack.core import clock
-from lavenderstack.core.failure_detector import FailureDetector, Verdict
+from lavenderstack.core.evacuation_block import EvacuationBlock
+from lavenderstack.core.failure_detector import Decision, FailureDetector, Verdict
 from lavenderstack.core.group_messages import PrimaryReply
 from lavenderstack.core.promotion import (
     Action,
@@ -31,7 +32,7 @@
     TimedOut,
     follow_actions,
 )
-from lavenderstack.core.routing import TermPrimary
+from lavenderstack.core.routing import TermPrimary, targets_in_zones
 from lavenderstack.core.view import Group
 from lavenderstack.node.target_link import CommandResult, ProbeCommand, TargetLink
 
@@ -61,6 +62,8 @@
         self._query_monitors = query_monitors
         self._query_task: asyncio.Task | None = None
         self._next_follow_at = 0.0
+        self._obstacle_logged = False
+        self._block = EvacuationBlock()
         self._links = {
             name: TargetLink(group.name, target, targets, self._on_result)
             for name, target in targets.items()
@@ -70,10 +73,42 @@
         """Return the group's primary, or None if this monitor knows none."""
         return self.detector.primary()
 
+    def blocked_term(self) -> int | None:
+        """Return the term that only evacuated targets could lead, or None.
+
+        A group has one while its primary is lost and an evacuation keeps all targets
+        that have every commit from being promoted.
+        """
+        return self._block.term(self.detector.primary())
+
     def set_leaving(self, names: Iterable[str]) -> None:
         """Set which targets are leaving; other names are ignored."""
         self.detector.leaving = frozenset(names) & self._links.keys()
 
+    def set_evacuated(self, zones: Collection[str]) -> None:
+        """Set which zones are evacuated; none of their targets is made primary."""
+        targets = self.group.targets
+        evacuated = frozenset(targets_in_zones(self.group, zones))
+        if evacuated == self.detector.evacuated:
+            return
+        self.detector.evacuated = evacuated
+        self.proposer.exclude(evacuated)
+        self._obstacle_logged = False
+        self._block = EvacuationBlock()
+        if len(evacuated) == len(targets):
+            self._log_obstacle()
+
+    def _log_obstacle(self) -> None:
+        """Log, once for each change, that only evacuated targets might lead."""
+        if not self._obstacle_logged:
+            self._obstacle_logged = True
+            log.warning(
+                "monitor: no target may lead",
+                group=self.group.name,
+                obstacle="EVACUATED",
+                evacuated=sorted(self.detector.evacuated),
+            )
+
     async def check(self) -> bool:
         """Probe all targets; return whether a primary with a majority answers.
 
@@ -114,14 +149,26 @@
             self._execute(self.proposer.handle_event(Tick(), now))
             return
         decision = self.detector.decide(now)
+        self._record_hold(decision)
         if decision.verdict is Verdict.ASK_OTHERS:
             self._start_query()
         elif decision.verdict is Verdict.PROPOSE:
-            leaving = self.detector.leaving
+            leaving, evacuated = self.detector.leaving, self.detector.evacuated
             self._execute(
-                self.proposer.propose(decision.term, now, decision.voters, leaving)
+                self.proposer.propose(
+                    decision.term, now, decision.voters, leaving, evacuated
+                )
             )
 
+    def _record_hold(self, decision: Decision) -> None:
+        was_held = self._block.held_term is not None
+        is_held = decision.verdict is Verdict.EVACUATED
+        self._block.record_decision(is_held, decision.term)
+        if is_held:
+            self._log_obstacle()
+        elif was_held:
+            self._obstacle_logged = False
+
     def _probe(self, now: float) -> None:
         due = self.detector.due(now)
         for name, link in self._links.items():
@@ -158,8 +205,13 @@
                 case PrimaryElected(term, primary):
                     log.info("monitor: primary established", primary=primary, term=term)
                     self.detector.request_probes()
-                case ProposalFailed(term, _):
+                    self._obstacle_logged = False
+                    self._block = EvacuationBlock()
+                case ProposalFailed(term, _, all_excluded):
+                    self._block.record_loss(term, all_excluded)
                     log.info("monitor: proposal lost", group=self.group.name, term=term)
+                    if all_excluded:
+                        self._log_obstacle()
 
     def _on_result(self, result: CommandResult) -> None:
         now = clock.now()
--- a/lavenderstack/node/monitors.py
+++ b/lavenderstack/node/monitors.py
@@ -71,6 +71,9 @@
         if monitor is None:
             return PrimaryReply()
         healthy = await monitor.check() if message.check else False
+        blocked_term = monitor.blocked_term()
+        if blocked_term is not None:
+            return PrimaryReply(blocked_term, healthy=healthy, evacuated=True)
         primary = monitor.primary()
         if primary is None:
             return PrimaryReply(healthy=healthy)
@@ -105,6 +108,7 @@
             leaving = _leaving_targets(view)
             for monitor in self._monitors.values():
                 monitor.set_leaving(leaving)
+                monitor.set_evacuated(view.evacuations.keys())
         self._last_view = view
         for name, monitor in self._monitors.items():
             if self._tasks[name].done():
@@ -147,6 +151,7 @@
 
     def _start(self, group: Group, rank: int) -> None:
         monitor = GroupMonitor(group, rank, self._query_monitors)
+        monitor.set_evacuated(self._view().evacuations.keys())
         self._monitors[group.name] = monitor
         task = asyncio.create_task(monitor.run(), name=f"monitor {group.name}")
         self._tasks[group.name] = task
--- a/lavenderstack/node/monitors_test.py
+++ b/lavenderstack/node/monitors_test.py
@@ -5,11 +5,13 @@
 from dataclasses import replace
 
 import pytest
+from structlog.testing import capture_logs
 
 from lavenderstack.core.group_messages import PrimaryReply, PrimaryRequest
 from lavenderstack.core.routing import TermPrimary
-from lavenderstack.core.view import Group, Target, View, Vm
+from lavenderstack.core.view import EvacuationRequest, Group, Target, View, Vm
 from lavenderstack.node.monitors import Monitors
+from lavenderstack.node.primaries import Primaries
 from lavenderstack.node.streams import StreamPool, StreamServer
 from standins.link import open_link
 from standins.target import Limits, serve
@@ -62,6 +64,31 @@
 
         return await self.until(found)
 
+    def evacuate(self, *names):
+        """Evacuate the zones of these targets and of no others."""
+        zones = {f"z{name}": EvacuationRequest(f"z{name}") for name in names}
+        self.view = replace(self.view, evacuations=zones)
+
+    def knows_evacuated(self, names):
+        group_monitors = [one._monitors["studio"] for one in self.monitors]
+        return all(one.detector.evacuated == names for one in group_monitors)
+
+    async def until_blocked(self, expected):
+        """Ask the monitors as an entry node does, until the group is blocked or not."""
+
+        def ask(vm, msg, timeout_s):
+            return self.pool.call((vm.host, vm.port), msg, timeout_s)
+
+        primaries = Primaries(ask, self.monitors[0].monitoring_nodes)
+        status = primaries.of("studio")
+        for _ in range(int(WAIT_LIMIT_S / POLL_S)):
+            await primaries.find("studio")
+            if status.blocked is expected:
+                return
+            status.primary_uncertain = True
+            await asyncio.sleep(POLL_S)
+        raise TimeoutError
+
     def mark_leaving(self, name):
         vm = Vm(name, "z", "127.0.0.1", 1, "target", "leaving")
         self.view = replace(self.view, vms={name: vm})
@@ -150,3 +177,53 @@
             new = await cluster.new_primary_after(old)
             await cluster.until(lambda: cluster.is_followed(new))
             assert new.term > old.term
+
+
+class TestEvacuation:
+    async def test_a_primary_in_the_zone_hands_over_to_one_outside(self):
+        """Guards against a group that is refused though it has targets outside."""
+        async with monitor_cluster() as cluster:
+            old = await cluster.first_primary()
+            other = next(name for name in NAMES if name != old.target)
+            cluster.evacuate(old.target, other)
+            new = await cluster.new_primary_after(old)
+            assert new.target not in (old.target, other)
+            await cluster.until(lambda: cluster.is_followed(new))
+
+    async def test_a_lost_primary_is_replaced_by_an_equal_outside(self):
+        """Guards against a failover into a zone that the operators want empty."""
+        async with monitor_cluster() as cluster:
+            old = await cluster.first_primary()
+            # Of equally advanced targets the one with the later name is preferred.
+            chosen, evacuated = (name for name in NAMES if name != old.target)
+            cluster.evacuate(evacuated)
+            await cluster.until(lambda: cluster.knows_evacuated({evacuated}))
+            cluster.targets[old.target].fault("down_s", 60.0)
+            new = await cluster.new_primary_after(old)
+            assert new.target == chosen
+
+    @pytest.mark.parametrize("outside", ["down", "behind"])
+    async def test_a_group_that_only_evacuated_targets_could_lead_is_told(
+        self, outside
+    ):
+        """Guards against callers that wait for a primary until their deadline."""
+        async with monitor_cluster() as cluster:
+            old = await cluster.first_primary()
+            other, inside = (name for name in NAMES if name != old.target)
+            cluster.evacuate(inside)
+            await cluster.until(lambda: cluster.knows_evacuated({inside}))
+            if outside == "behind":
+                cluster.targets[other].fault("lag_ms", 60_000.0)
+                written = cluster.targets[old.target].log.append([], "").position
+                log = cluster.targets[inside].log
+                await cluster.until(lambda: log.last == written)
+            else:
+                cluster.evacuate(inside, other)
+                await cluster.until(lambda: cluster.knows_evacuated({inside, other}))
+            cluster.targets[old.target].fault("down_s", 60.0)
+            with capture_logs() as logs:
+                await cluster.until_blocked(True)
+            assert "monitor: no target may lead" in {line["event"] for line in logs}
+            cluster.evacuate()
+            await cluster.new_primary_after(old)
+            await cluster.until_blocked(False)
