Ignore configuration documents with extreme values instead of raising

decode_catalog raised SystemError for an integer beyond the range of floats in the place of a float, and RecursionError for a document nested too deeply. Neither was caught, so the error left the loader's loop (read in the code; what the supervisor does then was not run). The test failed with both before (pytest lavenderstack/platform/documents_test.py: 2 failed).

parse_config is a function of its own now, so that a check of the document can report its error. The type of a route is a literal that is translated afterwards, so that an unknown one is an error with its path, as all others.

--- a/lavenderstack/platform/documents.py
+++ b/lavenderstack/platform/documents.py
@@ -14,6 +14,7 @@
 """
 
 from collections.abc import Mapping
+from typing import Any, Literal
 
 import msgspec
 import structlog
@@ -52,7 +53,7 @@
     # The platform's "host" is the name of a database, not of a machine.
     host: str
     service: str
-    type: Consistency
+    type: Literal["primary", "bounded", "read_your_writes"]
     timeout_ms: float = DEFAULT_TIMEOUT_MS
     target_latency_ms: float = DEFAULT_TIMEOUT_MS
     prio: int = DEFAULT_PRIORITY
@@ -86,21 +87,32 @@
     tenants: list[_Tenant] = []
 
 
-_CONSISTENCIES = {
+CONSISTENCIES = {
     "primary": Consistency.PRIMARY,
     "bounded": Consistency.BOUNDED,
     "read_your_writes": Consistency.SESSION,
 }
 
+# msgspec raises SystemError for an integer beyond the range of floats in the place of a
+# float, and RecursionError for a document that is nested too deeply.
+CONFIG_ERRORS = (msgspec.MsgspecError, ValueError, SystemError, RecursionError)
+
+
+def parse_config(value: bytes) -> _Config:
+    """Return the operators' document; raises an error of ``CONFIG_ERRORS``."""
+    return convert_config(msgspec.json.decode(value))
+
+
+def convert_config(raw: Any) -> _Config:
+    """Return the operators' document from plain values; raises as ``parse_config``."""
+    return msgspec.convert(raw, _Config)
+
 
 def decode_catalog(value: bytes) -> Catalog | None:
     """Return the catalog that the operators wrote, or None if it is invalid."""
     try:
-        raw = msgspec.json.decode(value)
-        for route in raw["routes"]:
-            route["type"] = _CONSISTENCIES[route["type"]]
-        cfg = msgspec.convert(raw, _Config)
-    except (msgspec.MsgspecError, KeyError, TypeError, ValueError) as exc:
+        cfg = parse_config(value)
+    except CONFIG_ERRORS as exc:
         log.warning("documents: catalog not understood", error=repr(exc)[:200])
         return None
     return Catalog(
@@ -129,7 +141,7 @@
     return Route(
         database=route.host,
         group=route.service,
-        freshness=route.type,
+        freshness=CONSISTENCIES[route.type],
         timeout_s=route.timeout_ms / MS_PER_S,
         latency_goal_s=route.target_latency_ms / MS_PER_S,
         priority=route.prio,
--- a/lavenderstack/platform/documents_test.py
+++ b/lavenderstack/platform/documents_test.py
@@ -85,6 +85,17 @@
         invalid = {**CONFIG, "routes": [{**CONFIG["routes"][0], "type": "other"}]}
         assert documents.decode_catalog(encode_json(invalid)) is None
 
+    @pytest.mark.parametrize(
+        "data",
+        [
+            encode_json({**CONFIG, "limits": {"tx_idle_ms": 10**400}}),
+            b"[" * 100_000,
+        ],
+    )
+    def test_extreme_documents_give_no_catalog(self, data):
+        """An error that isn't caught here would end the watch of the store."""
+        assert documents.decode_catalog(data) is None
+
     @given(st.binary(max_size=100))
     def test_invalid_bytes_give_no_catalog(self, data):
         assert documents.decode_catalog(data) is None
