--- a/lavenderstack/__main__.py
+++ b/lavenderstack/__main__.py
@@ -4,6 +4,7 @@
   lavenderstack node --settings FILE
   lavenderstack serve [--settings FILE]
   lavenderstack check FILE
+  lavenderstack check-config [ARGS ...]
   lavenderstack explain [ARGS ...]
   lavenderstack admin [ARGS ...]
   lavenderstack --version
@@ -14,6 +15,9 @@
   serve   Run a node on the platform until SIGTERM; the platform provides the
           settings (deploy/node.yaml).
   check   Check a settings file and print all mistakes in it.
+  check-config
+          Check the operators' lists before they are rolled out, and show what differs
+          from the version in force; see "check-config --help".
   explain Show what happened to a request, from log lines; see "explain --help".
   admin   Administer plans, keys and groups; see "admin --help".
 
@@ -77,11 +81,21 @@
     return run(argv)
 
 
+def _check_config(argv: list[str]) -> int:
+    from lavenderstack.border import declared
+    from lavenderstack.platform import declared as platform_declared
+    from lavenderstack.tools.check_config import run
+
+    return run(argv, [platform_declared, declared])
+
+
 def main(argv: list[str] | None = None) -> int:
     """Run the command line; return the exit status."""
     argv = sys.argv[1:] if argv is None else argv
     if argv[:1] == ["explain"]:
         return _explain(argv[1:])
+    if argv[:1] == ["check-config"]:
+        return _check_config(argv[1:])
     if argv[:1] == ["admin"]:
         # It parses its own options, which are not in the usage text above.
         return _admin(argv[1:])
