--- a/lavenderstack/platform/documents_test.py
+++ b/lavenderstack/platform/documents_test.py
@@ -93,7 +93,7 @@
         ],
     )
     def test_extreme_documents_give_no_catalog(self, data):
-        """An error that isn't caught here would end the watch of the store."""
+        """An error that isn't caught here leaves the loader's loop."""
         assert documents.decode_catalog(data) is None
 
     @given(st.binary(max_size=100))
