--- a/lavenderstack/core/catalog.py
+++ b/lavenderstack/core/catalog.py
@@ -30,7 +30,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Route:
-    """How statements for one database name are served; times are in seconds."""
+    """How statements for one database name are served; times are in seconds.
+
+    ``home_regions`` are the regions that its statements may not leave, if any.
+    """
 
     database: str
     group: str
@@ -40,14 +43,21 @@
     priority: int
     max_age_s: float = 0.0
     public: bool = False
+    home_regions: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
 class GroupLimits:
-    """Connection limit of a group's targets, and whether commits are replicated."""
+    """Connection limit of a group's targets, and whether commits are replicated.
+
+    ``cold_rate`` is what a cold target can take in statements/s, 0 if it isn't limited.
+    ``cold_s`` is how many seconds a target is cold after its start, 0 if unknown.
+    """
 
     connections: int
     replicated: bool
+    cold_rate: float = 0.0
+    cold_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,7 +78,8 @@
 
     ``leads`` is the target's own claim to be the primary. ``leads_since`` is the
     revision of the first report in the current unbroken run of such claims. ``run``
-    identifies the target's present run.
+    identifies the target's present run. ``cold_until`` is until when it is cold after
+    its start, in seconds on the clock, 0 if it isn't.
     """
 
     target: Target
@@ -78,6 +89,7 @@
     revision: int
     leads_since: int = 0
     started_ms: int = 0
+    cold_until: float = 0.0
 
     @property
     def run(self) -> TargetRun:
--- a/lavenderstack/core/view.py
+++ b/lavenderstack/core/view.py
@@ -26,7 +26,8 @@
     """What a plan may use: ``rate`` in requests/s, ``burst`` in requests.
 
     ``weight`` is the organisation's share under contention, ``queue`` how many of its
-    requests may wait.
+    requests may wait. ``home_regions`` are the regions that its statements may not
+    leave, if there are any.
     """
 
     name: str
@@ -34,6 +35,7 @@
     burst: float
     weight: float = 1.0
     queue: int = 200
+    home_regions: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/lavenderstack/platform/documents.py
+++ b/lavenderstack/platform/documents.py
@@ -59,12 +59,15 @@
     prio: int = DEFAULT_PRIORITY
     max_stale_ms: float = 0.0
     public: bool = False
+    home_regions: list[str] = []
 
 
 class _Service(msgspec.Struct):
     name: str
     max_conns: int
     sync_replicas: int = 0
+    cold_per_s: float = 0.0
+    cold_start_s: float = 0.0
 
 
 class _Tenant(msgspec.Struct):
@@ -73,6 +76,7 @@
     per_s: float
     burst: float
     prio: int = DEFAULT_PRIORITY
+    home_regions: list[str] = []
 
 
 class _Limits(msgspec.Struct):
@@ -107,14 +111,8 @@
     return Catalog(
         version=cfg.version,
         routes={route.host: _convert_route(route) for route in cfg.routes},
-        groups={
-            service.name: GroupLimits(service.max_conns, service.sync_replicas > 0)
-            for service in cfg.services
-        },
-        plans={
-            tenant.name: Plan(tenant.name, tenant.per_s, tenant.burst)
-            for tenant in cfg.tenants
-        },
+        groups={service.name: _convert_service(service) for service in cfg.services},
+        plans={tenant.name: _convert_tenant(tenant) for tenant in cfg.tenants},
         keys={
             digest_of(key): tenant.name
             for tenant in cfg.tenants
@@ -124,6 +122,20 @@
     )
 
 
+def _convert_service(service: _Service) -> GroupLimits:
+    return GroupLimits(
+        connections=service.max_conns,
+        replicated=service.sync_replicas > 0,
+        cold_rate=service.cold_per_s,
+        cold_s=service.cold_start_s,
+    )
+
+
+def _convert_tenant(tenant: _Tenant) -> Plan:
+    homes = tuple(tenant.home_regions)
+    return Plan(tenant.name, tenant.per_s, tenant.burst, home_regions=homes)
+
+
 def _convert_route(route: _Route) -> Route:
     return Route(
         database=route.host,
@@ -134,6 +146,7 @@
         priority=route.prio,
         max_age_s=route.max_stale_ms / MS_PER_S,
         public=route.public,
+        home_regions=tuple(route.home_regions),
     )
 
 
@@ -146,6 +159,8 @@
     db_role: str
     # When its present run began, in Unix milliseconds.
     born: int = 0
+    # For how much longer it is slow after its start.
+    cold_left_ms: float = 0.0
 
 
 # Values of ``state`` and ``db_role`` in a target's report.
@@ -160,7 +175,7 @@
 
     ``leads`` tells whether it is the primary, ``leaving`` whether it is draining.
     ``started_ms`` is when its present run began, in Unix milliseconds, 0 if it doesn't
-    say so.
+    say so. ``cold_s`` is how many more seconds it is cold, from the report's arrival.
     """
 
     target: Target
@@ -168,6 +183,7 @@
     leaving: bool
     leads: bool
     started_ms: int = 0
+    cold_s: float = 0.0
 
 
 def decode_report(key: str, value: bytes) -> TargetReport | None:
@@ -191,7 +207,8 @@
         return None
     leaving = server.state == DRAINING
     leads = server.db_role == PRIMARY
-    return TargetReport(target, server.service, leaving, leads, server.born)
+    cold_s = max(0.0, server.cold_left_ms / MS_PER_S)
+    return TargetReport(target, server.service, leaving, leads, server.born, cold_s)
 
 
 def evacuated_zone(key: str) -> str | None:
--- a/lavenderstack/platform/documents_test.py
+++ b/lavenderstack/platform/documents_test.py
@@ -1,12 +1,13 @@
 """Tests of decoding the documents in the platform's store."""
 
+import copy
 import json
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lavenderstack.core.catalog import Consistency
+from lavenderstack.core.catalog import Consistency, GroupLimits
 from lavenderstack.core.replica_set import ReplicaSet, TargetRun
 from lavenderstack.core.view import Vm
 from lavenderstack.platform import documents
@@ -78,6 +79,27 @@
         invalid = {**CONFIG, "routes": [{**CONFIG["routes"][0], "type": "other"}]}
         assert documents.decode_catalog(encode_json(invalid)) is None
 
+    def test_cold_limits_and_home_regions_are_optional(self):
+        """A catalog without them must be served as before."""
+        plain = documents.decode_catalog(encode_json(CONFIG))
+        assert plain.groups["g1"] == GroupLimits(33, True, 0.0, 0.0)
+        assert plain.routes["db1"].home_regions == ()
+        changed = copy.deepcopy(CONFIG)
+        changed["services"][0] |= {"cold_per_s": 12, "cold_start_s": 8.5}
+        changed["routes"][0]["home_regions"] = ["r1", "r2"]
+        changed["tenants"][0]["home_regions"] = ["r2"]
+        catalog = documents.decode_catalog(encode_json(changed))
+        assert catalog.groups["g1"] == GroupLimits(33, True, 12.0, 8.5)
+        assert catalog.routes["db1"].home_regions == ("r1", "r2")
+        assert catalog.plans["org"].home_regions == ("r2",)
+
+    @pytest.mark.parametrize("field", ["cold_per_s", "cold_start_s", "home_regions"])
+    def test_catalog_with_a_field_of_the_wrong_type_is_rejected(self, field):
+        invalid = copy.deepcopy(CONFIG)
+        for part in ("services", "routes", "tenants"):
+            invalid[part][0][field] = "many"
+        assert documents.decode_catalog(encode_json(invalid)) is None
+
     @given(st.binary(max_size=100))
     def test_invalid_bytes_give_no_catalog(self, data):
         assert documents.decode_catalog(data) is None
@@ -101,6 +123,8 @@
             ("state", "tired"),
             ("db_role", "judge"),
             ("zone", None),
+            ("cold_left_ms", "long"),
+            ("cold_left_ms", None),
         ],
     )
     def test_report_with_an_invalid_field_names_no_target(self, field, value):
@@ -112,6 +136,13 @@
         invalid = {key: value for key, value in REPORT.items() if key != field}
         assert documents.decode_report("servers/i-1", encode_json(invalid)) is None
 
+    @pytest.mark.parametrize(("left_ms", "cold_s"), [(0, 0), (2500, 2.5), (-5, 0)])
+    def test_report_tells_how_long_the_target_is_cold(self, left_ms, cold_s):
+        data = encode_json({**REPORT, "cold_left_ms": left_ms})
+        assert documents.decode_report("servers/i-1", data).cold_s == cold_s
+        plain = {key: REPORT[key] for key in REPORT if key != "cold_left_ms"}
+        assert documents.decode_report("servers/i-1", encode_json(plain)).cold_s == 0
+
     @given(st.binary(max_size=100))
     def test_invalid_bytes_give_no_report(self, data):
         assert documents.decode_report("servers/i-1", data) is None
