Keep the limit of cold targets at their holder, and give slots back over 2 s

A statement takes a permit before it waits for a slot and counts when it is sent, so statements that were delayed on the way can't add up. Reads that another target may serve are refused at once; others wait if they can be sent in time. The window is kept by the target's name, since a target that flaps gets a new executor. A target that closed a connection counts as cold until the view is proved a second later, because its report may not have arrived.

Who is first leaves suspicion aside, which differs from node to node for as long as a link is down. A node whose registration ended doesn't send.

Checking at the moment of sending alone was weighed: it needs no permits, but refuses statements after they waited for a slot and a connection.

--- a/lavenderstack/core/events.py
+++ b/lavenderstack/core/events.py
@@ -272,6 +272,24 @@
         ("target", "ended"),
         "they were open after the grace period; rolled back here",
     ),
+    Event(
+        "executor: cold target limited",
+        LineKind.STATE,
+        ("target", "group", "limit", "left_s"),
+        "it has just started or may have; limit: what this node may send in a second",
+    ),
+    Event(
+        "executor: target no longer limited",
+        LineKind.STATE,
+        ("target", "group", "limit", "left_s"),
+        "it is not cold any more",
+    ),
+    Event(
+        "executor: slots return step by step",
+        LineKind.STATE,
+        ("target", "slots"),
+        "its zone was returned, or it is not cold any more; all slots after 2 s",
+    ),
     Event(
         "executor: connection discarded",
         LineKind.STATE,
--- a/lavenderstack/core/events_test.py
+++ b/lavenderstack/core/events_test.py
@@ -17,6 +17,8 @@
     "directory",
     "evacuated_zones",
     "evacuation_guard",
+    "cold_target",
+    "slow_start",
     "planned_failover",
     "dispatch",
     "executor",
--- a/lavenderstack/node/directory.py
+++ b/lavenderstack/node/directory.py
@@ -7,17 +7,19 @@
 
 import asyncio
 from collections import defaultdict
+from collections.abc import Mapping
 from dataclasses import replace
 
 import structlog
 
-from lavenderstack.core import primary_selection
+from lavenderstack.core import clock, primary_selection
 from lavenderstack.core.catalog import Catalog, RecordedOwnership, Reserve, TargetState
 from lavenderstack.core.contention import LoadControl, is_load_controlled
 from lavenderstack.core.replica_set import Membership, ReplicaSet, TargetRun
 from lavenderstack.core.store_history import StoreHistory
 from lavenderstack.core.view import Target, View, Vm
 from lavenderstack.core.view_proof import ViewProof
+from lavenderstack.node.cold_starts import ColdStarts
 from lavenderstack.node.evacuated_zones import EvacuatedZones
 
 log = structlog.get_logger()
@@ -27,14 +29,16 @@
 MAX_DEPARTED = 50
 
 
-class Directory(EvacuatedZones):
+class Directory(EvacuatedZones, ColdStarts):
     """The view of one node; ``proof`` tells until when the node may act on it.
 
-    ``load_control`` is the setting that tells for which groups load control is enabled.
+    ``load_control`` is the setting that tells for which groups load control is enabled,
+    ``regions`` maps zones to regions.
     """
 
     def __init__(self, name: str, zone: str, proof: ViewProof) -> None:
-        super().__init__()
+        EvacuatedZones.__init__(self)
+        ColdStarts.__init__(self)
         self.name = name
         self.zone = zone
         self.proof = proof
@@ -48,6 +52,7 @@
         self.reserve = Reserve()
         self.history = StoreHistory()
         self.load_control = LoadControl.AUTO
+        self.regions: Mapping[str, str] = {}
         self._groups: dict[str, dict[str, TargetState]] = defaultdict(dict)
         # All changes of the store up to this position are known.
         self.as_of = 0
@@ -84,18 +89,22 @@
         leads: bool,
         revision: int,
         started_ms: int = 0,
+        cold_s: float = 0.0,
     ) -> None:
         """Store a target's report that was written at ``revision``.
 
         ``leads`` tells whether the target reports itself as the primary,
-        ``started_ms`` when its present run began, in Unix milliseconds, or 0. A report
-        that is not newer than the stored one is ignored.
+        ``started_ms`` when its present run began, in Unix milliseconds, or 0, and
+        ``cold_s`` how many more seconds it is cold. A report that is not newer than the
+        stored one is ignored.
         """
         before = self.targets.get(target.name)
         if before is not None and revision <= before.revision:
             return
         since = primary_selection.leads_since(before, leads, revision)
         state = TargetState(target, group, leaving, leads, revision, since, started_ms)
+        if cold_s:
+            state = replace(state, cold_until=clock.now() + cold_s)
         if before is not None and before.group != group:
             self._groups[before.group].pop(target.name, None)
         if before is not None and (before.group, before.run) != (group, state.run):
@@ -162,7 +171,7 @@
             return
         vms = dict(self.view.vms)
         vms[member.name] = member
-        self.view = View(vms=vms)
+        self._update_members(vms)
         log.info("directory: node changed", name=member.name, state=member.state)
         self._signal_change()
 
@@ -172,10 +181,14 @@
             return
         vms = dict(self.view.vms)
         del vms[name]
-        self.view = View(vms=vms)
+        self._update_members(vms)
         log.info("directory: node gone", name=name)
         self._signal_change()
 
+    def _update_members(self, vms: dict[str, Vm]) -> None:
+        self.view = View(vms=vms)
+        self.members_changed_at = clock.now()
+
     def put_reserve(self, reserve: Reserve) -> None:
         """Store the record of the reserves unless it is older than the stored one."""
         if reserve.revision > self.reserve.revision:
--- a/lavenderstack/node/evacuated_zones.py
+++ b/lavenderstack/node/evacuated_zones.py
@@ -35,6 +35,8 @@
         self.evacuation_limit_s: float | None = None
         self.orders_per_s = DEFAULT_ORDERS_PER_S
         self.turns = Turns()
+        # When the last evacuation of each zone ended, in seconds on the clock.
+        self.returned_at: dict[str, float] = {}
         self._evacuations = Evacuations()
 
     @property
@@ -63,6 +65,7 @@
     def drop_evacuation(self, zone: str, revision: int) -> None:
         """Record that the request to evacuate a zone was deleted at ``revision``."""
         if self._evacuations.drop(zone, revision):
+            self.returned_at[zone] = clock.now()
             log.warning("directory: zone returned", zone=zone, revision=revision)
             self._signal_change()
 
--- a/lavenderstack/node/executor.py
+++ b/lavenderstack/node/executor.py
@@ -41,11 +41,13 @@
     ConnectFailed,
     ConnectionLost,
 )
+from lavenderstack.node.cold_target import ColdTarget, failed
 from lavenderstack.node.connection_setup import setup_commands, target_statement
 from lavenderstack.node.directory import Directory
 from lavenderstack.node.evacuation_guard import EvacuationGuard
 from lavenderstack.node.open_transactions import OpenTransactions
 from lavenderstack.node.slots import Slots
+from lavenderstack.node.slow_start import SlowStart
 from lavenderstack.node.target_connections import PooledConnection, TargetConnections
 from lavenderstack.node.target_health import TargetHealth
 
@@ -79,11 +81,13 @@
         backend: Backend,
         min_position_for: MinPositionFor,
         acknowledged: AcknowledgedPositions,
+        cold: ColdTarget,
     ) -> None:
         self.target = state.target
         self.group = state.group
         self._first_choice = False
-        self.slots = Slots(state.target.slots)
+        self._slow_start = SlowStart(directory)
+        self.slots = Slots(self._slow_start.slots(state, clock.now()))
         self.connections = TargetConnections(backend, state.target, state.group)
         self._directory = directory
         self._min_position_for = min_position_for
@@ -101,6 +105,10 @@
         self._evacuation = EvacuationGuard(
             directory, self.connections, self.transactions
         )
+        self._cold = cold
+        self._cold.connections = self.connections
+        # Whether work was limited when it last arrived.
+        self._limited = False
 
     def update_state(self, state: TargetState) -> bool:
         """Apply changed limits of the target; return False if its address changed."""
@@ -110,10 +118,19 @@
         if (before.host, before.port) != (now.host, now.port):
             return False
         self.target = now
-        self.slots.resize(now.slots)
+        self._apply_slots(clock.now())
         self._apply_connection_limits()
         return True
 
+    def _apply_slots(self, now: float) -> None:
+        """Apply the target's slots, or fewer for a while after it was out of use."""
+        state = self._directory.targets.get(self.target.name)
+        if state is None:
+            return
+        slots = self._slow_start.slots(state, now)
+        if slots != self.slots.slots:
+            self.slots.resize(slots)
+
     def set_first_choice(self, first_choice: bool) -> None:
         """Record whether this node is the target's first choice as its holder."""
         self._first_choice = first_choice
@@ -140,11 +157,32 @@
         reason = Reason.KEY_REFUSED if holds else Reason.STALE_VIEW
         return failure(False, reason)
 
+    def _send_refusal(self, work: Work) -> Failed | None:
+        """Return why the statement may not be sent now; else it counts as sent."""
+        refusal = self._refusal(work)
+        return refusal or self._cold.count_sent(work, clock.now())
+
     async def run(self, work: Work) -> Message:
         """Run one statement; answer with ``WorkDone`` or ``Failed``."""
         refusal = self._refusal(work)
         if refusal is not None:
             return refusal
+        now = clock.now()
+        limited = self._cold.limit(now) is not None
+        if limited != self._limited:
+            self._limited = limited
+            self._apply_slots(now)
+        if not limited:
+            return await self._run_permitted(work)
+        try:
+            async with self._cold.permit(work) as permitted:
+                refusal = self._send_refusal(permitted) if permitted.tx else None
+                return refusal or await self._run_permitted(permitted)
+        except Refused as exc:
+            return failed(work, exc)
+
+    async def _run_permitted(self, work: Work) -> Message:
+        """Run a statement that the target may get now, as far as is known."""
         if work.tx:
             return await self.transactions.run_statement(work)
         if self.health.unreachable_reason:
@@ -304,7 +342,7 @@
         deadline: float,
     ) -> Message:
         """Send the caller's statement on a prepared connection and await its answer."""
-        refusal = self._refusal(work)
+        refusal = self._send_refusal(work)
         if refusal is not None:
             self._active.roll_back_and_release(pooled)
             return refusal
@@ -348,6 +386,8 @@
         """End idle transactions and close connections that this node need not hold."""
         self.transactions.sweep(now, self._directory.catalog.tx_idle_s)
         self._evacuation.sweep(self.target, now)
+        self._cold.sweep(now)
+        self._apply_slots(now)
         self.connections.close_idle(self._first_choice)
 
     def close(self) -> None:
--- a/lavenderstack/node/executors.py
+++ b/lavenderstack/node/executors.py
@@ -1,6 +1,7 @@
 """The executors of a node, one for each target that has been asked for."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -18,6 +19,8 @@
 )
 from lavenderstack.node.acknowledged_positions import AcknowledgedPositions
 from lavenderstack.node.backend import Backend
+from lavenderstack.node.cold_target import Choice
+from lavenderstack.node.cold_targets import ColdTargets
 from lavenderstack.node.directory import Directory
 from lavenderstack.node.executor import MinPositionFor, TargetExecutor
 
@@ -29,7 +32,8 @@
     """The executors of this node, created when work for a target first arrives.
 
     ``first_choice`` tells whether this node is the first choice as the connection
-    holder of a target. ``run_id`` identifies this process, as in its registration.
+    holder of a target; ``cold_choice`` tells the same for cold targets, and they are
+    limited by ``cold``. ``run_id`` identifies this process, as in its registration.
     """
 
     directory: Directory
@@ -39,6 +43,11 @@
     target_executors: dict[str, TargetExecutor] = field(default_factory=dict)
     acknowledged: AcknowledgedPositions = field(default_factory=AcknowledgedPositions)
     run_id: str = ""
+    cold_choice: Choice = lambda state: (True, -math.inf)
+    cold: ColdTargets = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.cold = ColdTargets(self.directory, self.cold_choice)
 
     def for_target(self, target: str) -> TargetExecutor | None:
         """Return the executor of a target, None if the target is unknown.
@@ -59,6 +68,7 @@
             self.backend,
             self.min_position_for,
             self.acknowledged,
+            self.cold.of(state),
         )
         executor.set_first_choice(self.first_choice(state))
         self.target_executors[target] = executor
@@ -114,3 +124,4 @@
                     state is not None and self.first_choice(state)
                 )
                 executor.sweep(now)
+            self.cold.forget_unused(set(self.target_executors), now)
--- a/lavenderstack/node/peers.py
+++ b/lavenderstack/node/peers.py
@@ -4,6 +4,7 @@
 that can't be reached is not chosen for a short time.
 """
 
+import math
 from collections.abc import Awaitable, Callable, Mapping
 
 from lavenderstack.core import clock
@@ -78,3 +79,13 @@
         """Return the VMs that may hold a target's connections, preferred first."""
         assigned = self.assigned_to(target)
         return self._members.holders(self._view(), target, clock.now(), assigned)
+
+    def first_choice(self, target: Target) -> Vm | None:
+        """Return the first choice as a target's holder, even if it didn't answer.
+
+        It depends only on what the store holds, not on this node's streams.
+        """
+        assigned = self.assigned_to(target)
+        # No suspicion lasts until then.
+        found = self._members.holders(self._view(), target, math.inf, assigned)
+        return found[0] if found else None
--- a/lavenderstack/node/target_connections.py
+++ b/lavenderstack/node/target_connections.py
@@ -44,8 +44,9 @@
     """Pool of the open connections to one target.
 
     ``opened`` counts all connections opened so far, ``max_open`` limits those open.
-    ``heard_at`` is when the target last answered on any of them, in seconds on the
-    clock.
+    ``heard_at`` is when the target last answered on any of them, ``maybe_restarted_at``
+    when it closed one or was reached again after all were closed, both in seconds on
+    the clock.
     """
 
     def __init__(self, backend: Backend, target: Target, group: str) -> None:
@@ -57,6 +58,7 @@
         self.set_limits(target, first_choice=False)
         self.opened = 0
         self.heard_at = float("-inf")
+        self.maybe_restarted_at = float("-inf")
         self._backend = backend
         self._idle: list[PooledConnection] = []
         self._open: set[PooledConnection] = set()
@@ -178,6 +180,8 @@
             raise
         finally:
             self._opening -= 1
+        if self.opened and not self._open:
+            self.maybe_restarted_at = clock.now()
         self.opened += 1
         self.record_answer()
         pooled = PooledConnection(conn, organisation, clock.now())
@@ -195,6 +199,8 @@
 
     def discard(self, pooled: PooledConnection) -> None:
         """Close a connection and remove it from the pool."""
+        if pooled.conn.closed and pooled in self._open:
+            self.maybe_restarted_at = clock.now()
         pooled.conn.close()
         self._open.discard(pooled)
         self._released.set()
