Keep statements in their home regions, and ask cold targets last

Targets and holders outside of the home regions aren't considered, other than the entry node itself. What nothing at home can run is refused without a hop and without a token. A cold target is asked last, through its first choice alone, and without a second read beside the first, which would count as well.

A second check at the holder was weighed; it doesn't know the route, which would have to travel with each statement.

--- a/lavenderstack/node/counters.py
+++ b/lavenderstack/node/counters.py
@@ -41,6 +41,16 @@
             "Statements refused because of an evacuation, by the part that refused",
             ["by"],
         )
+        self.cold_refusals = self._counter(
+            "cold_refusals",
+            "Statements refused since their target is cold, by the cause",
+            ["cause"],
+        )
+        self.homes_refusals = self._counter(
+            "homes_refusals",
+            "Statements refused since nothing in the home regions can run them",
+            [],
+        )
         self.latency = Histogram(
             "request_seconds",
             "Time from a caller's statement to the answer",
--- a/lavenderstack/node/dispatch.py
+++ b/lavenderstack/node/dispatch.py
@@ -20,6 +20,7 @@
     Prospect,
     use_of,
 )
+from lavenderstack.core.homes import Regions
 from lavenderstack.core.messages import Failed, Message
 from lavenderstack.core.outcome import Reason
 from lavenderstack.core.position import START, Position
@@ -32,6 +33,13 @@
     group_prospect,
     refusal_at_once,
 )
+from lavenderstack.node.home_routing import (
+    holders,
+    homes_of,
+    in_homes,
+    refusal_outside,
+    transaction_obstacle,
+)
 from lavenderstack.node.peers import Peers
 from lavenderstack.node.streams import NotSent, StreamLost
 
@@ -166,6 +174,12 @@
                 call.route.group,
                 call.use,
                 call.retry_until,
+            ) or refusal_outside(
+                self._directory,
+                self._counters,
+                call.route,
+                call.organisation,
+                call.use,
             )
             if refusal is not None:
                 return DispatchResult(refusal)
@@ -188,7 +202,10 @@
         if primary is None:
             return DispatchResult(Failed(run=False, reason=Reason.NO_PRIMARY))
         if call.repeatable and not call.opens:
-            return await self._run_hedged(call, [(primary, call.access)] * 2)
+            # A cold target has one holder, and a second read would count as well.
+            cold = self._directory.is_cold(primary, clock.now())
+            attempts = 1 if cold else 2
+            return await self._run_hedged(call, [(primary, call.access)] * attempts)
         return await self._attempt(call, primary, call.access)
 
     async def _pause(self, backoff_s: float, left_s: float) -> float:
@@ -204,13 +221,14 @@
     def _read_choices(self, call: Call) -> list[tuple[TargetState, Access]]:
         """Return the targets for an aged read and how to read there, best first."""
         group = call.route.group
-        replicas = self._usable(self._directory.replicas(group))
+        homes = homes_of(self._directory, call.route, call.organisation)
+        replicas = self._usable(self._directory.replicas(group), homes)
         random.shuffle(replicas)
         # A replica in the entry's own zone avoids two messages between zones.
         replicas.sort(key=lambda state: state.target.zone != self._directory.zone)
         choices = [(state, Access.AGED_READ) for state in replicas]
         primary = self._directory.primary(group)
-        if primary is not None and not self._usable([primary]):
+        if primary is not None and not self._usable([primary], homes):
             primary = None
         if primary is not None and call.opens is not TransactionStart.READ_ONLY:
             index = len(choices)
@@ -219,12 +237,18 @@
             choices.insert(index, (primary, Access.CURRENT_READ))
         elif primary is not None:
             choices.append((primary, Access.AGED_READ))
+        if self._directory.cold_limits is not None:
+            now = clock.now()
+            choices.sort(key=lambda choice: self._directory.is_cold(choice[0], now))
         return choices
 
-    def _usable(self, states: list[TargetState]) -> list[TargetState]:
-        """Return the targets outside of every evacuated zone."""
+    def _usable(
+        self, states: list[TargetState], homes: Regions | None
+    ) -> list[TargetState]:
+        """Return the targets in the home regions outside of every evacuated zone."""
         is_evacuated = self._directory.is_evacuated
-        return [state for state in states if not is_evacuated(state.target.zone)]
+        usable = [state for state in states if not is_evacuated(state.target.zone)]
+        return in_homes(self._directory, usable, homes)
 
     async def _run_hedged(
         self, call: Call, choices: list[tuple[TargetState, Access]]
@@ -280,8 +304,9 @@
         """
         target = state.target
         result = DispatchResult(Failed(run=False, reason=Reason.UNREACHABLE))
-        holders = self._peers.holders(target)[:MAX_HOLDERS_TRIED]
-        for vm in holders[skip:] + holders[:skip]:
+        homes = homes_of(self._directory, call.route, call.organisation)
+        vms = holders(self._directory, self._peers, state, homes, MAX_HOLDERS_TRIED)
+        for vm in vms[skip:] + vms[:skip]:
             left_s = call.deadline - clock.now()
             if left_s <= 0:
                 return DispatchResult(Failed(run=False, reason=Reason.DEADLINE))
@@ -369,6 +394,11 @@
             return Failed(
                 run=False, reason=Reason.TRANSACTION_LOST, detail="the node has left"
             )
+        homes = homes_of(self._directory, call.route, call.organisation)
+        refusal = transaction_obstacle(self._directory, homes, vm, location.target)
+        if refusal is not None:
+            self._counters.homes_refusals.inc()
+            return refusal
         left_s = call.deadline - clock.now()
         return await self._send_work(
             vm, self._build_work(call, location.target, call.access, left_s, tx)
--- a/lavenderstack/node/evacuation_refusals_test.py
+++ b/lavenderstack/node/evacuation_refusals_test.py
@@ -1,13 +1,14 @@
 """Tests of routing around evacuated zones at the entry node."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
 from lavenderstack.core import clock
 from lavenderstack.core.catalog import Catalog, GroupLimits
 from lavenderstack.core.outcome import Reason
-from lavenderstack.core.view import Target
+from lavenderstack.core.view import Plan, Target
 from lavenderstack.core.work_messages import Access, WorkDone
 from lavenderstack.node.dispatch_test import (
     READ,
@@ -90,12 +91,17 @@
 
 
 class TestSession:
-    async def test_a_refusal_costs_no_token(self):
+    @pytest.mark.parametrize("reason", [Reason.EVACUATED, Reason.OUTSIDE_HOMES])
+    async def test_a_refusal_costs_no_token(self, reason):
         opened, fake = session()
         directory = opened.services.directory
         directory.put_target(Target("t", "z1", "h", 1, 2, 30), "g", False, False, 1)
-        directory.put_evacuation("z1", 2)
+        if reason is Reason.EVACUATED:
+            directory.put_evacuation("z1", 2)
+        else:
+            plans = {"org": Plan("org", 1, 1, home_regions=("r1",))}
+            directory.catalog = replace(directory.catalog, plans=plans)
         reply = await opened.run("r1", SESSION_READ)
-        assert reply.reason is Reason.EVACUATED
+        assert reply.reason is reason
         assert "retry after 1000 ms" in reply.detail
         assert fake.admitted == 0
--- a/lavenderstack/node/session.py
+++ b/lavenderstack/node/session.py
@@ -38,6 +38,7 @@
     TransactionLocation,
 )
 from lavenderstack.node.evacuation_refusals import refusal_at_once
+from lavenderstack.node.home_routing import homes_of, refusal_outside
 from lavenderstack.node.peers import Peers
 from lavenderstack.node.streams import NotSent, StreamLost
 
@@ -209,18 +210,19 @@
         tx = self._tx
         if tx is not None and tx.name:
             return await self._run_in_transaction(arrival, route, tx)
-        evacuated = self._evacuation_refusal(arrival, route)
-        if evacuated is not None:
-            return self._failure_reply(evacuated, arrival.statement)
+        unservable = self._refusal_at_once(arrival, route)
+        if unservable is not None:
+            return self._failure_reply(unservable, arrival.statement)
         failed = await self.services.admitter.admit(self.organisation)
         if failed is not None:
             return self._over_rate(failed)
         return await self._run_first(arrival, route, tx)
 
-    def _evacuation_refusal(self, arrival: _Arrival, route: Route) -> Failed | None:
+    def _refusal_at_once(self, arrival: _Arrival, route: Route) -> Failed | None:
         """Return a refusal that costs the organisation no token, or None."""
         services = self.services
-        if not services.directory.evacuations:
+        homes = homes_of(services.directory, route, self.organisation)
+        if not services.directory.evacuations and homes is None:
             return None
         access = access_for(route, arrival.statement, self._tx)
         call = self._call(arrival, route, access)
@@ -231,6 +233,12 @@
             route.group,
             call.use,
             call.retry_until,
+        ) or refusal_outside(
+            services.directory,
+            services.counters,
+            route,
+            self.organisation,
+            call.use,
         )
 
     def _over_rate(self, failed: Failed) -> Reply:
