--- a/lavenderstack/platform/loader.py
+++ b/lavenderstack/platform/loader.py
@@ -414,6 +414,7 @@
         elif key.startswith(documents.NODES_PREFIX):
             node = documents.decode_node(key, data)
             if node is not None:
+                directory.record_registration(node.name, True)
                 directory.put_member(node)
         elif key == documents.ERA_KEY:
             settled = documents.decode_era(data)
@@ -450,6 +451,7 @@
             report.leads,
             item.rev,
             report.started_ms,
+            report.cold_s,
         )
 
     def _with_limits(self, report: documents.TargetReport) -> Target:
@@ -478,6 +480,8 @@
             self._reports.pop(name, None)
             directory.drop_target(name, item.rev)
         elif key.startswith(documents.NODES_PREFIX):
+            name = key.removeprefix(documents.NODES_PREFIX)
+            directory.record_registration(name, False)
             loop = asyncio.get_running_loop()
             loop.call_later(MEMBER_REMOVAL_DELAY_S, self._member_removed, key, item.rev)
         elif key.startswith(documents.OWNERSHIP_PREFIX):
--- a/lavenderstack/platform/main.py
+++ b/lavenderstack/platform/main.py
@@ -17,6 +17,7 @@
 from lavenderstack.core import clock
 from lavenderstack.core.catalog import TargetState
 from lavenderstack.core.change_messages import ChangesRequest
+from lavenderstack.core.cold_start import ColdLimits
 from lavenderstack.core.coordinator_messages import Attach, Detach, DrawTokens
 from lavenderstack.core.log_rate_limit import LogRateLimiter
 from lavenderstack.core.members import Members
@@ -115,6 +116,14 @@
     directory.orders_per_s = cfg.orders_per_s
 
 
+def _apply_placement_settings(directory: Directory, cfg: Settings) -> None:
+    """Apply the regions of the zones and the limits of cold targets."""
+    directory.regions = cfg.zones
+    directory.cold_limits = None
+    if cfg.cold_excess is not None and cfg.cold_slack is not None:
+        directory.cold_limits = ColdLimits(cfg.cold_excess, cfg.cold_slack)
+
+
 def _capacity(cfg: Settings) -> float:
     """Return the statements a second that this VM can pass on, 0 if unknown."""
     if cfg.cores is None or cfg.core_share is None or cfg.link_mbps is None:
@@ -128,6 +137,7 @@
     directory = Directory(cfg.name, cfg.availability_zone, proof)
     directory.load_control = cfg.load_control
     _apply_evacuation_settings(directory, cfg)
+    _apply_placement_settings(directory, cfg)
     vm = Vm(
         cfg.name,
         cfg.availability_zone,
@@ -151,12 +161,24 @@
         holders = peers.holders(state.target)
         return bool(holders) and holders[0].name == cfg.name
 
+    def cold_choice(state: TargetState) -> tuple[bool, float]:
+        first = peers.first_choice(state.target)
+        assigned = peers.assigned_to(state.target) is not None
+        # An assignment depends on all targets, so it may be new at any time.
+        changed_at = clock.now() if assigned else directory.members_changed_at
+        return first is not None and first.name == cfg.name, changed_at
+
     positions = PrimaryPositions(directory, peers, local_positions)
     backend = TargetBackend()
     executors = Executors(
-        directory, backend, positions.min_position_for, is_first_choice
+        directory,
+        backend,
+        positions.min_position_for,
+        is_first_choice,
+        cold_choice=cold_choice,
     )
     counters = Counters()
+    executors.cold.refused = lambda cause: counters.cold_refusals.labels(cause).inc()
     dispatcher = Dispatcher(directory, peers, counters)
     registration = Registration(metadata_store, vm)
     executors.run_id = registration.identity
@@ -242,6 +264,11 @@
     counters.gauge(
         "evacuated_zones", "Zones evacuated", lambda: len(directory.evacuations)
     )
+    counters.gauge(
+        "cold_targets",
+        "Targets that are cold and limited",
+        directory.cold_targets,
+    )
     counters.gauge(
         "history_known",
         "1 if all that were ever registered in the store are known",
@@ -323,6 +350,7 @@
     ]
     node.directory.proof.limit_s = cfg.withdrawn_key_limit_ms / 1000
     node.directory.load_control = cfg.load_control
+    _apply_placement_settings(node.directory, cfg)
     _apply_evacuation_settings(node.directory, cfg)
     log.info("node: settings read", changed=changed)
 
--- a/lavenderstack/platform/node_test.py
+++ b/lavenderstack/platform/node_test.py
@@ -1,6 +1,7 @@
 """Tests of a node process with stand-ins for callers, targets and the store."""
 
 import asyncio
+import base64
 import json
 import os
 import signal
@@ -218,6 +219,34 @@
             executed = [request for _, request, _ in node.targets[0].executed]
             assert executed.count("once") == 1
 
+    async def test_a_cold_target_gets_no_more_than_its_limit(self, tmp_path):
+        """Half of 2 * 1.5 + 5, once this node has been first for long enough."""
+        async with run_node(tmp_path) as node:
+            cfg = {**json.loads(node.path.read_text()), "cold_excess": 1.5}
+            node.path.write_text(json.dumps({**cfg, "cold_slack": 5}))
+            service = {**CONFIG["services"][0], "cold_per_s": 2, "cold_start_s": 60}
+            node.store.put("op/config", config(version=8, services=[service]))
+            item = json.loads(
+                base64.b64decode(node.store.items["servers/i-1"]["value"])
+            )
+            cold = {**item, "cold_left_ms": 60_000}
+            node.store.put("servers/i-1", json.dumps(cold).encode())
+            metric = "lavenderstack_cold_targets 1.0"
+            deadline = clock.now() + READY_TIMEOUT_S
+            while metric not in await node.get(node.ports[3], "/metrics"):
+                assert clock.now() < deadline
+                await asyncio.sleep(0.05)
+            caller = await node.caller("CONNECT db2 k1")
+            while (await caller.query("READ a"))[0].startswith("ERROR"):
+                assert clock.now() < deadline
+                await asyncio.sleep(0.05)
+            callers = [await node.caller("CONNECT db2 k1") for _ in range(20)]
+            answers = await asyncio.gather(*(one.query("READ a") for one in callers))
+            # They wait up to the time-out of 2 s, in which two further seconds begin.
+            refused = [one[0] for one in answers if one[0].startswith("ERROR")]
+            assert 20 - 2 * 4 <= len(refused) < 20
+            assert all("retry after" in line for line in refused)
+
 
 class TestBadInput:
     @pytest.mark.parametrize(
