--- a/lavenderstack/core/events_test.py
+++ b/lavenderstack/core/events_test.py
@@ -18,6 +18,8 @@
     "evacuated_zones",
     "evacuation_log",
     "evacuation_guard",
+    "cold_target",
+    "slow_start",
     "planned_failover",
     "dispatch",
     "executor",
--- a/lavenderstack/core/view.py
+++ b/lavenderstack/core/view.py
@@ -31,6 +31,8 @@
 
     ``weight`` is the organisation's share under contention, ``queue`` how many of its
     requests may wait. ``priority`` is the organisation's under load control.
+    ``home_regions`` are the regions that its statements may not leave, if there are
+    any.
     """
 
     name: str
@@ -39,6 +41,7 @@
     weight: float = 1.0
     queue: int = 200
     priority: int = DEFAULT_PRIORITY
+    home_regions: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
