--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -34,6 +34,7 @@
     "withdrawal",
     "failover",
     "evacuation",
+    "concurrency",
 )
 
 
