Use the learned limit for the slots of targets under load control

The holder applies it by Slots.resize, so that the queue, the shedder's expected wait and the reported limit follow. Times are measured from sending a statement to its answer, without the opening of a connection. Entry nodes pass on the limit that another holder reported in the last 10 s, in the last field of Work, so a new holder doesn't start with all slots of a slow target. Groups without load control keep their declared slots.

--- a/lavenderstack/core/events.py
+++ b/lavenderstack/core/events.py
@@ -315,6 +315,13 @@
         "this holder refuses statements that it can't serve in time; at most one line "
         "a second a target, with the last refused one; refused: all since the start",
     ),
+    Event(
+        "executor: concurrency limit changed",
+        LineKind.STATE,
+        ("target", "limit", "before", "slots", "service_ms"),
+        "this holder runs more or fewer statements at once there, by more than a "
+        "quarter; at most one line for a target in 5 s",
+    ),
     Event(
         "dispatch: group full",
         LineKind.STATE,
--- a/lavenderstack/core/events_test.py
+++ b/lavenderstack/core/events_test.py
@@ -21,6 +21,7 @@
     "dispatch",
     "executor",
     "load_control",
+    "target_concurrency",
     "attempt_limits",
     "active_connections",
     "open_transactions",
--- a/lavenderstack/core/load_view.py
+++ b/lavenderstack/core/load_view.py
@@ -30,6 +30,8 @@
 # Distance of another zone before the first answer from there.
 USUAL_DISTANCE_S = 0.002
 FORGET_AFTER_S = 60.0
+# A new holder starts from a limit that is not older; servers rarely change faster.
+MAX_LIMIT_AGE_S = 10.0
 
 
 @dataclass(slots=True, eq=False)
@@ -193,6 +195,18 @@
         )
         return max(times, default=None)
 
+    def known_limit(self, target: str, holder: str, now: float) -> int:
+        """Return the limit that another holder reported last, 0 if it isn't known."""
+        view = self._targets.get(target)
+        reports = view.reports.values() if view else ()
+        others = [
+            report
+            for report in reports
+            if report.holder != holder and now - report.at < MAX_LIMIT_AGE_S
+        ]
+        latest = max(others, key=lambda report: report.at, default=None)
+        return latest.load.limit if latest else 0
+
     def distance_s(self, zone: str) -> float:
         """Return the round trip to a zone beyond that within this node's zone."""
         own_s = self._distances.get(self.zone, 0.0)
--- a/lavenderstack/core/load_view_test.py
+++ b/lavenderstack/core/load_view_test.py
@@ -77,3 +77,13 @@
     assert view.distance_s("z2") == USUAL_DISTANCE_S
     learn(view, 6.0, 6.505, zone="z2", held_s=0.5)
     assert view.distance_s("z2") == pytest.approx(0.004)
+
+
+def test_a_limit_is_known_from_other_holders_for_some_seconds():
+    """Guards against a new holder that starts with all slots of a slow target."""
+    view = view_with(5.0, 5.0, limit=2)
+    learn(view, 5.5, 5.5, holder="n3", limit=4)
+    limits = [view.known_limit("t1", "n3", at) for at in (6.0, 14.9, 15.0)]
+    assert limits == [2, 2, 0]
+    assert view.known_limit("t1", "n2", 6.0) == 4
+    assert view.known_limit("t9", "n2", 6.0) == 0
--- a/lavenderstack/core/work_messages.py
+++ b/lavenderstack/core/work_messages.py
@@ -44,8 +44,9 @@
     old it may be. ``latency_goal_s`` is the latency goal of the route, 0 if there is
     none, ``latency_goal_left_s`` what is left of it. ``position_wait_s`` is how long to
     wait for the primary's position before another target is tried. ``opens`` is the
-    transaction to open first; ``tx`` names the open transaction in which to run. Times
-    are in seconds.
+    transaction to open first; ``tx`` names the open transaction in which to run.
+    ``known_limit`` is the concurrency limit of the target as the sender knows it from
+    another holder, 0 if it doesn't. Times are in seconds.
     """
 
     request: str
@@ -67,6 +68,7 @@
     max_age_s: float = 0.0
     opens: TransactionStart = TransactionStart.NONE
     tx: str = ""
+    known_limit: int = 0
 
 
 class WorkDone(Message, tag="work_done", kw_only=True):
--- a/lavenderstack/node/dispatch.py
+++ b/lavenderstack/node/dispatch.py
@@ -409,6 +409,7 @@
     async def _send_work(self, vm, work: Work) -> Message:
         if not self._directory.is_load_controlled(work.group):
             return await self._ask_holder(vm, work)
+        work = self.read_choices.with_known_limit(work, vm.name)
         with self.read_choices.in_flight(work) as sent:
             answer = await self._ask_holder(vm, work)
         self.read_choices.record_answer(sent, vm, work, answer)
--- a/lavenderstack/node/executor.py
+++ b/lavenderstack/node/executor.py
@@ -49,6 +49,7 @@
 from lavenderstack.node.load_reports import LoadReports
 from lavenderstack.node.open_transactions import OpenTransactions
 from lavenderstack.node.slots import Slots
+from lavenderstack.node.target_concurrency import TargetConcurrency, is_completion
 from lavenderstack.node.target_connections import PooledConnection, TargetConnections
 from lavenderstack.node.target_health import TargetHealth
 
@@ -91,6 +92,7 @@
         self._directory = directory
         self.load_control = TargetLoadControl(state.target.name, self.slots, directory)
         self.load_reports = LoadReports(directory, self.slots, self.load_control)
+        self.concurrency = TargetConcurrency(state, self.slots, directory)
         self._min_position_for = min_position_for
         self._acknowledged = acknowledged
         self.health = TargetHealth(state.target, self.connections, directory)
@@ -115,7 +117,7 @@
         if (before.host, before.port) != (now.host, now.port):
             return False
         self.target = now
-        self.slots.resize(now.slots)
+        self.concurrency.resize(now.slots)
         self._apply_connection_limits()
         return True
 
@@ -177,6 +179,7 @@
         Raises ``Refused`` if the wait would be too long for an answer in time.
         """
         if self._directory.is_load_controlled(self.group):
+            self.concurrency.prepare(work)
             return self.load_control.slot(work, MAX_QUEUED)
         retry_s = refusal_retry_after_s(
             self.slots.queue_load(work.organisation),
@@ -338,7 +341,9 @@
         except ConnectionLost as exc:
             self.connections.discard(pooled)
             return failure(False, Reason.UNREACHABLE, str(exc))
-        reply = await self._active.answer(pooled, futs[index], deadline)
+        with self.concurrency.measured(work) as measurement:
+            reply = await self._active.answer(pooled, futs[index], deadline)
+            measurement.counts = is_completion(reply)
         if isinstance(reply, Failed):
             return reply
         if proves_primary:
@@ -361,6 +366,7 @@
         """End idle transactions and close connections that this node need not hold."""
         self.transactions.sweep(now, self._directory.catalog.tx_idle_s)
         self._evacuation.sweep(self.target, now)
+        self.concurrency.sweep()
         self.connections.close_idle(self._first_choice)
 
     def close(self) -> None:
--- a/lavenderstack/node/load_control.py
+++ b/lavenderstack/node/load_control.py
@@ -45,7 +45,8 @@
             self._log_refusal(work, decision.wait_s, now)
             raise Refused(
                 Reason.CROWDED,
-                "no slot would be free in time for an answer",
+                "no slot would be free in time for an answer, concurrency limit "
+                f"{self._slots.slots}",
                 decision.retry_after_s,
             )
         late = decision.admission is Admission.LATE
--- a/lavenderstack/node/read_choices.py
+++ b/lavenderstack/node/read_choices.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
+import msgspec
 import structlog
 from prometheus_client import Counter
 
@@ -116,6 +117,11 @@
         with self.loads.in_flight(work.target, clock.now()) as sent:
             yield sent
 
+    def with_known_limit(self, work: Work, holder: str) -> Work:
+        """Return the work with the target's limit as other holders reported it."""
+        limit = self.loads.known_limit(work.target, holder, clock.now())
+        return msgspec.structs.replace(work, known_limit=limit) if limit else work
+
     def record_answer(self, sent: Sent, vm: Vm, work: Work, answer: Message) -> None:
         """Store the report in a holder's answer, if it has one."""
         load = getattr(answer, "load", None)
--- a/lavenderstack/node/read_choices_test.py
+++ b/lavenderstack/node/read_choices_test.py
@@ -74,6 +74,19 @@
         assert await harness.read(1, wrote_s_ago=0.01) == {"t1": 1, "t2": 1}
 
 
+async def test_work_carries_the_limit_that_another_holder_reported():
+    harness = Harness(t2=IDLE)
+    await harness.read(1)
+    call = harness.call(READ, Access.AGED_READ)
+    work = harness.dispatcher._build_work(call, "t2", call.access, 1.0)
+    limits = [
+        harness.choices.with_known_limit(work, name).known_limit
+        for name in ("another", *harness.directory.view.vms)
+    ]
+    assert limits[0] == 2
+    assert 0 in limits
+
+
 class TestLostHolder:
     async def test_retries_are_spread_over_the_time_of_the_lost_queue(self):
         """Guards against the queue of a lost holder reaching its successor at once."""
--- a/lavenderstack/node/slots.py
+++ b/lavenderstack/node/slots.py
@@ -182,6 +182,11 @@
             waiting, own, organisation_count, self.free, self.slots, mean_s
         )
 
+    @property
+    def running(self) -> int:
+        """The number of requests that hold a slot, or run beyond the slots."""
+        return self.slots - self.free
+
     def resize(self, slots: int) -> None:
         """Change the number of slots; running requests keep theirs."""
         self.free += slots - self.slots
@@ -227,16 +232,19 @@
                 fut.set_exception(Refused(Reason.DEADLINE, "no slot in time"))
         for shed in self.shedder.review(now):
             if not shed.item.done():
-                shed.item.set_exception(_refusal(shed))
+                shed.item.set_exception(_refusal(shed, self.slots))
         deadline = self.queue.next_deadline()
         if deadline is not None:
             self._schedule_expiry(deadline)
         self._schedule_review()
 
 
-def _refusal(shed: Shed) -> Refused:
+def _refusal(shed: Shed, limit: int) -> Refused:
     """Return why a waiting request is not run."""
     if shed.retry_after_s is None:
         return Refused(Reason.DEADLINE, "no slot in time")
-    detail = "more urgent statements came, so no slot would be free in time"
+    detail = (
+        "more urgent statements came, so no slot would be free in time, "
+        f"concurrency limit {limit}"
+    )
     return Refused(Reason.CROWDED, detail, shed.retry_after_s)
--- /dev/null
+++ b/lavenderstack/node/target_concurrency_test.py
@@ -0,0 +1,83 @@
+"""Tests of the learned limit at the slots of an executor."""
+
+import asyncio
+
+import pytest
+from prometheus_client import CollectorRegistry, generate_latest
+
+from lavenderstack.core.contention import LoadControl
+from lavenderstack.core.messages import Failed
+from lavenderstack.core.outcome import Reason
+from lavenderstack.core.reply import Reply
+from lavenderstack.node.executor_test import WRITE, ExecutorHarness
+from lavenderstack.node.target_concurrency import is_completion
+from lavenderstack.node.target_gauges import TargetGauges
+
+GOAL = {"latency_goal_s": 0.5, "latency_goal_left_s": 9.0, "left_s": 9.0}
+
+
+def harness(slots=8):
+    made = ExecutorHarness(slots=slots)
+    made.directory.load_control = LoadControl.ON
+    made.targets["t1"].work_s = 0.005
+    return made
+
+
+def slots(made):
+    return made.executors.for_target("t1").slots
+
+
+async def run_many(made, number, **fields):
+    works = (made.run(WRITE, request=f"r{n}", **GOAL | fields) for n in range(number))
+    return await asyncio.gather(*works)
+
+
+class TestLimit:
+    async def test_it_is_used_and_reported_under_load_control_only(self):
+        made = harness()
+        (answer,) = await run_many(made, 1)
+        assert (slots(made).slots, answer.load.limit) == (2, 2)
+        made.directory.load_control = LoadControl.OFF
+        made.executors.for_target("t1").sweep(0.0)
+        assert slots(made).slots == 8
+
+    async def test_it_follows_what_the_target_handles(self):
+        """Guards against times that include the wait for a slot."""
+        made = harness()
+        await run_many(made, 200)
+        assert slots(made).slots == 8
+
+    async def test_a_new_holder_starts_from_the_limit_that_a_sender_knows(self):
+        made = harness()
+        await run_many(made, 1, known_limit=5)
+        assert slots(made).slots == 5
+
+    async def test_only_completions_and_time_outs_teach(self):
+        """Guards against errors that make a target look fast."""
+        replies = [
+            Reply(),
+            Reply(reason=Reason.STATEMENT_FAILED),
+            Failed(run=True, reason=Reason.TIMED_OUT),
+            Failed(run=True, reason=Reason.CONNECTION_LOST),
+        ]
+        found = [is_completion(reply) for reply in replies]
+        assert found == [True, False, True, False]
+
+    async def test_changed_slots_keep_the_learned_limit(self):
+        made = harness()
+        await run_many(made, 1)
+        concurrency = made.executors.for_target("t1").concurrency
+        concurrency.resize(6)
+        assert slots(made).slots == 2
+        concurrency.resize(1)
+        assert slots(made).slots == 1
+
+
+@pytest.mark.parametrize("name", ["concurrency_limit", "service_seconds"])
+async def test_gauges_name_the_targets_held(name):
+    made = harness()
+    await run_many(made, 1)
+    registry = CollectorRegistry()
+    registry.register(TargetGauges(made.executors))
+    text = generate_latest(registry).decode()
+    assert f'lavenderstack_{name}{{target="t1"}}' in text
--- a/lavenderstack/platform/main.py
+++ b/lavenderstack/platform/main.py
@@ -46,6 +46,7 @@
 from lavenderstack.node.session import Services
 from lavenderstack.node.streams import StreamLimits, StreamPool, StreamServer
 from lavenderstack.node.supervisor import Part
+from lavenderstack.node.target_gauges import TargetGauges
 from lavenderstack.platform import settings, store, targets
 from lavenderstack.platform.callers import CallerServer
 from lavenderstack.platform.loader import Loader
@@ -247,6 +248,7 @@
         "Statements refused here since all targets reported full",
         lambda: node.callers.services.dispatcher.limits.refused,
     )
+    counters.registry.register(TargetGauges(executors))
     counters.gauge(
         "executors", "Targets held here", lambda: len(executors.target_executors)
     )
