--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -35,6 +35,7 @@
     "withdrawal",
     "failover",
     "evacuation",
+    "concurrency",
 )
 
 
--- a/lavenderstack/core/events_test.py
+++ b/lavenderstack/core/events_test.py
@@ -24,6 +24,7 @@
     "dispatch",
     "executor",
     "load_control",
+    "target_concurrency",
     "attempt_limits",
     "active_connections",
     "allocated_connections",
--- a/lavenderstack/node/executor.py
+++ b/lavenderstack/node/executor.py
@@ -56,6 +56,7 @@
 from lavenderstack.node.open_transactions import OpenTransactions
 from lavenderstack.node.slots import Slots
 from lavenderstack.node.slow_start import SlowStart
+from lavenderstack.node.target_concurrency import TargetConcurrency, is_completion
 from lavenderstack.node.target_connections import PooledConnection
 from lavenderstack.node.target_health import TargetHealth
 
@@ -100,6 +101,7 @@
         self._directory = directory
         self.load_control = TargetLoadControl(state.target.name, self.slots, directory)
         self.load_reports = LoadReports(directory, self.slots, self.load_control)
+        self.concurrency = TargetConcurrency(state, self.slots, directory)
         self._min_position_for = min_position_for
         self._acknowledged = acknowledged
         self.health = TargetHealth(state.target, self.connections, directory)
@@ -137,9 +139,8 @@
         state = self._directory.targets.get(self.target.name)
         if state is None:
             return
-        slots = self._slow_start.slots(state, now)
-        if slots != self.slots.slots:
-            self.slots.resize(slots)
+        available = self._slow_start.slots(state, now)
+        self.concurrency.resize(state.target.slots, available)
 
     def set_first_choice(self, first_choice: bool) -> None:
         """Record whether this node is the target's first choice as its holder."""
@@ -243,6 +244,7 @@
         Raises ``Refused`` if the wait would be too long for an answer in time.
         """
         if self._directory.is_load_controlled(self.group):
+            self.concurrency.prepare(work)
             return self.load_control.slot(work, MAX_QUEUED)
         retry_s = refusal_retry_after_s(
             self.slots.queue_load(work.organisation),
@@ -406,7 +408,9 @@
         except ConnectionLost as exc:
             self.connections.discard(pooled)
             return failure(False, Reason.UNREACHABLE, str(exc))
-        reply = await self._active.answer(pooled, futs[index], deadline)
+        with self.concurrency.measured(work) as measurement:
+            reply = await self._active.answer(pooled, futs[index], deadline)
+            measurement.counts = is_completion(reply)
         if isinstance(reply, Failed):
             return reply
         if proves_primary:
@@ -430,6 +434,7 @@
         self.transactions.sweep(now, self._directory.catalog.tx_idle_s)
         self._evacuation.sweep(self.target, now)
         self._cold.sweep(now)
+        self.concurrency.sweep()
         self._apply_slots(now)
         self.connections.close_idle(self._first_choice)
 
