--- a/lavenderstack/node/target_concurrency_test.py
+++ b/lavenderstack/node/target_concurrency_test.py
@@ -67,9 +67,9 @@
         made = harness()
         await run_many(made, 1)
         concurrency = made.executors.for_target("t1").concurrency
-        concurrency.resize(6)
+        concurrency.resize(6, 6)
         assert slots(made).slots == 2
-        concurrency.resize(1)
+        concurrency.resize(1, 1)
         assert slots(made).slots == 1
 
 
--- a/lavenderstack/platform/loader.py
+++ b/lavenderstack/platform/loader.py
@@ -31,11 +31,12 @@
     upstream_nodes,
 )
 from lavenderstack.core.store_position import era_of, format_position
-from lavenderstack.core.view import Target, Vm
+from lavenderstack.core.view import Vm
 from lavenderstack.node.directory import Directory
 from lavenderstack.node.peers import Peers
 from lavenderstack.node.streams import NotSent, StreamLost
 from lavenderstack.platform import documents
+from lavenderstack.platform.directory_writer import DirectoryWriter
 from lavenderstack.platform.history import HistoryReader
 from lavenderstack.platform.store import (
     Changes,
@@ -57,14 +58,6 @@
 # An answer with more events than this may be truncated, so it does not prove that the
 # directory is current.
 MAX_EVENTS = 200
-# After a store outage in which all leases expired, this node's registration has ended
-# like all others. The other nodes still run and will register again, so they are kept
-# for this long.
-MEMBER_RETENTION_S = 3.0
-# The removal of another node's registration is acted on after this delay. If all leases
-# expired, the removal of this node's own registration arrives within the delay and
-# shows that the other nodes may still run.
-MEMBER_REMOVAL_DELAY_S = 0.2
 # Changes that a store reader keeps for the nodes that ask it. A node that lacks older
 # ones is sent all entries.
 MAX_RECENT_CHANGES = 500
@@ -111,7 +104,9 @@
         self._directory = directory
         # The position of the last change, by key; removed entries are included.
         self._revisions: dict[str, int] = {}
-        self._reports: dict[str, documents.TargetReport] = {}
+        self._writer = DirectoryWriter(
+            directory, store.era, self._entries, self._revisions
+        )
         self._as_of = 0
         self._watch_sent_at = float("-inf")
         self._listed = False
@@ -383,14 +378,14 @@
         self._recent.append(item)
         if item.deleted:
             self._entries.pop(item.key, None)
-            self._remove(item)
+            self._writer.remove(item)
             return
         self._entries[item.key] = item
         zone = documents.evacuated_zone(item.key)
         if zone is not None:
             self._directory.put_evacuation(zone, item.rev)
         elif data is not None:
-            self._put(item, data)
+            self._writer.put(item, data)
 
     def _record_position(self, item: Item) -> None:
         # Removed first, so that the dict stays ordered by the time of the last change.
@@ -402,105 +397,3 @@
         oldest = next(removed, None)
         if oldest is not None:
             del self._revisions[oldest]
-
-    def _put(self, item: Item, data: bytes) -> None:
-        key, directory = item.key, self._directory
-        if key == documents.CATALOG_KEY:
-            catalog = documents.decode_catalog(data)
-            if catalog is not None and directory.update_catalog(catalog):
-                self._update_target_limits()
-        elif key.startswith(documents.TARGETS_PREFIX):
-            self._put_target(item, documents.decode_report(key, data))
-        elif key.startswith(documents.NODES_PREFIX):
-            node = documents.decode_node(key, data)
-            if node is not None:
-                directory.record_registration(node.name, True)
-                directory.put_member(node)
-        elif key == documents.ERA_KEY:
-            settled = documents.decode_era(data)
-            if settled is not None:
-                self._store.era.settle(settled)
-        elif key == documents.RESERVE_KEY:
-            reserve = documents.decode_reserve(key, data, item.rev)
-            if reserve is not None:
-                directory.put_reserve(reserve)
-        elif key.startswith(documents.OWNERSHIP_PREFIX):
-            ownership = documents.decode_ownership(key, data, item.rev)
-            if ownership is not None:
-                group = key.removeprefix(documents.OWNERSHIP_PREFIX)
-                directory.put_ownership(group, ownership)
-        elif key.startswith(documents.REPLICAS_PREFIX):
-            replicas = documents.decode_replica_set(key, data)
-            group = key.removeprefix(documents.REPLICAS_PREFIX)
-            if replicas is None:
-                directory.drop_replica_set(group, item.rev)
-            else:
-                directory.put_replica_set(group, replicas, item.rev)
-
-    def _put_target(self, item: Item, report: documents.TargetReport | None) -> None:
-        name = item.key.removeprefix(documents.TARGETS_PREFIX)
-        if report is None:
-            self._reports.pop(name, None)
-            self._directory.drop_target(name, item.rev)
-            return
-        self._reports[name] = report
-        self._directory.put_target(
-            self._with_limits(report),
-            report.group,
-            report.leaving,
-            report.leads,
-            item.rev,
-            report.started_ms,
-            report.cold_s,
-        )
-
-    def _with_limits(self, report: documents.TargetReport) -> Target:
-        """Return the target with the number of connections that the catalog allows."""
-        limits = self._directory.catalog.groups.get(report.group)
-        target = report.target
-        connections = limits.connections if limits else 1
-        return Target(
-            target.name,
-            target.zone,
-            target.host,
-            target.port,
-            target.slots,
-            connections,
-        )
-
-    def _update_target_limits(self) -> None:
-        """Apply the limits of a new catalog to the known targets."""
-        for report in self._reports.values():
-            self._directory.update_target_limits(self._with_limits(report))
-
-    def _remove(self, item: Item) -> None:
-        key, directory = item.key, self._directory
-        if key.startswith(documents.TARGETS_PREFIX):
-            name = key.removeprefix(documents.TARGETS_PREFIX)
-            self._reports.pop(name, None)
-            directory.drop_target(name, item.rev)
-        elif key.startswith(documents.NODES_PREFIX):
-            name = key.removeprefix(documents.NODES_PREFIX)
-            directory.record_registration(name, False)
-            loop = asyncio.get_running_loop()
-            loop.call_later(MEMBER_REMOVAL_DELAY_S, self._member_removed, key, item.rev)
-        elif key.startswith(documents.OWNERSHIP_PREFIX):
-            directory.drop_ownership(key.removeprefix(documents.OWNERSHIP_PREFIX))
-        elif key.startswith(documents.REPLICAS_PREFIX):
-            group = key.removeprefix(documents.REPLICAS_PREFIX)
-            directory.drop_replica_set(group, item.rev)
-        elif (zone := documents.evacuated_zone(key)) is not None:
-            directory.drop_evacuation(zone, item.rev)
-
-    def _member_removed(self, key: str, rev: int) -> None:
-        """Drop a node; wait first if this node's own registration has ended as well."""
-        own_key = documents.NODES_PREFIX + self._directory.name
-        if own_key in self._entries:
-            self._drop_member(key, rev)
-        else:
-            loop = asyncio.get_running_loop()
-            loop.call_later(MEMBER_RETENTION_S, self._drop_member, key, rev)
-
-    def _drop_member(self, key: str, rev: int) -> None:
-        if self._revisions.get(key) == rev:
-            self._directory.drop_member(key.removeprefix(documents.NODES_PREFIX))
