Refuse a statement past its deadline before it takes a slot under load control

A read may wait for a position for 0.05 s or longer, also when less is left until its deadline. With a free slot it was sent after the deadline, and given up at once: the answer was TIMED_OUT, which says that it may have run, a connection was closed, and a time of zero was taken for the target's time. The fair queue refuses it as not run; so does the slot under load control now.

test_request_past_its_deadline_gets_no_slot_under_load_control fails without it: pytest lavenderstack/node/slots_test.py

--- a/lavenderstack/node/slots.py
+++ b/lavenderstack/node/slots.py
@@ -100,6 +100,8 @@
     async def _wait_by_urgency(
         self, organisation: str, urgency: Urgency, late: bool, max_queued: int
     ) -> None:
+        if self._now() >= urgency.deadline:
+            raise Refused(Reason.DEADLINE, "the deadline has passed")
         order = self.shedder.order
         if self.free > 0 and not self.waiting:
             self.free -= 1
--- a/lavenderstack/node/slots_test.py
+++ b/lavenderstack/node/slots_test.py
@@ -6,6 +6,7 @@
 import pytest
 
 from lavenderstack.core.outcome import Reason, Refused
+from lavenderstack.core.statement_order import Kind, Urgency
 from lavenderstack.node.slots import Slots
 
 
@@ -79,6 +80,16 @@
         await end([first])
         assert slots.free == 1
 
+    async def test_request_past_its_deadline_gets_no_slot_under_load_control(self):
+        """A read whose wait for a position outlasts its deadline was sent anyway."""
+        slots = Slots(1, lambda: 5.0)
+        urgency = Urgency(Kind(2, 1.0), 4.5, 5.0, 2)
+        with pytest.raises(Refused) as caught:
+            async with slots.acquire_by_urgency("o", urgency, False, 10):
+                pass
+        assert caught.value.reason is Reason.DEADLINE
+        assert (slots.free, slots.waiting) == (1, 0)
+
     async def test_full_queue_is_refused_with_a_retry_time(self):
         slots = Slots(1, ManualClock())
         users = [SlotUser(slots, max_queued=1) for _ in range(3)]
