Let a statement wait for a connection while load control is switched off

A change of the catalog can end contention while statements wait in the pool. Those read the allocation, which is None by then, and ended with an AttributeError; callers got no answer that says that the statement had not run. A statement now keeps the allocation with which it began to wait.

test_it_still_waits_after_load_control_is_switched_off fails without it (AttributeError): pytest lavenderstack/node/allocated_connections_test.py

--- a/lavenderstack/node/allocated_connections.py
+++ b/lavenderstack/node/allocated_connections.py
@@ -155,7 +155,9 @@
         )
         while True:
             now = clock.now()
-            cause = self._make_room_for(organisation) if now >= open_at else None
+            cause = None
+            if now >= open_at:
+                cause = self._make_room_for(allocation, organisation)
             if cause is not None:
                 try:
                     pooled = await self._open_connection(organisation, cause)
@@ -173,12 +175,14 @@
             if pooled is not None:
                 return pooled
 
-    def _make_room_for(self, organisation: str) -> OpenCause | None:
+    def _make_room_for(
+        self, allocation: ConnectionAllocation, organisation: str
+    ) -> OpenCause | None:
         """Make room unless the organisation has its share and others would lose."""
         if self._may_open():
             return OpenCause.ROOM
         holding = self.holdings().get(organisation, Holding())
-        if holding.total >= self.allocation.share(self.max_open):
+        if holding.total >= allocation.share(self.max_open):
             return None
         return self._make_room()
 
--- a/lavenderstack/node/allocated_connections_test.py
+++ b/lavenderstack/node/allocated_connections_test.py
@@ -186,6 +186,19 @@
         pool.release(first)
         assert await waiting is first
 
+    async def test_it_still_waits_after_load_control_is_switched_off(
+        self, holders, monkeypatch
+    ):
+        """A catalog with fewer organisations made waiting statements raise errors."""
+        monkeypatch.undo()
+        pool = holders.first
+        taken = [await pool.acquire(f"o{number}", {}) for number in range(SLOTS)]
+        waiting = asyncio.ensure_future(pool.acquire("a", {}))
+        await asyncio.sleep(0)
+        pool.set_load_control(False)
+        pool.release(taken[0])
+        assert (await waiting).organisation == "a"
+
     async def test_a_cancelled_statement_is_no_longer_expected(self, holders):
         """Its organisation's connections would be kept for good."""
         pool = holders.first
