Take a connection that is released while opening another one fails

Waiting clears the event of a release, so a connection that was released while the target refused or delayed a new one went unseen. The statement kept its slot for RELEASE_WAIT_S (0.3 s) beside an idle connection of its organisation, which is longer than the goal of a write. The plain pool has the same gap; it stays as it is, since nothing may change where load control is off.

test_a_connection_released_during_a_failed_opening_is_taken fails without it (0.29 s until the connection is taken): pytest lavenderstack/node/allocated_connections_test.py

--- a/lavenderstack/node/allocated_connections.py
+++ b/lavenderstack/node/allocated_connections.py
@@ -167,6 +167,10 @@
                 else:
                     allocation.handshake.add(clock.now() - now)
                     return pooled
+                # One may have been released meanwhile.
+                pooled = self._take_best_idle(organisation, values)
+                if pooled is not None:
+                    return pooled
             if now >= until or not len(self):
                 detail = "all connections are in use"
                 raise ConnectFailed(Reason.NO_CONNECTION, detail)
--- a/lavenderstack/node/allocated_connections_test.py
+++ b/lavenderstack/node/allocated_connections_test.py
@@ -199,6 +199,31 @@
         pool.release(taken[0])
         assert (await waiting).organisation == "a"
 
+    async def test_a_connection_released_during_a_failed_opening_is_taken(
+        self, holders, monkeypatch
+    ):
+        """It stayed idle while the statement kept its slot for 0.3 s."""
+        monkeypatch.undo()
+        pool = holders.first
+        first = await pool.acquire("a", {})
+        opening = asyncio.Event()
+        refused = asyncio.get_running_loop().create_future()
+
+        async def connect(*_):
+            opening.set()
+            return await refused
+
+        monkeypatch.setattr(pool._backend, "connect", connect)
+        waiting = asyncio.ensure_future(pool.acquire("a", {}))
+        await opening.wait()
+        pool.release(first)
+        error = ConnectFailed(Reason.NO_CONNECTION, "no new connection in time", True)
+        pool.heard_at = clock.now() + 9.0
+        refused.set_exception(error)
+        began = clock.now()
+        assert await waiting is first
+        assert clock.now() - began < 0.2
+
     async def test_a_cancelled_statement_is_no_longer_expected(self, holders):
         """Its organisation's connections would be kept for good."""
         pool = holders.first
