Give back the larger share of connections when load control is switched off

A settled first choice may have up to 58 of 70 connections. Without load control its limit is half again, but nothing closed what exceeds it: the plain pool closes idle connections only at nodes that are not the first choice. A successor would have been refused connections.

test_the_larger_share_is_given_back_without_load_control fails without it: pytest lavenderstack/node/allocated_connections_test.py

--- a/lavenderstack/node/allocated_connections.py
+++ b/lavenderstack/node/allocated_connections.py
@@ -58,8 +58,10 @@
         if enabled and self.allocation is None:
             self.allocation = ConnectionAllocation(self.target.slots)
             self._settled = SettledFirstChoice()
-        elif not enabled:
+        elif not enabled and self.allocation is not None:
             self.allocation = None
+            limits = self.target.connections, self.target.slots
+            self._close_idle_above(connection_share.max_connections(*limits, True))
 
     def apply_limits(
         self, target: Target, first_choice: bool, proof_age_s: float
--- a/lavenderstack/node/allocated_connections_test.py
+++ b/lavenderstack/node/allocated_connections_test.py
@@ -111,6 +111,13 @@
         holders.pass_time(0.25, holders.first)
         assert holders.first.max_open == HALF
 
+    async def test_the_larger_share_is_given_back_without_load_control(self, holders):
+        """The plain pool keeps the connections of a first choice for good."""
+        await self.settle(holders)
+        holders.first.set_load_control(False)
+        holders.pass_time(0.25, holders.first)
+        assert len(holders.first) == holders.first.max_open == HALF
+
 
 class TestTransactions:
     async def test_they_are_refused_with_a_time_before_they_keep_all(self, holders):
