Don't take a time-out soon after the start for a fast target

A statement that waited for a connection may be sent shortly before its deadline. Its time was taken as the target's, so some of these lowered the time alone, and the usual times looked slow afterwards: the limit fell to 1 until a check. A time-out below the time alone doesn't count now; one above it still does, so a target that hangs is noticed as before.

test_a_time_out_soon_after_the_start_is_not_a_fast_target fails without it: pytest lavenderstack/core/concurrency_limit_test.py

--- a/lavenderstack/core/concurrency_limit.py
+++ b/lavenderstack/core/concurrency_limit.py
@@ -60,12 +60,14 @@
 
     ``kind`` groups statements whose times are comparable. ``running`` is the greater
     number of statements that ran when it started and when it ended, with itself.
+    ``timed_out`` tells that it would have taken longer.
     """
 
     kind: Hashable
     started_at: float
     ended_at: float
     running: int
+    timed_out: bool = False
 
 
 @dataclass(slots=True)
@@ -127,9 +129,13 @@
 
     def add(self, sample: Sample) -> None:
         """Learn from a statement that has ended."""
-        excess = self._times.add(sample.kind, sample.ended_at - sample.started_at)
+        took_s = sample.ended_at - sample.started_at
+        excess = self._times.add(sample.kind, took_s)
         if excess is None:
             return
+        if sample.timed_out and excess < (self._alone or 0.0):
+            # It was sent shortly before its deadline, and says nothing.
+            return
         if sample.started_at < self._window.began_at:
             return
         self._window.add(sample.kind, excess, sample.running)
--- a/lavenderstack/core/concurrency_limit_test.py
+++ b/lavenderstack/core/concurrency_limit_test.py
@@ -106,6 +106,18 @@
             target.run(1.0)
         assert sum(target.seen) >= 0.98 * SLOTS * len(target.seen)
 
+    def test_a_time_out_soon_after_the_start_is_not_a_fast_target(self):
+        """Guards against statements that were sent just before their deadline."""
+        target = started()
+        target.seen.clear()
+        for _ in range(5):
+            at = target.now
+            for _ in range(20):
+                sample = Sample("read", at, at + 0.001, SLOTS, timed_out=True)
+                target.limit.add(sample)
+            target.run(1.0)
+        assert sum(target.seen) >= 0.98 * SLOTS * len(target.seen)
+
     def test_it_does_not_drift_without_traffic(self):
         target = started(cores(SLOTS))
         target.factor = cores(1)
--- a/lavenderstack/node/executor.py
+++ b/lavenderstack/node/executor.py
@@ -411,6 +411,7 @@
         with self.concurrency.measured(work) as measurement:
             reply = await self._active.answer(pooled, futs[index], deadline)
             measurement.counts = is_completion(reply)
+            measurement.timed_out = isinstance(reply, Failed)
         if isinstance(reply, Failed):
             return reply
         if proves_primary:
--- a/lavenderstack/node/target_concurrency.py
+++ b/lavenderstack/node/target_concurrency.py
@@ -30,9 +30,10 @@
 
 @dataclass(slots=True)
 class Measurement:
-    """Whether the time that is being measured counts."""
+    """Whether the time that is being measured counts, and is that of a time-out."""
 
     counts: bool = False
+    timed_out: bool = False
 
 
 class TargetConcurrency:
@@ -87,7 +88,8 @@
             return
         kind = (work.priority, work.latency_goal_s, work.access, work.opens)
         running = max(began_with, self._slots.running)
-        self._limit.add(Sample(kind, began_at, clock.now(), running))
+        ended_at, timed_out = clock.now(), measurement.timed_out
+        self._limit.add(Sample(kind, began_at, ended_at, running, timed_out))
         self._apply()
 
     def _apply(self) -> None:
