Tell kinds of the same priority apart in what entry nodes refuse

A report of a full target was stored by priority alone. Two kinds may share a priority and differ in goal and deadline (500 ms and 8 s, 300 ms and 2.5 s): while the shorter one was refused, reads of the longer one were refused at the entry node as well, with CROWDED, though the holder would have accepted them late; and a report for one kind withdrew what was known of the other. Reports of full targets are now kept by priority and latency goal. Expected waits stay by priority.

test_full_for_one_kind_says_nothing_of_another_with_its_priority fails without it: pytest lavenderstack/node/read_choices_test.py

--- a/lavenderstack/core/load_view.py
+++ b/lavenderstack/core/load_view.py
@@ -11,7 +11,7 @@
 report, the longer wait counts.
 """
 
-from collections.abc import Iterator
+from collections.abc import Hashable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
@@ -84,6 +84,8 @@
     reports: dict[tuple[str, int], _Report] = field(default_factory=dict)
     in_flight: set[Sent] = field(default_factory=set)
     answered_at: float = 0.0
+    # By kind of statement: time of the latest report, and until when they are refused.
+    full: dict[Hashable, tuple[float, float]] = field(default_factory=dict)
     # By the age of reads: until when reads of that age are not sent there.
     avoided_until: dict[float, float] = field(default_factory=dict)
 
@@ -140,8 +142,12 @@
         priority: int,
         load: TargetLoad,
         now: float,
+        kind: Hashable = None,
     ) -> None:
-        """Store the report in the answer of a statement from a holder in ``zone``."""
+        """Store the report in the answer of a statement from a holder in ``zone``.
+
+        ``kind`` is what ``full_until`` distinguishes, the priority if None.
+        """
         self._note_use(now)
         transit_s = max(0.0, now - sent.at - load.held_s)
         self._record_distance(zone, transit_s)
@@ -152,8 +158,16 @@
         before = view.reports.get(key)
         if before is None or before.at <= report.at:
             view.reports[key] = report
+        self._record_full(view, priority if kind is None else kind, report)
         self._prune(now)
 
+    def _record_full(self, view: _TargetView, kind: Hashable, report: _Report) -> None:
+        before_at, _ = view.full.get(kind, (report.at, 0.0))
+        if before_at > report.at:
+            return
+        full_s = min(report.load.full_s, MAX_REPORT_AGE_S)
+        view.full[kind] = (report.at, report.at + full_s if full_s > 0.0 else 0.0)
+
     def record_unserved(self, target: str, max_age_s: float, now: float) -> None:
         """Record that a target couldn't serve a read of up to ``max_age_s``.
 
@@ -188,19 +202,14 @@
             self._silent_s(view, now),
         )
 
-    def full_until(self, target: str, priority: int) -> float:
-        """Until when the target refuses statements of this priority, on the clock.
+    def full_until(self, target: str, kind: Hashable) -> float:
+        """Until when the target refuses statements of this kind, on the clock.
 
         It is in the past, or 0, if the target is not known to be full. No report
         counts for longer than ``MAX_REPORT_AGE_S``.
         """
         view = self._targets.get(target)
-        reports = view.reports.values() if view else ()
-        same = [report for report in reports if report.priority == priority]
-        latest = max(same, key=lambda report: report.at, default=None)
-        if latest is None or latest.load.full_s <= 0.0:
-            return 0.0
-        return latest.at + min(latest.load.full_s, MAX_REPORT_AGE_S)
+        return view.full.get(kind, (0.0, 0.0))[1] if view else 0.0
 
     def drain_s(self, target: str, now: float) -> float | None:
         """Return how long the statements at a target take, None if it isn't known."""
--- a/lavenderstack/node/attempt_limits.py
+++ b/lavenderstack/node/attempt_limits.py
@@ -20,6 +20,7 @@
 from lavenderstack.core.work_messages import Access
 from lavenderstack.node.counters import Counters
 from lavenderstack.node.directory import Directory
+from lavenderstack.node.read_choices import full_kind
 
 log = structlog.get_logger()
 
@@ -77,12 +78,13 @@
 
     def _is_full(self, choice: Choice, route: Route, now: float) -> bool:
         name = choice[0].target.name
-        return self.full_targets.full_until(name, route.priority) > now
+        return self.full_targets.full_until(name, full_kind(route)) > now
 
     def refusal(self, route: Route, choices: Iterable[Choice]) -> Failed:
         """Return the answer to a statement for which no target accepts statements."""
         names = [state.target.name for state, _ in choices]
-        untils = [self.full_targets.full_until(name, route.priority) for name in names]
+        kind = full_kind(route)
+        untils = [self.full_targets.full_until(name, kind) for name in names]
         wait_s = max(0.0, min(untils) - clock.now())
         wait_s += random.uniform(0.0, SPREAD_GOAL_SHARE * route.latency_goal_s)
         self.refused += 1
--- a/lavenderstack/node/read_choices.py
+++ b/lavenderstack/node/read_choices.py
@@ -67,7 +67,7 @@
         now = clock.now()
         first = choices[0]
         if len(choices) == 1 or (
-            first[0].leads and not self._is_full(first[0], route.priority, now)
+            first[0].leads and not self._is_full(first[0], route, now)
         ):
             return choices.pop(0)
         found = {
@@ -82,8 +82,8 @@
         choices.remove(selected)
         return selected
 
-    def _is_full(self, state: TargetState, priority: int, now: float) -> bool:
-        return self.loads.full_until(state.target.name, priority) > now
+    def _is_full(self, state: TargetState, route: Route, now: float) -> bool:
+        return self.loads.full_until(state.target.name, full_kind(route)) > now
 
     def _candidate(self, state: TargetState, route: Route, now: float) -> Candidate:
         target = state.target
@@ -94,7 +94,7 @@
             expectation=self.loads.expect(target.name, route.priority, now),
             distance_s=self.loads.distance_s(target.zone),
             primary=state.leads,
-            full=self._is_full(state, route.priority, now)
+            full=self._is_full(state, route, now)
             or self.loads.is_avoided(target.name, route.max_age_s, now),
         )
 
@@ -141,7 +141,8 @@
             self.loads.record_unserved(work.target, work.max_age_s, now)
         load = getattr(answer, "load", None)
         if load is not None:
-            self.loads.record(sent, vm.name, vm.zone, work.priority, load, now)
+            args = vm.name, vm.zone, work.priority, load, now, full_kind(work)
+            self.loads.record(sent, *args)
 
     def retry_delay_s(self, route: Route, target: str) -> float:
         """Return the pause before a retry of what was lost with a target's holder."""
@@ -149,5 +150,10 @@
         return self._random.uniform(0.0, retry_spread_s(drain_s, _goal_s(route)))
 
 
+def full_kind(statement: Route | Work) -> tuple[int, float]:
+    """Return the kind of statements that a holder refuses or accepts alike."""
+    return statement.priority, statement.latency_goal_s
+
+
 def _goal_s(route: Route) -> float:
     return route.latency_goal_s or route.timeout_s
--- a/lavenderstack/node/read_choices_test.py
+++ b/lavenderstack/node/read_choices_test.py
@@ -74,6 +74,18 @@
         assert await harness.read(1, wrote_s_ago=0.01) == {"t1": 1, "t2": 1}
 
 
+async def test_full_for_one_kind_says_nothing_of_another_with_its_priority():
+    """Guards against reads refused here that their holder would have accepted."""
+    harness = Harness(t2=FULL, t3=FULL)
+    await harness.read(4)
+    short = harness.call(READ, Access.AGED_READ)
+    long = harness.call(READ, Access.AGED_READ)
+    long.route = replace(long.route, latency_goal_s=0.5, timeout_s=8.0)
+    choices = harness.dispatcher._read_choices(short)[:2]
+    assert harness.dispatcher.limits.accepting(short.route, choices) == []
+    assert harness.dispatcher.limits.accepting(long.route, choices) == choices
+
+
 async def test_work_carries_the_limit_that_another_holder_reported():
     harness = Harness(t2=IDLE)
     await harness.read(1)
