Keep the weights of waiting organisations right when a priority changes

A lane adds the weight of an organisation with its first waiting statement and took off that of its last one. If the catalog changed the organisation's priority between the two, the difference stayed in the sum until nothing waited, which under overload may be never: expected waits were too long, so statements were refused that would have been served in time, or too short, so statements were accepted that were then refused late.

test_a_changed_priority_leaves_no_weight_behind fails without it: pytest lavenderstack/core/statement_order_test.py

--- a/lavenderstack/core/statement_lane.py
+++ b/lavenderstack/core/statement_lane.py
@@ -36,13 +36,15 @@
 class StatementLane:
     """A fair queue that knows its organisations.
 
-    ``weight`` is the sum of the weights of organisations with waiting statements.
+    ``weight`` is the sum of the weights of organisations with waiting statements, each
+    with that of its first one: a catalog may change it meanwhile.
     """
 
     queue: FairQueue = field(default_factory=FairQueue)
     entries: dict[Hashable, Entry] = field(default_factory=dict)
     counts: Counter[str] = field(default_factory=Counter)
     weight: float = 0.0
+    _weights: dict[str, float] = field(default_factory=dict)
 
     def __len__(self) -> int:
         return len(self.entries)
@@ -58,6 +60,7 @@
         self.counts[organisation] += 1
         if self.counts[organisation] == 1:
             self.weight += weight
+            self._weights[organisation] = weight
 
     def pop(self, now: float) -> Hashable | None:
         """Remove and return the next statement, None if none can start in time."""
@@ -83,8 +86,9 @@
         if self.counts[entry.organisation]:
             return entry
         del self.counts[entry.organisation]
+        weight = self._weights.pop(entry.organisation)
         # Without statements the sum is exactly zero, so rounding errors don't add up.
-        self.weight = self.weight - entry.weight if self.entries else 0.0
+        self.weight = self.weight - weight if self.entries else 0.0
         return entry
 
     def ahead(self, organisation: str, weight: float) -> float:
--- a/lavenderstack/core/statement_order_test.py
+++ b/lavenderstack/core/statement_order_test.py
@@ -70,6 +70,17 @@
         assert not order.remove("a")
         assert (order.pop(0.0), order.length_of("o")) == ("b", 0)
 
+    @pytest.mark.parametrize(("before", "after"), [(0, 3), (3, 0)])
+    def test_a_changed_priority_leaves_no_weight_behind(self, before, after):
+        """Guards against waits that stay wrong for as long as others wait."""
+        order = order_of(READ)
+        order.push("other", urgency(READ, priority=2), "other", 10)
+        for priority in (before, after):
+            order.push("o", urgency(READ, priority=priority), priority, 10)
+        for priority in (before, after):
+            order.remove(priority)
+        assert order.kind(READ).on_time.weight == 0.25
+
     def test_an_organisation_may_not_wait_without_limit(self):
         order = order_of(WRITE)
         order.push("o", urgency(WRITE), "a", 1)
