Serve what waits under load control first once it is switched off

The fair queue went first in both directions of a switch. After load control is switched off (a catalog with fewer organisations), later statements join the fair queue, so those that waited under load control were passed over for as long as any of them waited, until their deadline. The queue to which nothing is added any more now goes first.

test_what_waits_is_served_first_after_it_is_switched_off fails without it: pytest lavenderstack/node/load_control_test.py

--- a/lavenderstack/node/load_control_test.py
+++ b/lavenderstack/node/load_control_test.py
@@ -78,6 +78,18 @@
         assert not first.done()
         await first
 
+    async def test_what_waits_is_served_first_after_it_is_switched_off(self):
+        """Guards against a wait until the deadline behind all later statements."""
+        harness = controlled()
+        fields = {"left_s": 2.0} | WRITE_FIELDS
+        first = asyncio.ensure_future(harness.run(WRITE, **fields))
+        waiting = asyncio.ensure_future(harness.run(WRITE, request="w", **fields))
+        await asyncio.sleep(0.005)
+        harness.directory.load_control = LoadControl.OFF
+        later = [harness.run(WRITE, request=f"l{n}", left_s=9.0) for n in range(3)]
+        await asyncio.gather(first, waiting, *later)
+        assert [run[1] for run in harness.targets["t1"].executed][1] == "w"
+
     async def test_the_priority_of_the_plan_is_used(self):
         harness = controlled()
         plans = {"org": Plan("org", 1, 1, priority=0)}
--- a/lavenderstack/node/slots.py
+++ b/lavenderstack/node/slots.py
@@ -12,8 +12,8 @@
 organisation's fault.
 
 Where load control is enabled, requests wait in a ``LoadShedder`` instead. While load
-control is being switched, requests of both queues wait; those of the fair queue go
-first, since nothing is added to it any more.
+control is being switched, requests of both queues wait; those of the queue to
+which nothing is added any more go first.
 """
 
 import asyncio
@@ -49,6 +49,8 @@
         self.slots = slots
         self.queue = FairQueue()
         self.shedder = LoadShedder(slots)
+        # Whether the latest request is under load control.
+        self._by_urgency = False
         self._now = now
         self._costs: dict[str, float] = {}
         self._timer: asyncio.TimerHandle | None = None
@@ -102,6 +104,7 @@
     ) -> None:
         if self._now() >= urgency.deadline:
             raise Refused(Reason.DEADLINE, "the deadline has passed")
+        self._by_urgency = True
         order = self.shedder.order
         if self.free > 0 and not self.waiting:
             self.free -= 1
@@ -128,6 +131,7 @@
         max_queued: int,
         cost: float,
     ) -> None:
+        self._by_urgency = False
         now = self._now()
         if now >= deadline:
             raise Refused(Reason.DEADLINE, "the deadline has passed")
@@ -202,13 +206,18 @@
     def _start_waiting(self) -> None:
         now = self._now()
         while self.free > 0:
-            fut = self.queue.pop(now) or self.shedder.order.pop(now)
+            fut = self._pop(now)
             if fut is None:
                 return
             if not fut.done():
                 self.free -= 1
                 fut.set_result(None)
 
+    def _pop(self, now: float) -> asyncio.Future | None:
+        if self._by_urgency:
+            return self.queue.pop(now) or self.shedder.order.pop(now)
+        return self.shedder.order.pop(now) or self.queue.pop(now)
+
     def _schedule_expiry(self, deadline: float) -> None:
         """Set the timer that refuses waiting requests at the earliest deadline."""
         if self._timer is not None:
