Count organisations with booked room incrementally in the return calendar

Each refusal went through the bookings of all organisations and levels, also past ones, and beyond 1,000 they were rebuilt at each refusal without getting fewer, since under overload bookings reach minutes ahead.

test_room_that_has_passed_is_forgotten fails without it: pytest lavenderstack/core/return_calendar_test.py

--- a/lavenderstack/core/return_calendar.py
+++ b/lavenderstack/core/return_calendar.py
@@ -10,6 +10,8 @@
 organisation above the rate of its plan.
 """
 
+import heapq
+from collections import Counter
 from dataclasses import dataclass, field
 
 # A level is the route's priority and that of the organisation; 0 is the highest.
@@ -19,7 +21,6 @@
 MAX_RETRY_AFTER_S = 2.0
 # Shortest time that is told: a caller that comes back at once finds no room.
 MIN_RETRY_AFTER_S = 0.01
-MAX_ORGANISATIONS = 1000
 
 
 @dataclass(slots=True)
@@ -27,11 +28,15 @@
     """The room of one target that has been given out to refused statements.
 
     It holds for each level, and for each organisation at a level, until when its room
-    is booked, in seconds on the clock.
+    is booked, in seconds on the clock. Organisations are counted by level while they
+    have room, and forgotten afterwards.
     """
 
     _levels: dict[Level, float] = field(default_factory=dict)
     _organisations: dict[tuple[Level, str], float] = field(default_factory=dict)
+    _counts: Counter[Level] = field(default_factory=Counter)
+    # For each organisation a time that is no later than the end of its room.
+    _ends: list[tuple[float, tuple[Level, str]]] = field(default_factory=list)
 
     def book(
         self,
@@ -48,6 +53,7 @@
         until there is room for one more. Times are wrapped around within ``left_s``,
         the time until the statement's deadline: a later one would be of no use to it.
         """
+        self._forget_past(now)
         first_s = max(first_s, MIN_RETRY_AFTER_S)
         first_at = now + first_s
         own_until = self._organisations.get((level, organisation), first_at)
@@ -55,10 +61,13 @@
         own_s = max(0.0, own_until - first_at)
         at = first_at + self._booked_above(level, first_at) + min(level_s, own_s)
         self._levels[level] = max(first_at, self._levels.get(level, 0.0)) + room_s
-        if len(self._organisations) >= MAX_ORGANISATIONS:
-            self._forget_past(now)
-        part_s = room_s * self._count(level, organisation, now)
-        self._organisations[level, organisation] = max(first_at, own_until) + part_s
+        is_new = (level, organisation) not in self._organisations
+        part_s = room_s * (self._counts[level] + is_new)
+        until = max(first_at, own_until) + part_s
+        self._organisations[level, organisation] = until
+        if is_new:
+            self._counts[level] += 1
+            heapq.heappush(self._ends, (until, (level, organisation)))
         span_s = min(left_s, MAX_RETRY_AFTER_S) - first_s
         if span_s <= 0.0:
             return min(first_s, MAX_RETRY_AFTER_S)
@@ -72,16 +81,13 @@
             if other < level
         )
 
-    def _count(self, level: Level, organisation: str, now: float) -> int:
-        """Return the number of organisations with room at the level, with this one."""
-        others = sum(
-            1
-            for (other_level, other), until in self._organisations.items()
-            if other_level == level and other != organisation and until > now
-        )
-        return others + 1
-
     def _forget_past(self, now: float) -> None:
-        kept = self._organisations
-        self._organisations = {key: at for key, at in kept.items() if at > now}
-        self._levels = {key: at for key, at in self._levels.items() if at > now}
+        while self._ends and self._ends[0][0] <= now:
+            _, key = self._ends[0]
+            until = self._organisations[key]
+            if until > now:
+                heapq.heapreplace(self._ends, (until, key))
+                continue
+            heapq.heappop(self._ends)
+            del self._organisations[key]
+            self._counts[key[0]] -= 1
--- a/lavenderstack/core/return_calendar_test.py
+++ b/lavenderstack/core/return_calendar_test.py
@@ -36,6 +36,16 @@
             book(calendar, WRITE, "flood")
         assert book(calendar, WRITE, "other") == pytest.approx(0.1)
 
+    def test_room_that_has_passed_is_forgotten(self):
+        """Guards against work for each refusal that grows with the organisations."""
+        calendar = ReturnCalendar()
+        for number in range(500):
+            book(calendar, WRITE, f"o{number}")
+        last = max(calendar._organisations.values())
+        assert calendar.book(WRITE, "o", last, 0.1, 0.05, 5.0) == pytest.approx(0.1)
+        assert len(calendar._organisations) == 1
+        assert calendar._counts[WRITE] == 1
+
     @pytest.mark.parametrize("left_s", [0.05, 0.5, 60.0])
     def test_no_time_is_past_the_deadline_unless_there_is_no_room_before(self, left_s):
         calendar = ReturnCalendar()
