--- a/lavenderstack/node/allocated_connections.py
+++ b/lavenderstack/node/allocated_connections.py
@@ -58,8 +58,10 @@
         if enabled and self.allocation is None:
             self.allocation = ConnectionAllocation(self.target.slots)
             self._settled = SettledFirstChoice()
-        elif not enabled:
+        elif not enabled and self.allocation is not None:
             self.allocation = None
+            limits = self.target.connections, self.target.slots
+            self._close_idle_above(connection_share.max_connections(*limits, True))
 
     def apply_limits(
         self, target: Target, first_choice: bool, proof_age_s: float
@@ -155,7 +157,9 @@
         )
         while True:
             now = clock.now()
-            cause = self._make_room_for(organisation) if now >= open_at else None
+            cause = None
+            if now >= open_at:
+                cause = self._make_room_for(allocation, organisation)
             if cause is not None:
                 try:
                     pooled = await self._open_connection(organisation, cause)
@@ -165,6 +169,10 @@
                 else:
                     allocation.handshake.add(clock.now() - now)
                     return pooled
+                # One may have been released meanwhile.
+                pooled = self._take_best_idle(organisation, values)
+                if pooled is not None:
+                    return pooled
             if now >= until or not len(self):
                 detail = "all connections are in use"
                 raise ConnectFailed(Reason.NO_CONNECTION, detail)
@@ -173,12 +181,14 @@
             if pooled is not None:
                 return pooled
 
-    def _make_room_for(self, organisation: str) -> OpenCause | None:
+    def _make_room_for(
+        self, allocation: ConnectionAllocation, organisation: str
+    ) -> OpenCause | None:
         """Make room unless the organisation has its share and others would lose."""
         if self._may_open():
             return OpenCause.ROOM
         holding = self.holdings().get(organisation, Holding())
-        if holding.total >= self.allocation.share(self.max_open):
+        if holding.total >= allocation.share(self.max_open):
             return None
         return self._make_room()
 
--- a/lavenderstack/node/allocated_connections_test.py
+++ b/lavenderstack/node/allocated_connections_test.py
@@ -111,6 +111,13 @@
         holders.pass_time(0.25, holders.first)
         assert holders.first.max_open == HALF
 
+    async def test_the_larger_share_is_given_back_without_load_control(self, holders):
+        """The plain pool keeps the connections of a first choice for good."""
+        await self.settle(holders)
+        holders.first.set_load_control(False)
+        holders.pass_time(0.25, holders.first)
+        assert len(holders.first) == holders.first.max_open == HALF
+
 
 class TestTransactions:
     async def test_they_are_refused_with_a_time_before_they_keep_all(self, holders):
@@ -186,6 +193,44 @@
         pool.release(first)
         assert await waiting is first
 
+    async def test_it_still_waits_after_load_control_is_switched_off(
+        self, holders, monkeypatch
+    ):
+        """A catalog with fewer organisations made waiting statements raise errors."""
+        monkeypatch.undo()
+        pool = holders.first
+        taken = [await pool.acquire(f"o{number}", {}) for number in range(SLOTS)]
+        waiting = asyncio.ensure_future(pool.acquire("a", {}))
+        await asyncio.sleep(0)
+        pool.set_load_control(False)
+        pool.release(taken[0])
+        assert (await waiting).organisation == "a"
+
+    async def test_a_connection_released_during_a_failed_opening_is_taken(
+        self, holders, monkeypatch
+    ):
+        """It stayed idle while the statement kept its slot for 0.3 s."""
+        monkeypatch.undo()
+        pool = holders.first
+        first = await pool.acquire("a", {})
+        opening = asyncio.Event()
+        refused = asyncio.get_running_loop().create_future()
+
+        async def connect(*_):
+            opening.set()
+            return await refused
+
+        monkeypatch.setattr(pool._backend, "connect", connect)
+        waiting = asyncio.ensure_future(pool.acquire("a", {}))
+        await opening.wait()
+        pool.release(first)
+        error = ConnectFailed(Reason.NO_CONNECTION, "no new connection in time", True)
+        pool.heard_at = clock.now() + 9.0
+        refused.set_exception(error)
+        began = clock.now()
+        assert await waiting is first
+        assert clock.now() - began < 0.2
+
     async def test_a_cancelled_statement_is_no_longer_expected(self, holders):
         """Its organisation's connections would be kept for good."""
         pool = holders.first
