Roll back the transaction that a hedged attempt opened in vain

Found by the review: the first statement of a read-only transaction is hedged, and nobody told the holders whose answers came second, so their connections stayed pinned until the idle limit (3.5 s). Where connections are scarce that costs other organisations theirs. The test fails before.

--- a/lavenderstack/node/dispatch.py
+++ b/lavenderstack/node/dispatch.py
@@ -25,7 +25,13 @@
 from lavenderstack.core.outcome import Reason
 from lavenderstack.core.position import START, Position
 from lavenderstack.core.statement import Prepared, Statement
-from lavenderstack.core.work_messages import Access, TransactionStart, Work, WorkDone
+from lavenderstack.core.work_messages import (
+    Access,
+    EndWork,
+    TransactionStart,
+    Work,
+    WorkDone,
+)
 from lavenderstack.node.attempt_limits import AttemptLimits
 from lavenderstack.node.counters import Counters
 from lavenderstack.node.directory import Directory
@@ -66,6 +72,8 @@
 FIRST_MAX_BACKOFF_S = 0.03
 MAX_BACKOFF_S = 0.25
 MAX_HOLDERS_TRIED = 3
+# How long the node that opened a transaction in vain may take to roll it back.
+ROLLBACK_TIMEOUT_S = 0.5
 # A read that fails at one target may succeed at another. After this many failures the
 # error is returned.
 FAILURES_TO_ACCEPT = 2
@@ -165,6 +173,7 @@
         self._counters = counters
         self._directory = directory
         self._peers = peers
+        self._endings: set[asyncio.Task] = set()
         self.read_choices = ReadChoices(directory, counters)
         self.limits = AttemptLimits(directory, counters, self.read_choices.loads)
 
@@ -334,6 +343,7 @@
                 for task in done:
                     result = task.result()
                     if isinstance(result.answer, WorkDone):
+                        running |= done - {task}
                         return result
                     if _is_statement_failure(result.answer):
                         failed.append(result)
@@ -344,11 +354,35 @@
                 if call.retry_until <= clock.now():
                     remaining.clear()
         finally:
+            # These attempts continue, but their answers are no longer needed.
             for task in running:
-                # The attempt continues, but its answer is no longer needed.
-                task.add_done_callback(_log_exception)
+                task.add_done_callback(self._abandon)
         return result
 
+    def _abandon(self, task: asyncio.Task) -> None:
+        """Roll back the transaction that an attempt opened after another one won.
+
+        Else it would keep its connection until it has been idle for too long.
+        """
+        _log_exception(task)
+        if task.cancelled() or task.exception() is not None:
+            return
+        result = task.result()
+        if isinstance(result.answer, WorkDone) and result.answer.tx:
+            ending = asyncio.ensure_future(self._roll_back(result))
+            self._endings.add(ending)
+            ending.add_done_callback(self._endings.discard)
+
+    async def _roll_back(self, result: DispatchResult) -> None:
+        try:
+            await self._peers.call(
+                result.node, EndWork(result.answer.tx), ROLLBACK_TIMEOUT_S
+            )
+        except (NotSent, StreamLost, TimeoutError) as exc:
+            log.info(
+                "session: rollback not delivered", holder=result.node, error=repr(exc)
+            )
+
     async def _attempt(
         self, call: Call, state: TargetState, access: Access, skip: int = 0
     ) -> DispatchResult:
--- a/lavenderstack/node/dispatch_test.py
+++ b/lavenderstack/node/dispatch_test.py
@@ -14,7 +14,14 @@
 from lavenderstack.core.statement import Statement, StatementKind
 from lavenderstack.core.view import Target, Vm
 from lavenderstack.core.view_proof import ViewProof
-from lavenderstack.core.work_messages import Access, TransactionStart, Work, WorkDone
+from lavenderstack.core.work_messages import (
+    Access,
+    EndWork,
+    TransactionStart,
+    Work,
+    WorkDone,
+    WorkEnded,
+)
 from lavenderstack.node.counters import Counters
 from lavenderstack.node.directory import Directory
 from lavenderstack.node.dispatch import Call, Dispatcher, TransactionLocation
@@ -61,11 +68,15 @@
         self.answers = answers
         self.asked: list[Work] = []
         self.nodes: list[str] = []
+        self.ended: list[tuple[str, str]] = []
         self.peers = Peers("n1", lambda: directory.view, StreamPool(), Members("n1"))
         self.peers.ask = self.ask
         self.dispatcher = Dispatcher(directory, self.peers, Counters())
 
     async def ask(self, vm, work, timeout_s):
+        if isinstance(work, EndWork):
+            self.ended.append((vm.name, work.tx))
+            return WorkEnded()
         self.asked.append(work)
         self.nodes.append(vm.name)
         answer = self.answers.get(f"{vm.name}_{work.target}")
@@ -265,6 +276,19 @@
         assert await harness.run(READ, Access.AGED_READ) == DONE
         assert harness.targets[-1] == "t1"
 
+    async def test_transaction_of_the_attempt_that_lost_is_rolled_back(self):
+        """Guards against connections that are pinned until the idle limit."""
+        opened = WorkDone(rows=[], receipt="r", position=Position(1, 1), tx="n2/t2/1")
+        harness = DispatcherHarness(t2=DelayedAnswer(0.3, opened), t3=DONE)
+        harness.directory.drop_target("t1", 9)
+        harness.directory.zone = "z2"
+        opens = TransactionStart.READ_ONLY
+        assert await harness.run(READ, Access.AGED_READ, opens) == DONE
+        async with asyncio.timeout(5.0):
+            while not harness.ended:
+                await asyncio.sleep(0.01)
+        assert harness.ended == [("n2", "n2/t2/1")]
+
     async def test_slow_answer_hedges_to_another_target(self):
         harness = DispatcherHarness(t2=0.5, t3=0.5)
         began = clock.now()
