Ask cold targets last under load control too

Under load control the dispatcher doesn't take the sorted list in order: ReadChoices.pop draws from all targets, those of the own zone first, and didn't know which are cold. So each read of a zone whose replica is cold went to that replica first. Its holder refuses what is above the limit as crowded, each further attempt takes from the retry budget, and beyond that the refusal is final: callers were told "the target is cold" while warm targets of the group had room. docs/design/cold-targets.md says cold targets are last.

A cold target now counts as one that refuses, so it is selected only if all do.

Evidence: 20 reads with load control on, the own zone's replica cold, the other warm. The new test in read_choices_test.py is red without the change, green with it. Where nothing limits cold targets, is_cold is False and nothing changes.

--- a/lavenderstack/node/read_choices.py
+++ b/lavenderstack/node/read_choices.py
@@ -95,7 +95,8 @@
             distance_s=self.loads.distance_s(target.zone),
             primary=state.leads,
             full=self._is_full(state, route.priority, now)
-            or self.loads.is_avoided(target.name, route.max_age_s, now),
+            or self.loads.is_avoided(target.name, route.max_age_s, now)
+            or self.directory.is_cold(state, now),
         )
 
     def _record(self, route: Route, choice: Choice, now: float) -> None:
--- a/lavenderstack/node/read_choices_test.py
+++ b/lavenderstack/node/read_choices_test.py
@@ -6,6 +6,8 @@
 from structlog.testing import capture_logs
 
 from lavenderstack.core import clock
+from lavenderstack.core.catalog import Catalog, GroupLimits
+from lavenderstack.core.cold_start import ColdLimits
 from lavenderstack.core.contention import LoadControl
 from lavenderstack.core.messages import Failed
 from lavenderstack.core.outcome import Reason
@@ -73,6 +75,16 @@
         assert await harness.read(1, wrote_s_ago=0.01) == {"t1": 1}
         assert await harness.read(1, wrote_s_ago=0.01) == {"t1": 1, "t2": 1}
 
+    async def test_a_cold_target_is_asked_last(self):
+        """Its refusals used up the retry budget, while other targets had room."""
+        harness = Harness(t2=IDLE)
+        groups = {"g": GroupLimits(30, False, cold_rate=2.0)}
+        harness.directory.update_catalog(Catalog(version=1, groups=groups))
+        harness.directory.cold_limits = ColdLimits(excess=1.5, slack=5.0)
+        cold = harness.directory.targets["t2"].target
+        harness.directory.put_target(cold, "g", False, False, 20, cold_s=60.0)
+        assert await harness.read(20) == {"t3": 20}
+
 
 async def test_work_carries_the_limit_that_another_holder_reported():
     harness = Harness(t2=IDLE)
