Compute when a cold target's permit is free without a list of all permits

SendWindow.expected_at made a list with one entry for each permit of the limit, at each statement for a cold target and each timer. Such a limit now counts as none.

--- a/lavenderstack/core/cold_start.py
+++ b/lavenderstack/core/cold_start.py
@@ -55,7 +55,10 @@
         """
         if rate <= 0:
             return None
-        total = math.floor(rate * self.excess + self.slack)
+        total = rate * self.excess + self.slack
+        if math.isinf(total):
+            return None
+        total = math.floor(total)
         return max(min(1, total), total // 2)
 
 
@@ -145,10 +148,11 @@
             return math.inf
         self._forget(now)
         used = [at + WINDOW_S for at in self._sent] + [now + WINDOW_S] * self.pending
-        free_at = [now] * max(0, limit - len(used)) + used
+        free = max(0, limit - len(used))
+        windows, index = divmod(ahead, limit)
         # With a lowered limit, permits beyond it must be over first.
-        free_at = free_at[-limit:]
-        return free_at[ahead % limit] + ahead // limit * WINDOW_S
+        free_at = now if index < free else used[-limit:][index - free]
+        return free_at + windows * WINDOW_S
 
 
 def may_send_from(first_since: float, proof_age_s: float) -> float | None:
--- a/lavenderstack/core/cold_start_test.py
+++ b/lavenderstack/core/cold_start_test.py
@@ -1,6 +1,7 @@
 """Tests of the limit of cold targets over changes of who is the first choice."""
 
 import math
+import tracemalloc
 
 import pytest
 from hypothesis import example, given, seed, settings
@@ -138,3 +139,27 @@
         window.record_sent(12.0)
         assert not window.take(1, 13.0)
         assert window.take(1, 13.1)
+
+    def test_a_huge_limit_takes_no_memory_and_raises_no_error(self):
+        """One list entry for each permit made every wait as slow as the limit is high.
+
+        An infinite limit raised an error, which ended the sweep of a node's targets.
+        """
+        assert ColdLimits(excess=1.5, slack=1.0).for_node(1.7e308) is None
+        window = SendWindow()
+        tracemalloc.start()
+        assert window.expected_at(10**6, 10**6 - 1, 10.0) == 10.0
+        assert window.expected_at(10**6, 10**6, 10.0) == 10.0 + cold_start.WINDOW_S
+        assert tracemalloc.get_traced_memory()[1] < 10_000
+        tracemalloc.stop()
+
+    @pytest.mark.parametrize(("limit", "ahead"), [(2, 0), (2, 1), (4, 2), (5, 9)])
+    def test_permits_are_expected_as_they_become_free(self, limit, ahead):
+        window = SendWindow()
+        for at in (10.0, 10.2, 10.4):
+            window.take(3, at)
+            window.record_sent(at)
+        free_at = [10.6] * (limit - 3) + [11.05, 11.25, 11.45]
+        waits = ahead // limit * cold_start.WINDOW_S
+        expected = free_at[-limit:][ahead % limit] + waits
+        assert window.expected_at(limit, ahead, 10.6) == pytest.approx(expected)
