Keep the slow start of a target that reports that it is warm

A target gets its slots back over 2 s from when it stops being cold, as of cold_until. Directory.put_target set cold_until to 0 with a report without cold_left_ms, so the next report of a warm target ended the slow start: all slots came back in one step, and all that waited for them reached the target at once. If such a report came before the local time ran out, there was no slow start at all.

cold_until now stays at the time at which the target stopped being cold, at the latest now. Targets that were never cold keep 0. What a cold target may get doesn't change.

Evidence: the new test in cold_target_test.py finds 8 slots instead of 3 or 4 without the change, one second after the target became warm.

--- a/lavenderstack/node/cold_target_test.py
+++ b/lavenderstack/node/cold_target_test.py
@@ -189,3 +189,15 @@
         for after_s, slots in ((0.0, 1), (1.0, 4), (1.5, 6), (2.0, 8)):
             executor._apply_slots(returned_at + after_s)
             assert executor.slots.slots == slots
+
+    async def test_slots_return_slowly_also_if_the_target_reports_that_it_is_warm(self):
+        """The report ended the slow start, so all that waited was sent at once."""
+        harness = ColdHarness(cold_s=60.0, slots=8)
+        await harness.run(WRITE)
+        executor = harness.executors.for_target("t1")
+        began_at = clock.now()
+        for revision in (20, 30):
+            target = Target("t1", "z1", "10.0.0.1", 1, 8, 30)
+            harness.directory.put_target(target, "g", False, True, revision)
+            executor.sweep(began_at + 1.0)
+            assert 3 <= executor.slots.slots <= 4
--- a/lavenderstack/node/directory.py
+++ b/lavenderstack/node/directory.py
@@ -105,6 +105,10 @@
         state = TargetState(target, group, leaving, leads, revision, since, started_ms)
         if cold_s:
             state = replace(state, cold_until=clock.now() + cold_s)
+        elif before is not None and before.cold_until:
+            # When it stopped being cold, from which on it gets its slots back.
+            cold_until = min(before.cold_until, clock.now())
+            state = replace(state, cold_until=cold_until)
         if before is not None and before.group != group:
             self._groups[before.group].pop(target.name, None)
         if before is not None and (before.group, before.run) != (group, state.run):
