Check and compare home regions and the limits of cold targets

home_regions, cold_per_s and cold_start_s are in the catalog now, but check-config neither looked at them nor reported a change. Operators get three warnings: a route without a home region in common with an organisation (all of its statements there are refused), a negative cold_per_s (nothing is limited), and cold_per_s without cold_start_s (a target that restarts isn't limited until its report arrives).

Whether a region exists isn't judged: the zones are in the settings, not in the document.

--- a/lavenderstack/core/config_check_groups.py
+++ b/lavenderstack/core/config_check_groups.py
@@ -40,6 +40,7 @@
             group, customers if cfg.organisations is not None else None
         )
         yield from _check_connections(group, customers)
+        yield from _check_cold_limit(group)
     yield from _check_targets(cfg)
     known = {group.name for group in cfg.groups or ()}
     for route in cfg.routes or ():
@@ -47,6 +48,7 @@
             yield _unknown_group(route)
         yield from _check_age(route)
         yield from _check_times(route)
+        yield from _check_home_regions(cfg, route)
     yield from _check_idle_time(cfg)
 
 
@@ -90,6 +92,22 @@
         yield warning("connections-below-organisations", place, text)
 
 
+def _check_cold_limit(group: DeclaredGroup) -> Iterator[Finding]:
+    name = shown_name(group.name)
+    if group.cold_rate < 0:
+        text = (
+            f"Cold targets of the group {name} may get {fmt(group.cold_rate)} "
+            "statements/s; below 0 nothing limits them."
+        )
+        yield warning("cold-rate-negative", group.place.field("cold_rate"), text)
+    elif group.cold_rate > 0 and group.cold_s <= 0:
+        text = (
+            f"The group {name} limits its cold targets, but without the time for which "
+            "they are cold, one that restarts isn't limited until it reports that."
+        )
+        yield warning("cold-time-missing", group.place.field("cold_s"), text)
+
+
 def _check_targets(cfg: DeclaredConfig) -> Iterator[Finding]:
     first_at: dict[str, Place] = {}
     for group in cfg.groups or ():
@@ -163,6 +181,24 @@
         yield error("goal-negative", route.place.field("latency_goal"), text)
 
 
+def _check_home_regions(cfg: DeclaredConfig, route: DeclaredRoute) -> Iterator[Finding]:
+    """Find organisations whose home regions exclude all of the route's."""
+    if not cfg.own_plans or not route.home_regions:
+        return
+    apart = [
+        limits.name
+        for limits in cfg.limits or ()
+        if limits.home_regions
+        and not set(limits.home_regions).intersection(route.home_regions)
+    ]
+    if apart:
+        text = (
+            f"The route {shown_name(route.name)} has no home region in common with "
+            f"{shown_names(apart)}: all of their statements there are refused."
+        )
+        yield warning("home-regions-apart", route.place.field("home_regions"), text)
+
+
 def _check_idle_time(cfg: DeclaredConfig) -> Iterator[Finding]:
     """Compare the idle time of transactions with the routes' goals and time-outs."""
     idle, place = cfg.tx_idle_s, cfg.tx_idle_place
--- a/lavenderstack/core/config_check_test.py
+++ b/lavenderstack/core/config_check_test.py
@@ -96,6 +96,11 @@
     "timeout-not-positive": routed(timeout_s=0.0),
     "timeout-below-goal": routed(timeout_s=0.4, consistency=Consistency.BOUNDED),
     "goal-negative": routed(latency_goal_s=-1.0),
+    "home-regions-apart": limited(
+        routed(home_regions=("r1", "r2")), home_regions=("r3",)
+    ),
+    "cold-rate-negative": replace(ROUTED, groups=(replace(SERVICE, cold_rate=-1.0),)),
+    "cold-time-missing": replace(ROUTED, groups=(replace(SERVICE, cold_rate=2.0),)),
     "idle-not-positive": replace(ROUTED, tx_idle_s=0.0),
     "idle-below-goal": routed(latency_goal_s=2.5),
     "idle-above-timeout": routed(timeout_s=1.5),
@@ -111,6 +116,10 @@
     def test_a_fault_is_found_alone(self, code):
         assert [finding.code for finding in check(FAULTS[code])] == [code]
 
+    def test_home_regions_in_common_are_no_fault(self):
+        cfg = limited(routed(home_regions=("r1",)), home_regions=("r1", "r2"))
+        assert check(cfg) == []
+
     def test_a_finding_says_where_and_how_serious_it_is(self):
         place = replace(LIMITS.place, aliases={"burst": "most"})
         (finding,) = check(limited(burst=0.5, place=place))
--- a/lavenderstack/core/config_diff.py
+++ b/lavenderstack/core/config_diff.py
@@ -158,6 +158,10 @@
         subject = (
             f"{shown_name(name)}: " if new.own_plans else f"Plan {shown_name(name)}: "
         )
+        if new.own_plans:
+            yield from config_diff_groups.compare_home_regions(
+                shown_name(name), before[name], after[name]
+            )
         for change in _limit_changes(before[name], after[name]):
             text = f"{subject}{change.text}."
             if not new.own_plans:
--- a/lavenderstack/core/config_diff_groups.py
+++ b/lavenderstack/core/config_diff_groups.py
@@ -10,6 +10,7 @@
 from lavenderstack.core.declared_config import (
     DeclaredConfig,
     DeclaredGroup,
+    DeclaredLimits,
     DeclaredRoute,
     DeclaredTarget,
     Finding,
@@ -79,6 +80,7 @@
             yield warning("connections-lowered", place, text)
         else:
             yield info("connections-raised", place, text)
+    yield from _compare_cold_limits(old, new)
     if old.replicated and not new.replicated:
         text = f"Commits of the group {name} no longer wait for a replica."
         yield warning("commits-not-replicated", new.place.field("replicated"), text)
@@ -87,6 +89,48 @@
         yield info("commits-replicated", new.place.field("replicated"), text)
 
 
+def _compare_cold_limits(old: DeclaredGroup, new: DeclaredGroup) -> Iterator[Finding]:
+    name = shown_name(new.name)
+    before, after = max(0.0, old.cold_rate), max(0.0, new.cold_rate)
+    if before != after:
+        text = (
+            f"Cold targets of the group {name}: {_cold_rate(after)} instead of "
+            f"{_cold_rate(before)}. Affected: {_callers(new)}."
+        )
+        is_less = after > 0 and (before == 0 or after < before)
+        make = warning if is_less else info
+        yield make("cold-limit-changed", new.place.field("cold_rate"), text)
+    if old.cold_s != new.cold_s:
+        text = (
+            f"Targets of the group {name} are cold for {fmt(new.cold_s)} s after their "
+            f"start instead of {fmt(old.cold_s)} s."
+        )
+        yield info("cold-time-changed", new.place.field("cold_s"), text)
+
+
+def _cold_rate(rate: float) -> str:
+    return f"{fmt(rate)} statements/s" if rate else "no limit"
+
+
+def compare_home_regions(
+    subject: str,
+    old: DeclaredRoute | DeclaredLimits,
+    new: DeclaredRoute | DeclaredLimits,
+) -> Iterator[Finding]:
+    """Yield a change of home regions; statements are refused, or may leave regions."""
+    before, after = set(old.home_regions), set(new.home_regions)
+    if before != after:
+        text = (
+            f"{subject}: home regions {_regions(after)} instead of {_regions(before)}."
+        )
+        place = new.place.field("home_regions")
+        yield warning("home-regions-changed", place, text)
+
+
+def _regions(regions: set[str]) -> str:
+    return shown_names(regions) if regions else "everywhere"
+
+
 def _compare_callers(old: DeclaredGroup, new: DeclaredGroup) -> Iterator[Finding]:
     name, place = shown_name(new.name), new.place.field("organisations")
     before, after = old.organisations or frozenset(), new.organisations or frozenset()
@@ -182,6 +226,7 @@
         who = "now also serves" if new.public else "no longer serves"
         text = f"The route {name} {who} callers without a key."
         yield warning("public-changed", new.place.field("public"), text)
+    yield from compare_home_regions(f"The route {name}", old, new)
     yield from chain(
         _number("timeout", "s", old.timeout_s, new.timeout_s, new),
         _number("latency_goal", "s", old.latency_goal_s, new.latency_goal_s, new),
--- a/lavenderstack/core/config_diff_test.py
+++ b/lavenderstack/core/config_diff_test.py
@@ -34,6 +34,8 @@
 THREE = targeted(*(replace(TARGET, name=name) for name in ("t2", "t3")))
 PUBLIC = routed(public=True)
 SERVED = replace(ROUTED, groups=(replace(SERVICE, connections=8),))
+COLD = replace(ROUTED, groups=(replace(SERVICE, cold_rate=2.0, cold_s=5.0),))
+LONGER = replace(ROUTED, groups=(replace(SERVICE, cold_rate=2.0, cold_s=6.0),))
 UNSAFE = replace(ROUTED, groups=(replace(SERVICE, replicated=False),))
 READ = replace(LISTS, revisions={"plans": 7})
 PLANS_ONLY = replace(LISTS, organisations=None)
@@ -96,6 +98,24 @@
     (LISTS, targeted(slots=4), "target-lowered", WARNING, "target-raised", INFO),
     (ROUTED, SERVED, "connections-lowered", WARNING, "connections-raised", INFO),
     (ROUTED, UNSAFE, "commits-not-replicated", WARNING, "commits-replicated", INFO),
+    (ROUTED, COLD, "cold-limit-changed", WARNING, "cold-limit-changed", INFO),
+    (COLD, LONGER, "cold-time-changed", INFO, "cold-time-changed", INFO),
+    (
+        ROUTED,
+        routed(home_regions=("r1",)),
+        "home-regions-changed",
+        WARNING,
+        "home-regions-changed",
+        WARNING,
+    ),
+    (
+        ROUTED,
+        limited(ROUTED, home_regions=("r1",)),
+        "home-regions-changed",
+        WARNING,
+        "home-regions-changed",
+        WARNING,
+    ),
     (TWO_ROUTES, ROUTED, "route-removed", WARNING, "route-added", INFO),
     (ROUTED, routed(group="h"), "route-moved", WARNING, "route-moved", WARNING),
     (
--- a/lavenderstack/core/declared_config.py
+++ b/lavenderstack/core/declared_config.py
@@ -102,6 +102,7 @@
     weight: float | None = None
     queue: int | None = None
     priority: int | None = None
+    home_regions: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,6 +143,7 @@
     ``connections`` is the smallest limit of a target. ``targets`` is None where the
     configuration doesn't name them, ``organisations`` where all may use the group.
     ``replicated`` is None where nothing is declared about replicas of commits.
+    ``cold_rate`` and ``cold_s`` are as in ``GroupLimits``.
     """
 
     name: str
@@ -151,6 +153,8 @@
     organisations: frozenset[str] | None = None
     open_statements: frozenset[str] = frozenset()
     replicated: bool | None = None
+    cold_rate: float = 0.0
+    cold_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -166,6 +170,7 @@
     max_age_s: float
     priority: int
     public: bool = False
+    home_regions: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/lavenderstack/platform/declared.py
+++ b/lavenderstack/platform/declared.py
@@ -37,6 +37,8 @@
     "priority": "prio",
     "connections": "max_conns",
     "replicated": "sync_replicas",
+    "cold_rate": "cold_per_s",
+    "cold_s": "cold_start_s",
     "group": "service",
     "consistency": "type",
     "timeout": "timeout_ms",
@@ -76,7 +78,14 @@
         root=_ROOT,
         version=cfg.version,
         limits=tuple(
-            DeclaredLimits(t.name, place, t.per_s, t.burst, priority=t.prio)
+            DeclaredLimits(
+                t.name,
+                place,
+                t.per_s,
+                t.burst,
+                priority=t.prio,
+                home_regions=tuple(t.home_regions),
+            )
             for t, place in tenants
         ),
         organisations=tuple(
@@ -112,6 +121,7 @@
             max_age_s=route.max_stale_ms / MS_PER_S,
             priority=route.prio,
             public=route.public,
+            home_regions=tuple(route.home_regions),
         )
 
 
@@ -122,6 +132,8 @@
             _at("services", index),
             service.max_conns,
             replicated=service.sync_replicas > 0,
+            cold_rate=service.cold_per_s,
+            cold_s=service.cold_start_s,
         )
 
 
--- a/lavenderstack/platform/declared_test.py
+++ b/lavenderstack/platform/declared_test.py
@@ -65,6 +65,19 @@
                 "tenants[0].api_keys[0]",
             ),
             ({"routes": [ROUTE, ROUTE]}, "duplicate-name", "routes[0]"),
+            (
+                {
+                    "routes": [ROUTE | {"home_regions": ["r1"]}],
+                    "tenants": [TENANT | {"home_regions": ["r2"]}],
+                },
+                "home-regions-apart",
+                "routes[0].home_regions",
+            ),
+            (
+                {"services": [CONFIG["services"][0] | {"cold_per_s": 2}]},
+                "cold-time-missing",
+                "services[0].cold_start_s",
+            ),
         ],
     )
     def test_a_finding_names_the_field_of_the_document(self, fields, code, where):
