Don't end a node for a target's report that can't be read

The history of the store decodes each report a second time, with decode_target_run, which handled MsgspecError alone. For a report that isn't UTF-8 msgspec raises UnicodeDecodeError (a ValueError), so the loader of each node that owns a group ended, and the node with it; a node that started again and owned a group ended again while the store had that change. A report nested too deeply raised RecursionError in decode_report too, at every node.

Both now handle the errors that the catalog's decoder does: the report names no usable target, and the history is unknown from then on, as for other reports that aren't understood. Operators see "documents: target's run not understood".

Evidence: two cases in history_test.py, both red without the change (the loader's task has ended, so the condition is never met).

--- a/lavenderstack/platform/documents.py
+++ b/lavenderstack/platform/documents.py
@@ -216,7 +216,7 @@
             raise ValueError(f"role {server.db_role!r}, slots {server.slots}")
         name = key.removeprefix(TARGETS_PREFIX)
         target = Target(name, server.zone, host, int(port), server.slots, 0)
-    except (msgspec.MsgspecError, ValueError) as exc:
+    except CONFIG_ERRORS as exc:
         log.info(
             "documents: report names no usable target", key=key, error=str(exc)[:200]
         )
@@ -246,7 +246,7 @@
     """
     try:
         report = msgspec.json.decode(value, type=_TargetRun)
-    except msgspec.MsgspecError as exc:
+    except CONFIG_ERRORS as exc:
         log.info("documents: target's run not understood", key=key, error=str(exc))
         return None
     return report.service, TargetRun(key.removeprefix(TARGETS_PREFIX), report.born)
--- a/lavenderstack/platform/history_test.py
+++ b/lavenderstack/platform/history_test.py
@@ -79,6 +79,22 @@
         async with known_history(kv) as found:
             assert found.targets("g1") is None
 
+    @pytest.mark.parametrize(
+        "value",
+        [b'{"service": "\xff"}', b'{"x":' + b"[" * 5000 + b"]" * 5000 + b"}"],
+        ids=["not UTF-8", "nested too deeply"],
+    )
+    async def test_a_report_that_cant_be_read_doesnt_end_the_loader(self, value):
+        """The node ended, and each owner again while the store had the change."""
+        kv = started_store()
+        async with known_history(kv) as found:
+            kv.put("servers/i-9", value)
+            await wait_until(lambda: not found.known)
+            kv.put("servers/i-9", report())
+        async with run_loader(kv) as directory:
+            await wait_until(lambda: "i-9" in directory.targets)
+            await wait_until(lambda: kv.watching)
+
     async def test_a_first_era_above_0_has_all_changes_if_the_settings_say_so(self):
         kv = started_store(era=1)
         kv.put("ls/era", b'{"era":1}')
