--- a/lavenderstack/core/change_messages.py
+++ b/lavenderstack/core/change_messages.py
@@ -27,7 +27,9 @@
     """The changes up to the revision ``as_of``; all entries of the store if ``whole``.
 
     When it was sent, the sender had held the request for ``held_s`` seconds, and its
-    state had been proved current ``age_s`` seconds before.
+    state had been proved current ``age_s`` seconds before. ``listed`` tells that some
+    entries were read in a listing, which has only the last change of each; a build that
+    doesn't tell may have listed them.
     """
 
     entries: list[Entry]
@@ -35,3 +37,4 @@
     whole: bool
     held_s: float
     age_s: float
+    listed: bool = True
--- a/lavenderstack/node/dispatch_test.py
+++ b/lavenderstack/node/dispatch_test.py
@@ -69,6 +69,7 @@
         self.asked: list[Work] = []
         self.nodes: list[str] = []
         self.ended: list[tuple[str, str]] = []
+        self.rolled_back = asyncio.Event()
         self.peers = Peers("n1", lambda: directory.view, StreamPool(), Members("n1"))
         self.peers.ask = self.ask
         self.dispatcher = Dispatcher(directory, self.peers, Counters())
@@ -76,6 +77,7 @@
     async def ask(self, vm, work, timeout_s):
         if isinstance(work, EndWork):
             self.ended.append((vm.name, work.tx))
+            self.rolled_back.set()
             return WorkEnded()
         self.asked.append(work)
         self.nodes.append(vm.name)
@@ -284,9 +286,7 @@
         harness.directory.zone = "z2"
         opens = TransactionStart.READ_ONLY
         assert await harness.run(READ, Access.AGED_READ, opens) == DONE
-        async with asyncio.timeout(5.0):
-            while not harness.ended:
-                await asyncio.sleep(0.01)
+        await asyncio.wait_for(harness.rolled_back.wait(), 5.0)
         assert harness.ended == [("n2", "n2/t2/1")]
 
     async def test_slow_answer_hedges_to_another_target(self):
--- a/lavenderstack/platform/history_test.py
+++ b/lavenderstack/platform/history_test.py
@@ -5,10 +5,16 @@
 import pytest
 
 from lavenderstack.core import clock
+from lavenderstack.core.change_messages import ChangesReply
 from lavenderstack.core.replica_set import TargetRun
 from lavenderstack.core.view import Vm
 from lavenderstack.platform import documents, history
-from lavenderstack.platform.loader_test import report, run_loader, wait_until
+from lavenderstack.platform.loader_test import (
+    report,
+    run_loader,
+    run_loader_object,
+    wait_until,
+)
 from lavenderstack.platform.node_test import config
 from standins.metadata_store import MetadataStore
 
@@ -79,6 +85,22 @@
         async with known_history(kv) as found:
             assert found.targets("g1") is None
 
+    @pytest.mark.parametrize(
+        "value",
+        [b'{"service": "\xff"}', b'{"x":' + b"[" * 5000 + b"]" * 5000 + b"}"],
+        ids=["not UTF-8", "nested too deeply"],
+    )
+    async def test_a_report_that_cant_be_read_doesnt_end_the_loader(self, value):
+        """The node ended, and each owner again while the store had the change."""
+        kv = started_store()
+        async with known_history(kv) as found:
+            kv.put("servers/i-9", value)
+            await wait_until(lambda: not found.known)
+            kv.put("servers/i-9", report())
+        async with run_loader(kv) as directory:
+            await wait_until(lambda: "i-9" in directory.targets)
+            await wait_until(lambda: kv.watching)
+
     async def test_a_first_era_above_0_has_all_changes_if_the_settings_say_so(self):
         kv = started_store(era=1)
         kv.put("ls/era", b'{"era":1}')
@@ -88,6 +110,15 @@
             kv.restore(kv.take_copy())
             await wait_until(lambda: not found.known)
 
+    @pytest.mark.parametrize("listed", [False, True])
+    async def test_entries_that_another_node_listed_end_it(self, listed):
+        """Guards against a run that came and went while that node read pages."""
+        kv = started_store()
+        async with run_loader_object(kv) as (follower, directory):
+            await wait_until(lambda: directory.history.known)
+            follower._apply_reply(ChangesReply([], kv.rev, False, 0.0, 0.0, listed))
+            assert directory.history.known is not listed
+
     async def test_a_new_listing_ends_it(self):
         kv = started_store()
         async with known_history(kv) as found:
--- a/lavenderstack/platform/loader.py
+++ b/lavenderstack/platform/loader.py
@@ -99,6 +99,8 @@
         self._recent: deque[Item] = deque(maxlen=MAX_RECENT_CHANGES)
         # ``_recent`` has all changes after this revision.
         self._recent_after = 0
+        # The changes up to this position come from a listing of several pages.
+        self._listed_to = 0
         self._updated = asyncio.Event()
         self._store = store
         self._directory = directory
@@ -251,8 +253,10 @@
         ]
         for item in _evacuations_last(items):
             self._apply(item)
+        if reply.listed:
+            self._listed_to = max(self._listed_to, reply.as_of)
+            self._history.end("entries were received from a listing")
         if reply.whole:
-            self._history.end("all entries were received anew")
             for key in self._entries.keys() - {item.key for item in items}:
                 self._apply(Item(key=key, rev=reply.as_of, deleted=True))
         self._advance_revision(reply.as_of)
@@ -291,7 +295,9 @@
         ]
         now = clock.now()
         age_s = self._directory.proof.age_s(now)
-        return ChangesReply(entries, self._as_of, whole, now - received_at, age_s)
+        listed = whole or msg.after < self._listed_to
+        held_s = now - received_at
+        return ChangesReply(entries, self._as_of, whole, held_s, age_s, listed)
 
     async def _wait_for_changes(self, after: int, wait_s: float) -> None:
         proof = self._directory.proof
@@ -336,6 +342,7 @@
             known for known in self._entries.values() if known.rev > as_of
         )
         self._recent_after = as_of
+        self._listed_to = max((known.rev for known in self._recent), default=as_of)
         self._advance_revision(as_of)
         self._listed = True
         if is_snapshot and self._store.era.read_wait_s(clock.now()) <= 0:
--- a/lavenderstack/platform/loader_test.py
+++ b/lavenderstack/platform/loader_test.py
@@ -413,8 +413,11 @@
             reply = await reader.handle_changes_request(
                 ChangesRequest(first_page_rev, 0.5)
             )
+            later = await reader.handle_changes_request(ChangesRequest(kv.rev, 0.0))
             task.cancel()
             assert "servers/i-3" in {entry.key for entry in reply.entries}
+            # An earlier change of the entry may be missing, which ends a history.
+            assert (reply.listed, later.listed) == (True, False)
 
     async def test_follower_far_behind_gets_all_entries(self):
         kv = MetadataStore()
