Wait for a connection to another node no longer than connecting takes

Change: core/connect_timeout.py estimates the timeout from observed connect times as RFC 6298 does. The attempt goes on; the node is trusted again once it succeeds. The test of the shared timeout records a connect time of 0.3 s first, so that it still plays a connection that takes 0.3 s and asks for the same bound.

--- a/lavenderstack/node/peers.py
+++ b/lavenderstack/node/peers.py
@@ -4,14 +4,21 @@
 that can't be reached is not chosen for a short time.
 """
 
+import asyncio
 import math
 from collections.abc import Awaitable, Callable, Mapping
+from functools import partial
 
 from lavenderstack.core import clock
 from lavenderstack.core.members import Members
 from lavenderstack.core.messages import Message
 from lavenderstack.core.view import Target, View, Vm
-from lavenderstack.node.streams import NotSent, StreamLost, StreamPool
+from lavenderstack.node.streams import (
+    NotSent,
+    StillConnecting,
+    StreamLost,
+    StreamPool,
+)
 
 CallVm = Callable[[str, Message, float], Awaitable[Message]]
 # Returns the VM to which the placement assigns a target, None if the ring decides.
@@ -52,10 +59,19 @@
             return await self._handlers[type(msg)](msg)
         try:
             return await self.pool.call((vm.host, vm.port), msg, timeout_s)
+        except StillConnecting as exc:
+            self._members.suspect(vm.name, clock.now())
+            exc.opening.add_done_callback(partial(self._finish_connecting, vm.name))
+            raise
         except (NotSent, StreamLost):
             self._members.suspect(vm.name, clock.now())
             raise
 
+    def _finish_connecting(self, name: str, opening: asyncio.Task) -> None:
+        """Trust a node whose connection opened later than usual."""
+        if not opening.cancelled() and opening.exception() is None:
+            self.trust(name)
+
     def suspect(self, name: str) -> None:
         """Exclude a node that did not answer from the choices for a short time."""
         self._members.suspect(name, clock.now())
--- a/lavenderstack/node/streams.py
+++ b/lavenderstack/node/streams.py
@@ -21,6 +21,7 @@
 
 from lavenderstack.border.traffic import TRAFFIC
 from lavenderstack.core import clock
+from lavenderstack.core.connect_timeout import ConnectTimeout
 from lavenderstack.core.messages import Cancel, Goodbye, Message, Ping, Pong
 from lavenderstack.node import wire
 
@@ -59,6 +60,14 @@
     """The request certainly never left this node, so sending it again is safe."""
 
 
+class StillConnecting(NotSent):
+    """The connection is not open yet; ``opening`` is the attempt, which goes on."""
+
+    def __init__(self, opening: asyncio.Task) -> None:
+        super().__init__("not connected in the usual time")
+        self.opening = opening
+
+
 class StreamLost(Exception):
     """The stream closed or stayed silent after the request had been sent."""
 
@@ -277,6 +286,7 @@
         self._limits = limits
         self._streams: dict[tuple[str, int], _ClientStream] = {}
         self._opening: dict[tuple[str, int], asyncio.Task[_ClientStream]] = {}
+        self._connect_timeout = ConnectTimeout()
 
     def close(self) -> None:
         """Close every stream; waiting requests get ``StreamLost``."""
@@ -297,7 +307,10 @@
     async def _get_stream(
         self, addr: tuple[str, int], timeout_s: float
     ) -> _ClientStream:
-        """Return an open stream; concurrent callers share one connection attempt."""
+        """Return an open stream; concurrent callers share one connection attempt.
+
+        Raises ``StillConnecting`` if the attempt takes longer than usual.
+        """
         stream = self._streams.get(addr)
         if stream is not None and stream.open:
             return stream
@@ -306,11 +319,15 @@
             opening = asyncio.ensure_future(self._open(addr))
             self._opening[addr] = opening
             opening.add_done_callback(partial(self._finish_opening, addr))
-        async with asyncio.timeout(timeout_s):
-            return await asyncio.shield(opening)
+        wait_s = min(timeout_s, self._connect_timeout.current_s(self._limits.connect_s))
+        done, _ = await asyncio.wait([opening], timeout=wait_s)
+        if not done:
+            raise StillConnecting(opening)
+        return opening.result()
 
     async def _open(self, addr: tuple[str, int]) -> _ClientStream:
         loop = asyncio.get_running_loop()
+        started_at = clock.now()
         try:
             async with asyncio.timeout(self._limits.connect_s):
                 _, stream = await loop.create_connection(_ClientStream, *addr)
@@ -318,6 +335,7 @@
             raise NotSent("connecting timed out") from exc
         except OSError as exc:
             raise NotSent(str(exc)) from exc
+        self._connect_timeout.record(clock.now() - started_at)
         self._streams[addr] = stream
         return stream
 
@@ -333,16 +351,13 @@
     ) -> Message:
         """Send a request to the node at ``addr`` and return its reply.
 
-        Raises ``NotSent`` if the request was not sent, ``StreamLost`` if the stream
-        failed after that, and ``TimeoutError`` after ``timeout_s`` seconds, connecting
-        included. A call that is cancelled or times out also cancels its handler at the
-        other end.
+        Raises ``NotSent`` if the request was not sent, ``StillConnecting`` if that is
+        because connecting takes long, ``StreamLost`` if the stream failed later, and
+        ``TimeoutError`` after ``timeout_s`` seconds, connecting included. A call that
+        is cancelled or times out also cancels its handler at the other end.
         """
         deadline = clock.now() + timeout_s
-        try:
-            stream = await self._get_stream(addr, timeout_s)
-        except TimeoutError as exc:
-            raise NotSent("not connected before the request's timeout") from exc
+        stream = await self._get_stream(addr, timeout_s)
         if not stream.open:
             raise NotSent("stream closed")
         number, fut = stream.ask(body)
--- a/lavenderstack/node/streams_test.py
+++ b/lavenderstack/node/streams_test.py
@@ -10,6 +10,7 @@
 from lavenderstack.node import streams
 from lavenderstack.node.streams import (
     NotSent,
+    StillConnecting,
     StreamLimits,
     StreamLost,
     StreamPool,
@@ -73,6 +74,7 @@
                 return await connect(*args)
 
             monkeypatch.setattr(loop, "create_connection", slow_connect)
+            pool._connect_timeout.record(0.3)
             began = clock.now()
             with pytest.raises(TimeoutError):
                 await pool.call(addr, BEGIN, 0.5)
@@ -118,6 +120,29 @@
         assert all(isinstance(answer, NotSent) for answer in answers)
         assert len(attempts) == 1
 
+    async def test_request_does_not_wait_for_a_node_that_is_down(self, monkeypatch):
+        """Guards against statements that wait for a node without power (0.3 s each)."""
+        loop = asyncio.get_running_loop()
+        connect = loop.create_connection
+        powered = asyncio.Event()
+
+        async def connect_when_powered(*args):
+            await powered.wait()
+            return await connect(*args)
+
+        async def handler(message):
+            return Begun(message.request)
+
+        async with running_server(handler) as (pool, addr, _):
+            monkeypatch.setattr(loop, "create_connection", connect_when_powered)
+            began = clock.now()
+            with pytest.raises(StillConnecting) as caught:
+                await pool.call(addr, BEGIN, 1.0)
+            assert clock.now() - began < 0.5
+            powered.set()
+            await caught.value.opening
+            assert await pool.call(addr, BEGIN, 1.0) == Begun(BEGIN.request)
+
     async def test_cancellation_as_the_answer_arrives_is_not_lost(self, monkeypatch):
         """A part that goes on after its cancellation keeps a stop from ending."""
         answer = asyncio.get_running_loop().create_future()
