Group the parts of a node by their subject

The parts of rate limits, failover, evacuation and targets each have a folder of their own now; modules keep their names. No behaviour changes. events_test finds its modules in any folder below node and fails if one is missing, as before.

--- a/bench/connection_pools.py
+++ b/bench/connection_pools.py
@@ -18,9 +18,9 @@
 from lavenderstack.core.outcome import Refused
 from lavenderstack.core.queue_load import refusal_retry_after_s
 from lavenderstack.core.view import Target
-from lavenderstack.node.allocated_connections import AllocatedConnections
 from lavenderstack.node.backend import ConnectFailed
-from lavenderstack.node.slots import Slots
+from lavenderstack.node.targets.allocated_connections import AllocatedConnections
+from lavenderstack.node.targets.slots import Slots
 from tests import virtual_time
 
 HANDSHAKE_S = 0.012
--- a/lavenderstack/core/events_test.py
+++ b/lavenderstack/core/events_test.py
@@ -50,7 +50,7 @@
 )
 MODULES = [
     *(p for p in (PACKAGE / "platform").glob("*.py") if "_test" not in p.name),
-    *(PACKAGE / "node" / f"{name}.py" for name in NODE),
+    *(next((PACKAGE / "node").rglob(f"{name}.py")) for name in NODE),
     PACKAGE / "border" / "logs.py",
 ]
 
--- a/lavenderstack/node/control.py
+++ b/lavenderstack/node/control.py
@@ -4,8 +4,8 @@
 
 from lavenderstack.core import clock
 from lavenderstack.core.view import View
-from lavenderstack.node.admission import Admission
-from lavenderstack.node.zone_evacuations import ZoneEvacuations
+from lavenderstack.node.evacuation.zone_evacuations import ZoneEvacuations
+from lavenderstack.node.quota.admission import Admission
 
 
 class ViewSource(Protocol):
--- a/lavenderstack/node/directory.py
+++ b/lavenderstack/node/directory.py
@@ -19,8 +19,8 @@
 from lavenderstack.core.store_history import StoreHistory
 from lavenderstack.core.view import Target, View, Vm
 from lavenderstack.core.view_proof import ViewProof
-from lavenderstack.node.cold_starts import ColdStarts
-from lavenderstack.node.evacuated_zones import EvacuatedZones
+from lavenderstack.node.evacuation.evacuated_zones import EvacuatedZones
+from lavenderstack.node.targets.cold_starts import ColdStarts
 
 log = structlog.get_logger()
 
--- a/lavenderstack/node/dispatch.py
+++ b/lavenderstack/node/dispatch.py
@@ -35,7 +35,7 @@
 from lavenderstack.node.attempt_limits import AttemptLimits
 from lavenderstack.node.counters import Counters
 from lavenderstack.node.directory import Directory
-from lavenderstack.node.evacuation_refusals import (
+from lavenderstack.node.evacuation.evacuation_refusals import (
     evacuated,
     group_prospect,
     refusal_at_once,
--- /dev/null
+++ b/lavenderstack/node/evacuation/__init__.py
@@ -0,0 +1,1 @@
+"""Evacuated zones as entry nodes and connection holders see them."""
--- a/lavenderstack/node/evacuated_zones.py
+++ b/lavenderstack/node/evacuation/evacuated_zones.py
@@ -11,7 +11,7 @@
 from lavenderstack.core.evacuations import Evacuations, Turns
 from lavenderstack.core.view import View
 from lavenderstack.core.view_proof import ViewProof
-from lavenderstack.node.evacuation_log import log_evacuated, log_returned
+from lavenderstack.node.evacuation.evacuation_log import log_evacuated, log_returned
 
 DEFAULT_ORDERS_PER_S = 50.0
 
--- a/lavenderstack/node/evacuation_guard.py
+++ b/lavenderstack/node/evacuation/evacuation_guard.py
@@ -13,9 +13,9 @@
 from lavenderstack.core.view import Target
 from lavenderstack.core.work_messages import Work
 from lavenderstack.node.directory import Directory
-from lavenderstack.node.evacuation_log import TargetUseLog
+from lavenderstack.node.evacuation.evacuation_log import TargetUseLog
 from lavenderstack.node.open_transactions import OpenTransactions
-from lavenderstack.node.target_connections import TargetConnections
+from lavenderstack.node.targets.target_connections import TargetConnections
 
 log = structlog.get_logger()
 
--- a/lavenderstack/node/holder_evacuation_guard.py
+++ b/lavenderstack/node/evacuation/holder_evacuation_guard.py
@@ -8,8 +8,8 @@
 from lavenderstack.core.evacuation import Use
 from lavenderstack.core.messages import Execute
 from lavenderstack.core.view import Target
-from lavenderstack.node.evacuation_log import TargetUseLog
-from lavenderstack.node.zone_evacuations import ZoneEvacuations
+from lavenderstack.node.evacuation.evacuation_log import TargetUseLog
+from lavenderstack.node.evacuation.zone_evacuations import ZoneEvacuations
 
 
 def use_of(msg: Execute) -> Use:
--- a/lavenderstack/node/zone_evacuations.py
+++ b/lavenderstack/node/evacuation/zone_evacuations.py
@@ -17,7 +17,7 @@
 from lavenderstack.core.outcome import Reason, Refused
 from lavenderstack.core.view import View
 from lavenderstack.core.view_freshness import ViewFreshness
-from lavenderstack.node.evacuation_log import log_evacuated, log_returned
+from lavenderstack.node.evacuation.evacuation_log import log_evacuated, log_returned
 
 POLL_INTERVAL_S = 1.0
 LONG_AGO = -math.inf
--- a/lavenderstack/node/zone_evacuations_test.py
+++ b/lavenderstack/node/evacuation/zone_evacuations_test.py
@@ -10,7 +10,7 @@
 from lavenderstack.core.entry import Change
 from lavenderstack.core.evacuation import GRACE_S, Use
 from lavenderstack.core.view_freshness import ViewFreshness
-from lavenderstack.node.zone_evacuations import ZoneEvacuations
+from lavenderstack.node.evacuation.zone_evacuations import ZoneEvacuations
 
 TARGET = {"name": "t", "zone": "a", "host": "h", "port": 1, "slots": 5}
 GROUP = {"targets": [TARGET | {"connections": 9}]}
--- a/lavenderstack/node/executor.py
+++ b/lavenderstack/node/executor.py
@@ -34,31 +34,34 @@
     Work,
 )
 from lavenderstack.node.acknowledged_positions import AcknowledgedPositions
-from lavenderstack.node.active_connections import (
-    ActiveConnections,
-    failure,
-    replaced_while_committing,
-    work_result,
-)
-from lavenderstack.node.allocated_connections import AllocatedConnections
 from lavenderstack.node.backend import (
     Backend,
     Command,
     ConnectFailed,
     ConnectionLost,
 )
-from lavenderstack.node.cold_target import ColdTarget, failed
-from lavenderstack.node.connection_setup import setup_commands, target_statement
 from lavenderstack.node.directory import Directory
-from lavenderstack.node.evacuation_guard import EvacuationGuard
+from lavenderstack.node.evacuation.evacuation_guard import EvacuationGuard
 from lavenderstack.node.load_control import TargetLoadControl
 from lavenderstack.node.load_reports import LoadReports
 from lavenderstack.node.open_transactions import OpenTransactions
-from lavenderstack.node.slots import Slots
-from lavenderstack.node.slow_start import SlowStart
-from lavenderstack.node.target_concurrency import TargetConcurrency, is_completion
-from lavenderstack.node.target_connections import PooledConnection
-from lavenderstack.node.target_health import TargetHealth
+from lavenderstack.node.targets.active_connections import (
+    ActiveConnections,
+    failure,
+    replaced_while_committing,
+    work_result,
+)
+from lavenderstack.node.targets.allocated_connections import AllocatedConnections
+from lavenderstack.node.targets.cold_target import ColdTarget, failed
+from lavenderstack.node.targets.connection_setup import setup_commands, target_statement
+from lavenderstack.node.targets.slots import Slots
+from lavenderstack.node.targets.slow_start import SlowStart
+from lavenderstack.node.targets.target_concurrency import (
+    TargetConcurrency,
+    is_completion,
+)
+from lavenderstack.node.targets.target_connections import PooledConnection
+from lavenderstack.node.targets.target_health import TargetHealth
 
 log = structlog.get_logger()
 
--- a/lavenderstack/node/executors.py
+++ b/lavenderstack/node/executors.py
@@ -19,10 +19,10 @@
 )
 from lavenderstack.node.acknowledged_positions import AcknowledgedPositions
 from lavenderstack.node.backend import Backend
-from lavenderstack.node.cold_target import Choice
-from lavenderstack.node.cold_targets import ColdTargets
 from lavenderstack.node.directory import Directory
 from lavenderstack.node.executor import MinPositionFor, TargetExecutor
+from lavenderstack.node.targets.cold_target import Choice
+from lavenderstack.node.targets.cold_targets import ColdTargets
 
 SWEEP_INTERVAL_S = 0.25
 
--- a/lavenderstack/node/group_positions.py
+++ b/lavenderstack/node/failover/group_positions.py
@@ -21,8 +21,8 @@
     PrimaryPosition,
 )
 from lavenderstack.node.directory import Directory
+from lavenderstack.node.failover.primary_probe import PROBE_TIMEOUT_S
 from lavenderstack.node.peers import Peers
-from lavenderstack.node.primary_probe import PROBE_TIMEOUT_S
 from lavenderstack.node.streams import NotSent, StreamLost
 
 log = structlog.get_logger()
--- a/lavenderstack/node/planned_failover.py
+++ b/lavenderstack/node/failover/planned_failover.py
@@ -7,7 +7,7 @@
 from lavenderstack.core.evacuation_routing import has_candidate
 from lavenderstack.core.replacement import Obstacle
 from lavenderstack.node.directory import Directory
-from lavenderstack.node.evacuation_refusals import replacement_turn
+from lavenderstack.node.evacuation.evacuation_refusals import replacement_turn
 
 log = structlog.get_logger()
 
--- a/lavenderstack/node/promoter.py
+++ b/lavenderstack/node/failover/promoter.py
@@ -23,8 +23,8 @@
 )
 from lavenderstack.node.counters import Counters
 from lavenderstack.node.directory import Directory
+from lavenderstack.node.failover.primary_probe import PROBE_TIMEOUT_S, PrimaryProbe
 from lavenderstack.node.peers import Peers
-from lavenderstack.node.primary_probe import PROBE_TIMEOUT_S, PrimaryProbe
 from lavenderstack.node.streams import NotSent, StreamLost
 
 log = structlog.get_logger()
--- a/lavenderstack/node/replacer.py
+++ b/lavenderstack/node/failover/replacer.py
@@ -25,14 +25,14 @@
 from lavenderstack.node.backend import Backend, Claims, Orders
 from lavenderstack.node.counters import Counters
 from lavenderstack.node.directory import Directory
-from lavenderstack.node.followers import Followers, format_positions
-from lavenderstack.node.group_claims import GroupClaims
-from lavenderstack.node.group_positions import GroupPositions
+from lavenderstack.node.failover.followers import Followers, format_positions
+from lavenderstack.node.failover.group_claims import GroupClaims
+from lavenderstack.node.failover.group_positions import GroupPositions
+from lavenderstack.node.failover.planned_failover import PlannedFailover
+from lavenderstack.node.failover.primary_probe import PrimaryProbe
+from lavenderstack.node.failover.promoter import OrderOutcome, Promoter
+from lavenderstack.node.failover.replica_sets import ReplicaSets
 from lavenderstack.node.peers import Peers
-from lavenderstack.node.planned_failover import PlannedFailover
-from lavenderstack.node.primary_probe import PrimaryProbe
-from lavenderstack.node.promoter import OrderOutcome, Promoter
-from lavenderstack.node.replica_sets import ReplicaSets
 
 log = structlog.get_logger()
 
--- a/lavenderstack/node/replacer_test.py
+++ b/lavenderstack/node/failover/replacer_test.py
@@ -20,13 +20,13 @@
     PrimaryPosition,
     PrimaryPositionRequest,
 )
-from lavenderstack.node import replacer
 from lavenderstack.node.backend import ClaimLost, OrderUnanswered
 from lavenderstack.node.backend_fake import FakeBackend, FakeGroup, FakeTarget
 from lavenderstack.node.counters import Counters
 from lavenderstack.node.directory import Directory
+from lavenderstack.node.failover import replacer
+from lavenderstack.node.failover.replacer import Replacer
 from lavenderstack.node.peers import Peers
-from lavenderstack.node.replacer import Replacer
 from lavenderstack.node.streams import StreamLost, StreamPool
 
 
--- a/lavenderstack/node/replica_sets.py
+++ b/lavenderstack/node/failover/replica_sets.py
@@ -22,9 +22,9 @@
 )
 from lavenderstack.node.backend import ClaimLost, Claims
 from lavenderstack.node.directory import Directory
-from lavenderstack.node.followers import Followers, format_positions
-from lavenderstack.node.group_positions import GroupPositions
-from lavenderstack.node.primary_probe import PrimaryProbe
+from lavenderstack.node.failover.followers import Followers, format_positions
+from lavenderstack.node.failover.group_positions import GroupPositions
+from lavenderstack.node.failover.primary_probe import PrimaryProbe
 
 log = structlog.get_logger()
 
--- a/lavenderstack/node/replica_sets_test.py
+++ b/lavenderstack/node/failover/replica_sets_test.py
@@ -10,9 +10,9 @@
 from lavenderstack.core.statement import StatementKind
 from lavenderstack.core.view import Vm
 from lavenderstack.core.work_messages import GroupPosition
-from lavenderstack.node import replacer, replica_sets
 from lavenderstack.node.backend import ClaimLost
-from lavenderstack.node.replacer_test import ReplacerHarness
+from lavenderstack.node.failover import replacer, replica_sets
+from lavenderstack.node.failover.replacer_test import ReplacerHarness
 
 
 class TestReplicaWhoseReportEnded:
--- a/lavenderstack/node/holder_test.py
+++ b/lavenderstack/node/holder_test.py
@@ -16,9 +16,9 @@
 from lavenderstack.core.view import Group, Key, Plan, Target, View, Vm
 from lavenderstack.node import target_holder, transactions
 from lavenderstack.node.confirm import running_confirmer
+from lavenderstack.node.evacuation.zone_evacuations_test import FakeEvacuations
 from lavenderstack.node.holder import Holders
 from lavenderstack.node.target_holder import TargetHolder
-from lavenderstack.node.zone_evacuations_test import FakeEvacuations
 from standins.replica_log import ReplicaLog
 from standins.target import Limits, serve
 
--- a/lavenderstack/node/home_routing.py
+++ b/lavenderstack/node/home_routing.py
@@ -21,7 +21,10 @@
 from lavenderstack.core.view import Target, Vm
 from lavenderstack.node.counters import Counters
 from lavenderstack.node.directory import Directory
-from lavenderstack.node.evacuation_refusals import EVACUATED_RETRY_S, evacuated
+from lavenderstack.node.evacuation.evacuation_refusals import (
+    EVACUATED_RETRY_S,
+    evacuated,
+)
 from lavenderstack.node.peers import Peers
 
 
--- a/lavenderstack/node/load_control.py
+++ b/lavenderstack/node/load_control.py
@@ -16,7 +16,7 @@
 from lavenderstack.core.view import DEFAULT_PRIORITY
 from lavenderstack.core.work_messages import Work
 from lavenderstack.node.directory import Directory
-from lavenderstack.node.slots import Slots
+from lavenderstack.node.targets.slots import Slots
 
 log = structlog.get_logger()
 
--- a/lavenderstack/node/load_reports.py
+++ b/lavenderstack/node/load_reports.py
@@ -12,7 +12,7 @@
 from lavenderstack.core.work_messages import Work, WorkDone
 from lavenderstack.node.directory import Directory
 from lavenderstack.node.load_control import TargetLoadControl
-from lavenderstack.node.slots import Slots
+from lavenderstack.node.targets.slots import Slots
 
 # Failures after which the queue tells how long the next statement waits. After others,
 # this node may be unable to use the target: its queue is empty, yet nothing is idle.
--- a/lavenderstack/node/main.py
+++ b/lavenderstack/node/main.py
@@ -21,22 +21,22 @@
 from lavenderstack.core.members import Members
 from lavenderstack.core.view import Group, Target
 from lavenderstack.node import drain, metrics, supervisor
-from lavenderstack.node.admission import Admission
 from lavenderstack.node.confirmers import Confirmers
 from lavenderstack.node.control import NodeControl
 from lavenderstack.node.entry import Entry
+from lavenderstack.node.evacuation.zone_evacuations import ZoneEvacuations
 from lavenderstack.node.holder import Holders
 from lavenderstack.node.monitors import Monitors
 from lavenderstack.node.peers import Peers
 from lavenderstack.node.primaries import Primaries
-from lavenderstack.node.quota_coordinator import QuotaCoordinator
+from lavenderstack.node.quota.admission import Admission
+from lavenderstack.node.quota.quota_coordinator import QuotaCoordinator
 from lavenderstack.node.relay import Relay
 from lavenderstack.node.revisions import where_in_force
 from lavenderstack.node.router import Router
 from lavenderstack.node.streams import StreamPool, StreamServer
 from lavenderstack.node.supervisor import Part
 from lavenderstack.node.target_holder import TargetHolder
-from lavenderstack.node.zone_evacuations import ZoneEvacuations
 
 VIEW_POLL_S = 0.05
 PROOF_WAIT_S = 10.0
--- a/lavenderstack/node/open_transactions.py
+++ b/lavenderstack/node/open_transactions.py
@@ -17,16 +17,19 @@
 from lavenderstack.core.statement import StatementKind
 from lavenderstack.core.work_messages import Access, EndWork, Work, WorkEnded
 from lavenderstack.node.acknowledged_positions import AcknowledgedPositions
-from lavenderstack.node.active_connections import (
+from lavenderstack.node.backend import Command, ConnectionLost
+from lavenderstack.node.targets.active_connections import (
     ActiveConnections,
     failure,
     replaced_while_committing,
     work_result,
 )
-from lavenderstack.node.backend import Command, ConnectionLost
-from lavenderstack.node.connection_setup import setup_commands, target_statement
-from lavenderstack.node.slots import Slots
-from lavenderstack.node.target_connections import PooledConnection, TargetConnections
+from lavenderstack.node.targets.connection_setup import setup_commands, target_statement
+from lavenderstack.node.targets.slots import Slots
+from lavenderstack.node.targets.target_connections import (
+    PooledConnection,
+    TargetConnections,
+)
 
 log = structlog.get_logger()
 
--- a/lavenderstack/node/admission_test.py
+++ b/lavenderstack/node/quota/admission_test.py
@@ -11,10 +11,10 @@
 from lavenderstack.core.outcome import Reason, Refused
 from lavenderstack.core.share_messages import DrawRequest, NotCoordinator
 from lavenderstack.core.view import Ownership, Plan, View, Vm
-from lavenderstack.node import admission
-from lavenderstack.node.admission import Admission
 from lavenderstack.node.peers import Peers
-from lavenderstack.node.quota_coordinator import QuotaCoordinator
+from lavenderstack.node.quota import admission
+from lavenderstack.node.quota.admission import Admission
+from lavenderstack.node.quota.quota_coordinator import QuotaCoordinator
 from lavenderstack.node.streams import NotSent, StreamPool
 from lavenderstack.node.takeover import CANDIDATE_DELAY_S, SILENT_AFTER_S
 
--- a/lavenderstack/node/admitter.py
+++ b/lavenderstack/node/quota/admitter.py
@@ -28,8 +28,8 @@
 from lavenderstack.node.backend import ReserveStore
 from lavenderstack.node.directory import Directory
 from lavenderstack.node.peers import Peers
+from lavenderstack.node.quota.token_coordinator import TokenCoordinator
 from lavenderstack.node.streams import NotSent, StreamLost
-from lavenderstack.node.token_coordinator import TokenCoordinator
 
 log = structlog.get_logger()
 
--- a/lavenderstack/node/admitter_test.py
+++ b/lavenderstack/node/quota/admitter_test.py
@@ -11,12 +11,12 @@
 from lavenderstack.core.outcome import Reason
 from lavenderstack.core.view import Plan, Vm
 from lavenderstack.core.view_proof import ViewProof
-from lavenderstack.node.admitter import ATTACH_INTERVAL_S, Admitter
 from lavenderstack.node.backend import ClaimLost
 from lavenderstack.node.directory import Directory
 from lavenderstack.node.peers import Peers
+from lavenderstack.node.quota.admitter import ATTACH_INTERVAL_S, Admitter
+from lavenderstack.node.quota.token_coordinator import RECORD_WAIT_S
 from lavenderstack.node.streams import NotSent, StreamPool
-from lavenderstack.node.token_coordinator import RECORD_WAIT_S
 
 
 class FakeReserves:
--- a/lavenderstack/node/router.py
+++ b/lavenderstack/node/router.py
@@ -32,12 +32,12 @@
 from lavenderstack.core.routing import needs_primary, read_order
 from lavenderstack.core.token import Watermark, later
 from lavenderstack.core.view import Group, Target, View, Vm
+from lavenderstack.node.evacuation.zone_evacuations import ZoneEvacuations
 from lavenderstack.node.peers import Peers
 from lavenderstack.node.primaries import Primaries
 from lavenderstack.node.streams import NotSent, StreamLost
 from lavenderstack.node.transactions import parse
 from lavenderstack.node.usable_primaries import UsablePrimaries
-from lavenderstack.node.zone_evacuations import ZoneEvacuations
 
 # Added to the time left of a request when waiting for the holder's own answer.
 REPLY_GRACE_S = 0.25
--- a/lavenderstack/node/router_test.py
+++ b/lavenderstack/node/router_test.py
@@ -9,10 +9,10 @@
 from lavenderstack.core.request import Caller, Request
 from lavenderstack.core.token import Watermark
 from lavenderstack.core.view import Group, Target, View, Vm
+from lavenderstack.node.evacuation.zone_evacuations_test import FakeEvacuations
 from lavenderstack.node.primaries import Primaries
 from lavenderstack.node.router import Router
 from lavenderstack.node.streams import NotSent, StreamLost
-from lavenderstack.node.zone_evacuations_test import FakeEvacuations
 
 CALLER = Caller("lipa", "d")
 
--- a/lavenderstack/node/session.py
+++ b/lavenderstack/node/session.py
@@ -28,7 +28,6 @@
 )
 from lavenderstack.core.statement import Prepared, Statement, StatementKind
 from lavenderstack.core.work_messages import Access, EndWork
-from lavenderstack.node.admitter import Admitter
 from lavenderstack.node.counters import Counters
 from lavenderstack.node.directory import Directory
 from lavenderstack.node.dispatch import (
@@ -37,9 +36,10 @@
     DispatchResult,
     TransactionLocation,
 )
-from lavenderstack.node.evacuation_refusals import refusal_at_once
+from lavenderstack.node.evacuation.evacuation_refusals import refusal_at_once
 from lavenderstack.node.home_routing import homes_of, refusal_outside
 from lavenderstack.node.peers import Peers
+from lavenderstack.node.quota.admitter import Admitter
 from lavenderstack.node.streams import NotSent, StreamLost
 
 log = structlog.get_logger()
--- a/lavenderstack/node/target_holder.py
+++ b/lavenderstack/node/target_holder.py
@@ -33,13 +33,16 @@
 )
 from lavenderstack.core.position import START, Position
 from lavenderstack.core.view import Group, Target, View
-from lavenderstack.node.holder_evacuation_guard import HolderEvacuationGuard, use_of
+from lavenderstack.node.evacuation.holder_evacuation_guard import (
+    HolderEvacuationGuard,
+    use_of,
+)
+from lavenderstack.node.evacuation.zone_evacuations import ZoneEvacuations
 from lavenderstack.node.pool import CONTROL_CONNECTIONS, Pool
-from lavenderstack.node.slots import Slots
 from lavenderstack.node.target_runner import ALREADY_APPLIED, BUSY_RETRY_S, TargetRunner
-from lavenderstack.node.target_state_cache import TargetStateCache
+from lavenderstack.node.targets.slots import Slots
+from lavenderstack.node.targets.target_state_cache import TargetStateCache
 from lavenderstack.node.transactions import TransactionName, Transactions
-from lavenderstack.node.zone_evacuations import ZoneEvacuations
 
 # Share of the pool's connections that open transactions may hold.
 MAX_TRANSACTION_SHARE = 0.5
--- a/lavenderstack/node/target_runner.py
+++ b/lavenderstack/node/target_runner.py
@@ -19,9 +19,12 @@
 from lavenderstack.core.evacuation import Use
 from lavenderstack.core.messages import Execute
 from lavenderstack.core.outcome import NO_PRIMARY_RETRY_S, Reason, Refused, Unknown
-from lavenderstack.node.holder_evacuation_guard import HolderEvacuationGuard, use_of
+from lavenderstack.node.evacuation.holder_evacuation_guard import (
+    HolderEvacuationGuard,
+    use_of,
+)
 from lavenderstack.node.pool import Pool, PoolExhausted
-from lavenderstack.node.target_state_cache import TargetStateCache
+from lavenderstack.node.targets.target_state_cache import TargetStateCache
 
 BUSY_RETRY_S = 0.2
 
--- /dev/null
+++ b/lavenderstack/node/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Connections and slots of one target at its connection holder."""
--- a/lavenderstack/node/active_connections.py
+++ b/lavenderstack/node/targets/active_connections.py
@@ -15,8 +15,11 @@
 from lavenderstack.core.reply import Reply, TxState
 from lavenderstack.core.work_messages import WorkDone
 from lavenderstack.node.backend import Command, ConnectionLost
-from lavenderstack.node.target_connections import PooledConnection, TargetConnections
-from lavenderstack.node.target_health import INTERNAL_STATEMENT_TIMEOUT_S
+from lavenderstack.node.targets.target_connections import (
+    PooledConnection,
+    TargetConnections,
+)
+from lavenderstack.node.targets.target_health import INTERNAL_STATEMENT_TIMEOUT_S
 
 log = structlog.get_logger()
 
--- a/lavenderstack/node/allocated_connections.py
+++ b/lavenderstack/node/targets/allocated_connections.py
@@ -19,7 +19,7 @@
 from lavenderstack.core.outcome import Reason, Refused
 from lavenderstack.core.view import Target
 from lavenderstack.node.backend import Backend, ConnectFailed
-from lavenderstack.node.target_connections import (
+from lavenderstack.node.targets.target_connections import (
     RELEASE_WAIT_S,
     OpenCause,
     PooledConnection,
--- a/lavenderstack/node/allocated_connections_test.py
+++ b/lavenderstack/node/targets/allocated_connections_test.py
@@ -10,13 +10,13 @@
 from lavenderstack.core.outcome import Reason, Refused
 from lavenderstack.core.view import Target
 from lavenderstack.core.work_messages import TransactionStart, WorkDone
-from lavenderstack.node.allocated_connections import (
-    AllocatedConnections,
-    ConnectionState,
-)
 from lavenderstack.node.backend import ConnectFailed
 from lavenderstack.node.backend_fake import FakeBackend, FakeGroup, FakeTarget
 from lavenderstack.node.executor_test import ExecutorHarness
+from lavenderstack.node.targets.allocated_connections import (
+    AllocatedConnections,
+    ConnectionState,
+)
 
 ALLOWED = 70
 SLOTS = 4
--- a/lavenderstack/node/cold_target.py
+++ b/lavenderstack/node/targets/cold_target.py
@@ -28,7 +28,7 @@
 from lavenderstack.core.outcome import DEFAULT_RETRY_S, Reason, Refused
 from lavenderstack.core.work_messages import Access, Work
 from lavenderstack.node.directory import Directory
-from lavenderstack.node.target_connections import TargetConnections
+from lavenderstack.node.targets.target_connections import TargetConnections
 
 log = structlog.get_logger()
 
--- a/lavenderstack/node/cold_targets.py
+++ b/lavenderstack/node/targets/cold_targets.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 
 from lavenderstack.core.catalog import TargetState
-from lavenderstack.node.cold_target import Choice, ColdTarget
 from lavenderstack.node.directory import Directory
+from lavenderstack.node.targets.cold_target import Choice, ColdTarget
 
 
 class ColdTargets:
--- a/lavenderstack/node/connection_gauges.py
+++ b/lavenderstack/node/targets/connection_gauges.py
@@ -2,10 +2,10 @@
 
 from functools import partial
 
-from lavenderstack.node.allocated_connections import ConnectionState
 from lavenderstack.node.counters import Counters
 from lavenderstack.node.executors import Executors
-from lavenderstack.node.target_connections import OpenCause
+from lavenderstack.node.targets.allocated_connections import ConnectionState
+from lavenderstack.node.targets.target_connections import OpenCause
 
 
 def add_connection_gauges(counters: Counters, executors: Executors) -> None:
--- a/lavenderstack/node/connection_setup.py
+++ b/lavenderstack/node/targets/connection_setup.py
@@ -9,7 +9,7 @@
 from lavenderstack.core.statement import Statement, StatementKind
 from lavenderstack.core.work_messages import Work
 from lavenderstack.node.backend import Command
-from lavenderstack.node.target_connections import PooledConnection
+from lavenderstack.node.targets.target_connections import PooledConnection
 
 
 def setup_commands(work: Work, pooled: PooledConnection) -> list[Command]:
--- a/lavenderstack/node/slots_test.py
+++ b/lavenderstack/node/targets/slots_test.py
@@ -7,7 +7,7 @@
 
 from lavenderstack.core.outcome import Reason, Refused
 from lavenderstack.core.statement_order import Kind, Urgency
-from lavenderstack.node.slots import Slots
+from lavenderstack.node.targets.slots import Slots
 
 
 class ManualClock:
--- a/lavenderstack/node/target_concurrency.py
+++ b/lavenderstack/node/targets/target_concurrency.py
@@ -19,7 +19,7 @@
 from lavenderstack.core.reply import Reply
 from lavenderstack.core.work_messages import Work
 from lavenderstack.node.directory import Directory
-from lavenderstack.node.slots import Slots
+from lavenderstack.node.targets.slots import Slots
 
 log = structlog.get_logger()
 
--- a/lavenderstack/node/target_concurrency_test.py
+++ b/lavenderstack/node/targets/target_concurrency_test.py
@@ -11,9 +11,9 @@
 from lavenderstack.core.outcome import Reason
 from lavenderstack.core.reply import Reply
 from lavenderstack.node.executor_test import WRITE, ExecutorHarness
-from lavenderstack.node.slots import Slots
-from lavenderstack.node.target_concurrency import is_completion
-from lavenderstack.node.target_gauges import TargetGauges
+from lavenderstack.node.targets.slots import Slots
+from lavenderstack.node.targets.target_concurrency import is_completion
+from lavenderstack.node.targets.target_gauges import TargetGauges
 from tests import virtual_time
 
 GOAL = {"latency_goal_s": 0.5, "latency_goal_left_s": 9.0, "left_s": 9.0}
--- a/lavenderstack/node/target_connections.py
+++ b/lavenderstack/node/targets/target_connections.py
@@ -3,7 +3,7 @@
 A connection belongs to one organisation and keeps the values and prepared statements
 that were set on it. It is used by one statement or transaction at a time. The pool
 prefers a connection with matching values, so that few have to be opened or reset.
-``node/allocated_connections.py`` extends it where load control is enabled.
+``node/targets/allocated_connections.py`` extends it where load control is enabled.
 """
 
 import asyncio
--- a/lavenderstack/node/target_connections_test.py
+++ b/lavenderstack/node/targets/target_connections_test.py
@@ -13,12 +13,12 @@
 from lavenderstack.node.backend import ConnectFailed
 from lavenderstack.node.backend_fake import FakeBackend, FakeGroup, FakeTarget
 from lavenderstack.node.directory import Directory
-from lavenderstack.node.target_connections import (
+from lavenderstack.node.targets.target_connections import (
     REFUSED_PAUSE_S,
     RELEASE_WAIT_S,
     TargetConnections,
 )
-from lavenderstack.node.target_health import TargetHealth
+from lavenderstack.node.targets.target_health import TargetHealth
 
 
 def pool_of(max_connections, dead=0):
--- a/lavenderstack/node/target_health.py
+++ b/lavenderstack/node/targets/target_health.py
@@ -17,7 +17,10 @@
 from lavenderstack.core.work_messages import PrimaryPosition
 from lavenderstack.node.backend import Command, ConnectFailed, ConnectionLost
 from lavenderstack.node.directory import Directory
-from lavenderstack.node.target_connections import PooledConnection, TargetConnections
+from lavenderstack.node.targets.target_connections import (
+    PooledConnection,
+    TargetConnections,
+)
 
 log = structlog.get_logger()
 
--- a/lavenderstack/node/usable_primaries.py
+++ b/lavenderstack/node/usable_primaries.py
@@ -11,8 +11,8 @@
 from lavenderstack.core.evacuation_routing import GroupZones, Prospect, prospect
 from lavenderstack.core.routing import targets_in_zones
 from lavenderstack.core.view import Group, Target
+from lavenderstack.node.evacuation.zone_evacuations import ZoneEvacuations
 from lavenderstack.node.primaries import Primaries
-from lavenderstack.node.zone_evacuations import ZoneEvacuations
 
 BLOCKED_DETAIL = "only targets in evacuated zones could lead the group"
 
--- a/lavenderstack/platform/gauges.py
+++ b/lavenderstack/platform/gauges.py
@@ -1,8 +1,8 @@
 """The metrics of a node on the platform whose values are read at each scrape."""
 
 from lavenderstack.core import clock
-from lavenderstack.node.connection_gauges import add_connection_gauges
-from lavenderstack.node.target_gauges import TargetGauges
+from lavenderstack.node.targets.connection_gauges import add_connection_gauges
+from lavenderstack.node.targets.target_gauges import TargetGauges
 from lavenderstack.platform.node import Node
 
 
--- a/lavenderstack/platform/node.py
+++ b/lavenderstack/platform/node.py
@@ -22,15 +22,15 @@
     PrimaryPositionRequest,
     Work,
 )
-from lavenderstack.node.admitter import Admitter
 from lavenderstack.node.counters import Counters
 from lavenderstack.node.directory import Directory
 from lavenderstack.node.dispatch import Dispatcher
 from lavenderstack.node.executors import Executors
+from lavenderstack.node.failover.replacer import Replacer
 from lavenderstack.node.holder_placement import HolderPlacement
 from lavenderstack.node.peers import Peers
 from lavenderstack.node.primary_positions import PrimaryPositions
-from lavenderstack.node.replacer import Replacer
+from lavenderstack.node.quota.admitter import Admitter
 from lavenderstack.node.session import Services
 from lavenderstack.node.streams import StreamLimits, StreamPool, StreamServer
 from lavenderstack.platform import store, targets
