--- a/lavenderstack/core/events_test.py
+++ b/lavenderstack/core/events_test.py
@@ -21,6 +21,7 @@
     "cold_target",
     "slow_start",
     "planned_failover",
+    "attempts",
     "dispatch",
     "executor",
     "load_control",
--- a/lavenderstack/node/dispatch_test.py
+++ b/lavenderstack/node/dispatch_test.py
@@ -22,9 +22,10 @@
     WorkDone,
     WorkEnded,
 )
+from lavenderstack.node.call import Call, TransactionLocation
 from lavenderstack.node.counters import Counters
 from lavenderstack.node.directory import Directory
-from lavenderstack.node.dispatch import Call, Dispatcher, TransactionLocation
+from lavenderstack.node.dispatch import Dispatcher
 from lavenderstack.node.peers import Peers
 from lavenderstack.node.streams import NotSent, StreamLost, StreamPool
 
--- a/lavenderstack/node/home_routing_test.py
+++ b/lavenderstack/node/home_routing_test.py
@@ -9,7 +9,7 @@
 from lavenderstack.core.statement import Statement, StatementKind
 from lavenderstack.core.view import Plan, Vm
 from lavenderstack.core.work_messages import Access, TransactionStart, WorkDone
-from lavenderstack.node.dispatch import TransactionLocation
+from lavenderstack.node.call import TransactionLocation
 from lavenderstack.node.dispatch_test import DispatcherHarness
 from lavenderstack.node.streams import NotSent
 
--- a/lavenderstack/node/read_choices_test.py
+++ b/lavenderstack/node/read_choices_test.py
@@ -102,7 +102,7 @@
     harness = Harness(t2=IDLE)
     await harness.read(1)
     call = harness.call(READ, Access.AGED_READ)
-    work = harness.dispatcher._build_work(call, "t2", call.access, 1.0)
+    work = harness.dispatcher.attempts.build_work(call, "t2", call.access, 1.0)
     limits = [
         harness.choices.with_known_limit(work, name).known_limit
         for name in ("another", *harness.directory.view.vms)
--- a/lavenderstack/node/session.py
+++ b/lavenderstack/node/session.py
@@ -28,14 +28,10 @@
 )
 from lavenderstack.core.statement import Prepared, Statement, StatementKind
 from lavenderstack.core.work_messages import Access, EndWork
+from lavenderstack.node.call import Call, DispatchResult, TransactionLocation
 from lavenderstack.node.counters import Counters
 from lavenderstack.node.directory import Directory
-from lavenderstack.node.dispatch import (
-    Call,
-    Dispatcher,
-    DispatchResult,
-    TransactionLocation,
-)
+from lavenderstack.node.dispatch import Dispatcher
 from lavenderstack.node.evacuation.evacuation_refusals import refusal_at_once
 from lavenderstack.node.home_routing import homes_of, refusal_outside
 from lavenderstack.node.peers import Peers
--- a/lavenderstack/node/session_test.py
+++ b/lavenderstack/node/session_test.py
@@ -12,9 +12,9 @@
 from lavenderstack.core.view import Vm
 from lavenderstack.core.view_proof import ViewProof
 from lavenderstack.core.work_messages import Access, TransactionStart, WorkDone
+from lavenderstack.node.call import DispatchResult
 from lavenderstack.node.counters import Counters
 from lavenderstack.node.directory import Directory
-from lavenderstack.node.dispatch import DispatchResult
 from lavenderstack.node.session import Services, Session
 
 READ = Statement(StatementKind.READ, "READ a")
