Red test and course of a commit lost after a cut healed

A primary that is taken for lost still runs and commits through a replica that lives on without a registration: the former primary, behind a cut that has just healed. The replica set was proved without it, so it isn't paused.

--- a/lavenderstack/node/failover/replacer_test.py
+++ b/lavenderstack/node/failover/replacer_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
 from lavenderstack.core import clock
@@ -100,6 +101,8 @@
         self.observed = {
             name: GroupPosition(START, uptime_s=60.0) for name in ("n1", "n2")
         }
+        # The nodes that hold back acknowledgements.
+        self.holding: set[str] = set()
         self.primary_answers = True
         self.primary_full = False
         self.peers.ask = self.ask
@@ -121,7 +124,8 @@
     def put_target(self, name, leaving=False):
         self.revision += 1
         zone = {"t1": "z1", "t2": "z2", "t3": "z3"}[name]
-        target = Target(name, zone, "10.0.0.1", 1, 2, 30)
+        port = int(name[1:])
+        target = Target(name, zone, "10.0.0.1", port, 2, 30)
         leads = self.targets[name].leads
         started_ms = self.started_ms.get(name, 0)
         self.directory.put_target(
@@ -130,11 +134,30 @@
         self.directory.as_of = self.revision
 
     def commit_through(self, node):
-        """Commit a write that a node acknowledges to its caller."""
-        primary = self.targets[self.primary]
+        """Commit a write that a node acknowledges to its caller, unless it holds."""
+        primary, acknowledged = self.targets[self.primary], self.group.acknowledged
         self.group.commit(primary)
+        if node in self.holding:
+            self.group.acknowledged = acknowledged
+            return
         self.observed[node] = GroupPosition(primary.position, uptime_s=60.0)
 
+    def act_before_promotion(self, act):
+        """Call ``act`` when an order is under way and has not taken effect yet."""
+        promote = self.group.promote
+
+        async def promote_later(*args):
+            act()
+            await promote(*args)
+
+        self.group.promote = promote_later
+
+    def end_registration(self, name):
+        """End a target's report while it lives on; the set is proved without it."""
+        self.revision += 1
+        self.directory.drop_target(name, self.revision)
+        self.directory.as_of = self.revision
+
     def put_new_target(self, name, revision):
         """Let another replica join, which has nothing yet."""
         self.targets[name] = FakeTarget(name)
@@ -156,7 +179,7 @@
         if isinstance(msg, GroupPositionRequest):
             if vm.name not in self.observed:
                 raise StreamLost("no answer")
-            return self.observed[vm.name]
+            return self._position_of(vm.name, msg)
         assert isinstance(msg, PrimaryPositionRequest)
         if self.primary_full:
             return Failed(run=False, reason=Reason.NO_CONNECTION)
@@ -164,6 +187,16 @@
             return PrimaryPosition(self.targets[msg.target].position, 0.0)
         return Failed(run=False, reason=Reason.UNREACHABLE)
 
+    def _position_of(self, node, msg):
+        """Answer as a node does that knows holds, unless its answer is None."""
+        self.holding.discard(node)
+        if getattr(msg, "hold", None) and not msg.release:
+            self.holding.add(node)
+        answer = self.observed[node]
+        if answer is None or node not in self.holding:
+            return answer
+        return msgspec.structs.replace(answer, holds=True)
+
     async def check(self, times=1):
         for _ in range(times):
             await self.replacer._check_group("g")
--- a/lavenderstack/node/failover/replica_sets_test.py
+++ b/lavenderstack/node/failover/replica_sets_test.py
@@ -99,6 +99,32 @@
         assert harness.primary != "t1"
 
 
+class TestReplicaThatLivesOnWithoutARegistration:
+    """It receives from a live primary that is taken for lost, and can't be paused."""
+
+    async def replica_without_registration(self):
+        harness = ReplacerHarness()
+        await harness.check(2)
+        harness.end_registration("t3")
+        await harness.check()
+        assert harness.replacer._sets.is_complete("g", "t1")
+        harness.primary_answers = False
+        return harness
+
+    async def test_a_commit_while_the_order_is_under_way_is_not_lost(self):
+        harness = await self.replica_without_registration()
+        harness.act_before_promotion(lambda: harness.commit_through("n2"))
+        await harness.check()
+        assert harness.group.incomplete == []
+
+    async def test_a_commit_through_a_silent_node_is_not_lost(self):
+        harness = await self.replica_without_registration()
+        harness.act_before_promotion(lambda: harness.commit_through("n2"))
+        del harness.observed["n2"]
+        await harness.check(2)
+        assert harness.group.incomplete == []
+
+
 class TestNodeWhoseRegistrationEnded:
     """It may serve on for some seconds without the store."""
 
