Hold back acknowledgements while a replica is chosen to take over

Cause: the registered replicas are paused, and the replica set is proved without the unregistered one; a proof covers the past only. The nodes were asked once for what they had acknowledged, and went on acknowledging until the order took effect.

Nodes now hold back acknowledgements beyond what they have told, under primaries of up to the lost one's term, until the owner releases the hold. While a replica may live on unregistered, all nodes must hold. A held commit waits for the release; it is answered as unknown once a replica has taken over. Fields are added with defaults; a build without them counts as not holding.

One test of the old rule is replaced: a silent node no longer permits a promotion while a replica is unaccounted for, and permits it once the replica's address is another target's.

--- a/lavenderstack/core/events_groups.py
+++ b/lavenderstack/core/events_groups.py
@@ -74,7 +74,7 @@
     Event(
         "replacer: primary lost",
         LineKind.STATE,
-        ("group", "lost", "chosen", "followers", "primary"),
+        ("group", "lost", "chosen", "followers", "primary", "held"),
         "a replica is being promoted",
     ),
     Event(
@@ -125,6 +125,12 @@
         ("holder", "error"),
         "a node didn't tell which commits it acknowledged, so none is promoted yet",
     ),
+    Event(
+        "replacer: hold not released",
+        LineKind.STATE,
+        ("group", "nodes"),
+        "these nodes hold back acknowledgements until the hold's time limit",
+    ),
     Event(
         "replacer: replicas stay paused",
         LineKind.STATE,
--- a/lavenderstack/core/events_test.py
+++ b/lavenderstack/core/events_test.py
@@ -27,6 +27,7 @@
     "load_control",
     "target_concurrency",
     "attempt_limits",
+    "acknowledgement_holds",
     "active_connections",
     "allocated_connections",
     "open_transactions",
--- a/lavenderstack/core/replacement.py
+++ b/lavenderstack/core/replacement.py
@@ -7,6 +7,9 @@
 received at least as much as every paused one; if all are paused, the one that received
 most is safe.
 
+A replica that lives on without a registration isn't paused. While there may be one,
+all nodes must hold back acknowledgements (``core/acknowledgement_hold.py``).
+
 A replica that does not answer may be the only one that has a commit. Then no replica
 may take over until it answers. What a replica that is gone may have had is decided in
 ``core/replica_set.py``.
@@ -42,10 +45,11 @@
     what another replica received or a node acknowledged. ``LED``: a replica has already
     become the primary. ``MISSING_REPLICA``: a replica that may alone have a commit is
     not registered any more (``core/replica_set.py``). ``SILENT_NODE``: a node that may
-    have acknowledged more didn't tell, or started again. ``UNKNOWN_HISTORY``: the owner
-    doesn't know all that were ever registered (``core/store_history.py``) and never had
-    an answer of the primary. ``PRIMARY_RUNS``: the replicas receive log entries.
-    ``EVACUATED``: the replica that received most is in an evacuated zone.
+    have acknowledged more, or may yet do so, didn't tell, or started again.
+    ``UNKNOWN_HISTORY``: the owner doesn't know all that were ever registered
+    (``core/store_history.py``) and never had an answer of the primary.
+    ``PRIMARY_RUNS``: the replicas receive log entries. ``EVACUATED``: the replica that
+    received most is in an evacuated zone.
     """
 
     NO_REPLICA = auto()
@@ -99,6 +103,20 @@
     return Obstacle.EVACUATED if chosen.evacuated else chosen
 
 
+def commit_obstacle(
+    chosen: ReplicaState, told: Position, unregistered: bool, held: bool
+) -> Obstacle | None:
+    """Return why a chosen replica may lack an acknowledged commit, None if it can't.
+
+    ``told`` is the highest position that a node has acknowledged. ``unregistered``
+    tells that a replica may live on without a registration, ``held`` that all nodes
+    hold back acknowledgements.
+    """
+    if chosen.received < told:
+        return Obstacle.BEHIND
+    return Obstacle.SILENT_NODE if unregistered and not held else None
+
+
 def takeover_obstacle(
     candidate: ReplicaState, others: Sequence[ReplicaState], replicated: bool
 ) -> Obstacle | None:
--- a/lavenderstack/core/work_messages.py
+++ b/lavenderstack/core/work_messages.py
@@ -7,6 +7,7 @@
 
 from enum import IntEnum
 
+from lavenderstack.core.acknowledgement_hold import NO_HOLD, HoldNumber
 from lavenderstack.core.messages import Message
 from lavenderstack.core.position import START, Position
 from lavenderstack.core.reply import TxState
@@ -117,23 +118,29 @@
     """Asks for the highest position of a group that the node has acknowledged.
 
     If ``term`` isn't 0, the node acknowledges no more of what it has sent to primaries
-    of up to this term. Answered by ``GroupPosition``.
+    of up to this term. With a number in ``hold`` it acknowledges nothing beyond its
+    answer under these primaries, also of what it sends later, until a request with
+    ``release`` and a number as high arrives. Answered by ``GroupPosition``.
     """
 
     group: str
     term: int = 0
+    hold: HoldNumber = NO_HOLD
+    release: bool = False
 
 
 class GroupPosition(Message, tag="group_position"):
     """The highest position of a group that the node has acknowledged since its start.
 
     The node started ``uptime_s`` seconds ago. ``run`` identifies its process, as in its
-    registration; it is empty if the process doesn't know it.
+    registration; it is empty if the process doesn't know it. ``holds`` confirms the
+    hold that was asked for.
     """
 
     position: Position
     uptime_s: float
     run: str = ""
+    holds: bool = False
 
 
 class LeadTaken(Message, tag="lead_taken"):
--- a/lavenderstack/node/directory.py
+++ b/lavenderstack/node/directory.py
@@ -17,6 +17,7 @@
 from lavenderstack.core.contention import LoadControl, is_load_controlled
 from lavenderstack.core.replica_set import Membership, ReplicaSet, TargetRun
 from lavenderstack.core.store_history import StoreHistory
+from lavenderstack.core.unregistered_targets import UnregisteredTargets
 from lavenderstack.core.view import Target, View, Vm
 from lavenderstack.core.view_proof import ViewProof
 from lavenderstack.node.evacuation.evacuated_zones import EvacuatedZones
@@ -60,6 +61,7 @@
         # By group: the runs of targets that left since its replica set was recorded,
         # with the revision at which each left.
         self._departed: dict[str, dict[TargetRun, int]] = defaultdict(dict)
+        self.unregistered = UnregisteredTargets()
         self._not_primary_at: dict[str, int] = {}
         self._changed = asyncio.Event()
 
@@ -115,6 +117,7 @@
             self._record_departed(before, revision)
         self.targets[target.name] = state
         self._groups[group][target.name] = state
+        self.unregistered.registered(state)
         if before is None or before.target.zone != target.zone or before.group != group:
             self.target_changes += 1
         if before is None or (before.leads, before.leaving) != (leads, leaving):
@@ -159,6 +162,7 @@
         del self._groups[state.group][name]
         self.target_changes += 1
         self._record_departed(state, revision)
+        self.unregistered.left(state)
         self._not_primary_at.pop(name, None)
         log.info(
             "directory: target gone",
--- a/lavenderstack/node/executor.py
+++ b/lavenderstack/node/executor.py
@@ -47,8 +47,8 @@
 from lavenderstack.node.open_transactions import OpenTransactions
 from lavenderstack.node.targets.active_connections import (
     ActiveConnections,
+    acknowledged_result,
     failure,
-    replaced_while_committing,
     work_result,
 )
 from lavenderstack.node.targets.allocated_connections import AllocatedConnections
@@ -423,9 +423,10 @@
             return work_result(reply)
         if reply.reason is None and work.access is Access.WRITE and not work.opens:
             self.positions.add(reply.position, sent_at)
-            if not self._acknowledged.record(work.group, reply.position, sent_at):
-                self._active.release_clean(pooled, reply)
-                return replaced_while_committing()
+            self._active.release_clean(pooled, reply)
+            return await acknowledged_result(
+                self._acknowledged, work, reply, sent_at, deadline
+            )
         if work.opens and reply.state is not TxState.NONE:
             return self.transactions.register(work, pooled, reply)
         if reply.reason is Reason.NO_PREPARED and work.prepared is not None:
--- a/lavenderstack/node/executors.py
+++ b/lavenderstack/node/executors.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from lavenderstack.core import clock
+from lavenderstack.core.acknowledgement_hold import NO_HOLD
 from lavenderstack.core.catalog import TargetState
 from lavenderstack.core.messages import Failed, Message
 from lavenderstack.core.outcome import Reason
@@ -102,9 +103,16 @@
 
     async def group_position(self, msg: GroupPositionRequest) -> Message:
         """Handle ``GroupPositionRequest``."""
-        position = self.acknowledged.tell(msg.group, msg.term)
-        uptime_s = clock.now() - self.acknowledged.started_at
-        return GroupPosition(position, uptime_s, self.run_id)
+        acknowledged, group = self.acknowledged, msg.group
+        holds = False
+        if msg.release:
+            acknowledged.release(group, msg.hold)
+        elif msg.hold != NO_HOLD:
+            holds = acknowledged.hold(group, msg.term, msg.hold)
+        else:
+            acknowledged.tell(group, msg.term)
+        uptime_s = clock.now() - acknowledged.started_at
+        return GroupPosition(acknowledged.highest(group), uptime_s, self.run_id, holds)
 
     @property
     def open_transactions(self) -> int:
--- /dev/null
+++ b/lavenderstack/node/failover/acknowledgement_holds.py
@@ -0,0 +1,139 @@
+"""Asks the nodes which commits they acknowledged, and to acknowledge no more for now.
+
+``core/acknowledgement_hold.py`` explains what follows if all nodes hold back.
+"""
+
+import asyncio
+import itertools
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass
+
+import structlog
+
+from lavenderstack.core import clock
+from lavenderstack.core.acknowledgement_hold import HoldNumber
+from lavenderstack.core.position import START, Position
+from lavenderstack.core.work_messages import GroupPosition, GroupPositionRequest
+from lavenderstack.node.directory import Directory
+from lavenderstack.node.peers import Peers
+from lavenderstack.node.streams import NotSent, StreamLost
+
+log = structlog.get_logger()
+
+# Longer than a node without the store serves on, so that the first answer of a primary
+# after that is later than its last acknowledgement.
+NODE_MEMORY_S = 6.0
+RELEASE_TIMEOUT_S = 0.35
+MAX_RELEASE_TRIES = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    """The answers of the nodes that were asked, None for those that are silent."""
+
+    answers: dict[str, GroupPosition | None]
+
+    @property
+    def highest(self) -> Position:
+        """The highest position that a node has acknowledged."""
+        told = (Position(*one.position) for one in self.answers.values() if one)
+        return max(told, default=START)
+
+    def hold_back(self, nodes: Iterable[str]) -> bool:
+        """Return whether all these nodes hold back acknowledgements."""
+        found = (self.answers.get(name) for name in nodes)
+        return all(one is not None and one.holds for one in found)
+
+
+@dataclass(frozen=True, slots=True)
+class _Asked:
+    """The last hold of a group, and all nodes that were asked for one."""
+
+    number: HoldNumber
+    term: int
+    names: frozenset[str]
+
+
+class AcknowledgementHolds:
+    """The holds that this node, as the owner of groups, has asked for."""
+
+    def __init__(self, directory: Directory, peers: Peers) -> None:
+        self._directory = directory
+        self._peers = peers
+        self._attempts = itertools.count(1)
+        self._asked: dict[str, _Asked] = {}
+        # By node: the clock time at which it was last registered.
+        self._seen_at: dict[str, float] = {}
+        self._releases: set[asyncio.Task] = set()
+
+    def nodes_seen_lately(self) -> frozenset[str]:
+        """Return the nodes that are registered or were so lately.
+
+        A node whose registration has ended may serve on until its own proof has. Called
+        at each check, so that it notices when a registration ends.
+        """
+        now = clock.now()
+        self._seen_at.update(dict.fromkeys(self._directory.view.vms, now))
+        for name in [n for n, at in self._seen_at.items() if now - at > NODE_MEMORY_S]:
+            del self._seen_at[name]
+        return frozenset(self._seen_at)
+
+    async def hold(
+        self, group: str, term: int, names: Collection[str], timeout_s: float
+    ) -> Told:
+        """Ask nodes to hold back acknowledgements of primaries of up to ``term``."""
+        number = HoldNumber(self._epoch(group), next(self._attempts))
+        before = self._asked.get(group)
+        asked = before.names.union(names) if before else frozenset(names)
+        self._asked[group] = _Asked(number, term, asked)
+        msg = GroupPositionRequest(group, term, number)
+        return await self.ask(names, msg, timeout_s)
+
+    def term(self, group: str) -> int:
+        """Return the term up to which acknowledgements are held, 0 without a hold."""
+        asked = self._asked.get(group)
+        return asked.term if asked is not None else 0
+
+    def _epoch(self, group: str) -> int:
+        claim = self._directory.ownerships.get(group)
+        return claim.epoch if claim is not None else 0
+
+    async def ask(
+        self, names: Collection[str], msg: GroupPositionRequest, timeout_s: float
+    ) -> Told:
+        """Ask nodes which position of a group they have acknowledged."""
+        answers = await asyncio.gather(
+            *(self._ask_node(name, msg, timeout_s) for name in names)
+        )
+        return Told(dict(zip(names, answers, strict=True)))
+
+    async def _ask_node(
+        self, name: str, msg: GroupPositionRequest, timeout_s: float
+    ) -> GroupPosition | None:
+        """Ask a node which position it has acknowledged, None if it doesn't answer."""
+        try:
+            answer = await self._peers.call(name, msg, timeout_s)
+        except (NotSent, StreamLost, TimeoutError) as exc:
+            log.info("replacer: node silent", holder=name, error=repr(exc))
+            return None
+        return answer if isinstance(answer, GroupPosition) else None
+
+    def release(self, group: str) -> None:
+        """Let the nodes acknowledge commits again, in the background."""
+        asked = self._asked.pop(group, None)
+        if asked is None:
+            return
+        task = asyncio.ensure_future(self._release(group, asked))
+        self._releases.add(task)
+        task.add_done_callback(self._releases.discard)
+
+    async def _release(self, group: str, asked: _Asked) -> None:
+        names = asked.names
+        msg = GroupPositionRequest(group, hold=asked.number, release=True)
+        for _ in range(MAX_RELEASE_TRIES):
+            told = await self.ask(sorted(names), msg, RELEASE_TIMEOUT_S)
+            names = [name for name, one in told.answers.items() if one is None]
+            if not names:
+                return
+            await asyncio.sleep(RELEASE_TIMEOUT_S)
+        log.info("replacer: hold not released", group=group, nodes=sorted(names))
--- a/lavenderstack/node/failover/group_positions.py
+++ b/lavenderstack/node/failover/group_positions.py
@@ -4,11 +4,8 @@
 position that any node has acknowledged has every acknowledged commit.
 """
 
-import asyncio
 from dataclasses import dataclass
 
-import structlog
-
 from lavenderstack.core import clock, replica_set, store_history
 from lavenderstack.core.acknowledged_end import AcknowledgedEnd
 from lavenderstack.core.catalog import TargetState
@@ -21,21 +18,27 @@
     PrimaryPosition,
 )
 from lavenderstack.node.directory import Directory
+from lavenderstack.node.failover.acknowledgement_holds import AcknowledgementHolds
 from lavenderstack.node.failover.primary_probe import PROBE_TIMEOUT_S
 from lavenderstack.node.peers import Peers
-from lavenderstack.node.streams import NotSent, StreamLost
-
-log = structlog.get_logger()
 
-# Longer than a node without the store serves on, so that the first answer of a primary
-# after that is later than its last acknowledgement.
-NODE_MEMORY_S = 6.0
 # How long nodes may take to object to a promotion that the replica set allows.
 OBJECTION_TIMEOUT_S = 0.1
 # Above the term of any primary; used where that of the lost one isn't known.
 ANY_TERM = 2**62
 
 
+@dataclass(frozen=True, slots=True)
+class HeldEnd:
+    """The highest position that nodes acknowledged when they were asked to hold back.
+
+    ``everywhere`` tells that every node that may acknowledge commits holds them back.
+    """
+
+    position: Position
+    everywhere: bool
+
+
 @dataclass(frozen=True, slots=True)
 class _LastAnswer:
     """The last position that a group's primary reported to this node.
@@ -57,8 +60,7 @@
         self._directory = directory
         self._peers = peers
         self._last_answers: dict[str, _LastAnswer] = {}
-        # By node: the clock time at which it was last registered.
-        self._seen_at: dict[str, float] = {}
+        self._holds = AcknowledgementHolds(directory, peers)
 
     def record_answer(
         self, primary: TargetState, answer: PrimaryPosition, asked_at: float
@@ -72,20 +74,9 @@
             primary.target.name,
             position,
             asked_at - answer.age_s,
-            self._nodes_seen_lately(),
+            self._holds.nodes_seen_lately(),
         )
 
-    def _nodes_seen_lately(self) -> frozenset[str]:
-        """Return the nodes that are registered or were so lately.
-
-        A node whose registration has ended may serve on until its own proof has.
-        """
-        now = clock.now()
-        self._seen_at.update(dict.fromkeys(self._directory.view.vms, now))
-        for name in [n for n, at in self._seen_at.items() if now - at > NODE_MEMORY_S]:
-            del self._seen_at[name]
-        return frozenset(self._seen_at)
-
     def describe_last_answer(self, group: str) -> str:
         """Return how far the primary's log was known to go, for a log line."""
         last = self._last_answers.get(group)
@@ -100,13 +91,44 @@
         It stops the promotion of a replica that has less, though the replica set allows
         it: a target may live on without a report, or have started again unnoticed.
         """
-        msg = GroupPositionRequest(group)
         names = [vm.name for vm in self._peers.live()]
-        answers = await asyncio.gather(
-            *(self._ask_node(name, msg, OBJECTION_TIMEOUT_S) for name in names)
-        )
-        told = [Position(*one.position) for one in answers if one is not None]
-        return max(told, default=START)
+        msg = GroupPositionRequest(group)
+        return (await self._holds.ask(names, msg, OBJECTION_TIMEOUT_S)).highest
+
+    async def hold(
+        self, group: str, primary: str, timeout_s: float = OBJECTION_TIMEOUT_S
+    ) -> HeldEnd:
+        """Let all nodes hold back acknowledgements; return how far they have got.
+
+        ``primary`` is the name of the lost one, empty if it isn't known.
+        """
+        names = self._holds.nodes_seen_lately()
+        term = self._term(self._last_answer(group, primary))
+        told = await self._holds.hold(group, term, names, timeout_s)
+        return HeldEnd(told.highest, told.hold_back(names))
+
+    def release(self, group: str) -> None:
+        """Let the nodes acknowledge commits again, as nobody takes over."""
+        self._holds.release(group)
+
+    def promoted(self, group: str) -> None:
+        """End the holds that concern the primary which has taken over as well."""
+        if self._holds.term(group) == ANY_TERM:
+            self._holds.release(group)
+
+    def observe_nodes(self) -> None:
+        """Notice which nodes are registered now."""
+        self._holds.nodes_seen_lately()
+
+    def _last_answer(self, group: str, primary: str) -> _LastAnswer | None:
+        """Return the last answer of this primary, None if there was none."""
+        last = self._last_answers.get(group)
+        if last is None or primary not in ("", last.primary):
+            return None
+        return last
+
+    def _term(self, last: _LastAnswer | None) -> int:
+        return last.position.term if last else ANY_TERM
 
     async def acknowledged_end(self, group: str, primary: str) -> AcknowledgedEnd:
         """Return the highest position that may have been acknowledged, if it is known.
@@ -115,16 +137,15 @@
         this has every acknowledged commit, whatever the other replicas hold. The nodes
         acknowledge no more of what they have sent before.
         """
-        last = self._last_answers.get(group)
-        if last is not None and primary not in ("", last.primary):
-            last = None
+        last = self._last_answer(group, primary)
         asked_at = clock.now()
-        names = sorted({*self._directory.view.vms, *(last.nodes if last else ())})
-        msg = GroupPositionRequest(group, last.position.term if last else ANY_TERM)
-        answers = await asyncio.gather(
-            *(self._ask_node(name, msg, PROBE_TIMEOUT_S) for name in names)
-        )
-        told = dict(zip(names, answers, strict=True))
+        lately = self._holds.nodes_seen_lately()
+        names = sorted(lately.union(last.nodes if last else ()))
+        told = await self._holds.hold(group, self._term(last), names, PROBE_TIMEOUT_S)
+        if not told.hold_back(lately):
+            silent = [name for name in lately if not told.hold_back([name])]
+            return AcknowledgedEnd(untold=tuple(sorted(silent)))
+        told = told.answers
         end = (
             _end_since(last, asked_at, told)
             if last
@@ -166,17 +187,6 @@
         positions = (Position(*one.position) for one in answers)
         return AcknowledgedEnd(max(positions, default=START))
 
-    async def _ask_node(
-        self, name: str, msg: GroupPositionRequest, timeout_s: float
-    ) -> GroupPosition | None:
-        """Ask a node which position it has acknowledged, None if it doesn't answer."""
-        try:
-            answer = await self._peers.call(name, msg, timeout_s)
-        except (NotSent, StreamLost, TimeoutError) as exc:
-            log.info("replacer: node silent", holder=name, error=repr(exc))
-            return None
-        return answer if isinstance(answer, GroupPosition) else None
-
 
 def _end_since(
     last: _LastAnswer, asked_at: float, told: dict[str, GroupPosition | None]
--- a/lavenderstack/node/failover/replacer.py
+++ b/lavenderstack/node/failover/replacer.py
@@ -18,6 +18,7 @@
     Obstacle,
     ReplicaState,
     choose_successor,
+    commit_obstacle,
     most_advanced,
     takeover_obstacle,
 )
@@ -27,9 +28,9 @@
 from lavenderstack.node.directory import Directory
 from lavenderstack.node.failover.followers import Followers, format_positions
 from lavenderstack.node.failover.group_claims import GroupClaims
-from lavenderstack.node.failover.group_positions import GroupPositions
+from lavenderstack.node.failover.group_positions import GroupPositions, HeldEnd
 from lavenderstack.node.failover.planned_failover import PlannedFailover
-from lavenderstack.node.failover.primary_probe import PrimaryProbe
+from lavenderstack.node.failover.primary_probe import PROBE_TIMEOUT_S, PrimaryProbe
 from lavenderstack.node.failover.promoter import OrderOutcome, Promoter
 from lavenderstack.node.failover.replica_sets import ReplicaSets
 from lavenderstack.node.peers import Peers
@@ -124,6 +125,7 @@
         if not self._directory.group(group) or self.stopping:
             return
         status = self._groups[group]
+        self._positions.observe_nodes()
         claim = await self._group_claims.own(group)
         if claim is None:
             status.may_be_paused, status.order_pending = True, False
@@ -188,28 +190,29 @@
         replicated = self._is_replicated(group)
         if not replicated or self._sets.is_complete(group, name):
             followers = self._followers(group, lost)
-            states, required = await asyncio.gather(
+            states, end = await asyncio.gather(
                 self._replicas.pause(group, followers),
-                self._positions.highest_told(group),
+                self._positions.hold(group, name),
             )
         else:
             followers = self._followers(group, lost)
             required = await self._sets.required_position(group, name, followers)
             if required is None or not self._may_act():
+                self._release(group, status)
                 return
+            end = HeldEnd(required, everywhere=True)
             followers = self._followers(group, lost)
             states = await self._replicas.pause(group, followers)
         chosen = choose_successor(states, replicated)
-        if (
-            replicated
-            and isinstance(chosen, ReplicaState)
-            and chosen.received < required
-        ):
-            chosen = Obstacle.BEHIND
+        if replicated and self._has_joined(group, lost, followers):
+            chosen = Obstacle.SILENT_REPLICA
+        if replicated and isinstance(chosen, ReplicaState):
+            obstacle, end = await self._commit_obstacle(group, name, chosen, end)
+            chosen = obstacle or chosen
         if self._has_other_primary(group, name):
             chosen = Obstacle.LED
         if isinstance(chosen, Obstacle):
-            self._sets.log_blocked(group, chosen, states, required)
+            self._sets.log_blocked(group, chosen, states, end.position)
             await self._resume(group, status, followers)
             return
         log.warning(
@@ -219,9 +222,27 @@
             chosen=chosen.name,
             followers=format_positions(states),
             primary=self._positions.describe_last_answer(group),
+            held=end.everywhere,
         )
         await self._promote(group, status, chosen.name, followers)
 
+    async def _commit_obstacle(
+        self, group: str, lost: str, chosen: ReplicaState, end: HeldEnd
+    ) -> tuple[Obstacle | None, HeldEnd]:
+        """Return why a chosen replica may lack an acknowledged commit, or None.
+
+        Where that depends on nodes that gave no answer, all are asked once more. The
+        last answers of the nodes are returned as well.
+        """
+        unregistered = bool(self._sets.unregistered(group, lost))
+        obstacle = commit_obstacle(chosen, end.position, unregistered, end.everywhere)
+        if obstacle is Obstacle.SILENT_NODE:
+            end = await self._positions.hold(group, lost, PROBE_TIMEOUT_S)
+            obstacle = commit_obstacle(
+                chosen, end.position, unregistered, end.everywhere
+            )
+        return obstacle, end
+
     async def _replace_leaving(
         self, group: str, status: _GroupStatus, primary: TargetState
     ) -> None:
@@ -279,6 +300,7 @@
         if outcome is OrderOutcome.TAKEN:
             status.acted_at = clock.now()
             status.misses, status.order_pending = 0, False
+            self._positions.promoted(group)
             return
         if outcome is OrderOutcome.UNKNOWN:
             status.may_be_paused = status.order_pending = True
@@ -288,6 +310,7 @@
         self, group: str, status: _GroupStatus, followers: list[TargetState]
     ) -> None:
         """Resume replicas, unless an order is pending or the next owner may act."""
+        self._release(group, status)
         if status.order_pending:
             log.warning("replacer: replicas stay paused", group=group)
         elif self._promoter.lease_holds():
@@ -295,6 +318,11 @@
         else:
             log.warning("replacer: lease too old to act", group=group)
 
+    def _release(self, group: str, status: _GroupStatus) -> None:
+        """Let the nodes acknowledge commits again, unless an order is pending."""
+        if not status.order_pending:
+            self._positions.release(group)
+
     async def _release_paused(
         self, group: str, status: _GroupStatus, primary: TargetState
     ) -> None:
@@ -322,6 +350,13 @@
             await self._resume(group, status, paused)
         status.may_be_paused = any(state.received is None for state in states)
 
+    def _has_joined(
+        self, group: str, lost: TargetState | None, paused: list[TargetState]
+    ) -> bool:
+        """Return whether a replica has registered since the others were paused."""
+        known = {state.run for state in paused}
+        return any(one.run not in known for one in self._followers(group, lost))
+
     def _has_other_primary(self, group: str, lost: str) -> bool:
         """Return whether a target other than the lost one is the primary by now."""
         primary = self._directory.primary(group)
--- a/lavenderstack/node/failover/replacer_test.py
+++ b/lavenderstack/node/failover/replacer_test.py
@@ -6,6 +6,7 @@
 import pytest
 
 from lavenderstack.core import clock
+from lavenderstack.core.acknowledgement_hold import NO_HOLD
 from lavenderstack.core.catalog import Catalog, GroupLimits, RecordedOwnership
 from lavenderstack.core.members import Members
 from lavenderstack.core.messages import Failed
@@ -172,8 +173,9 @@
         self.directory.as_of = self.revision
 
     def report(self, _):
-        for name in self.directory.targets:
-            self.put_target(name)
+        for name in list(self.directory.targets):
+            if name in self.targets:
+                self.put_target(name)
 
     async def ask(self, vm, msg, timeout_s):
         if isinstance(msg, GroupPositionRequest):
@@ -190,10 +192,10 @@
     def _position_of(self, node, msg):
         """Answer as a node does that knows holds, unless its answer is None."""
         self.holding.discard(node)
-        if getattr(msg, "hold", None) and not msg.release:
+        if msg.hold != NO_HOLD and not msg.release:
             self.holding.add(node)
         answer = self.observed[node]
-        if answer is None or node not in self.holding:
+        if not isinstance(answer, GroupPosition) or node not in self.holding:
             return answer
         return msgspec.structs.replace(answer, holds=True)
 
--- a/lavenderstack/node/failover/replica_sets.py
+++ b/lavenderstack/node/failover/replica_sets.py
@@ -88,6 +88,16 @@
         )
         return _format_runs(runs)
 
+    def unregistered(self, group: str, primary: str) -> frozenset[TargetRun]:
+        """Return the runs of replicas that may live on without a registration.
+
+        ``primary`` is the name of the one to be replaced, empty if it isn't known.
+        """
+        recorded = self._directory.replica_sets.get(group)
+        if not primary and recorded is not None:
+            primary = recorded.primary
+        return self._directory.unregistered.of(group, primary)
+
     def is_complete(self, group: str, primary: str) -> bool:
         """Return whether the followers hold every acknowledged commit together.
 
--- a/lavenderstack/node/failover/replica_sets_test.py
+++ b/lavenderstack/node/failover/replica_sets_test.py
@@ -1,5 +1,7 @@
 """Tests that no promotion loses a commit when replicas left or started again."""
 
+import asyncio
+
 import pytest
 
 from lavenderstack.core.messages import Failed
@@ -7,7 +9,7 @@
 from lavenderstack.core.position import START
 from lavenderstack.core.replica_set import ReplicaSet, TargetRun
 from lavenderstack.core.statement import StatementKind
-from lavenderstack.core.view import Vm
+from lavenderstack.core.view import Target, Vm
 from lavenderstack.core.work_messages import GroupPosition
 from lavenderstack.node.backend import ClaimLost
 from lavenderstack.node.failover import replica_sets
@@ -117,6 +119,40 @@
         await harness.check()
         assert harness.group.incomplete == []
 
+    async def test_a_replica_that_registers_during_the_choice_stops_it(self):
+        harness = await self.replica_without_registration()
+        pause = harness.replacer._replicas.pause
+
+        async def pause_and_register(group, states):
+            paused = await pause(group, states)
+            harness.put_target("t3")
+            return paused
+
+        harness.replacer._replicas.pause = pause_and_register
+        harness.act_before_promotion(lambda: harness.commit_through("n2"))
+        del harness.observed["n2"]
+        await harness.check()
+        assert harness.group.incomplete == []
+        assert harness.primary == "t1"
+
+    async def test_nodes_acknowledge_again_if_nobody_takes_over(self):
+        harness = await self.replica_without_registration()
+        del harness.observed["n2"]
+        await harness.check()
+        await asyncio.sleep(0)
+        assert harness.primary == "t1"
+        assert harness.holding == set()
+
+    async def test_it_takes_over_again_once_it_is_paused(self):
+        """A silent node stops a promotion only while a replica is unaccounted for."""
+        harness = await self.replica_without_registration()
+        del harness.observed["n2"]
+        await harness.check()
+        assert harness.primary == "t1"
+        harness.put_target("t3")
+        await harness.check()
+        assert harness.primary in ("t2", "t3")
+
     async def test_a_commit_through_a_silent_node_is_not_lost(self):
         harness = await self.replica_without_registration()
         harness.act_before_promotion(lambda: harness.commit_through("n2"))
@@ -234,6 +270,9 @@
     async def test_a_replica_proved_while_the_primary_answered_takes_over(self):
         harness = await self.leave_t3(n2=None)
         await harness.check()
+        # Another target has its address, so it has ended.
+        successor = Target("t9", "z3", "10.0.0.1", 3, 2, 30)
+        harness.directory.put_target(successor, "h", False, False, 50)
         harness.primary_answers = False
         await harness.check()
         assert harness.primary == "t2"
--- a/lavenderstack/node/open_transactions.py
+++ b/lavenderstack/node/open_transactions.py
@@ -20,8 +20,8 @@
 from lavenderstack.node.backend import Command, ConnectionLost
 from lavenderstack.node.targets.active_connections import (
     ActiveConnections,
+    acknowledged_result,
     failure,
-    replaced_while_committing,
     work_result,
 )
 from lavenderstack.node.targets.connection_setup import setup_commands, target_statement
@@ -112,7 +112,8 @@
             self._remove(work.tx)
             self._connections.discard(pooled)
             return failure(False, Reason.TRANSACTION_LOST, str(exc))
-        reply = await self._active.answer(pooled, futs[index], sent_at + work.left_s)
+        deadline = sent_at + work.left_s
+        reply = await self._active.answer(pooled, futs[index], deadline)
         if isinstance(reply, Failed):
             self._remove(work.tx)
             return reply
@@ -120,9 +121,10 @@
             self._remove(work.tx)
             if reply.reason is None and work.access is Access.WRITE:
                 self._positions.add(reply.position, sent_at)
-                if not self._acknowledged.record(work.group, reply.position, sent_at):
-                    self._active.release_clean(pooled, reply)
-                    return replaced_while_committing()
+                self._active.release_clean(pooled, reply)
+                return await acknowledged_result(
+                    self._acknowledged, work, reply, sent_at, deadline
+                )
             self._active.release_clean(pooled, reply)
         elif reply.reason is not None:
             self._remove(work.tx)
--- a/lavenderstack/node/targets/active_connections.py
+++ b/lavenderstack/node/targets/active_connections.py
@@ -13,7 +13,8 @@
 from lavenderstack.core.messages import Failed, Message
 from lavenderstack.core.outcome import Reason
 from lavenderstack.core.reply import Reply, TxState
-from lavenderstack.core.work_messages import WorkDone
+from lavenderstack.core.work_messages import Work, WorkDone
+from lavenderstack.node.acknowledged_positions import AcknowledgedPositions
 from lavenderstack.node.backend import Command, ConnectionLost
 from lavenderstack.node.targets.target_connections import (
     PooledConnection,
@@ -48,6 +49,19 @@
     return failure(True, Reason.OUTCOME_UNKNOWN, detail)
 
 
+async def acknowledged_result(
+    acknowledged: AcknowledgedPositions,
+    work: Work,
+    reply: Reply,
+    sent_at: float,
+    deadline: float,
+) -> Message:
+    """Convert the answer to a commit, once it may be acknowledged."""
+    if await acknowledged.record(work.group, reply.position, sent_at, deadline):
+        return work_result(reply)
+    return replaced_while_committing()
+
+
 def work_result(reply: Reply, tx: str = "") -> Message:
     """Convert an answer to a message; ``tx`` names a transaction opened with it."""
     if reply.reason is None:
--- a/lavenderstack/platform/node.py
+++ b/lavenderstack/platform/node.py
@@ -159,6 +159,7 @@
 
     async def lead_taken(msg: LeadTaken) -> Message:
         directory.record_primary(msg.group, msg.target)
+        executors.acknowledged.primary_replaced(msg.group)
         return LeadAcknowledged()
 
     loader = Loader(metadata_store, directory, peers, cfg.first_store_era)
