Conclude nothing from the silence of a primary while no node answers

If fewer than half of the registered nodes answer, in 0.1 s and once more in 0.35 s, the owner promotes nobody (obstacle ISOLATED), and after 1 s it releases the group. Ruled out: a late event loop as the measure, since a full link doesn't show in it.

--- a/lavenderstack/core/events_groups.py
+++ b/lavenderstack/core/events_groups.py
@@ -51,6 +51,12 @@
         ("group", "zone"),
         "this node is in the same zone as the primary",
     ),
+    Event(
+        "replacer: ownership given up",
+        LineKind.STATE,
+        ("group",),
+        "too few nodes answer this one, so it can't tell whether the primary runs",
+    ),
     Event(
         "replacer: ownership not claimed",
         LineKind.STATE,
--- a/lavenderstack/core/replacement.py
+++ b/lavenderstack/core/replacement.py
@@ -49,7 +49,8 @@
     ``UNKNOWN_HISTORY``: the owner doesn't know all that were ever registered
     (``core/store_history.py``) and never had an answer of the primary.
     ``PRIMARY_RUNS``: the replicas receive log entries. ``EVACUATED``: the replica that
-    received most is in an evacuated zone.
+    received most is in an evacuated zone. ``ISOLATED``: too few nodes answer this one,
+    so the silence of the primary proves nothing (``core/isolation.py``).
     """
 
     NO_REPLICA = auto()
@@ -61,6 +62,7 @@
     SILENT_NODE = auto()
     UNKNOWN_HISTORY = auto()
     PRIMARY_RUNS = auto()
+    ISOLATED = auto()
 
 
 def most_advanced(replicas: Sequence[ReplicaState]) -> ReplicaState | None:
--- a/lavenderstack/node/failover/acknowledgement_holds.py
+++ b/lavenderstack/node/failover/acknowledgement_holds.py
@@ -39,6 +39,10 @@
         told = (Position(*one.position) for one in self.answers.values() if one)
         return max(told, default=START)
 
+    def answered(self) -> set[str]:
+        """Return the nodes that gave an answer."""
+        return {name for name, one in self.answers.items() if one is not None}
+
     def hold_back(self, nodes: Iterable[str]) -> bool:
         """Return whether all these nodes hold back acknowledgements."""
         found = (self.answers.get(name) for name in nodes)
--- a/lavenderstack/node/failover/group_claims.py
+++ b/lavenderstack/node/failover/group_claims.py
@@ -20,6 +20,8 @@
 # An owner in the primary's own zone hands the group over, because it would be cut off
 # together with the primary. It waits this long after an order or a handover.
 HAND_OVER_HOLDOFF_S = 6.0
+# A node that has given up a group doesn't claim it for this long.
+GIVEN_UP_S = 5.0
 
 
 @dataclass(slots=True)
@@ -29,6 +31,7 @@
     claimed_at: float = 0.0
     unowned_since: float | None = None
     handed_over_at: float = 0.0
+    given_up_at: float = float("-inf")
 
 
 class GroupClaims:
@@ -60,6 +63,8 @@
         turn_at = status.unowned_since + self._candidates_before(group) * CLAIM_STEP_S
         if now < turn_at or now - status.claimed_at < CLAIM_RETRY_S:
             return None
+        if now - status.given_up_at < GIVEN_UP_S:
+            return None
         status.claimed_at = now
         try:
             await self._claims.claim(group)
@@ -78,6 +83,15 @@
         name = self._directory.name
         return names.index(name) if name in names else len(names)
 
+    async def give_up(self, group: str) -> None:
+        """Release a group that this node can't watch, and leave it to other nodes."""
+        claim = self._directory.ownerships.get(group)
+        if claim is None or claim.node != self._claims.identity:
+            return
+        self._groups[group].given_up_at = clock.now()
+        log.info("replacer: ownership given up", group=group)
+        await self._claims.release(group, claim.epoch)
+
     async def hand_over(
         self, primary: TargetState, claim: RecordedOwnership, acted_at: float
     ) -> None:
--- a/lavenderstack/node/failover/group_positions.py
+++ b/lavenderstack/node/failover/group_positions.py
@@ -9,6 +9,7 @@
 from lavenderstack.core import clock, replica_set, store_history
 from lavenderstack.core.acknowledged_end import AcknowledgedEnd
 from lavenderstack.core.catalog import TargetState
+from lavenderstack.core.isolation import is_isolated
 from lavenderstack.core.position import START, Position
 from lavenderstack.core.replica_set import AcknowledgedPosition
 from lavenderstack.core.store_history import ToldPosition
@@ -18,7 +19,10 @@
     PrimaryPosition,
 )
 from lavenderstack.node.directory import Directory
-from lavenderstack.node.failover.acknowledgement_holds import AcknowledgementHolds
+from lavenderstack.node.failover.acknowledgement_holds import (
+    AcknowledgementHolds,
+    Told,
+)
 from lavenderstack.node.failover.primary_probe import PROBE_TIMEOUT_S
 from lavenderstack.node.peers import Peers
 
@@ -32,11 +36,13 @@
 class HeldEnd:
     """The highest position that nodes acknowledged when they were asked to hold back.
 
-    ``everywhere`` tells that every node that may acknowledge commits holds them back.
+    ``everywhere`` tells that every node that may acknowledge commits holds them back,
+    ``isolated`` that fewer than half of the registered nodes answered.
     """
 
     position: Position
     everywhere: bool
+    isolated: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,7 +111,12 @@
         names = self._holds.nodes_seen_lately()
         term = self._term(self._last_answer(group, primary))
         told = await self._holds.hold(group, term, names, timeout_s)
-        return HeldEnd(told.highest, told.hold_back(names))
+        return HeldEnd(told.highest, told.hold_back(names), self._is_isolated(told))
+
+    def _is_isolated(self, told: Told) -> bool:
+        registered = set(self._directory.view.vms)
+        answered = registered & {*told.answered(), self._directory.name}
+        return is_isolated(len(answered), len(registered))
 
     def release(self, group: str) -> None:
         """Let the nodes acknowledge commits again, as nobody takes over."""
--- a/lavenderstack/node/failover/replacer.py
+++ b/lavenderstack/node/failover/replacer.py
@@ -7,12 +7,13 @@
 
 import asyncio
 from collections import defaultdict
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import structlog
 
 from lavenderstack.core import clock, statement
 from lavenderstack.core.catalog import TargetState
+from lavenderstack.core.isolation import Isolation
 from lavenderstack.core.position import Position
 from lavenderstack.core.replacement import (
     Obstacle,
@@ -61,7 +62,7 @@
     ``order_pending`` that an order of this node may still be carried out. The other
     fields are in seconds on the clock: the first of the latest checks in a row at which
     the primary had no connection free, the last accepted order, and the last try to
-    resume replicas.
+    resume replicas. ``isolation`` tells how long other nodes haven't answered.
     """
 
     misses: int = 0
@@ -70,6 +71,7 @@
     may_be_paused: bool = True
     order_pending: bool = False
     released_at: float = float("-inf")
+    isolation: Isolation = field(default_factory=Isolation)
 
 
 class Replacer:
@@ -206,9 +208,10 @@
         chosen = choose_successor(states, replicated)
         if replicated and self._has_joined(group, lost, followers):
             chosen = Obstacle.SILENT_REPLICA
-        if replicated and isinstance(chosen, ReplicaState):
+        if isinstance(chosen, ReplicaState):
             obstacle, end = await self._commit_obstacle(group, name, chosen, end)
             chosen = obstacle or chosen
+        await self._give_up_if_isolated(group, status, chosen)
         if self._has_other_primary(group, name):
             chosen = Obstacle.LED
         if isinstance(chosen, Obstacle):
@@ -229,20 +232,34 @@
     async def _commit_obstacle(
         self, group: str, lost: str, chosen: ReplicaState, end: HeldEnd
     ) -> tuple[Obstacle | None, HeldEnd]:
-        """Return why a chosen replica may lack an acknowledged commit, or None.
+        """Return what the answers of the nodes say against a chosen replica, or None.
 
         Where that depends on nodes that gave no answer, all are asked once more. The
         last answers of the nodes are returned as well.
         """
         unregistered = bool(self._sets.unregistered(group, lost))
-        obstacle = commit_obstacle(chosen, end.position, unregistered, end.everywhere)
-        if obstacle is Obstacle.SILENT_NODE:
+        obstacle = self._answers_obstacle(group, chosen, unregistered, end)
+        if obstacle in (Obstacle.SILENT_NODE, Obstacle.ISOLATED):
             end = await self._positions.hold(group, lost, PROBE_TIMEOUT_S)
-            obstacle = commit_obstacle(
-                chosen, end.position, unregistered, end.everywhere
-            )
+            obstacle = self._answers_obstacle(group, chosen, unregistered, end)
         return obstacle, end
 
+    def _answers_obstacle(
+        self, group: str, chosen: ReplicaState, unregistered: bool, end: HeldEnd
+    ) -> Obstacle | None:
+        if end.isolated:
+            return Obstacle.ISOLATED
+        if not self._is_replicated(group):
+            return None
+        return commit_obstacle(chosen, end.position, unregistered, end.everywhere)
+
+    async def _give_up_if_isolated(
+        self, group: str, status: _GroupStatus, chosen: ReplicaState | Obstacle
+    ) -> None:
+        """Leave the group to another owner if this node hears too few others."""
+        if status.isolation.observe(chosen is Obstacle.ISOLATED, clock.now()):
+            await self._group_claims.give_up(group)
+
     async def _replace_leaving(
         self, group: str, status: _GroupStatus, primary: TargetState
     ) -> None:
