--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -4,8 +4,10 @@
   bench [NAME...] [--json FILE] [--seed N]
   bench --list
   bench soak [OPTIONS...]
+  bench upgrade [OPTIONS...]
 
-``bench soak --help`` lists the options of the fault soak.
+``bench soak --help`` lists the options of the fault soak, ``bench upgrade --help``
+those of an upgrade from another build.
 
 Options:
   --json FILE  Write the results as JSON.
@@ -62,6 +64,10 @@
         from bench import soak
 
         return soak.main(words)
+    if words[:1] == ["upgrade"]:
+        from bench import upgrade
+
+        return upgrade.main(words)
     args = docopt(__doc__, argv)
     if args["--list"]:
         print("\n".join(BENCHMARKS))
--- a/bench/soak_fleet.py
+++ b/bench/soak_fleet.py
@@ -23,7 +23,7 @@
 from standins.line_group import GroupTarget, LineGroup
 from standins.link import Link, open_link
 from standins.network import Network
-from standins.processes import Process, started
+from standins.processes import ROOT, Process, started
 from standins.promotion_orders import PromotionOrders
 from standins.sockets import HOST, free_port
 
@@ -40,7 +40,8 @@
     """A node and its current process; ``starts`` counts its processes.
 
     ``links`` are those in front of what the node calls and of the node itself.
-    ``misses`` counts unanswered questions of the balancer in a row.
+    ``misses`` counts unanswered questions of the balancer in a row. ``source`` is the
+    root of the source that its processes run.
     """
 
     name: str
@@ -54,6 +55,7 @@
     misses: int = 2
     paused: bool = False
     stopping: bool = False
+    source: Path = ROOT
 
     @property
     def identity(self) -> str:
@@ -154,7 +156,9 @@
         node.paused = node.stopping = False
         name = f"{node.name}.{node.starts}"
         settings = ("serve", "--settings", str(node.settings))
-        process = started(name, self.folder, "lavenderstack", *settings)
+        process = started(
+            name, self.folder, "lavenderstack", *settings, root=node.source
+        )
         node.process = await self.stack.enter_async_context(process)
         self.network.zones[node.process.pid] = node.name
         asyncio.ensure_future(self._watch_end(node, node.process, node.identity))
@@ -238,9 +242,16 @@
 
 @asynccontextmanager
 async def run_fleet(
-    folder: Path, seed: int, node_count: int, group_count: int
+    folder: Path,
+    seed: int,
+    node_count: int,
+    group_count: int,
+    source: Path = ROOT,
 ) -> AsyncIterator[Fleet]:
-    """Run a fleet with its nodes ready; everything is ended after the block."""
+    """Run a fleet with its nodes ready; everything is ended after the block.
+
+    ``source`` is the root of the source that the nodes run at first.
+    """
     rng = random.Random(seed)
     zones = ("z1", "z2", "z3")
     groups = {}
@@ -271,6 +282,7 @@
         for number in range(1, node_count + 1):
             zone = zones[(number - 1) % len(zones)]
             await _add_node(fleet, f"n{number}", zone, orders_port)
+            fleet.nodes[f"n{number}"].source = source
         tasks = [
             asyncio.ensure_future(work)
             for work in (store.end_leases(), fleet.report_targets(), fleet.poll_ready())
--- a/lavenderstack/core/events_process.py
+++ b/lavenderstack/core/events_process.py
@@ -3,7 +3,12 @@
 from lavenderstack.core.event_types import Event, LineKind
 
 EVENTS = (
-    Event("node: started", LineKind.LIFE, ("zone", "version"), "the process listens"),
+    Event(
+        "node: started",
+        LineKind.LIFE,
+        ("zone", "version", "build", "features"),
+        "the process listens; with the commit of its build, and what it can do",
+    ),
     Event(
         "node: stopping",
         LineKind.LIFE,
--- a/lavenderstack/core/events_statements.py
+++ b/lavenderstack/core/events_statements.py
@@ -189,5 +189,16 @@
     ),
     Event("streams: frame too long", LineKind.STATE, ("length",), "stream closed"),
     Event("streams: frame not understood", LineKind.STATE, ("error",), "stream closed"),
-    Event("streams: no handler", LineKind.STATE, ("message",), "not answered"),
+    Event(
+        "streams: no handler",
+        LineKind.STATE,
+        ("message",),
+        "answered as not supported",
+    ),
+    Event(
+        "streams: message not supported",
+        LineKind.STATE,
+        ("message", "reply"),
+        "another build sent it; a request is answered as not supported",
+    ),
 )
--- a/lavenderstack/core/messages.py
+++ b/lavenderstack/core/messages.py
@@ -122,6 +122,12 @@
     """Ask whether the stream is alive; answered by ``Pong``."""
 
 
+class Unsupported(Message, tag="unsupported"):
+    """The node doesn't know the message ``tag``, and has run nothing."""
+
+    message: str
+
+
 class Goodbye(Message, tag="goodbye"):
     """The sender is stopping: send no more requests on this stream.
 
--- a/lavenderstack/core/view.py
+++ b/lavenderstack/core/view.py
@@ -93,7 +93,8 @@
 
     ``kind`` is ``entry`` or ``target``, ``state`` is ``live`` or ``leaving``. ``port``
     is that of the node-to-node streams (entry) or the database (target). ``capacity``
-    is how many statements a second it can pass on, 0 if it isn't known.
+    is how many statements a second it can pass on, 0 if it isn't known. ``features``
+    and ``build`` tell what an entry VM's process can do (``core/features.py``).
     """
 
     name: str
@@ -103,6 +104,8 @@
     kind: str = "entry"
     state: str = "live"
     capacity: float = 0.0
+    features: frozenset[str] = frozenset()
+    build: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/lavenderstack/node/other_builds_test.py
@@ -0,0 +1,111 @@
+"""Tests of streams to a node of a build that sends messages unknown here."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import msgspec
+import pytest
+
+from lavenderstack.core.members import Members
+from lavenderstack.core.messages import Begin, Begun, Ping, Pong
+from lavenderstack.core.view import View, Vm
+from lavenderstack.node import streams, wire
+from lavenderstack.node.peers import Peers
+from lavenderstack.node.streams import (
+    NotSupported,
+    StreamLost,
+    StreamPool,
+    StreamServer,
+)
+from lavenderstack.node.streams_test import BEGIN
+
+LATER = msgspec.msgpack.encode([1, False, ["message_of_a_later_build", 5]])
+
+
+class LaterMessage(Begin, tag="message_of_a_later_build"):
+    """A message that this build can send in a test and can't decode."""
+
+
+@asynccontextmanager
+async def running_server(handlers):
+    server = StreamServer(handlers)
+    port = await server.start("127.0.0.1", 0)
+    pool = StreamPool()
+    try:
+        yield pool, ("127.0.0.1", port)
+    finally:
+        pool.close()
+        await server.stop(0.1)
+
+
+def later_message():
+    fields = {name: getattr(BEGIN, name) for name in BEGIN.__struct_fields__}
+    return LaterMessage(**fields)
+
+
+class TestUnknownRequest:
+    """It must not cost the other requests on the stream their answers."""
+
+    async def test_others_on_the_stream_are_answered(self):
+        async def slow(message):
+            await asyncio.sleep(0.1)
+            return Begun("done")
+
+        async with running_server({Begin: slow}) as (pool, addr):
+            pending = asyncio.ensure_future(pool.call(addr, BEGIN, 5.0))
+            await asyncio.sleep(0.02)
+            with pytest.raises(NotSupported):
+                await pool.call(addr, later_message(), 5.0)
+            assert (await pending).transaction == "done"
+
+    async def test_a_message_without_a_handler_is_not_supported(self):
+        async with running_server({}) as (pool, addr):
+            with pytest.raises(NotSupported):
+                await pool.call(addr, BEGIN, 5.0)
+
+    async def test_the_node_stays_eligible(self):
+        """Its build differs, it isn't silent."""
+        async with running_server({}) as (pool, addr):
+            vms = {"n2": Vm("n2", "z1", *addr)}
+            members = Members("n1")
+            peers = Peers("n1", lambda: View(vms=vms), pool, members)
+            with pytest.raises(NotSupported):
+                await peers.call("n2", BEGIN, 5.0)
+            assert members.suspect_until == {}
+
+
+class TestUnknownReply:
+    async def test_only_its_own_request_fails(self):
+        async def handler(message):
+            return later_message() if message.request == "r" else Begun("done")
+
+        async with running_server({Begin: handler}) as (pool, addr):
+            with pytest.raises(StreamLost, match="not understood"):
+                await pool.call(addr, BEGIN, 5.0)
+            stream = pool._streams[addr]
+            other = msgspec.structs.replace(BEGIN, request="other")
+            assert (await pool.call(addr, other, 5.0)).transaction == "done"
+            assert pool._streams[addr] is stream
+
+
+class TestDecode:
+    def test_a_later_field_is_passed_over(self):
+        data = msgspec.msgpack.encode([1, True, ["pong", "later", 5]])
+        assert wire.decode(data).body == Pong()
+
+    def test_an_unknown_message_names_its_request(self):
+        with pytest.raises(wire.UnknownMessage) as info:
+            wire.decode(LATER)
+        unknown = info.value
+        assert (unknown.number, unknown.reply) == (1, False)
+        assert unknown.tag == "message_of_a_later_build"
+
+    @pytest.mark.parametrize("data", [b"", b"\xc1", msgspec.msgpack.encode([1])])
+    def test_what_is_no_frame_ends_the_stream(self, data):
+        with pytest.raises(msgspec.MsgspecError):
+            wire.decode(data)
+
+    def test_frames_of_this_build_are_decoded(self):
+        frame = wire.Frame(3, False, Ping())
+        assert wire.decode(wire.encode(frame)) == frame
+        assert len(wire.encode(frame)) < streams.MAX_FRAME_B
--- a/lavenderstack/node/peers.py
+++ b/lavenderstack/node/peers.py
@@ -15,6 +15,7 @@
 from lavenderstack.core.view import Target, View, Vm
 from lavenderstack.node.streams import (
     NotSent,
+    NotSupported,
     StillConnecting,
     StreamLost,
     StreamPool,
@@ -63,6 +64,9 @@
             self._members.suspect(vm.name, clock.now())
             exc.opening.add_done_callback(partial(self._finish_connecting, vm.name))
             raise
+        except NotSupported:
+            # The node runs; its build is another one.
+            raise
         except (NotSent, StreamLost):
             self._members.suspect(vm.name, clock.now())
             raise
--- a/lavenderstack/node/streams.py
+++ b/lavenderstack/node/streams.py
@@ -22,7 +22,14 @@
 from lavenderstack.border.traffic import TRAFFIC
 from lavenderstack.core import clock
 from lavenderstack.core.connect_timeout import ConnectTimeout
-from lavenderstack.core.messages import Cancel, Goodbye, Message, Ping, Pong
+from lavenderstack.core.messages import (
+    Cancel,
+    Goodbye,
+    Message,
+    Ping,
+    Pong,
+    Unsupported,
+)
 from lavenderstack.node import wire
 
 CONNECT_TIMEOUT_S = 1.0
@@ -68,6 +75,10 @@
         self.opening = opening
 
 
+class NotSupported(NotSent):
+    """The other node's build doesn't know the message and has run nothing."""
+
+
 class StreamLost(Exception):
     """The stream closed or stayed silent after the request had been sent."""
 
@@ -106,6 +117,10 @@
     def _accept(self, body: bytes) -> None:
         try:
             frame = wire.decode(body)
+        except wire.UnknownMessage as exc:
+            log.info("streams: message not supported", message=exc.tag, reply=exc.reply)
+            self.unknown_received(exc)
+            return
         except msgspec.MsgspecError as exc:
             log.warning("streams: frame not understood", error=str(exc))
             self.transport.abort()
@@ -116,6 +131,10 @@
         """Handle one frame."""
         raise NotImplementedError
 
+    def unknown_received(self, unknown: wire.UnknownMessage) -> None:
+        """Handle a frame whose message only another build knows."""
+        raise NotImplementedError
+
     def send(self, frame: wire.Frame) -> None:
         """Write a frame; a closing transport discards it."""
         body = wire.encode(frame)
@@ -154,6 +173,9 @@
         self._server.running.add(task)
         task.add_done_callback(lambda _: self._remove_task(frame.number, task))
 
+    def unknown_received(self, unknown: wire.UnknownMessage) -> None:
+        self.send(wire.Frame(unknown.number, True, Unsupported(unknown.tag)))
+
     def _remove_task(self, number: int, task: asyncio.Task) -> None:
         self._tasks.pop(number, None)
         self._server.running.discard(task)
@@ -165,7 +187,9 @@
     async def _answer(self, frame: wire.Frame) -> None:
         handler = self._server.handlers.get(type(frame.body))
         if handler is None:
-            log.warning("streams: no handler", message=type(frame.body).__name__)
+            name = type(frame.body).__name__
+            log.warning("streams: no handler", message=name)
+            self.send(wire.Frame(frame.number, True, Unsupported(name)))
             return
         reply = await handler(frame.body)
         if not self.transport.is_closing():
@@ -241,10 +265,18 @@
             self.closing = True
         fut = self.waiting.pop(frame.number, None)
         if fut is not None and not fut.done():
-            fut.set_result(frame.body)
+            if isinstance(frame.body, Unsupported):
+                fut.set_exception(NotSupported(frame.body.message))
+            else:
+                fut.set_result(frame.body)
         if self.closing and not self.waiting:
             self.fail("the other node is stopping")
 
+    def unknown_received(self, unknown: wire.UnknownMessage) -> None:
+        fut = self.waiting.pop(unknown.number, None)
+        if fut is not None and not fut.done():
+            fut.set_exception(StreamLost(f"reply not understood: {unknown.tag}"))
+
     @property
     def open(self) -> bool:
         """Whether a new request may be sent on the stream."""
--- a/lavenderstack/node/wire.py
+++ b/lavenderstack/node/wire.py
@@ -1,6 +1,8 @@
 """The encoding of frames between nodes and the list of messages they may carry.
 
-A message type that is not in ``MESSAGES`` can be neither sent nor received.
+A message type that is not in ``MESSAGES`` can be neither sent nor received. Another
+build may send one: ``decode`` then raises ``UnknownMessage``, which tells what a reply
+needs. Fields at the end of a message that this build doesn't know are passed over.
 """
 
 from typing import Union
@@ -28,6 +30,7 @@
     messages.Ping,
     messages.Pong,
     messages.Goodbye,
+    messages.Unsupported,
     group_messages.ProbeRequest,
     group_messages.ProbeReply,
     group_messages.PrimaryRequest,
@@ -81,4 +84,40 @@
 _decoder = msgspec.msgpack.Decoder(Frame)
 
 encode = _encoder.encode
-decode = _decoder.decode
+
+
+class UnknownMessage(Exception):
+    """A frame whose message this build doesn't know; ``tag`` is the message's."""
+
+    def __init__(self, number: int, reply: bool, tag: str) -> None:
+        super().__init__(f"unknown message {tag!r}")
+        self.number = number
+        self.reply = reply
+        self.tag = tag
+
+
+class _Envelope(msgspec.Struct, array_like=True, frozen=True, gc=False):
+    """A frame whose message is not decoded."""
+
+    number: int
+    reply: bool
+    body: msgspec.Raw
+
+
+_envelope_decoder = msgspec.msgpack.Decoder(_Envelope)
+_body_decoder = msgspec.msgpack.Decoder(list)
+
+
+def decode(data: bytes) -> Frame:
+    """Decode a frame.
+
+    Raises ``UnknownMessage`` if its message is not understood, ``MsgspecError`` if it
+    isn't a frame at all.
+    """
+    try:
+        return _decoder.decode(data)
+    except msgspec.ValidationError as exc:
+        envelope = _envelope_decoder.decode(data)
+        body = _body_decoder.decode(envelope.body)
+        tag = str(body[0]) if body else ""
+        raise UnknownMessage(envelope.number, envelope.reply, tag) from exc
--- a/lavenderstack/platform/documents.py
+++ b/lavenderstack/platform/documents.py
@@ -261,6 +261,8 @@
     capacity: float = 0.0
     # Identifies the process; a build that doesn't write it is unknown.
     run: str = ""
+    features: frozenset[str] = frozenset()
+    build: str = ""
 
 
 class _Ownership(msgspec.Struct):
@@ -313,7 +315,17 @@
     ``run`` identifies its process.
     """
     leaving = vm.state == "leaving"
-    node = _Node(vm.zone, vm.host, vm.port, leaving, era, vm.capacity, run)
+    node = _Node(
+        vm.zone,
+        vm.host,
+        vm.port,
+        leaving,
+        era,
+        vm.capacity,
+        run,
+        vm.features,
+        vm.build,
+    )
     return msgspec.json.encode(node)
 
 
@@ -336,7 +348,14 @@
     state = "leaving" if node.leaving else "live"
     name = key.removeprefix(NODES_PREFIX)
     return Vm(
-        name, node.zone, node.host, node.port, state=state, capacity=node.capacity
+        name,
+        node.zone,
+        node.host,
+        node.port,
+        state=state,
+        capacity=node.capacity,
+        features=node.features,
+        build=node.build,
     )
 
 
--- a/lavenderstack/platform/gauges.py
+++ b/lavenderstack/platform/gauges.py
@@ -3,13 +3,14 @@
 from lavenderstack.core import clock
 from lavenderstack.node.targets.connection_gauges import add_connection_gauges
 from lavenderstack.node.targets.target_gauges import TargetGauges
+from lavenderstack.platform.build_id import build_id
 from lavenderstack.platform.node import Node
 
 
 def add_gauges(node: Node) -> None:
     """Add the metrics whose values are read at each scrape."""
     counters, executors = node.counters, node.executors
-    directory = node.directory
+    directory, own_build = node.directory, build_id()
 
     def connections() -> int:
         return sum(
@@ -40,6 +41,11 @@
         "sessions", "Open sessions of callers", lambda: len(node.callers.connections)
     )
     counters.gauge("target_connections", "Open connections to targets", connections)
+    counters.gauge(
+        "nodes_of_other_builds",
+        "Registered nodes whose build isn't this node's",
+        lambda: sum(vm.build != own_build for vm in directory.view.vms.values()),
+    )
     add_connection_gauges(counters, executors)
     counters.gauge("target_handshakes", "Connections opened to targets", handshakes)
     counters.gauge("queued", "Statements that wait for a slot", queued)
--- a/lavenderstack/platform/main.py
+++ b/lavenderstack/platform/main.py
@@ -14,10 +14,12 @@
 from lavenderstack.border.address import parse_address
 from lavenderstack.border.http import HttpResponse
 from lavenderstack.core import clock
+from lavenderstack.core.features import OWN_FEATURES
 from lavenderstack.core.log_rate_limit import LogRateLimiter
 from lavenderstack.node import supervisor
 from lavenderstack.node.supervisor import Part
 from lavenderstack.platform import settings, store
+from lavenderstack.platform.build_id import build_id
 from lavenderstack.platform.gauges import add_gauges
 from lavenderstack.platform.node import Node, apply_settings, build
 from lavenderstack.platform.orders import PlatformOrders
@@ -161,7 +163,13 @@
         settings_part = Part("settings", lambda: _follow_settings(node, path))
         parts = tasks.create_task(supervisor.run([*_parts(node), settings_part]))
         await node.callers.start(*parse_address(cfg.callers))
-        log.info("node: started", zone=cfg.availability_zone, version=__version__)
+        log.info(
+            "node: started",
+            zone=cfg.availability_zone,
+            version=__version__,
+            build=build_id(),
+            features=sorted(OWN_FEATURES),
+        )
         await node.stop.wait()
         log.info("node: stopping", open=node.callers.open_operations)
         await _drain(node)
--- a/lavenderstack/platform/node.py
+++ b/lavenderstack/platform/node.py
@@ -8,6 +8,7 @@
 from lavenderstack.core.change_messages import ChangesRequest
 from lavenderstack.core.cold_start import ColdLimits
 from lavenderstack.core.coordinator_messages import Attach, Detach, DrawTokens
+from lavenderstack.core.features import OWN_FEATURES
 from lavenderstack.core.members import Members
 from lavenderstack.core.messages import Message
 from lavenderstack.core.placement import capacity
@@ -34,6 +35,7 @@
 from lavenderstack.node.session import Services
 from lavenderstack.node.streams import StreamLimits, StreamPool, StreamServer
 from lavenderstack.platform import store, targets
+from lavenderstack.platform.build_id import build_id
 from lavenderstack.platform.callers import CallerServer
 from lavenderstack.platform.loader import Loader
 from lavenderstack.platform.orders import PlatformOrders
@@ -116,6 +118,8 @@
         cfg.host,
         cfg.peers_port,
         capacity=_capacity(cfg),
+        features=OWN_FEATURES,
+        build=build_id(),
     )
     pool = StreamPool(STREAM_LIMITS)
     peers = Peers(cfg.name, lambda: directory.view, pool, Members(cfg.name))
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -65,9 +65,9 @@
 
 @asynccontextmanager
 async def started(
-    name: str, folder: Path, module: str, *args: str
+    name: str, folder: Path, module: str, *args: str, root: Path = ROOT
 ) -> AsyncIterator[Process]:
-    """Start ``python -m module args``; it is killed after the block.
+    """Start ``python -m module args`` in ``root``; it is killed after the block.
 
     The output goes to files, because a full pipe that is not read would block the
     child.
@@ -80,7 +80,7 @@
             "-m",
             module,
             *args,
-            cwd=ROOT,
+            cwd=root,
             stdin=asyncio.subprocess.DEVNULL,
             stdout=output,
             stderr=errors,
