Hold acknowledgements in planned changes too, and play promotions at random moments

A planned change of a primary lost a commit that only a replica without a registration had received before the order took effect. It now asks for holds while such a replica may live on; one that had announced its end doesn't count, so that callers notice nothing where targets are replaced one after the other. The test failed before.

The harness of the supervision moves out of a test file (replacer_fake.py).

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,9 +5,11 @@
   bench --list
   bench soak [OPTIONS...]
   bench upgrade [OPTIONS...]
+  bench promotions [OPTIONS...]
 
 ``bench soak --help`` lists the options of the fault soak, ``bench upgrade --help``
-those of an upgrade from another build.
+those of an upgrade from another build, ``bench promotions --help`` those of promotions
+at random moments.
 
 Options:
   --json FILE  Write the results as JSON.
@@ -68,6 +70,10 @@
         from bench import upgrade
 
         return upgrade.main(words)
+    if words[:1] == ["promotions"]:
+        from bench import promotions
+
+        return promotions.main(words)
     args = docopt(__doc__, argv)
     if args["--list"]:
         print("\n".join(BENCHMARKS))
--- /dev/null
+++ b/bench/promotions.py
@@ -0,0 +1,239 @@
+"""Promote replicas at random moments, and check that no acknowledged commit is lost.
+
+Usage:
+  bench promotions [--count N] [--seed N] [--go-on]
+
+Options:
+  --count N  Promotions to play [default: 10000].
+  --seed N   Seed of the first play; each next one has the next seed [default: 1].
+  --go-on    Play on after a loss.
+
+A play has a group of three targets, the real supervision of one node, and the answers
+of three others, in one process. Between the checks targets stop receiving, lose their
+registration while they live on, register again, crash and start without their log;
+nodes fall silent and start again; the primary is lost, taken for lost, or leaves. While
+an order is under way a primary that still runs commits through any node, and a replica
+may register. A play ends after some promotions, or as the group can't go on.
+"""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+
+import structlog
+from docopt import docopt
+
+from lavenderstack.core import clock
+from lavenderstack.core.position import START, Position
+from lavenderstack.core.view import Vm
+from lavenderstack.core.work_messages import GroupPosition
+from lavenderstack.node.failover import replacer, replica_sets
+from lavenderstack.node.failover.replacer_fake import ReplacerHarness
+
+NODES = ("n1", "n2", "n3", "n4")
+TARGETS = ("t1", "t2", "t3")
+PROMOTIONS_PER_PLAY = 8
+STEPS_PER_PLAY = 300
+MAX_COMMITS = 3
+# The chance that a fault comes while an order is under way.
+ORDERED_FAULT_CHANCE = 0.3
+SHOWN_STEPS = 40
+
+
+@dataclass
+class Node:
+    """What a node has acknowledged since its start; a silent one doesn't tell."""
+
+    position: Position = START
+    started_at: float = float("-inf")
+    silent: bool = False
+
+
+@dataclass
+class Play:
+    """One play; ``steps`` are what happened, for the report of a loss."""
+
+    seed: int
+    steps: list[str] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.rng = random.Random(self.seed)
+        self.nodes = {name: Node() for name in NODES}
+        self.harness = ReplacerHarness()
+        for name in NODES[2:]:
+            self.harness.directory.put_member(Vm(name, "z3", "10.0.0.3", 1))
+        self.harness.act_before_promotion(self._act_while_ordered)
+        self._show_nodes()
+
+    async def run(self) -> int:
+        """Play; return how many promotions there were."""
+        await self.harness.claims.claim("g")
+        await self.harness.check(2)
+        for _ in range(STEPS_PER_PLAY):
+            self._act(self.rng.choice(self._actions()))
+            self._write()
+            await self.harness.check()
+            if self.lost or len(self.harness.group.epochs) >= PROMOTIONS_PER_PLAY:
+                break
+        return len(self.harness.group.epochs)
+
+    @property
+    def lost(self) -> list[str]:
+        """The targets that were promoted without an acknowledged commit."""
+        return self.harness.group.incomplete
+
+    def _act(self, action: Callable[[], None]) -> None:
+        self.steps.append(action.__name__.strip("_"))
+        action()
+        self._show_nodes()
+
+    def _actions(self) -> list[Callable[[], None]]:
+        return [
+            self._change_deafness,
+            self._end_registration,
+            self._register_again,
+            self._crash_replica,
+            self._start_again,
+            self._silence_node,
+            self._let_nodes_answer,
+            self._restart_node,
+            self._lose_primary,
+            self._let_primary_leave,
+            self._heal,
+        ]
+
+    def _show_nodes(self) -> None:
+        """Let the owner get the answers of the nodes that aren't silent."""
+        now = clock.now()
+        self.harness.observed = {
+            name: GroupPosition(node.position, now - node.started_at)
+            for name, node in self.nodes.items()
+            if not node.silent
+        }
+
+    def _write(self) -> None:
+        """Commit through nodes, those too that the owner doesn't reach."""
+        for _ in range(self.rng.randint(0, MAX_COMMITS)):
+            name = self.rng.choice(NODES)
+            self.steps.append(f"write through {name}")
+            before = self.harness.group.acknowledged
+            self.harness.commit_through(name)
+            if self.harness.group.acknowledged > before:
+                primary = self.harness.targets[self.harness.primary]
+                self.nodes[name].position = primary.position
+            self._show_nodes()
+
+    def _act_while_ordered(self) -> None:
+        self.steps.append("order under way")
+        for action in (self._register_again, self._change_deafness):
+            if self.rng.random() < ORDERED_FAULT_CHANCE:
+                self._act(action)
+        self._write()
+
+    def _replicas(self) -> list[str]:
+        return [name for name in TARGETS if not self.harness.targets[name].leads]
+
+    def _is_registered(self, name: str) -> bool:
+        return name in self.harness.directory.targets
+
+    def _change_deafness(self) -> None:
+        target = self.harness.targets[self.rng.choice(self._replicas())]
+        target.deaf = not target.deaf
+
+    def _end_registration(self) -> None:
+        name = self.rng.choice(self._replicas())
+        if self._is_registered(name):
+            self.harness.end_registration(name)
+
+    def _register_again(self) -> None:
+        for name in self._replicas():
+            if self.harness.targets[name].reachable:
+                self.harness.put_target(name)
+
+    def _crash_replica(self) -> None:
+        name = self.rng.choice(self._replicas())
+        if self._is_registered(name):
+            self.harness.drop_target(name)
+
+    def _start_again(self) -> None:
+        for name in self._replicas():
+            target = self.harness.targets[name]
+            if not target.reachable:
+                target.reachable = True
+                target.resume()
+                self.harness.restart_target(name)
+
+    def _silence_node(self) -> None:
+        self.nodes[self.rng.choice(NODES[1:])].silent = True
+
+    def _let_nodes_answer(self) -> None:
+        for node in self.nodes.values():
+            node.silent = False
+
+    def _restart_node(self) -> None:
+        name = self.rng.choice(NODES[1:])
+        self.nodes[name] = Node(started_at=clock.now())
+        self.harness.holding.discard(name)
+
+    def _lose_primary(self) -> None:
+        self.harness.primary_answers = False
+
+    def _let_primary_leave(self) -> None:
+        self.harness.put_target(self.harness.primary, leaving=True)
+
+    def _heal(self) -> None:
+        self.harness.primary_answers = True
+        for name in TARGETS:
+            self.harness.targets[name].deaf = False
+        self._start_again()
+        self._register_again()
+        self._let_nodes_answer()
+
+
+@contextmanager
+def without_pauses() -> Iterator[None]:
+    """Let the supervision try again at once, since no time passes between checks."""
+    names = (
+        (replica_sets, "BLOCKED_RETRY_S"),
+        (replica_sets, "PROOF_RETRY_S"),
+        (replacer, "RELEASE_RETRY_S"),
+        (replacer, "CATCH_UP_TIMEOUT_S"),
+    )
+    before = [getattr(module, name) for module, name in names]
+    for module, name in names:
+        setattr(module, name, 0.0)
+    try:
+        yield
+    finally:
+        for (module, name), value in zip(names, before, strict=True):
+            setattr(module, name, value)
+
+
+async def play_until(count: int, seed: int, go_on: bool) -> tuple[int, list[Play]]:
+    """Play until there were ``count`` promotions; return how many, and the losses."""
+    promotions, losses = 0, []
+    with without_pauses():
+        while promotions < count and (go_on or not losses):
+            play = Play(seed)
+            promotions += await play.run()
+            losses += [play] * bool(play.lost)
+            seed += 1
+    print(f"last seed {seed - 1}")
+    return promotions, losses
+
+
+def main(argv: list[str]) -> int:
+    """Run the command; return the exit status, 1 if a commit was lost."""
+    args = docopt(__doc__, argv)
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL)
+    )
+    count, seed = int(args["--count"]), int(args["--seed"])
+    promotions, losses = asyncio.run(play_until(count, seed, args["--go-on"]))
+    print(f"{promotions} promotions, {len(losses)} plays that lost a commit")
+    for play in losses:
+        print(f"LOST seed {play.seed}: {', '.join(play.steps[-SHOWN_STEPS:])}")
+    return 1 if losses else 0
--- a/lavenderstack/core/unregistered_targets.py
+++ b/lavenderstack/core/unregistered_targets.py
@@ -36,10 +36,19 @@
             for run in ended:
                 del runs[run]
 
-    def of(self, group: str, primary: str) -> frozenset[TargetRun]:
-        """Return the runs of a group that may live on, without those of the primary."""
+    def of(
+        self, group: str, primary: str, with_leaving: bool = True
+    ) -> frozenset[TargetRun]:
+        """Return the runs of a group that may live on, without those of the primary.
+
+        Without ``with_leaving`` those that had announced their end don't count.
+        """
         runs = self._by_group.get(group, {})
-        return frozenset(run for run in runs if run.name != primary)
+        return frozenset(
+            run
+            for run, state in runs.items()
+            if run.name != primary and (with_leaving or not state.leaving)
+        )
 
 
 def _is_replaced(earlier: TargetState, later: TargetState) -> bool:
--- a/lavenderstack/node/failover/isolated_owner_test.py
+++ b/lavenderstack/node/failover/isolated_owner_test.py
@@ -6,7 +6,7 @@
 from lavenderstack.core.position import START
 from lavenderstack.core.view import Vm
 from lavenderstack.core.work_messages import GroupPosition
-from lavenderstack.node.failover.replacer_test import ReplacerHarness
+from lavenderstack.node.failover.replacer_fake import ReplacerHarness
 
 OTHERS = ("n2", "n3", "n4")
 
--- a/lavenderstack/node/failover/planned_failover_test.py
+++ b/lavenderstack/node/failover/planned_failover_test.py
@@ -5,7 +5,7 @@
 from lavenderstack.core.catalog import Catalog, GroupLimits
 from lavenderstack.core.statement import StatementKind
 from lavenderstack.core.view import Target
-from lavenderstack.node.failover.replacer_test import ReplacerHarness
+from lavenderstack.node.failover.replacer_fake import ReplacerHarness
 
 
 def obstacles(lines):
--- a/lavenderstack/node/failover/promoter_test.py
+++ b/lavenderstack/node/failover/promoter_test.py
@@ -4,7 +4,7 @@
 
 from lavenderstack.core.statement import StatementKind
 from lavenderstack.node.backend import OrderRefused, OrderUnanswered
-from lavenderstack.node.failover.replacer_test import ReplacerHarness
+from lavenderstack.node.failover.replacer_fake import ReplacerHarness
 
 
 class TestOrderWithoutAnAnswer:
--- a/lavenderstack/node/failover/replacer.py
+++ b/lavenderstack/node/failover/replacer.py
@@ -275,6 +275,7 @@
             log.info("replacer: no replica to take over yet", group=group)
             return
         others = [one for one in followers if one.target.name != candidate.name]
+        held = await self._hold_for_unregistered(primary)
         paused = await self._replicas.pause(group, others)
         replicated = self._is_replicated(group)
         until = clock.now() + CATCH_UP_TIMEOUT_S
@@ -283,6 +284,10 @@
             end = await self._end_of_log(primary)
             candidate = (await self._replicas.send([state], statement.STATUS))[0]
             obstacle = takeover_obstacle(candidate, paused, replicated)
+            if obstacle is None and held is not None:
+                obstacle = commit_obstacle(
+                    candidate, held.position, True, held.everywhere
+                )
             if obstacle is None:
                 if await self._is_caught_up(primary, candidate, end):
                     break
@@ -305,6 +310,18 @@
         )
         await self._promote(group, status, candidate.name, others)
 
+    async def _hold_for_unregistered(self, primary: TargetState) -> HeldEnd | None:
+        """Let the nodes hold back acknowledgements, if a replica may live unregistered.
+
+        A replica that announced its end and left doesn't count, so that callers notice
+        nothing where targets are replaced one after the other.
+        """
+        group, name = primary.group, primary.target.name
+        unregistered = self._directory.unregistered.of(group, name, with_leaving=False)
+        if not unregistered or not self._is_replicated(group):
+            return None
+        return await self._positions.hold(group, name, PROBE_TIMEOUT_S)
+
     async def _promote(
         self, group: str, status: _GroupStatus, target: str, paused: list[TargetState]
     ) -> None:
--- a/lavenderstack/node/failover/replica_sets_test.py
+++ b/lavenderstack/node/failover/replica_sets_test.py
@@ -13,7 +13,7 @@
 from lavenderstack.core.work_messages import GroupPosition
 from lavenderstack.node.backend import ClaimLost
 from lavenderstack.node.failover import replica_sets
-from lavenderstack.node.failover.replacer_test import ReplacerHarness
+from lavenderstack.node.failover.replacer_fake import ReplacerHarness
 
 
 class TestReplicaWhoseReportEnded:
@@ -119,6 +119,20 @@
         await harness.check()
         assert harness.group.incomplete == []
 
+    async def test_a_commit_during_a_planned_change_is_not_lost(self):
+        harness = await self.replica_without_registration()
+        harness.primary_answers = True
+
+        def commit_without_t2():
+            harness.targets["t2"].deaf = True
+            harness.commit_through("n2")
+
+        harness.act_before_promotion(commit_without_t2)
+        harness.put_target("t1", leaving=True)
+        await harness.check()
+        assert harness.primary == "t2"
+        assert harness.group.incomplete == []
+
     async def test_a_replica_that_registers_during_the_choice_stops_it(self):
         harness = await self.replica_without_registration()
         pause = harness.replacer._replicas.pause
--- a/lavenderstack/node/failover/replica_sets_unknown_history_test.py
+++ b/lavenderstack/node/failover/replica_sets_unknown_history_test.py
@@ -7,7 +7,7 @@
 from lavenderstack.core.statement import StatementKind
 from lavenderstack.core.work_messages import GroupPosition
 from lavenderstack.node.failover import replacer
-from lavenderstack.node.failover.replacer_test import ReplacerHarness
+from lavenderstack.node.failover.replacer_fake import ReplacerHarness
 
 
 class TestOwnerThatNeverHeardThePrimary:
