Soak: hide a living replica and slow its group's owner

The fault ends the report of a replica that lives on, and delays the owner's way to the other nodes and to the primary, so that it takes a live primary for lost.

--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -2,7 +2,8 @@
 
 Each round has a planned stop in a calm span, then faults in series, then several that
 overlap. The faults themselves are in ``bench.soak_node_faults``,
-``bench.soak_store_faults`` and ``bench.soak_evacuations``.
+``bench.soak_store_faults``, ``bench.soak_promotion_faults`` and
+``bench.soak_evacuations``.
 """
 
 import asyncio
@@ -10,7 +11,12 @@
 from contextlib import AbstractAsyncContextManager, suppress
 from dataclasses import dataclass, field
 
-from bench import soak_evacuations, soak_node_faults, soak_store_faults
+from bench import (
+    soak_evacuations,
+    soak_node_faults,
+    soak_promotion_faults,
+    soak_store_faults,
+)
 from bench.soak_fault import Fault, NotPossible
 from bench.soak_fleet import Fleet
 from bench.soak_time_checks import STABLE_WINDOW_S
@@ -26,6 +32,7 @@
     *soak_node_faults.FAULTS,
     *soak_store_faults.FAULTS,
     *soak_evacuations.FAULTS,
+    *soak_promotion_faults.FAULTS,
 )
 
 
--- a/bench/soak_fleet.py
+++ b/bench/soak_fleet.py
@@ -70,7 +70,7 @@
 
 @dataclass
 class Fleet:
-    """All parts of a soak."""
+    """All parts of a soak; ``unreported`` are targets that live without a report."""
 
     folder: Path
     rng: random.Random
@@ -84,6 +84,7 @@
     nodes: dict[str, Node] = field(default_factory=dict)
     ports: dict[str, int] = field(default_factory=dict)
     reported_at: dict[str, float] = field(default_factory=dict)
+    unreported: set[str] = field(default_factory=set)
 
     def targets(self) -> list[tuple[LineGroup, GroupTarget]]:
         """Return all targets with their groups."""
@@ -97,6 +98,8 @@
         """Write what a target says of itself, unless the store is away."""
         if self.store.down or self.store.silent or not target.up:
             return
+        if target.name in self.unreported:
+            return
         now = clock.now()
         self.reported_at[target.name] = now
         fields = {
--- a/bench/upgrade.py
+++ b/bench/upgrade.py
@@ -74,7 +74,7 @@
 
 
 @asynccontextmanager
-async def _calling(fleet: Fleet, rng: random.Random) -> AsyncIterator[None]:
+async def calling(fleet: Fleet, rng: random.Random) -> AsyncIterator[None]:
     """Let callers and the operator work while the block runs."""
     callers = [
         Caller(fleet, "wide", random.Random(rng.random()), CALLER_PAUSE_S)
@@ -98,7 +98,7 @@
     async with run_fleet(folder, seed, nodes, 2, source=before) as fleet:
         rng = random.Random(seed)
         order = list(fleet.nodes.values())
-        async with _calling(fleet, rng):
+        async with calling(fleet, rng):
             await asyncio.sleep(CALM_S)
             half = order[: (len(order) + 1) // 2]
             await replace_in_turn(fleet, half, ROOT, rng)
