--- a/lavenderstack/__main__.py
+++ b/lavenderstack/__main__.py
@@ -6,6 +6,7 @@
   lavenderstack check FILE
   lavenderstack check-config [ARGS ...]
   lavenderstack explain [ARGS ...]
+  lavenderstack measures [ARGS ...]
   lavenderstack admin [ARGS ...]
   lavenderstack --version
   lavenderstack --help
@@ -19,6 +20,8 @@
           Check the operators' lists before they are rolled out, and show what differs
           from the version in force; see "check-config --help".
   explain Show what happened to a request, from log lines; see "explain --help".
+  measures
+          Show what callers got, from log lines; see "measures --help".
   admin   Administer plans, keys and groups; see "admin --help".
 
 Options:
@@ -81,6 +84,12 @@
     return run(argv)
 
 
+def _measures(argv: list[str]) -> int:
+    from lavenderstack.tools.measures import run
+
+    return run(argv)
+
+
 def _check_config(argv: list[str]) -> int:
     from lavenderstack.border import declared
     from lavenderstack.platform import declared as platform_declared
@@ -94,6 +103,8 @@
     argv = sys.argv[1:] if argv is None else argv
     if argv[:1] == ["explain"]:
         return _explain(argv[1:])
+    if argv[:1] == ["measures"]:
+        return _measures(argv[1:])
     if argv[:1] == ["check-config"]:
         return _check_config(argv[1:])
     if argv[:1] == ["admin"]:
--- a/lavenderstack/node/counters.py
+++ b/lavenderstack/node/counters.py
@@ -29,6 +29,11 @@
         self.requests = self._counter(
             "requests", "Answers to callers by reason", ["reason"]
         )
+        self.served = self._counter(
+            "served",
+            "Statements that succeeded, by freshness, read or write, and target's role",
+            ["freshness", "statement", "role"],
+        )
         self.attempts = self._counter(
             "attempts", "Attempts at targets by outcome", ["outcome"]
         )
--- a/lavenderstack/platform/callers.py
+++ b/lavenderstack/platform/callers.py
@@ -14,7 +14,7 @@
 from lavenderstack.core.outcome import Reason
 from lavenderstack.core.position import START
 from lavenderstack.core.reply import Reply, TxState
-from lavenderstack.core.statement import Statement
+from lavenderstack.core.statement import Statement, StatementKind
 from lavenderstack.node.session import Services, Session
 from lavenderstack.platform import line_protocol
 from lavenderstack.platform.line_protocol import MessageType, ProtocolError
@@ -158,11 +158,12 @@
         duration_s: float,
     ) -> None:
         """Count a reply and log it with the catalog version and the proof's age."""
-        session, directory = self.session, self._server.services.directory
+        session, services = self.session, self._server.services
+        directory = services.directory
         reason = "done" if reply.reason is None else str(reply.reason)
         route = directory.catalog.routes.get(session.database)
         freshness = str(route.freshness) if route else "none"
-        self._server.services.counters.record_answer(
+        services.counters.record_answer(
             session.organisation, freshness, reason, duration_s
         )
         if self._transport.is_closing():
@@ -176,6 +177,10 @@
             return
         if reply.reason is None and not reply.target:
             return
+        access = "write" if self._writes(statement) else "read"
+        role = self._role(reply.target)
+        if reply.reason is None:
+            services.counters.served.labels(freshness, access, role).inc()
         failure_fields = {} if reply.reason is None else {"reason": reason}
         if reply.reason is not None:
             failure_fields["detail"] = reply.detail
@@ -187,12 +192,30 @@
             statement=statement.kind.name if statement else "",
             target=reply.target,
             holder=reply.holder,
+            freshness=freshness,
+            access=access,
+            role=role,
             took_ms=round(duration_s * 1000, 1),
             version=directory.catalog.version,
             proof_age_s=round(directory.proof.age_s(clock.now()), 3),
             **failure_fields,
         )
 
+    def _writes(self, statement: Statement | None) -> bool:
+        """Return whether a statement writes, itself or by what it executes."""
+        if statement is None:
+            return False
+        prepared = self.session.prepared.get(statement.name)
+        executes = statement.kind is StatementKind.EXECUTE and prepared is not None
+        return statement.writes or (executes and prepared.writes)
+
+    def _role(self, target: str) -> str:
+        """Return the present role of a target, empty if it isn't registered."""
+        state = self._server.services.directory.targets.get(target)
+        if state is None:
+            return ""
+        return "primary" if state.leads else "replica"
+
     def _statement_done(self, task: asyncio.Task) -> None:
         self.busy = False
         self._server.running.discard(task)
--- a/lavenderstack/tools/explain.py
+++ b/lavenderstack/tools/explain.py
@@ -38,7 +38,8 @@
         return None
 
 
-def _read_lines(paths: Iterable[str]) -> Iterator[LogLine]:
+def read_lines(paths: Iterable[str]) -> Iterator[LogLine]:
+    """Yield the log lines of files; ``-`` is standard input."""
     for path in paths:
         text = sys.stdin.read() if path == "-" else Path(path).read_text()
         for raw_line in text.splitlines():
@@ -74,7 +75,7 @@
     """Run the command; return the exit status."""
     args = docopt(__doc__, argv=["explain", *argv])
     try:
-        lines = list(_read_lines(args["FILE"]))
+        lines = list(read_lines(args["FILE"]))
     except (OSError, UnicodeDecodeError) as exc:
         print(f"can't be read: {exc}", file=sys.stderr)
         return EXIT_UNREADABLE
