--- a/bench/allotment_cost.py
+++ b/bench/allotment_cost.py
@@ -12,10 +12,14 @@
 import time
 
 from bench.measure import Bound, Result
-from lavenderstack.core.handover import open_ledger
-from lavenderstack.core.shard import SHARDS
-from lavenderstack.core.share import MAX_RENEWAL_INTERVAL_S, Share
-from lavenderstack.core.share_messages import DrawRequest, SharesReply, SharesRequest
+from lavenderstack.core.quota.handover import open_ledger
+from lavenderstack.core.quota.shard import SHARDS
+from lavenderstack.core.quota.share import MAX_RENEWAL_INTERVAL_S, Share
+from lavenderstack.core.quota.share_messages import (
+    DrawRequest,
+    SharesReply,
+    SharesRequest,
+)
 from lavenderstack.node import wire
 
 TARGETS_PER_NODE = 4
--- a/bench/concurrency.py
+++ b/bench/concurrency.py
@@ -22,7 +22,7 @@
     Server,
 )
 from bench.measure import Bound, Result
-from lavenderstack.core.concurrency_limit import ConcurrencyLimit
+from lavenderstack.core.targets.concurrency_limit import ConcurrencyLimit
 
 POLICIES = {
     "fixed slots": Fixed,
--- a/bench/concurrency_alternatives.py
+++ b/bench/concurrency_alternatives.py
@@ -6,7 +6,7 @@
 
 from dataclasses import dataclass, field
 
-from lavenderstack.core.concurrency_limit import STEP_SAMPLES, Sample
+from lavenderstack.core.targets.concurrency_limit import STEP_SAMPLES, Sample
 
 
 @dataclass
--- a/bench/concurrency_play.py
+++ b/bench/concurrency_play.py
@@ -20,12 +20,12 @@
 from dataclasses import dataclass, field
 from itertools import count
 
-from lavenderstack.core.concurrency_limit import Sample
-from lavenderstack.core.load_shedding import Admission, LoadShedder
-from lavenderstack.core.load_view import Expectation
-from lavenderstack.core.slot_times import SlotTimes
-from lavenderstack.core.statement_order import Kind, Urgency
-from lavenderstack.core.target_choice import Candidate, choose
+from lavenderstack.core.queue.load_shedding import Admission, LoadShedder
+from lavenderstack.core.queue.slot_times import SlotTimes
+from lavenderstack.core.queue.statement_order import Kind, Urgency
+from lavenderstack.core.targets.concurrency_limit import Sample
+from lavenderstack.core.targets.load_view import Expectation
+from lavenderstack.core.targets.target_choice import Candidate, choose
 
 SLOTS = 5
 TAIL_SHARE, TAIL_FACTOR = 0.03, 7.0
--- a/bench/connection_pools.py
+++ b/bench/connection_pools.py
@@ -16,7 +16,7 @@
 from bench.measure import Result as Table
 from lavenderstack.core import clock
 from lavenderstack.core.outcome import Refused
-from lavenderstack.core.queue_load import refusal_retry_after_s
+from lavenderstack.core.queue.queue_load import refusal_retry_after_s
 from lavenderstack.core.view import Target
 from lavenderstack.node.backend import ConnectFailed
 from lavenderstack.node.targets.allocated_connections import AllocatedConnections
--- a/bench/fairness.py
+++ b/bench/fairness.py
@@ -15,7 +15,7 @@
 from hdrh.histogram import HdrHistogram
 
 from bench.measure import Bound, Result
-from lavenderstack.core.fair_queue import FairQueue, QueueFull
+from lavenderstack.core.queue.fair_queue import FairQueue, QueueFull
 
 RUN_S = 300.0
 SLOTS = 5
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from itertools import count
 
-from lavenderstack.core.bucket import Bucket
+from lavenderstack.core.quota.bucket import Bucket
 from lavenderstack.core.rendezvous import top_ranked
 
 RUN_S = 600.0
--- a/bench/overload.py
+++ b/bench/overload.py
@@ -22,8 +22,8 @@
 from dataclasses import dataclass, field
 
 from bench.measure import Bound, Result
-from lavenderstack.core.fair_queue import FairQueue
-from lavenderstack.core.queue_load import QueueLoad, refusal_retry_after_s
+from lavenderstack.core.queue.fair_queue import FairQueue
+from lavenderstack.core.queue.queue_load import QueueLoad, refusal_retry_after_s
 
 SLOTS = 5
 TARGETS = 3
--- a/bench/ways.py
+++ b/bench/ways.py
@@ -14,12 +14,12 @@
     Request,
     Tally,
 )
-from lavenderstack.core.admission_queue import AdmissionQueue, AdmissionResult
-from lavenderstack.core.bucket import Bucket
-from lavenderstack.core.handover import export_ledger, import_ledger, open_ledger
-from lavenderstack.core.ledger import Ledger
+from lavenderstack.core.queue.admission_queue import AdmissionQueue, AdmissionResult
+from lavenderstack.core.quota.bucket import Bucket
+from lavenderstack.core.quota.handover import export_ledger, import_ledger, open_ledger
+from lavenderstack.core.quota.ledger import Ledger
+from lavenderstack.core.quota.share import Share
 from lavenderstack.core.rendezvous import top_ranked
-from lavenderstack.core.share import Share
 
 
 class EqualShares:
--- a/lavenderstack/border/declared.py
+++ b/lavenderstack/border/declared.py
@@ -15,7 +15,7 @@
 
 from lavenderstack.border import documents
 from lavenderstack.border.settings import DIGEST_PATTERN
-from lavenderstack.core.declared_config import (
+from lavenderstack.core.config.declared_config import (
     DeclaredConfig,
     DeclaredGroup,
     DeclaredKey,
--- a/lavenderstack/border/declared_test.py
+++ b/lavenderstack/border/declared_test.py
@@ -8,9 +8,9 @@
 
 from lavenderstack.border import declared, documents
 from lavenderstack.core import keys
-from lavenderstack.core.config_check import check
-from lavenderstack.core.config_diff import compare
-from lavenderstack.core.declared_config import Severity
+from lavenderstack.core.config.config_check import check
+from lavenderstack.core.config.config_diff import compare
+from lavenderstack.core.config.declared_config import Severity
 from lavenderstack.core.documents import EMPTY, apply
 from lavenderstack.core.entry import Change
 
--- a/lavenderstack/border/logs.py
+++ b/lavenderstack/border/logs.py
@@ -13,8 +13,8 @@
 
 from lavenderstack.border.log_writer import LogWriter
 from lavenderstack.core import clock
-from lavenderstack.core.events import LineKind
-from lavenderstack.core.log_rate_limit import LogRateLimiter
+from lavenderstack.core.log.events import LineKind
+from lavenderstack.core.log.log_rate_limit import LogRateLimiter
 
 DROP_REPORT_INTERVAL_S = 1.0
 
--- a/lavenderstack/core/catalog.py
+++ b/lavenderstack/core/catalog.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from lavenderstack.core.replica_set import TargetRun
+from lavenderstack.core.failover.replica_set import TargetRun
 from lavenderstack.core.view import Plan, Target
 
 DEFAULT_TX_IDLE_S = 3.0
--- a/lavenderstack/core/config_check.py
+++ b/lavenderstack/core/config/config_check.py
@@ -1,16 +1,16 @@
 """Checks a configuration for entries that can't work, or probably don't as intended.
 
 The models that load the configuration check each value alone; this module and
-``core/config_check_groups.py`` check what the values mean together. They need no node
-and no store.
+``core/config/config_check_groups.py`` check what the values mean together. They need no
+node and no store.
 """
 
 from collections.abc import Iterator
 from itertools import chain
 
-from lavenderstack.core import config_check_groups
 from lavenderstack.core.catalog import Consistency
-from lavenderstack.core.declared_config import (
+from lavenderstack.core.config import config_check_groups
+from lavenderstack.core.config.declared_config import (
     DeclaredConfig,
     DeclaredGroup,
     DeclaredKey,
--- a/lavenderstack/core/config_check_groups.py
+++ b/lavenderstack/core/config/config_check_groups.py
@@ -1,6 +1,6 @@
 """Checks the groups and routes of a configuration, and their times and connections.
 
-A part of ``core/config_check.py``.
+A part of ``core/config/config_check.py``.
 """
 
 from collections import defaultdict
@@ -8,7 +8,7 @@
 from itertools import chain
 
 from lavenderstack.core.catalog import Consistency
-from lavenderstack.core.declared_config import (
+from lavenderstack.core.config.declared_config import (
     DeclaredConfig,
     DeclaredGroup,
     DeclaredRoute,
--- a/lavenderstack/core/config_check_test.py
+++ b/lavenderstack/core/config/config_check_test.py
@@ -5,9 +5,9 @@
 import pytest
 
 from lavenderstack.core.catalog import Consistency
-from lavenderstack.core.config_check import check
-from lavenderstack.core.config_check_groups import USUAL_LAG_S
-from lavenderstack.core.declared_config import (
+from lavenderstack.core.config.config_check import check
+from lavenderstack.core.config.config_check_groups import USUAL_LAG_S
+from lavenderstack.core.config.declared_config import (
     DeclaredConfig,
     DeclaredGroup,
     DeclaredKey,
--- a/lavenderstack/core/config_diff.py
+++ b/lavenderstack/core/config/config_diff.py
@@ -2,16 +2,17 @@
 
 What takes something away from callers is a warning, such as a key that stops working or
 a rate that is lowered; every other difference is for information. What nodes would
-ignore or refuse after the version in force is an error. ``core/config_diff_groups.py``
-has the groups and routes. Only lists that both versions have are compared.
+ignore or refuse after the version in force is an error.
+``core/config/config_diff_groups.py`` has the groups and routes. Only lists that both
+versions have are compared.
 """
 
 from collections import defaultdict
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from lavenderstack.core import config_diff_groups
-from lavenderstack.core.declared_config import (
+from lavenderstack.core.config import config_diff_groups
+from lavenderstack.core.config.declared_config import (
     DeclaredConfig,
     DeclaredKey,
     DeclaredLimits,
--- a/lavenderstack/core/config_diff_groups.py
+++ b/lavenderstack/core/config/config_diff_groups.py
@@ -1,13 +1,13 @@
 """Compares the groups and routes of a configuration with the version in force.
 
-A part of ``core/config_diff.py``.
+A part of ``core/config/config_diff.py``.
 """
 
 from collections.abc import Iterator
 from itertools import chain
 
 from lavenderstack.core.catalog import Consistency
-from lavenderstack.core.declared_config import (
+from lavenderstack.core.config.declared_config import (
     DeclaredConfig,
     DeclaredGroup,
     DeclaredLimits,
--- a/lavenderstack/core/config_diff_test.py
+++ b/lavenderstack/core/config/config_diff_test.py
@@ -5,7 +5,7 @@
 import pytest
 
 from lavenderstack.core.catalog import Consistency
-from lavenderstack.core.config_check_test import (
+from lavenderstack.core.config.config_check_test import (
     GROUP,
     KEY,
     LIMITS,
@@ -20,8 +20,8 @@
     routed,
     targeted,
 )
-from lavenderstack.core.config_diff import compare
-from lavenderstack.core.declared_config import Severity
+from lavenderstack.core.config.config_diff import compare
+from lavenderstack.core.config.declared_config import Severity
 
 ERROR, WARNING, INFO = Severity.ERROR, Severity.WARNING, Severity.INFO
 FINAL = replace(LISTS, withdrawal_is_final=True)
--- a/lavenderstack/core/declared_config.py
+++ b/lavenderstack/core/config/declared_config.py
@@ -1,9 +1,9 @@
 """The configuration as operators declare it, and what a check of it finds.
 
 The formats of a configuration are translated into ``DeclaredConfig``, which
-``core/config_check.py`` checks and ``core/config_diff.py`` compares. Unlike ``Catalog``
-and ``View`` it keeps entries that a node would override, such as a second route of the
-same name, and where each entry stands in the file.
+``core/config/config_check.py`` checks and ``core/config/config_diff.py`` compares.
+Unlike ``Catalog`` and ``View`` it keeps entries that a node would override, such as a
+second route of the same name, and where each entry stands in the file.
 
 A list that is None was not given, or has errors; nothing is concluded from it.
 """
--- /dev/null
+++ b/lavenderstack/core/evacuation/__init__.py
@@ -0,0 +1,1 @@
+"""Evacuated availability zones and home regions."""
--- a/lavenderstack/core/evacuation_block.py
+++ b/lavenderstack/core/evacuation/evacuation_block.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from lavenderstack.core.group_messages import PrimaryReply
+from lavenderstack.core.failover.group_messages import PrimaryReply
 from lavenderstack.core.routing import TermPrimary
 
 
--- a/lavenderstack/core/evacuation_block_test.py
+++ b/lavenderstack/core/evacuation/evacuation_block_test.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from lavenderstack.core.evacuation_block import EvacuationBlock, is_blocked
-from lavenderstack.core.group_messages import PrimaryReply
+from lavenderstack.core.evacuation.evacuation_block import EvacuationBlock, is_blocked
+from lavenderstack.core.failover.group_messages import PrimaryReply
 from lavenderstack.core.routing import TermPrimary
 
 BLOCKED = PrimaryReply(5, evacuated=True)
--- a/lavenderstack/core/evacuation_model_test.py
+++ b/lavenderstack/core/evacuation/evacuation_model_test.py
@@ -9,17 +9,17 @@
 
 from dataclasses import dataclass, replace
 
-from lavenderstack.core import evacuation
-from lavenderstack.core.evacuation import Use
-from lavenderstack.core.evacuation_routing import is_proof_recent
-from lavenderstack.core.evacuations import Evacuations
-from lavenderstack.core.position import Position
-from lavenderstack.core.replacement import (
+from lavenderstack.core.evacuation import evacuation
+from lavenderstack.core.evacuation.evacuation import Use
+from lavenderstack.core.evacuation.evacuation_routing import is_proof_recent
+from lavenderstack.core.evacuation.evacuations import Evacuations
+from lavenderstack.core.failover.replacement import (
     ReplicaState,
     choose_successor,
     most_advanced,
     takeover_obstacle,
 )
+from lavenderstack.core.position import Position
 from tests.explore import depth, explore
 
 LIMIT_S = 3.0
--- a/lavenderstack/core/evacuation_routing.py
+++ b/lavenderstack/core/evacuation/evacuation_routing.py
@@ -5,7 +5,7 @@
 from enum import Enum, auto
 
 from lavenderstack.core.catalog import TargetState
-from lavenderstack.core.evacuation import Evacuation, Use, may_send
+from lavenderstack.core.evacuation.evacuation import Evacuation, Use, may_send
 from lavenderstack.core.statement import StatementKind
 from lavenderstack.core.view_proof import MARGIN_S
 from lavenderstack.core.work_messages import Access, TransactionStart
--- a/lavenderstack/core/evacuation_test.py
+++ b/lavenderstack/core/evacuation/evacuation_test.py
@@ -5,21 +5,21 @@
 import pytest
 
 from lavenderstack.core.catalog import TargetState
-from lavenderstack.core.evacuation import (
+from lavenderstack.core.evacuation.evacuation import (
     Evacuation,
     Use,
     grace_until,
     may_send,
     turn_delay_s,
 )
-from lavenderstack.core.evacuation_routing import (
+from lavenderstack.core.evacuation.evacuation_routing import (
     Prospect,
     is_proof_recent,
     prospect,
     use_of,
     zones_of,
 )
-from lavenderstack.core.evacuations import Evacuations, Turns
+from lavenderstack.core.evacuation.evacuations import Evacuations, Turns
 from lavenderstack.core.statement import StatementKind
 from lavenderstack.core.view import Target
 from lavenderstack.core.work_messages import Access, TransactionStart
--- a/lavenderstack/core/evacuations.py
+++ b/lavenderstack/core/evacuation/evacuations.py
@@ -8,7 +8,11 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field, replace
 
-from lavenderstack.core.evacuation import PLANNED_SHARE, Evacuation, turn_delay_s
+from lavenderstack.core.evacuation.evacuation import (
+    PLANNED_SHARE,
+    Evacuation,
+    turn_delay_s,
+)
 
 
 @dataclass(slots=True)
--- a/lavenderstack/core/homes.py
+++ b/lavenderstack/core/evacuation/homes.py
@@ -9,7 +9,7 @@
 from collections.abc import Collection, Mapping
 
 from lavenderstack.core.catalog import Catalog, Route, TargetState
-from lavenderstack.core.evacuation import Use
+from lavenderstack.core.evacuation.evacuation import Use
 
 # Told to callers: the refusal ends when a primary moves or the catalog changes.
 OUTSIDE_RETRY_S = 1.0
--- a/lavenderstack/core/homes_test.py
+++ b/lavenderstack/core/evacuation/homes_test.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from lavenderstack.core import homes
 from lavenderstack.core.catalog import Catalog, Consistency, Route
+from lavenderstack.core.evacuation import homes
 from lavenderstack.core.view import Plan
 
 
--- a/lavenderstack/core/acknowledged_end.py
+++ b/lavenderstack/core/failover/acknowledged_end.py
@@ -8,8 +8,8 @@
 
 from dataclasses import dataclass
 
+from lavenderstack.core.failover.replacement import Obstacle, ReplicaState
 from lavenderstack.core.position import Position
-from lavenderstack.core.replacement import Obstacle, ReplicaState
 
 
 @dataclass(frozen=True, slots=True)
--- a/lavenderstack/core/acknowledged_end_test.py
+++ b/lavenderstack/core/failover/acknowledged_end_test.py
@@ -2,9 +2,12 @@
 
 import pytest
 
-from lavenderstack.core.acknowledged_end import AcknowledgedEnd, takeover_blocker
+from lavenderstack.core.failover.acknowledged_end import (
+    AcknowledgedEnd,
+    takeover_blocker,
+)
+from lavenderstack.core.failover.replacement import Obstacle, ReplicaState
 from lavenderstack.core.position import Position
-from lavenderstack.core.replacement import Obstacle, ReplicaState
 
 BEST = ReplicaState("b", False, Position(1, 5))
 KNOWN = AcknowledgedEnd(Position(1, 5))
--- a/lavenderstack/core/acknowledgement_hold_test.py
+++ b/lavenderstack/core/failover/acknowledgement_hold_test.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from lavenderstack.core.acknowledgement_hold import (
+from lavenderstack.core.failover.acknowledgement_hold import (
     HOLD_LIMIT_S,
     AcknowledgementHolds,
     HoldNumber,
--- a/lavenderstack/core/evidence_test.py
+++ b/lavenderstack/core/failover/evidence_test.py
@@ -2,7 +2,11 @@
 
 import pytest
 
-from lavenderstack.core.evidence import GroupEvidence, Observation, merge_observations
+from lavenderstack.core.failover.evidence import (
+    GroupEvidence,
+    Observation,
+    merge_observations,
+)
 from lavenderstack.core.position import Position
 
 WRITE = Position(2, 7)
--- a/lavenderstack/core/failure_detector.py
+++ b/lavenderstack/core/failover/failure_detector.py
@@ -21,7 +21,7 @@
 from dataclasses import dataclass
 from enum import Enum, auto
 
-from lavenderstack.core.evidence import Observation
+from lavenderstack.core.failover.evidence import Observation
 from lavenderstack.core.position import START
 from lavenderstack.core.routing import TermPrimary
 
--- a/lavenderstack/core/failure_detector_test.py
+++ b/lavenderstack/core/failover/failure_detector_test.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from lavenderstack.core.evidence import Observation
-from lavenderstack.core.failure_detector import HOLD, FailureDetector, Verdict
+from lavenderstack.core.failover.evidence import Observation
+from lavenderstack.core.failover.failure_detector import HOLD, FailureDetector, Verdict
 from lavenderstack.core.position import Position
 from lavenderstack.core.routing import TermPrimary
 
--- a/lavenderstack/core/group_messages.py
+++ b/lavenderstack/core/failover/group_messages.py
@@ -41,7 +41,7 @@
     ``healthy`` is True if the primary and a majority of the group's targets under its
     term have just answered the monitor. ``evacuated`` is True if the primary is lost
     and none is promoted since only targets in evacuated zones could lead; ``term`` is
-    then the term concerned (``core/evacuation_block.py``).
+    then the term concerned (``core/evacuation/evacuation_block.py``).
     """
 
     term: int = 0
--- a/lavenderstack/core/isolation_test.py
+++ b/lavenderstack/core/failover/isolation_test.py
@@ -2,7 +2,11 @@
 
 import pytest
 
-from lavenderstack.core.isolation import ISOLATED_LIMIT_S, Isolation, is_isolated
+from lavenderstack.core.failover.isolation import (
+    ISOLATED_LIMIT_S,
+    Isolation,
+    is_isolated,
+)
 
 
 class TestIsIsolated:
--- a/lavenderstack/core/monitor_assignment_test.py
+++ b/lavenderstack/core/failover/monitor_assignment_test.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from lavenderstack.core.monitor_assignment import MonitorAssignment
+from lavenderstack.core.failover.monitor_assignment import MonitorAssignment
 from lavenderstack.core.view import Vm
 
 
--- a/lavenderstack/core/ownership_test.py
+++ b/lavenderstack/core/failover/ownership_test.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from lavenderstack.core.ownership import TAKEOVER_S, Claims
+from lavenderstack.core.failover.ownership import TAKEOVER_S, Claims
 from lavenderstack.core.view import Ownership
 
 OWN = Ownership("n1", 3)
--- a/lavenderstack/core/primary_selection_test.py
+++ b/lavenderstack/core/failover/primary_selection_test.py
@@ -1,7 +1,7 @@
 """Tests of the selection of the primary."""
 
 from lavenderstack.core.catalog import TargetState
-from lavenderstack.core.primary_selection import leads_since, select_primary
+from lavenderstack.core.failover.primary_selection import leads_since, select_primary
 from lavenderstack.core.view import Target
 
 
--- a/lavenderstack/core/promotion.py
+++ b/lavenderstack/core/failover/promotion.py
@@ -3,9 +3,9 @@
 A proposer asks the targets to adopt a term higher than any it knows. Each target adopts
 a term at most once, so only one proposer can get a majority for it. From that majority
 it picks the most advanced target, by the term of the last entry first, and requests it
-to lead; every acknowledged write is in that target's log (see ``core/evidence.py``). A
-proposer requests only one target to lead a term, even if the answer is lost: another
-choice needs a new term.
+to lead; every acknowledged write is in that target's log (see
+``core/failover/evidence.py``). A proposer requests only one target to lead a term, even
+if the answer is lost: another choice needs a new term.
 
 A proposer that was paused may resume at any time. What it then sends carries an old
 term, and targets that have adopted a later one refuse it.
@@ -20,7 +20,7 @@
 from enum import Enum, auto
 from functools import singledispatchmethod
 
-from lavenderstack.core.evidence import Observation
+from lavenderstack.core.failover.evidence import Observation
 from lavenderstack.core.position import Position
 
 ADOPT_TIMEOUT_S = 0.8
--- a/lavenderstack/core/promotion_test.py
+++ b/lavenderstack/core/failover/promotion_test.py
@@ -4,9 +4,8 @@
 
 import pytest
 
-from lavenderstack.core.evidence import Observation
-from lavenderstack.core.position import START, Position
-from lavenderstack.core.promotion import (
+from lavenderstack.core.failover.evidence import Observation
+from lavenderstack.core.failover.promotion import (
     Adopted,
     Leading,
     PrimaryElected,
@@ -20,6 +19,7 @@
     TimedOut,
     follow_actions,
 )
+from lavenderstack.core.position import START, Position
 
 NAMES = "abc"
 
--- a/lavenderstack/core/replacement.py
+++ b/lavenderstack/core/failover/replacement.py
@@ -8,11 +8,11 @@
 most is safe.
 
 A replica that lives on without a registration isn't paused. While there may be one,
-all nodes must hold back acknowledgements (``core/acknowledgement_hold.py``).
+all nodes must hold back acknowledgements (``core/failover/acknowledgement_hold.py``).
 
 A replica that does not answer may be the only one that has a commit. Then no replica
 may take over until it answers. What a replica that is gone may have had is decided in
-``core/replica_set.py``.
+``core/failover/replica_set.py``.
 """
 
 from collections.abc import Sequence
@@ -44,13 +44,13 @@
     ``SILENT_REPLICA``: a replica gave no answer or isn't paused. ``BEHIND``: it lacks
     what another replica received or a node acknowledged. ``LED``: a replica has already
     become the primary. ``MISSING_REPLICA``: a replica that may alone have a commit is
-    not registered any more (``core/replica_set.py``). ``SILENT_NODE``: a node that may
-    have acknowledged more, or may yet do so, didn't tell, or started again.
+    not registered any more (``core/failover/replica_set.py``). ``SILENT_NODE``: a node
+    that may have acknowledged more, or may yet do so, didn't tell, or started again.
     ``UNKNOWN_HISTORY``: the owner doesn't know all that were ever registered
-    (``core/store_history.py``) and never had an answer of the primary.
+    (``core/failover/store_history.py``) and never had an answer of the primary.
     ``PRIMARY_RUNS``: the replicas receive log entries. ``EVACUATED``: the replica that
     received most is in an evacuated zone. ``ISOLATED``: too few nodes answer this one,
-    so the silence of the primary proves nothing (``core/isolation.py``).
+    so the silence of the primary proves nothing (``core/failover/isolation.py``).
     """
 
     NO_REPLICA = auto()
--- a/lavenderstack/core/replacement_test.py
+++ b/lavenderstack/core/failover/replacement_test.py
@@ -12,14 +12,14 @@
 
 import pytest
 
-from lavenderstack.core.position import Position
-from lavenderstack.core.replacement import (
+from lavenderstack.core.failover.replacement import (
     Obstacle,
     ReplicaState,
     choose_successor,
     most_advanced,
     takeover_obstacle,
 )
+from lavenderstack.core.position import Position
 from tests.explore import depth, explore
 
 REPLICAS = ("b", "c")
--- a/lavenderstack/core/replica_set.py
+++ b/lavenderstack/core/failover/replica_set.py
@@ -20,8 +20,8 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from lavenderstack.core.failover.replacement import ReplicaState
 from lavenderstack.core.position import Position
-from lavenderstack.core.replacement import ReplicaState
 
 
 class TargetRun(NamedTuple):
--- a/lavenderstack/core/replica_set_test.py
+++ b/lavenderstack/core/failover/replica_set_test.py
@@ -16,9 +16,8 @@
 
 import pytest
 
-from lavenderstack.core.position import START, Position
-from lavenderstack.core.replacement import ReplicaState, choose_successor
-from lavenderstack.core.replica_set import (
+from lavenderstack.core.failover.replacement import ReplicaState, choose_successor
+from lavenderstack.core.failover.replica_set import (
     AcknowledgedPosition,
     Membership,
     ReplicaSet,
@@ -29,12 +28,13 @@
     joined,
     missing_replicas,
 )
-from lavenderstack.core.store_history import (
+from lavenderstack.core.failover.store_history import (
     MAX_ABSENT,
     ToldPosition,
     highest_told,
     holds_every_commit,
 )
+from lavenderstack.core.position import START, Position
 from tests.explore import depth, explore
 
 NAMES = ("b", "c")
--- a/lavenderstack/core/store_history.py
+++ b/lavenderstack/core/failover/store_history.py
@@ -20,8 +20,8 @@
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 
+from lavenderstack.core.failover.replica_set import TargetRun
 from lavenderstack.core.position import START, Position
-from lavenderstack.core.replica_set import TargetRun
 
 # Names of nodes, and runs of one group or node, that are remembered. Beyond these the
 # history counts as unknown, which bounds the memory of a process that runs for months.
--- a/lavenderstack/core/unregistered_targets.py
+++ b/lavenderstack/core/failover/unregistered_targets.py
@@ -10,7 +10,7 @@
 from collections import defaultdict
 
 from lavenderstack.core.catalog import TargetState
-from lavenderstack.core.replica_set import TargetRun
+from lavenderstack.core.failover.replica_set import TargetRun
 
 # Runs remembered of a group; the one that left first is forgotten first.
 MAX_UNREGISTERED = 20
--- a/lavenderstack/core/unregistered_targets_test.py
+++ b/lavenderstack/core/failover/unregistered_targets_test.py
@@ -11,14 +11,13 @@
 from functools import cache
 
 from lavenderstack.core.catalog import TargetState
-from lavenderstack.core.position import START, Position
-from lavenderstack.core.replacement import (
+from lavenderstack.core.failover.replacement import (
     ReplicaState,
     choose_successor,
     commit_obstacle,
 )
-from lavenderstack.core.replica_set import TargetRun, is_complete
-from lavenderstack.core.replica_set_test import (
+from lavenderstack.core.failover.replica_set import TargetRun, is_complete
+from lavenderstack.core.failover.replica_set_test import (
     MAX_WRITES,
     Node,
     State,
@@ -29,10 +28,11 @@
     with_node,
     with_replica,
 )
-from lavenderstack.core.unregistered_targets import (
+from lavenderstack.core.failover.unregistered_targets import (
     MAX_UNREGISTERED,
     UnregisteredTargets,
 )
+from lavenderstack.core.position import START, Position
 from lavenderstack.core.view import Target
 from tests.explore import depth, explore
 
--- a/lavenderstack/core/features.py
+++ b/lavenderstack/core/features.py
@@ -14,8 +14,9 @@
 class Feature(StrEnum):
     """The features of this build.
 
-    ``HOLDS``: it holds back acknowledgements (``core/acknowledgement_hold.py``).
-    ``UNSUPPORTED``: it answers a message that it doesn't know with ``Unsupported``.
+    ``HOLDS``: it holds back acknowledgements
+    (``core/failover/acknowledgement_hold.py``). ``UNSUPPORTED``: it answers a message
+    that it doesn't know with ``Unsupported``.
     """
 
     HOLDS = "acknowledgement_holds"
--- /dev/null
+++ b/lavenderstack/core/log/__init__.py
@@ -0,0 +1,1 @@
+"""Log lines and what follows from them."""
--- a/lavenderstack/core/events.py
+++ b/lavenderstack/core/log/events.py
@@ -5,8 +5,8 @@
 text. The kind decides which lines are dropped first when there are too many.
 """
 
-from lavenderstack.core import events_groups, events_process, events_statements
-from lavenderstack.core.event_types import Event, LineKind
+from lavenderstack.core.log import events_groups, events_process, events_statements
+from lavenderstack.core.log.event_types import Event, LineKind
 
 __all__ = ["EVENTS", "Event", "LineKind"]
 
--- a/lavenderstack/core/events_groups.py
+++ b/lavenderstack/core/log/events_groups.py
@@ -1,6 +1,6 @@
 """Log lines about groups, their primaries, and the quotas of organisations."""
 
-from lavenderstack.core.event_types import Event, LineKind
+from lavenderstack.core.log.event_types import Event, LineKind
 
 EVENTS = (
     Event(
--- a/lavenderstack/core/events_process.py
+++ b/lavenderstack/core/log/events_process.py
@@ -1,6 +1,6 @@
 """Log lines of the process: its life, the store, what the directory knows."""
 
-from lavenderstack.core.event_types import Event, LineKind
+from lavenderstack.core.log.event_types import Event, LineKind
 
 EVENTS = (
     Event(
--- a/lavenderstack/core/events_statements.py
+++ b/lavenderstack/core/log/events_statements.py
@@ -1,6 +1,6 @@
 """Log lines of callers, statements, targets and streams."""
 
-from lavenderstack.core.event_types import Event, LineKind
+from lavenderstack.core.log.event_types import Event, LineKind
 
 EVENTS = (
     Event(
--- a/lavenderstack/core/events_test.py
+++ b/lavenderstack/core/log/events_test.py
@@ -5,10 +5,14 @@
 
 import pytest
 
-from lavenderstack.core.events import EVENTS
-from lavenderstack.core.log_rate_limit import MAX_LINES_PER_S, LineKind, LogRateLimiter
+from lavenderstack.core.log.events import EVENTS
+from lavenderstack.core.log.log_rate_limit import (
+    MAX_LINES_PER_S,
+    LineKind,
+    LogRateLimiter,
+)
 
-PACKAGE = Path(__file__).parents[1]
+PACKAGE = Path(__file__).parents[2]
 PAGE = PACKAGE.parent / "docs" / "OPERATIONS.md"
 LEVELS = {"debug", "info", "warning", "error", "critical"}
 # The log lines of the modules that serve callers over HTTP aren't in the catalogue.
--- a/lavenderstack/core/explanation.py
+++ b/lavenderstack/core/log/explanation.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from lavenderstack.core.events import EVENTS, LineKind
+from lavenderstack.core.log.events import EVENTS, LineKind
 
 # Older state changes rarely explain a request, even if they still apply.
 CONTEXT_BEFORE_S = 10.0
--- a/lavenderstack/core/explanation_test.py
+++ b/lavenderstack/core/log/explanation_test.py
@@ -2,7 +2,12 @@
 
 import pytest
 
-from lavenderstack.core.explanation import CAUSES, CONTEXT_BEFORE_S, LogLine, explain
+from lavenderstack.core.log.explanation import (
+    CAUSES,
+    CONTEXT_BEFORE_S,
+    LogLine,
+    explain,
+)
 from lavenderstack.core.outcome import Reason
 
 FAILED = "callers: request failed"
--- a/lavenderstack/core/log_rate_limit.py
+++ b/lavenderstack/core/log/log_rate_limit.py
@@ -8,8 +8,8 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from lavenderstack.core.bucket import Bucket
-from lavenderstack.core.events import EVENTS, LineKind
+from lavenderstack.core.log.events import EVENTS, LineKind
+from lavenderstack.core.quota.bucket import Bucket
 
 # Limits per second, and the burst as seconds of the limit. A line has about 300 bytes.
 MAX_LINES_PER_S = {
--- a/lavenderstack/core/service_measures.py
+++ b/lavenderstack/core/log/service_measures.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from lavenderstack.core.explanation import LogLine
+from lavenderstack.core.log.explanation import LogLine
 
 DONE, FAILED = "callers: request done", "callers: request failed"
 FAILOVERS = ("replacer: primary lost", "replacer: primary leaves")
--- a/lavenderstack/core/service_measures_test.py
+++ b/lavenderstack/core/log/service_measures_test.py
@@ -2,8 +2,8 @@
 
 import math
 
-from lavenderstack.core.explanation import LogLine
-from lavenderstack.core.service_measures import MIN_REQUESTS, WriteGap, measure
+from lavenderstack.core.log.explanation import LogLine
+from lavenderstack.core.log.service_measures import MIN_REQUESTS, WriteGap, measure
 
 
 def done(at, organisation="org", access="read", freshness="bounded", role="replica"):
--- a/lavenderstack/core/messages.py
+++ b/lavenderstack/core/messages.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from lavenderstack.core.position import Position
-from lavenderstack.core.target_load import TargetLoad
+from lavenderstack.core.targets.target_load import TargetLoad
 
 
 class Message(msgspec.Struct, array_like=True, frozen=True, gc=False):
--- /dev/null
+++ b/lavenderstack/core/queue/__init__.py
@@ -0,0 +1,1 @@
+"""The order of waiting statements, refusals, and times to come back."""
--- a/lavenderstack/core/admission_queue.py
+++ b/lavenderstack/core/queue/admission_queue.py
@@ -12,8 +12,8 @@
 from enum import Enum, auto
 from typing import Any
 
-from lavenderstack.core.share import Share
-from lavenderstack.core.share_messages import DrawReply
+from lavenderstack.core.quota.share import Share
+from lavenderstack.core.quota.share_messages import DrawReply
 
 # How long a request waits for a coordinator that leaves draws unanswered.
 MAX_UNANSWERED_WAIT_S = 0.25
--- a/lavenderstack/core/fair_queue_test.py
+++ b/lavenderstack/core/queue/fair_queue_test.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from lavenderstack.core.fair_queue import CREDIT_ITEMS, FairQueue, QueueFull
+from lavenderstack.core.queue.fair_queue import CREDIT_ITEMS, FairQueue, QueueFull
 
 WEIGHTS = {"a": 1.0, "b": 2.0, "c": 0.5}
 
--- a/lavenderstack/core/load_shedding.py
+++ b/lavenderstack/core/queue/load_shedding.py
@@ -20,9 +20,9 @@
 from enum import Enum, auto
 
 from lavenderstack.core.decayed_rate import DecayedRate
-from lavenderstack.core.return_calendar import ReturnCalendar
-from lavenderstack.core.statement_lane import Entry
-from lavenderstack.core.statement_order import (
+from lavenderstack.core.queue.return_calendar import ReturnCalendar
+from lavenderstack.core.queue.statement_lane import Entry
+from lavenderstack.core.queue.statement_order import (
     MIN_SHARE,
     KindQueue,
     StatementOrder,
--- a/lavenderstack/core/load_shedding_test.py
+++ b/lavenderstack/core/queue/load_shedding_test.py
@@ -14,10 +14,10 @@
 
 import pytest
 
-from lavenderstack.core.fair_queue import FairQueue
-from lavenderstack.core.load_shedding import Admission, LoadShedder
-from lavenderstack.core.queue_load import QueueLoad, refusal_retry_after_s
-from lavenderstack.core.statement_order import Kind, Urgency
+from lavenderstack.core.queue.fair_queue import FairQueue
+from lavenderstack.core.queue.load_shedding import Admission, LoadShedder
+from lavenderstack.core.queue.queue_load import QueueLoad, refusal_retry_after_s
+from lavenderstack.core.queue.statement_order import Kind, Urgency
 
 SLOTS = 5
 # Kind, mean time in a slot and deadline, in seconds.
--- a/lavenderstack/core/retry_budget.py
+++ b/lavenderstack/core/queue/retry_budget.py
@@ -5,7 +5,7 @@
 covers the statements under way when a primary is replaced. So an overloaded or failing
 group gets at most a tenth more than what callers ask for, whatever fails.
 
-``core/retry.py`` has a budget for all groups together, for callers over HTTP.
+``core/queue/retry.py`` has a budget for all groups together, for callers over HTTP.
 """
 
 from dataclasses import dataclass
--- a/lavenderstack/core/return_calendar.py
+++ b/lavenderstack/core/queue/return_calendar.py
@@ -6,7 +6,7 @@
 organisation gets no more than its part of the room, so one with many refused statements
 doesn't send away the others for longer.
 
-This answers a burst at a target. ``core/return_schedule.py`` does it for an
+This answers a burst at a target. ``core/queue/return_schedule.py`` does it for an
 organisation above the rate of its plan.
 """
 
--- a/lavenderstack/core/return_calendar_test.py
+++ b/lavenderstack/core/queue/return_calendar_test.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from lavenderstack.core.return_calendar import (
+from lavenderstack.core.queue.return_calendar import (
     MAX_RETRY_AFTER_S,
     MIN_RETRY_AFTER_S,
     ReturnCalendar,
--- a/lavenderstack/core/return_schedule_test.py
+++ b/lavenderstack/core/queue/return_schedule_test.py
@@ -10,12 +10,12 @@
 
 import pytest
 
-from lavenderstack.core.bucket import Bucket
-from lavenderstack.core.return_schedule import (
+from lavenderstack.core.queue.return_schedule import (
     MAX_SPREAD_S,
     MIN_RETRY_AFTER_S,
     ReturnSchedule,
 )
+from lavenderstack.core.quota.bucket import Bucket
 
 RATE = 20.0
 BURST = 10.0
--- a/lavenderstack/core/statement_lane.py
+++ b/lavenderstack/core/queue/statement_lane.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Hashable
 from dataclasses import dataclass, field
 
-from lavenderstack.core.fair_queue import FairQueue
+from lavenderstack.core.queue.fair_queue import FairQueue
 
 # An organisation gets twice the slot time of one of the next lower priority.
 PRIORITY_FACTOR = 2.0
--- a/lavenderstack/core/statement_order.py
+++ b/lavenderstack/core/queue/statement_order.py
@@ -20,7 +20,11 @@
 from typing import NamedTuple
 
 from lavenderstack.core.decayed_rate import DecayedRate
-from lavenderstack.core.statement_lane import Entry, StatementLane, organisation_weight
+from lavenderstack.core.queue.statement_lane import (
+    Entry,
+    StatementLane,
+    organisation_weight,
+)
 
 # Share of the slot time that each waiting kind gets at least, and the most that all
 # kinds together get that way.
--- a/lavenderstack/core/statement_order_test.py
+++ b/lavenderstack/core/queue/statement_order_test.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from lavenderstack.core.fair_queue import QueueFull
-from lavenderstack.core.statement_order import Kind, StatementOrder, Urgency
+from lavenderstack.core.queue.fair_queue import QueueFull
+from lavenderstack.core.queue.statement_order import Kind, StatementOrder, Urgency
 
 WRITE, SESSION, READ = Kind(0, 0.2), Kind(1, 0.4), Kind(2, 1.2)
 COSTS_S = {WRITE: 0.008, SESSION: 0.024, READ: 0.04}
--- /dev/null
+++ b/lavenderstack/core/quota/__init__.py
@@ -0,0 +1,1 @@
+"""Plans of organisations: tokens, coordinators, shares and their messages."""
--- a/lavenderstack/core/attachment_test.py
+++ b/lavenderstack/core/quota/attachment_test.py
@@ -1,6 +1,6 @@
 """Tests of when an entry node asks another coordinator."""
 
-from lavenderstack.core.attachment import (
+from lavenderstack.core.quota.attachment import (
     ATTACHMENT_TIMEOUT_S,
     MIN_CHANGE_INTERVAL_S,
     Attachment,
--- a/lavenderstack/core/coordinator_quota.py
+++ b/lavenderstack/core/quota/coordinator_quota.py
@@ -18,9 +18,9 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from lavenderstack.core.attachment import AttachedNodes
-from lavenderstack.core.bucket import Bucket
-from lavenderstack.core.return_schedule import MAX_RETRY_AFTER_S
+from lavenderstack.core.queue.return_schedule import MAX_RETRY_AFTER_S
+from lavenderstack.core.quota.attachment import AttachedNodes
+from lavenderstack.core.quota.bucket import Bucket
 from lavenderstack.core.view import Plan
 
 # Prefetched tokens are granted only from a bucket at least this full, as a fraction of
--- a/lavenderstack/core/coordinator_quota_test.py
+++ b/lavenderstack/core/quota/coordinator_quota_test.py
@@ -6,19 +6,19 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from lavenderstack.core.attachment import (
+from lavenderstack.core.members import SUSPECT_FOR_S
+from lavenderstack.core.quota.attachment import (
     ATTACHMENT_TIMEOUT_S,
     AttachedNodes,
     Attachment,
     CoordinatorState,
 )
-from lavenderstack.core.coordinator_quota import (
+from lavenderstack.core.quota.coordinator_quota import (
     CoordinatorQuota,
     FallbackQuota,
     PrefetchedTokens,
     initial_tokens,
 )
-from lavenderstack.core.members import SUSPECT_FOR_S
 from lavenderstack.core.view import Plan
 
 PLAN = Plan("org", rate=60.0, burst=60.0)
--- a/lavenderstack/core/handover.py
+++ b/lavenderstack/core/quota/handover.py
@@ -7,14 +7,14 @@
 
 import math
 
-from lavenderstack.core.leaseholder import Lease, Leaseholder
-from lavenderstack.core.ledger import (
+from lavenderstack.core.quota.leaseholder import Lease, Leaseholder
+from lavenderstack.core.quota.ledger import (
     CLOCK_MARGIN_S,
     DRAW_VALID_S,
     SHARE_VALID_S,
     Ledger,
 )
-from lavenderstack.core.share_messages import (
+from lavenderstack.core.quota.share_messages import (
     LeaseholderSnapshot,
     LeaseSnapshot,
     LedgerSnapshot,
--- a/lavenderstack/core/ledger.py
+++ b/lavenderstack/core/quota/ledger.py
@@ -19,9 +19,9 @@
 import math
 from dataclasses import dataclass, field
 
-from lavenderstack.core.bucket import ROUNDING_TOKENS, Bucket
-from lavenderstack.core.leaseholder import Lease, Leaseholder
-from lavenderstack.core.share_messages import DrawReply, ShareGrant, ShareRequest
+from lavenderstack.core.quota.bucket import ROUNDING_TOKENS, Bucket
+from lavenderstack.core.quota.leaseholder import Lease, Leaseholder
+from lavenderstack.core.quota.share_messages import DrawReply, ShareGrant, ShareRequest
 
 # How long shares and drawn tokens are valid on the leaseholder's clock, counted from
 # its request.
--- a/lavenderstack/core/ledger_test.py
+++ b/lavenderstack/core/quota/ledger_test.py
@@ -7,10 +7,10 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from lavenderstack.core import handover, ledger
-from lavenderstack.core.bucket import Bucket
-from lavenderstack.core.handover import export_ledger, import_ledger, open_ledger
-from lavenderstack.core.share import Share
+from lavenderstack.core.quota import handover, ledger
+from lavenderstack.core.quota.bucket import Bucket
+from lavenderstack.core.quota.handover import export_ledger, import_ledger, open_ledger
+from lavenderstack.core.quota.share import Share
 
 RATE = 50.0
 BURST = 40.0
--- a/lavenderstack/core/shard_test.py
+++ b/lavenderstack/core/quota/shard_test.py
@@ -1,7 +1,7 @@
 """Tests of shards."""
 
 from lavenderstack.core.documents import DocumentLocation, location_of
-from lavenderstack.core.shard import SHARDS, ownership_name
+from lavenderstack.core.quota.shard import SHARDS, ownership_name
 
 
 class TestOwnershipName:
--- a/lavenderstack/core/share.py
+++ b/lavenderstack/core/quota/share.py
@@ -16,9 +16,9 @@
 import math
 from dataclasses import dataclass, field
 
-from lavenderstack.core.bucket import Bucket
-from lavenderstack.core.demand import Demand
-from lavenderstack.core.share_messages import DrawReply, ShareGrant, ShareRequest
+from lavenderstack.core.quota.bucket import Bucket
+from lavenderstack.core.quota.demand import Demand
+from lavenderstack.core.quota.share_messages import DrawReply, ShareGrant, ShareRequest
 
 # Bounds of the time for which requests are refused after a draw without tokens.
 MIN_REFUSAL_S = 0.02
--- a/lavenderstack/core/share_test.py
+++ b/lavenderstack/core/quota/share_test.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from lavenderstack.core import ledger_test
-from lavenderstack.core.ledger_test import Simulation
+from lavenderstack.core.quota import ledger_test
+from lavenderstack.core.quota.ledger_test import Simulation
 
 _set_constants = ledger_test._set_constants
 
--- a/lavenderstack/core/safety_test.py
+++ b/lavenderstack/core/safety_test.py
@@ -10,9 +10,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from lavenderstack.core.evidence import PRIMARY, GroupEvidence, Observation
-from lavenderstack.core.position import START, Position
-from lavenderstack.core.promotion import (
+from lavenderstack.core.failover.evidence import PRIMARY, GroupEvidence, Observation
+from lavenderstack.core.failover.promotion import (
     Adopted,
     Leading,
     PrimaryElected,
@@ -27,6 +26,7 @@
     Wait,
     follow_actions,
 )
+from lavenderstack.core.position import START, Position
 
 NAMES = "abc"
 STEP_S = 0.003
--- a/lavenderstack/core/cold_start_test.py
+++ b/lavenderstack/core/targets/cold_start_test.py
@@ -7,8 +7,8 @@
 from hypothesis import example, given, seed, settings
 from hypothesis import strategies as st
 
-from lavenderstack.core import cold_start
-from lavenderstack.core.cold_start import ColdLimits, FirstChoice, SendWindow
+from lavenderstack.core.targets import cold_start
+from lavenderstack.core.targets.cold_start import ColdLimits, FirstChoice, SendWindow
 
 LIMITS = ColdLimits(excess=1.5, slack=1.0)
 RATE = 6.0
--- a/lavenderstack/core/concurrency_limit.py
+++ b/lavenderstack/core/targets/concurrency_limit.py
@@ -21,7 +21,7 @@
 from collections.abc import Hashable
 from dataclasses import dataclass, field
 
-from lavenderstack.core.kind_times import KindTimes, Window
+from lavenderstack.core.queue.kind_times import KindTimes, Window
 
 # Statements on which a step rests.
 STEP_SAMPLES = 10
--- a/lavenderstack/core/concurrency_limit_test.py
+++ b/lavenderstack/core/targets/concurrency_limit_test.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from lavenderstack.core.concurrency_limit import ConcurrencyLimit, Sample
+from lavenderstack.core.targets.concurrency_limit import ConcurrencyLimit, Sample
 
 SLOTS = 5
 WORK_S = {"write": 0.008, "read": 0.04}
--- a/lavenderstack/core/connect_timeout_test.py
+++ b/lavenderstack/core/targets/connect_timeout_test.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from lavenderstack.core.connect_timeout import (
+from lavenderstack.core.targets.connect_timeout import (
     INITIAL_TIMEOUT_S,
     MIN_TIMEOUT_S,
     ConnectTimeout,
--- a/lavenderstack/core/connection_allocation_test.py
+++ b/lavenderstack/core/targets/connection_allocation_test.py
@@ -2,7 +2,10 @@
 
 import pytest
 
-from lavenderstack.core.connection_allocation import ConnectionAllocation, Holding
+from lavenderstack.core.targets.connection_allocation import (
+    ConnectionAllocation,
+    Holding,
+)
 
 LIMIT = 29
 SLOTS = 5
--- a/lavenderstack/core/connection_share_test.py
+++ b/lavenderstack/core/targets/connection_share_test.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from lavenderstack.core import connection_share
+from lavenderstack.core.targets import connection_share
 from tests.explore import depth, explore
 
 ALLOWED = 6
--- a/lavenderstack/core/load_view.py
+++ b/lavenderstack/core/targets/load_view.py
@@ -15,7 +15,7 @@
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
-from lavenderstack.core.target_load import TargetLoad
+from lavenderstack.core.targets.target_load import TargetLoad
 
 # Between two reports of a target that a node uses now and then, some 0.3 s pass.
 MAX_REPORT_AGE_S = 1.0
--- a/lavenderstack/core/load_view_test.py
+++ b/lavenderstack/core/targets/load_view_test.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from lavenderstack.core.load_view import USUAL_DISTANCE_S, LoadView
-from lavenderstack.core.target_load import TargetLoad
+from lavenderstack.core.targets.load_view import USUAL_DISTANCE_S, LoadView
+from lavenderstack.core.targets.target_load import TargetLoad
 
 LOADED = {"waiting": 9, "running": 5, "limit": 5, "mean_s": 0.02, "wait_s": 0.4}
 
--- a/lavenderstack/core/placement_test.py
+++ b/lavenderstack/core/targets/placement_test.py
@@ -3,7 +3,7 @@
 import pytest
 
 from lavenderstack.core.members import Members
-from lavenderstack.core.placement import assign_holders, capacity
+from lavenderstack.core.targets.placement import assign_holders, capacity
 from lavenderstack.core.view import Target, View, Vm
 
 SMALL = capacity(0.5, 5.0)
--- a/lavenderstack/core/target_choice.py
+++ b/lavenderstack/core/targets/target_choice.py
@@ -18,7 +18,7 @@
 from enum import StrEnum
 from random import Random
 
-from lavenderstack.core.load_view import Expectation
+from lavenderstack.core.targets.load_view import Expectation
 
 # Shares of the latency goal: the gain up to which a read stays where it is, and the one
 # from which all reads go to the faster target.
--- a/lavenderstack/core/target_choice_test.py
+++ b/lavenderstack/core/targets/target_choice_test.py
@@ -14,12 +14,12 @@
 
 import pytest
 
-from lavenderstack.core.fair_queue import FairQueue
-from lavenderstack.core.load_view import Expectation, LoadView
-from lavenderstack.core.queue_load import QueueLoad, refusal_retry_after_s
-from lavenderstack.core.slot_times import SlotTimes
-from lavenderstack.core.target_choice import Candidate, choose, retry_spread_s
-from lavenderstack.core.target_load import TargetLoad
+from lavenderstack.core.queue.fair_queue import FairQueue
+from lavenderstack.core.queue.queue_load import QueueLoad, refusal_retry_after_s
+from lavenderstack.core.queue.slot_times import SlotTimes
+from lavenderstack.core.targets.load_view import Expectation, LoadView
+from lavenderstack.core.targets.target_choice import Candidate, choose, retry_spread_s
+from lavenderstack.core.targets.target_load import TargetLoad
 
 SLOTS, NODES, ZONES = 5, 60, ("z1", "z2", "z3")
 WORK_S, TRANSIT_S, LONG_SHARE, LONG = 0.022, 0.004, 0.03, 7
--- a/lavenderstack/core/work_messages.py
+++ b/lavenderstack/core/work_messages.py
@@ -7,12 +7,12 @@
 
 from enum import IntEnum
 
-from lavenderstack.core.acknowledgement_hold import NO_HOLD, HoldNumber
+from lavenderstack.core.failover.acknowledgement_hold import NO_HOLD, HoldNumber
 from lavenderstack.core.messages import Message
 from lavenderstack.core.position import START, Position
 from lavenderstack.core.reply import TxState
 from lavenderstack.core.statement import Prepared, Statement
-from lavenderstack.core.target_load import TargetLoad
+from lavenderstack.core.targets.target_load import TargetLoad
 
 
 class Access(IntEnum):
--- a/lavenderstack/node/acknowledged_positions.py
+++ b/lavenderstack/node/acknowledged_positions.py
@@ -2,8 +2,8 @@
 
 The owner of a group asks for them before it lets a replica take over. A commit whose
 answer arrives after that was not told, so it may not be acknowledged any more. With a
-hold (``core/acknowledgement_hold.py``) that concerns commits that are sent later too;
-they are acknowledged if the hold is released.
+hold (``core/failover/acknowledgement_hold.py``) that concerns commits that are sent
+later too; they are acknowledged if the hold is released.
 """
 
 import asyncio
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 
 from lavenderstack.core import clock
-from lavenderstack.core.acknowledgement_hold import (
+from lavenderstack.core.failover.acknowledgement_hold import (
     AcknowledgementHolds,
     HoldNumber,
 )
--- a/lavenderstack/node/acknowledged_positions_test.py
+++ b/lavenderstack/node/acknowledged_positions_test.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from lavenderstack.core import clock
-from lavenderstack.core.acknowledgement_hold import HoldNumber
+from lavenderstack.core.failover.acknowledgement_hold import HoldNumber
 from lavenderstack.core.position import Position
 from lavenderstack.node.acknowledged_positions import AcknowledgedPositions
 
--- a/lavenderstack/node/attempt_limits.py
+++ b/lavenderstack/node/attempt_limits.py
@@ -13,10 +13,10 @@
 
 from lavenderstack.core import clock
 from lavenderstack.core.catalog import Route, TargetState
-from lavenderstack.core.full_targets import FullTargets, NoReports
 from lavenderstack.core.messages import Failed, Message
 from lavenderstack.core.outcome import Reason
-from lavenderstack.core.retry_budget import GroupRetryBudget
+from lavenderstack.core.queue.retry_budget import GroupRetryBudget
+from lavenderstack.core.targets.full_targets import FullTargets, NoReports
 from lavenderstack.core.work_messages import Access
 from lavenderstack.node.counters import Counters
 from lavenderstack.node.directory import Directory
--- a/lavenderstack/node/attempt_limits_test.py
+++ b/lavenderstack/node/attempt_limits_test.py
@@ -5,9 +5,9 @@
 import pytest
 
 from lavenderstack.core import clock
-from lavenderstack.core.contention import LoadControl
 from lavenderstack.core.outcome import Reason
-from lavenderstack.core.retry_budget import RESERVE_RETRIES
+from lavenderstack.core.queue.retry_budget import RESERVE_RETRIES
+from lavenderstack.core.targets.contention import LoadControl
 from lavenderstack.core.work_messages import Access
 from lavenderstack.node.dispatch_test import (
     DONE,
--- a/lavenderstack/node/backend.py
+++ b/lavenderstack/node/backend.py
@@ -9,9 +9,9 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from lavenderstack.core.failover.replica_set import ReplicaSet
 from lavenderstack.core.outcome import Reason
 from lavenderstack.core.position import START, Position
-from lavenderstack.core.replica_set import ReplicaSet
 from lavenderstack.core.reply import Reply
 from lavenderstack.core.statement import Statement
 from lavenderstack.core.view import Target
--- a/lavenderstack/node/call.py
+++ b/lavenderstack/node/call.py
@@ -4,8 +4,8 @@
 
 from lavenderstack.core import clock
 from lavenderstack.core.catalog import Route
-from lavenderstack.core.evacuation import Use
-from lavenderstack.core.evacuation_routing import use_of
+from lavenderstack.core.evacuation.evacuation import Use
+from lavenderstack.core.evacuation.evacuation_routing import use_of
 from lavenderstack.core.messages import Failed, Message
 from lavenderstack.core.outcome import Reason
 from lavenderstack.core.position import START, Position
--- a/lavenderstack/node/confirm.py
+++ b/lavenderstack/node/confirm.py
@@ -14,7 +14,7 @@
 import structlog
 
 from lavenderstack.core import clock
-from lavenderstack.core.evidence import GroupEvidence, Observation
+from lavenderstack.core.failover.evidence import GroupEvidence, Observation
 from lavenderstack.core.outcome import Reason, Refused, Unknown
 from lavenderstack.core.position import Position
 
--- a/lavenderstack/node/confirm_test.py
+++ b/lavenderstack/node/confirm_test.py
@@ -5,7 +5,7 @@
 import pytest
 
 from lavenderstack.core import clock
-from lavenderstack.core.evidence import PRIMARY, Observation
+from lavenderstack.core.failover.evidence import PRIMARY, Observation
 from lavenderstack.core.outcome import Refused, Unknown
 from lavenderstack.core.position import Position
 from lavenderstack.node.confirm import running_confirmer
--- a/lavenderstack/node/confirmers.py
+++ b/lavenderstack/node/confirmers.py
@@ -5,8 +5,8 @@
 import structlog
 
 from lavenderstack.core import clock
-from lavenderstack.core.evidence import Observation
-from lavenderstack.core.group_messages import ProbeReply, ProbeRequest
+from lavenderstack.core.failover.evidence import Observation
+from lavenderstack.core.failover.group_messages import ProbeReply, ProbeRequest
 from lavenderstack.core.view import Group, Target
 from lavenderstack.node.confirm import ASK_TIMEOUT_S, Confirmer
 from lavenderstack.node.peers import Peers
--- a/lavenderstack/node/directory.py
+++ b/lavenderstack/node/directory.py
@@ -12,12 +12,13 @@
 
 import structlog
 
-from lavenderstack.core import clock, primary_selection
+from lavenderstack.core import clock
 from lavenderstack.core.catalog import Catalog, RecordedOwnership, Reserve, TargetState
-from lavenderstack.core.contention import LoadControl, is_load_controlled
-from lavenderstack.core.replica_set import Membership, ReplicaSet, TargetRun
-from lavenderstack.core.store_history import StoreHistory
-from lavenderstack.core.unregistered_targets import UnregisteredTargets
+from lavenderstack.core.failover import primary_selection
+from lavenderstack.core.failover.replica_set import Membership, ReplicaSet, TargetRun
+from lavenderstack.core.failover.store_history import StoreHistory
+from lavenderstack.core.failover.unregistered_targets import UnregisteredTargets
+from lavenderstack.core.targets.contention import LoadControl, is_load_controlled
 from lavenderstack.core.view import Target, View, Vm
 from lavenderstack.core.view_proof import ViewProof
 from lavenderstack.node.evacuation.evacuated_zones import EvacuatedZones
--- a/lavenderstack/node/directory_test.py
+++ b/lavenderstack/node/directory_test.py
@@ -6,7 +6,7 @@
 import pytest
 
 from lavenderstack.core.catalog import Catalog, RecordedOwnership
-from lavenderstack.core.replica_set import Membership, ReplicaSet, TargetRun
+from lavenderstack.core.failover.replica_set import Membership, ReplicaSet, TargetRun
 from lavenderstack.core.view import Target, Vm
 from lavenderstack.core.view_proof import MARGIN_S, ViewProof
 from lavenderstack.node.directory import MAX_DEPARTED, Directory
--- a/lavenderstack/node/dispatch.py
+++ b/lavenderstack/node/dispatch.py
@@ -13,11 +13,11 @@
 
 from lavenderstack.core import clock
 from lavenderstack.core.catalog import TargetState
-from lavenderstack.core.evacuation_routing import (
+from lavenderstack.core.evacuation.evacuation_routing import (
     EVACUATED_RETRY_S,
     Prospect,
 )
-from lavenderstack.core.homes import Regions
+from lavenderstack.core.evacuation.homes import Regions
 from lavenderstack.core.messages import Failed, Message
 from lavenderstack.core.outcome import Reason
 from lavenderstack.core.work_messages import (
--- a/lavenderstack/node/evacuation/evacuated_zones.py
+++ b/lavenderstack/node/evacuation/evacuated_zones.py
@@ -1,14 +1,15 @@
 """The evacuations that a directory knows, and whether statements may still be sent.
 
-``core/evacuation.py`` explains the rules.
+``core/evacuation/evacuation.py`` explains the rules.
 """
 
 from collections.abc import Mapping
 
-from lavenderstack.core import clock, evacuation, evacuation_routing
+from lavenderstack.core import clock
 from lavenderstack.core.catalog import TargetState
-from lavenderstack.core.evacuation import Evacuation, Use
-from lavenderstack.core.evacuations import Evacuations, Turns
+from lavenderstack.core.evacuation import evacuation, evacuation_routing
+from lavenderstack.core.evacuation.evacuation import Evacuation, Use
+from lavenderstack.core.evacuation.evacuations import Evacuations, Turns
 from lavenderstack.core.view import View
 from lavenderstack.core.view_proof import ViewProof
 from lavenderstack.node.evacuation.evacuation_log import log_evacuated, log_returned
--- a/lavenderstack/node/evacuation/evacuation_guard.py
+++ b/lavenderstack/node/evacuation/evacuation_guard.py
@@ -6,8 +6,8 @@
 
 import structlog
 
-from lavenderstack.core.evacuation import Use
-from lavenderstack.core.evacuation_routing import EVACUATED_RETRY_S, use_of
+from lavenderstack.core.evacuation.evacuation import Use
+from lavenderstack.core.evacuation.evacuation_routing import EVACUATED_RETRY_S, use_of
 from lavenderstack.core.messages import Failed
 from lavenderstack.core.outcome import Reason
 from lavenderstack.core.view import Target
--- a/lavenderstack/node/evacuation/evacuation_refusals.py
+++ b/lavenderstack/node/evacuation/evacuation_refusals.py
@@ -4,8 +4,8 @@
 """
 
 from lavenderstack.core import clock
-from lavenderstack.core.evacuation import Evacuation, Use
-from lavenderstack.core.evacuation_routing import (
+from lavenderstack.core.evacuation.evacuation import Evacuation, Use
+from lavenderstack.core.evacuation.evacuation_routing import (
     EVACUATED_RETRY_S,
     Prospect,
     prospect,
--- a/lavenderstack/node/evacuation/holder_evacuation_guard.py
+++ b/lavenderstack/node/evacuation/holder_evacuation_guard.py
@@ -5,7 +5,7 @@
 idle connections and rolls back transactions that are still open there.
 """
 
-from lavenderstack.core.evacuation import Use
+from lavenderstack.core.evacuation.evacuation import Use
 from lavenderstack.core.messages import Execute
 from lavenderstack.core.view import Target
 from lavenderstack.node.evacuation.evacuation_log import TargetUseLog
--- a/lavenderstack/node/evacuation/holder_evacuation_guard_test.py
+++ b/lavenderstack/node/evacuation/holder_evacuation_guard_test.py
@@ -8,7 +8,7 @@
 import pytest
 from structlog.testing import capture_logs
 
-from lavenderstack.core import evacuation
+from lavenderstack.core.evacuation import evacuation
 from lavenderstack.core.messages import Begun, Executed
 from lavenderstack.core.outcome import Reason
 from lavenderstack.node import target_holder
--- a/lavenderstack/node/evacuation/zone_evacuations.py
+++ b/lavenderstack/node/evacuation/zone_evacuations.py
@@ -11,9 +11,9 @@
 
 from lavenderstack.core import clock
 from lavenderstack.core.documents import EVACUATIONS_FOLDER, Snapshot
-from lavenderstack.core.evacuation import Evacuation, Use, may_send
-from lavenderstack.core.evacuation_routing import EVACUATED_RETRY_S
-from lavenderstack.core.evacuations import Evacuations
+from lavenderstack.core.evacuation.evacuation import Evacuation, Use, may_send
+from lavenderstack.core.evacuation.evacuation_routing import EVACUATED_RETRY_S
+from lavenderstack.core.evacuation.evacuations import Evacuations
 from lavenderstack.core.outcome import Reason, Refused
 from lavenderstack.core.view import View
 from lavenderstack.core.view_freshness import ViewFreshness
--- a/lavenderstack/node/evacuation/zone_evacuations_test.py
+++ b/lavenderstack/node/evacuation/zone_evacuations_test.py
@@ -8,7 +8,7 @@
 from lavenderstack.border.documents import parse
 from lavenderstack.core import clock, documents
 from lavenderstack.core.entry import Change
-from lavenderstack.core.evacuation import GRACE_S, Use
+from lavenderstack.core.evacuation.evacuation import GRACE_S, Use
 from lavenderstack.core.view_freshness import ViewFreshness
 from lavenderstack.node.evacuation.zone_evacuations import ZoneEvacuations
 
--- a/lavenderstack/node/executor.py
+++ b/lavenderstack/node/executor.py
@@ -25,7 +25,7 @@
 from lavenderstack.core.outcome import Reason, Refused
 from lavenderstack.core.position import START, Position
 from lavenderstack.core.position_history import PositionHistory
-from lavenderstack.core.queue_load import refusal_retry_after_s
+from lavenderstack.core.queue.queue_load import refusal_retry_after_s
 from lavenderstack.core.reply import TxState
 from lavenderstack.core.statement import StatementKind
 from lavenderstack.core.work_messages import (
--- a/lavenderstack/node/executors.py
+++ b/lavenderstack/node/executors.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass, field
 
 from lavenderstack.core import clock
-from lavenderstack.core.acknowledgement_hold import NO_HOLD
 from lavenderstack.core.catalog import TargetState
+from lavenderstack.core.failover.acknowledgement_hold import NO_HOLD
 from lavenderstack.core.messages import Failed, Message
 from lavenderstack.core.outcome import Reason
 from lavenderstack.core.work_messages import (
--- a/lavenderstack/node/failover/acknowledgement_holds.py
+++ b/lavenderstack/node/failover/acknowledgement_holds.py
@@ -1,6 +1,6 @@
 """Asks the nodes which commits they acknowledged, and to acknowledge no more for now.
 
-``core/acknowledgement_hold.py`` explains what follows if all nodes hold back.
+``core/failover/acknowledgement_hold.py`` explains what follows if all nodes hold back.
 """
 
 import asyncio
@@ -11,7 +11,7 @@
 import structlog
 
 from lavenderstack.core import clock
-from lavenderstack.core.acknowledgement_hold import HoldNumber
+from lavenderstack.core.failover.acknowledgement_hold import HoldNumber
 from lavenderstack.core.position import START, Position
 from lavenderstack.core.work_messages import GroupPosition, GroupPositionRequest
 from lavenderstack.node.directory import Directory
--- a/lavenderstack/node/failover/followers.py
+++ b/lavenderstack/node/failover/followers.py
@@ -6,7 +6,7 @@
 
 from lavenderstack.core import statement
 from lavenderstack.core.catalog import TargetState
-from lavenderstack.core.replacement import ReplicaState
+from lavenderstack.core.failover.replacement import ReplicaState
 from lavenderstack.core.statement import Statement
 from lavenderstack.node.backend import (
     Backend,
--- a/lavenderstack/node/failover/group_positions.py
+++ b/lavenderstack/node/failover/group_positions.py
@@ -6,13 +6,14 @@
 
 from dataclasses import dataclass
 
-from lavenderstack.core import clock, replica_set, store_history
-from lavenderstack.core.acknowledged_end import AcknowledgedEnd
+from lavenderstack.core import clock
 from lavenderstack.core.catalog import TargetState
-from lavenderstack.core.isolation import is_isolated
+from lavenderstack.core.failover import replica_set, store_history
+from lavenderstack.core.failover.acknowledged_end import AcknowledgedEnd
+from lavenderstack.core.failover.isolation import is_isolated
+from lavenderstack.core.failover.replica_set import AcknowledgedPosition
+from lavenderstack.core.failover.store_history import ToldPosition
 from lavenderstack.core.position import START, Position
-from lavenderstack.core.replica_set import AcknowledgedPosition
-from lavenderstack.core.store_history import ToldPosition
 from lavenderstack.core.work_messages import (
     GroupPosition,
     GroupPositionRequest,
--- a/lavenderstack/node/failover/isolated_owner_test.py
+++ b/lavenderstack/node/failover/isolated_owner_test.py
@@ -2,7 +2,7 @@
 
 import structlog
 
-from lavenderstack.core import isolation
+from lavenderstack.core.failover import isolation
 from lavenderstack.core.position import START
 from lavenderstack.core.view import Vm
 from lavenderstack.core.work_messages import GroupPosition
--- a/lavenderstack/node/failover/planned_failover.py
+++ b/lavenderstack/node/failover/planned_failover.py
@@ -4,8 +4,8 @@
 
 from lavenderstack.core import clock
 from lavenderstack.core.catalog import TargetState
-from lavenderstack.core.evacuation_routing import has_candidate
-from lavenderstack.core.replacement import Obstacle
+from lavenderstack.core.evacuation.evacuation_routing import has_candidate
+from lavenderstack.core.failover.replacement import Obstacle
 from lavenderstack.node.directory import Directory
 from lavenderstack.node.evacuation.evacuation_refusals import replacement_turn
 
--- a/lavenderstack/node/failover/replacer.py
+++ b/lavenderstack/node/failover/replacer.py
@@ -13,9 +13,8 @@
 
 from lavenderstack.core import clock, statement
 from lavenderstack.core.catalog import TargetState
-from lavenderstack.core.isolation import Isolation
-from lavenderstack.core.position import Position
-from lavenderstack.core.replacement import (
+from lavenderstack.core.failover.isolation import Isolation
+from lavenderstack.core.failover.replacement import (
     Obstacle,
     ReplicaState,
     choose_successor,
@@ -23,6 +22,7 @@
     most_advanced,
     takeover_obstacle,
 )
+from lavenderstack.core.position import Position
 from lavenderstack.core.work_messages import PrimaryPosition
 from lavenderstack.node.backend import Backend, Claims, Orders
 from lavenderstack.node.counters import Counters
--- a/lavenderstack/node/failover/replacer_fake.py
+++ b/lavenderstack/node/failover/replacer_fake.py
@@ -7,13 +7,13 @@
 import msgspec
 
 from lavenderstack.core import clock
-from lavenderstack.core.acknowledgement_hold import NO_HOLD
 from lavenderstack.core.catalog import Catalog, GroupLimits, RecordedOwnership
+from lavenderstack.core.failover.acknowledgement_hold import NO_HOLD
+from lavenderstack.core.failover.replica_set import ReplicaSet, TargetRun
 from lavenderstack.core.members import Members
 from lavenderstack.core.messages import Failed
 from lavenderstack.core.outcome import Reason
 from lavenderstack.core.position import START
-from lavenderstack.core.replica_set import ReplicaSet, TargetRun
 from lavenderstack.core.view import Plan, Target, Vm
 from lavenderstack.core.view_proof import ViewProof
 from lavenderstack.core.work_messages import (
--- a/lavenderstack/node/failover/replica_sets.py
+++ b/lavenderstack/node/failover/replica_sets.py
@@ -1,7 +1,8 @@
 """Keeps the recorded replica sets of the groups that this node owns up to date.
 
-``core/replica_set.py`` explains why a set is recorded and when a replica may leave it.
-The record is in the platform's store, so that the next owner of the group knows it.
+``core/failover/replica_set.py`` explains why a set is recorded and when a replica may
+leave it. The record is in the platform's store, so that the next owner of the group
+knows it.
 """
 
 import asyncio
@@ -11,12 +12,17 @@
 
 import structlog
 
-from lavenderstack.core import clock, replica_set, statement, store_history
-from lavenderstack.core.acknowledged_end import takeover_blocker
+from lavenderstack.core import clock, statement
 from lavenderstack.core.catalog import RecordedOwnership, TargetState
+from lavenderstack.core.failover import replica_set, store_history
+from lavenderstack.core.failover.acknowledged_end import takeover_blocker
+from lavenderstack.core.failover.replacement import (
+    Obstacle,
+    ReplicaState,
+    most_advanced,
+)
+from lavenderstack.core.failover.replica_set import ReplicaSet, TargetRun
 from lavenderstack.core.position import Position
-from lavenderstack.core.replacement import Obstacle, ReplicaState, most_advanced
-from lavenderstack.core.replica_set import ReplicaSet, TargetRun
 from lavenderstack.core.work_messages import (
     PrimaryPosition,
 )
--- a/lavenderstack/node/failover/replica_sets_test.py
+++ b/lavenderstack/node/failover/replica_sets_test.py
@@ -4,10 +4,10 @@
 
 import pytest
 
+from lavenderstack.core.failover.replica_set import ReplicaSet, TargetRun
 from lavenderstack.core.messages import Failed
 from lavenderstack.core.outcome import Reason
 from lavenderstack.core.position import START
-from lavenderstack.core.replica_set import ReplicaSet, TargetRun
 from lavenderstack.core.statement import StatementKind
 from lavenderstack.core.view import Target, Vm
 from lavenderstack.core.work_messages import GroupPosition
--- a/lavenderstack/node/failover/replica_sets_unknown_history_test.py
+++ b/lavenderstack/node/failover/replica_sets_unknown_history_test.py
@@ -3,7 +3,7 @@
 import pytest
 import structlog
 
-from lavenderstack.core.replica_set import TargetRun
+from lavenderstack.core.failover.replica_set import TargetRun
 from lavenderstack.core.statement import StatementKind
 from lavenderstack.core.work_messages import GroupPosition
 from lavenderstack.node.failover import replacer
--- a/lavenderstack/node/group_monitor.py
+++ b/lavenderstack/node/group_monitor.py
@@ -1,8 +1,8 @@
 """Monitors one group: probes its targets and has a lost primary replaced.
 
-``core/failure_detector.py`` and ``core/promotion.py`` make the decisions. This module
-keeps the connections to the targets, asks the group's other monitors, and executes the
-decisions.
+``core/failover/failure_detector.py`` and ``core/failover/promotion.py`` make the
+decisions. This module keeps the connections to the targets, asks the group's other
+monitors, and executes the decisions.
 """
 
 import asyncio
@@ -12,10 +12,14 @@
 import structlog
 
 from lavenderstack.core import clock
-from lavenderstack.core.evacuation_block import EvacuationBlock
-from lavenderstack.core.failure_detector import Decision, FailureDetector, Verdict
-from lavenderstack.core.group_messages import PrimaryReply
-from lavenderstack.core.promotion import (
+from lavenderstack.core.evacuation.evacuation_block import EvacuationBlock
+from lavenderstack.core.failover.failure_detector import (
+    Decision,
+    FailureDetector,
+    Verdict,
+)
+from lavenderstack.core.failover.group_messages import PrimaryReply
+from lavenderstack.core.failover.promotion import (
     Action,
     Adopted,
     Event,
--- a/lavenderstack/node/holder.py
+++ b/lavenderstack/node/holder.py
@@ -19,7 +19,7 @@
     TargetUnreachable,
 )
 from lavenderstack.core import clock
-from lavenderstack.core.group_messages import ProbeReply, ProbeRequest
+from lavenderstack.core.failover.group_messages import ProbeReply, ProbeRequest
 from lavenderstack.core.messages import (
     Begin,
     Begun,
--- a/lavenderstack/node/holder_placement.py
+++ b/lavenderstack/node/holder_placement.py
@@ -2,7 +2,7 @@
 
 import structlog
 
-from lavenderstack.core.placement import assign_holders
+from lavenderstack.core.targets.placement import assign_holders
 from lavenderstack.core.view import Target
 from lavenderstack.node.directory import Directory
 
--- a/lavenderstack/node/holder_test.py
+++ b/lavenderstack/node/holder_test.py
@@ -8,8 +8,8 @@
 
 from lavenderstack.border import target as adapter
 from lavenderstack.core import clock
-from lavenderstack.core.evidence import Observation
-from lavenderstack.core.group_messages import ProbeReply, ProbeRequest
+from lavenderstack.core.failover.evidence import Observation
+from lavenderstack.core.failover.group_messages import ProbeReply, ProbeRequest
 from lavenderstack.core.messages import Begin, Begun, End, Execute, Executed, Failed
 from lavenderstack.core.outcome import Reason, Refused
 from lavenderstack.core.position import Position
--- a/lavenderstack/node/home_routing.py
+++ b/lavenderstack/node/home_routing.py
@@ -1,14 +1,14 @@
 """Applies home regions and cold targets at an entry node, to targets and holders.
 
-``core/homes.py`` and ``core/cold_start.py`` explain the rules.
+``core/evacuation/homes.py`` and ``core/targets/cold_start.py`` explain the rules.
 """
 
 from collections.abc import Sequence
 
 from lavenderstack.core import clock
 from lavenderstack.core.catalog import Route, TargetState
-from lavenderstack.core.evacuation import Use
-from lavenderstack.core.homes import (
+from lavenderstack.core.evacuation.evacuation import Use
+from lavenderstack.core.evacuation.homes import (
     OUTSIDE_RETRY_S,
     Regions,
     home_regions,
--- a/lavenderstack/node/home_routing_test.py
+++ b/lavenderstack/node/home_routing_test.py
@@ -4,9 +4,9 @@
 
 from lavenderstack.core import clock
 from lavenderstack.core.catalog import Catalog, GroupLimits
-from lavenderstack.core.cold_start import ColdLimits
 from lavenderstack.core.outcome import Reason
 from lavenderstack.core.statement import Statement, StatementKind
+from lavenderstack.core.targets.cold_start import ColdLimits
 from lavenderstack.core.view import Plan, Vm
 from lavenderstack.core.work_messages import Access, TransactionStart, WorkDone
 from lavenderstack.node.call import TransactionLocation
--- a/lavenderstack/node/load_control.py
+++ b/lavenderstack/node/load_control.py
@@ -1,7 +1,7 @@
 """Load control at the holder of one target: what is refused, and what is logged of it.
 
-The decisions are in ``core/load_shedding.py``; this module translates a statement into
-what they need, and counts what was refused.
+The decisions are in ``core/queue/load_shedding.py``; this module translates a statement
+into what they need, and counts what was refused.
 """
 
 import math
@@ -10,9 +10,9 @@
 import structlog
 
 from lavenderstack.core import clock
-from lavenderstack.core.load_shedding import Admission
 from lavenderstack.core.outcome import Reason, Refused
-from lavenderstack.core.statement_order import Kind, Urgency
+from lavenderstack.core.queue.load_shedding import Admission
+from lavenderstack.core.queue.statement_order import Kind, Urgency
 from lavenderstack.core.view import DEFAULT_PRIORITY
 from lavenderstack.core.work_messages import Work
 from lavenderstack.node.directory import Directory
--- a/lavenderstack/node/load_control_test.py
+++ b/lavenderstack/node/load_control_test.py
@@ -3,9 +3,9 @@
 import asyncio
 
 from lavenderstack.core.catalog import Catalog
-from lavenderstack.core.contention import LoadControl
 from lavenderstack.core.messages import Failed
 from lavenderstack.core.outcome import Reason
+from lavenderstack.core.targets.contention import LoadControl
 from lavenderstack.core.view import Plan
 from lavenderstack.core.work_messages import WorkDone
 from lavenderstack.node.executor_test import WRITE, ExecutorHarness
--- a/lavenderstack/node/load_reports.py
+++ b/lavenderstack/node/load_reports.py
@@ -7,8 +7,8 @@
 from lavenderstack.core import clock
 from lavenderstack.core.messages import Failed, Message
 from lavenderstack.core.outcome import Reason
-from lavenderstack.core.slot_times import SlotTimes
-from lavenderstack.core.target_load import TargetLoad
+from lavenderstack.core.queue.slot_times import SlotTimes
+from lavenderstack.core.targets.target_load import TargetLoad
 from lavenderstack.core.work_messages import Work, WorkDone
 from lavenderstack.node.directory import Directory
 from lavenderstack.node.load_control import TargetLoadControl
--- a/lavenderstack/node/load_reports_test.py
+++ b/lavenderstack/node/load_reports_test.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from lavenderstack.core.contention import LoadControl
 from lavenderstack.core.outcome import Reason
-from lavenderstack.core.slot_times import SlotTimes
+from lavenderstack.core.queue.slot_times import SlotTimes
+from lavenderstack.core.targets.contention import LoadControl
 from lavenderstack.node.executor_test import WRITE, ExecutorHarness
 
 
--- a/lavenderstack/node/monitors.py
+++ b/lavenderstack/node/monitors.py
@@ -1,9 +1,9 @@
 """The monitors of all groups that this node has to monitor.
 
 Each group is monitored by a few of the live nodes, chosen by
-``core/monitor_assignment.py``. The list of live nodes may lag, and two nodes may choose
-differently for a while, which costs extra probes and, at worst, a lost proposal. Other
-nodes ask a group's monitoring nodes for its primary.
+``core/failover/monitor_assignment.py``. The list of live nodes may lag, and two nodes
+may choose differently for a while, which costs extra probes and, at worst, a lost
+proposal. Other nodes ask a group's monitoring nodes for its primary.
 """
 
 import asyncio
@@ -12,8 +12,8 @@
 import structlog
 
 from lavenderstack.core import clock
-from lavenderstack.core.group_messages import PrimaryReply, PrimaryRequest
-from lavenderstack.core.monitor_assignment import MonitorAssignment
+from lavenderstack.core.failover.group_messages import PrimaryReply, PrimaryRequest
+from lavenderstack.core.failover.monitor_assignment import MonitorAssignment
 from lavenderstack.core.routing import TermPrimary
 from lavenderstack.core.view import Group, View, Vm
 from lavenderstack.node.group_monitor import GroupMonitor
--- a/lavenderstack/node/monitors_test.py
+++ b/lavenderstack/node/monitors_test.py
@@ -7,7 +7,7 @@
 import pytest
 from structlog.testing import capture_logs
 
-from lavenderstack.core.group_messages import PrimaryReply, PrimaryRequest
+from lavenderstack.core.failover.group_messages import PrimaryReply, PrimaryRequest
 from lavenderstack.core.routing import TermPrimary
 from lavenderstack.core.view import EvacuationRequest, Group, Target, View, Vm
 from lavenderstack.node.monitors import Monitors
--- a/lavenderstack/node/ownership_claims.py
+++ b/lavenderstack/node/ownership_claims.py
@@ -10,7 +10,7 @@
 from lavenderstack.border.store import StoreError, StoreOutcomeUnknown, SwapDone
 from lavenderstack.core.documents import BadDocument, DocumentLocation
 from lavenderstack.core.entry import Change
-from lavenderstack.core.ownership import Claims
+from lavenderstack.core.failover.ownership import Claims
 from lavenderstack.core.relay_messages import ChangeForwarded, ForwardChange
 from lavenderstack.core.view import Ownership
 from lavenderstack.node.relay_state import Addr, RelayState
--- a/lavenderstack/node/ownership_claims_test.py
+++ b/lavenderstack/node/ownership_claims_test.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from lavenderstack.core.ownership import TAKEOVER_S
+from lavenderstack.core.failover.ownership import TAKEOVER_S
 from lavenderstack.core.view_freshness import USABLE_S
 from lavenderstack.node.relay_test import fleet_test
 from tests.virtual_time import clock
--- a/lavenderstack/node/primaries.py
+++ b/lavenderstack/node/primaries.py
@@ -8,8 +8,8 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from lavenderstack.core.evacuation_block import is_blocked
-from lavenderstack.core.group_messages import PrimaryReply, PrimaryRequest
+from lavenderstack.core.evacuation.evacuation_block import is_blocked
+from lavenderstack.core.failover.group_messages import PrimaryReply, PrimaryRequest
 from lavenderstack.core.messages import Message
 from lavenderstack.core.routing import GroupStatus, TermPrimary
 from lavenderstack.core.view import Vm
--- a/lavenderstack/node/quota/admission.py
+++ b/lavenderstack/node/quota/admission.py
@@ -15,13 +15,13 @@
 import structlog
 
 from lavenderstack.core import clock
-from lavenderstack.core.admission_queue import AdmissionQueue, AdmissionResult
-from lavenderstack.core.bucket import Bucket
 from lavenderstack.core.messages import Message
 from lavenderstack.core.outcome import Reason, Refused
-from lavenderstack.core.shard import owner_of, shard_of
-from lavenderstack.core.share import Share
-from lavenderstack.core.share_messages import (
+from lavenderstack.core.queue.admission_queue import AdmissionQueue, AdmissionResult
+from lavenderstack.core.quota.bucket import Bucket
+from lavenderstack.core.quota.shard import owner_of, shard_of
+from lavenderstack.core.quota.share import Share
+from lavenderstack.core.quota.share_messages import (
     DrawReply,
     DrawRequest,
     RecallReply,
--- a/lavenderstack/node/quota/admission_test.py
+++ b/lavenderstack/node/quota/admission_test.py
@@ -5,11 +5,11 @@
 
 import pytest
 
-from lavenderstack.core.ledger import LEASED_BURST_SHARE
 from lavenderstack.core.members import Members
 from lavenderstack.core.messages import Ping, Pong
 from lavenderstack.core.outcome import Reason, Refused
-from lavenderstack.core.share_messages import DrawRequest, NotCoordinator
+from lavenderstack.core.quota.ledger import LEASED_BURST_SHARE
+from lavenderstack.core.quota.share_messages import DrawRequest, NotCoordinator
 from lavenderstack.core.view import Ownership, Plan, View, Vm
 from lavenderstack.node.peers import Peers
 from lavenderstack.node.quota import admission
--- a/lavenderstack/node/quota/admitter.py
+++ b/lavenderstack/node/quota/admitter.py
@@ -12,18 +12,18 @@
 import structlog
 
 from lavenderstack.core import clock
-from lavenderstack.core.attachment import Attachment, CoordinatorState
-from lavenderstack.core.coordinator_messages import (
+from lavenderstack.core.hash_ring import CachedByIdentity, HashRing, hash_position
+from lavenderstack.core.messages import Failed, Message
+from lavenderstack.core.outcome import Reason
+from lavenderstack.core.queue.return_schedule import ReturnSchedule
+from lavenderstack.core.quota.attachment import Attachment, CoordinatorState
+from lavenderstack.core.quota.coordinator_messages import (
     Attach,
     Detach,
     DrawTokens,
     TokensReply,
 )
-from lavenderstack.core.coordinator_quota import FallbackQuota, PrefetchedTokens
-from lavenderstack.core.hash_ring import CachedByIdentity, HashRing, hash_position
-from lavenderstack.core.messages import Failed, Message
-from lavenderstack.core.outcome import Reason
-from lavenderstack.core.return_schedule import ReturnSchedule
+from lavenderstack.core.quota.coordinator_quota import FallbackQuota, PrefetchedTokens
 from lavenderstack.core.view import Vm
 from lavenderstack.node.backend import ReserveStore
 from lavenderstack.node.directory import Directory
--- a/lavenderstack/node/quota/admitter_test.py
+++ b/lavenderstack/node/quota/admitter_test.py
@@ -5,10 +5,10 @@
 
 from lavenderstack.core import clock
 from lavenderstack.core.catalog import Catalog, Reserve
-from lavenderstack.core.coordinator_messages import Attach, Detach, DrawTokens
 from lavenderstack.core.hash_ring import HashRing, hash_position
 from lavenderstack.core.members import Members
 from lavenderstack.core.outcome import Reason
+from lavenderstack.core.quota.coordinator_messages import Attach, Detach, DrawTokens
 from lavenderstack.core.view import Plan, Vm
 from lavenderstack.core.view_proof import ViewProof
 from lavenderstack.node.backend import ClaimLost
--- a/lavenderstack/node/quota/quota_coordinator.py
+++ b/lavenderstack/node/quota/quota_coordinator.py
@@ -17,11 +17,11 @@
 import structlog
 
 from lavenderstack.core import clock
-from lavenderstack.core.handover import export_ledger, import_ledger, open_ledger
-from lavenderstack.core.ledger import Ledger
 from lavenderstack.core.messages import Message
-from lavenderstack.core.shard import owner_candidates, ownership_name, shard_of
-from lavenderstack.core.share_messages import (
+from lavenderstack.core.quota.handover import export_ledger, import_ledger, open_ledger
+from lavenderstack.core.quota.ledger import Ledger
+from lavenderstack.core.quota.shard import owner_candidates, ownership_name, shard_of
+from lavenderstack.core.quota.share_messages import (
     DrawRequest,
     HandoverReply,
     LedgerHandover,
--- a/lavenderstack/node/quota/token_coordinator.py
+++ b/lavenderstack/node/quota/token_coordinator.py
@@ -12,14 +12,14 @@
 import structlog
 
 from lavenderstack.core import clock
-from lavenderstack.core.coordinator_messages import (
+from lavenderstack.core.messages import Message
+from lavenderstack.core.quota.coordinator_messages import (
     Attach,
     Detach,
     DrawTokens,
     TokensReply,
 )
-from lavenderstack.core.coordinator_quota import CoordinatorQuota
-from lavenderstack.core.messages import Message
+from lavenderstack.core.quota.coordinator_quota import CoordinatorQuota
 from lavenderstack.node.backend import ClaimLost, ReserveStore
 from lavenderstack.node.directory import Directory
 
--- a/lavenderstack/node/read_choices.py
+++ b/lavenderstack/node/read_choices.py
@@ -11,11 +11,11 @@
 
 from lavenderstack.core import clock
 from lavenderstack.core.catalog import Route, TargetState
-from lavenderstack.core.load_view import LoadView, Sent
 from lavenderstack.core.messages import Failed, Message
 from lavenderstack.core.outcome import Reason
 from lavenderstack.core.position import START
-from lavenderstack.core.target_choice import (
+from lavenderstack.core.targets.load_view import LoadView, Sent
+from lavenderstack.core.targets.target_choice import (
     Candidate,
     Choice,
     ChoiceReason,
--- a/lavenderstack/node/read_choices_test.py
+++ b/lavenderstack/node/read_choices_test.py
@@ -7,12 +7,12 @@
 
 from lavenderstack.core import clock
 from lavenderstack.core.catalog import Catalog, GroupLimits
-from lavenderstack.core.cold_start import ColdLimits
-from lavenderstack.core.contention import LoadControl
 from lavenderstack.core.messages import Failed
 from lavenderstack.core.outcome import Reason
 from lavenderstack.core.position import Position
-from lavenderstack.core.target_load import TargetLoad
+from lavenderstack.core.targets.cold_start import ColdLimits
+from lavenderstack.core.targets.contention import LoadControl
+from lavenderstack.core.targets.target_load import TargetLoad
 from lavenderstack.core.work_messages import Access, WorkDone
 from lavenderstack.node.dispatch_test import READ, WRITE, DispatcherHarness
 
--- a/lavenderstack/node/relay.py
+++ b/lavenderstack/node/relay.py
@@ -11,7 +11,7 @@
 from lavenderstack.border.store import Store
 from lavenderstack.core import clock as boot_clock
 from lavenderstack.core.entry import Change
-from lavenderstack.core.ownership import Claims
+from lavenderstack.core.failover.ownership import Claims
 from lavenderstack.node import ownership_claims, relay_handlers, relay_links
 from lavenderstack.node.relay_state import Addr, RelayState
 from lavenderstack.node.relay_store import StoreReader
--- a/lavenderstack/node/router.py
+++ b/lavenderstack/node/router.py
@@ -21,14 +21,14 @@
 )
 from lavenderstack.core.outcome import NO_PRIMARY_RETRY_S, Reason, Refused, Unknown
 from lavenderstack.core.position import START, Position
-from lavenderstack.core.request import Answer, Caller, Request
-from lavenderstack.core.retry import (
+from lavenderstack.core.queue.retry import (
     RetryBudget,
     backoff_s,
     is_idempotent,
     is_transient,
     may_retry,
 )
+from lavenderstack.core.request import Answer, Caller, Request
 from lavenderstack.core.routing import needs_primary, read_order
 from lavenderstack.core.token import Watermark, later
 from lavenderstack.core.view import Group, Target, View, Vm
--- a/lavenderstack/node/streams.py
+++ b/lavenderstack/node/streams.py
@@ -21,7 +21,6 @@
 
 from lavenderstack.border.traffic import TRAFFIC
 from lavenderstack.core import clock
-from lavenderstack.core.connect_timeout import ConnectTimeout
 from lavenderstack.core.messages import (
     Cancel,
     Goodbye,
@@ -30,6 +29,7 @@
     Pong,
     Unsupported,
 )
+from lavenderstack.core.targets.connect_timeout import ConnectTimeout
 from lavenderstack.node import wire
 
 CONNECT_TIMEOUT_S = 1.0
--- a/lavenderstack/node/takeover.py
+++ b/lavenderstack/node/takeover.py
@@ -17,7 +17,7 @@
 from dataclasses import dataclass, field
 
 from lavenderstack.core.messages import Ping
-from lavenderstack.core.shard import SHARDS, owner_candidates, recorded_owner
+from lavenderstack.core.quota.shard import SHARDS, owner_candidates, recorded_owner
 from lavenderstack.core.view import View
 from lavenderstack.node.peers import CallVm
 from lavenderstack.node.streams import NotSent, StreamLost
--- a/lavenderstack/node/target_holder.py
+++ b/lavenderstack/node/target_holder.py
@@ -22,7 +22,7 @@
     TargetUnreachable,
 )
 from lavenderstack.core import clock
-from lavenderstack.core.evacuation import Use
+from lavenderstack.core.evacuation.evacuation import Use
 from lavenderstack.core.messages import Begin, Begun, End, Execute, Executed
 from lavenderstack.core.outcome import (
     NO_PRIMARY_RETRY_S,
--- a/lavenderstack/node/target_link.py
+++ b/lavenderstack/node/target_link.py
@@ -21,8 +21,8 @@
     connect,
 )
 from lavenderstack.core import clock
-from lavenderstack.core.evidence import Observation
-from lavenderstack.core.promotion import SendAdopt, SendFollow, SendLead
+from lavenderstack.core.failover.evidence import Observation
+from lavenderstack.core.failover.promotion import SendAdopt, SendFollow, SendLead
 from lavenderstack.core.view import Target
 
 PROBE_TIMEOUT_S = 0.3
--- a/lavenderstack/node/target_runner.py
+++ b/lavenderstack/node/target_runner.py
@@ -16,7 +16,7 @@
     TargetUnreachable,
 )
 from lavenderstack.core import clock
-from lavenderstack.core.evacuation import Use
+from lavenderstack.core.evacuation.evacuation import Use
 from lavenderstack.core.messages import Execute
 from lavenderstack.core.outcome import NO_PRIMARY_RETRY_S, Reason, Refused, Unknown
 from lavenderstack.node.evacuation.holder_evacuation_guard import (
--- a/lavenderstack/node/targets/allocated_connections.py
+++ b/lavenderstack/node/targets/allocated_connections.py
@@ -1,8 +1,8 @@
 """Connection pool of a target that has fewer connections than organisations.
 
 Extends the pool where load control is enabled for the target's group; otherwise it is
-the plain pool. The decisions are those of ``core/connection_allocation.py`` and
-``core/connection_share.py``.
+the plain pool. The decisions are those of ``core/targets/connection_allocation.py`` and
+``core/targets/connection_share.py``.
 """
 
 import random
@@ -13,10 +13,14 @@
 
 import structlog
 
-from lavenderstack.core import clock, connection_share
-from lavenderstack.core.connection_allocation import ConnectionAllocation, Holding
-from lavenderstack.core.connection_share import SettledFirstChoice
+from lavenderstack.core import clock
 from lavenderstack.core.outcome import Reason, Refused
+from lavenderstack.core.targets import connection_share
+from lavenderstack.core.targets.connection_allocation import (
+    ConnectionAllocation,
+    Holding,
+)
+from lavenderstack.core.targets.connection_share import SettledFirstChoice
 from lavenderstack.core.view import Target
 from lavenderstack.node.backend import Backend, ConnectFailed
 from lavenderstack.node.targets.target_connections import (
--- a/lavenderstack/node/targets/allocated_connections_test.py
+++ b/lavenderstack/node/targets/allocated_connections_test.py
@@ -5,9 +5,10 @@
 import pytest
 
 from bench.connection_pools import Load, play
-from lavenderstack.core import clock, connection_share
-from lavenderstack.core.contention import LoadControl
+from lavenderstack.core import clock
 from lavenderstack.core.outcome import Reason, Refused
+from lavenderstack.core.targets import connection_share
+from lavenderstack.core.targets.contention import LoadControl
 from lavenderstack.core.view import Target
 from lavenderstack.core.work_messages import TransactionStart, WorkDone
 from lavenderstack.node.backend import ConnectFailed
--- a/lavenderstack/node/targets/cold_starts.py
+++ b/lavenderstack/node/targets/cold_starts.py
@@ -1,13 +1,13 @@
 """What a directory knows of targets that have started recently.
 
-``core/cold_start.py`` explains the rules.
+``core/targets/cold_start.py`` explains the rules.
 """
 
 import math
 
 from lavenderstack.core import clock
 from lavenderstack.core.catalog import Catalog, TargetState
-from lavenderstack.core.cold_start import ColdLimits
+from lavenderstack.core.targets.cold_start import ColdLimits
 
 
 class ColdStarts:
--- a/lavenderstack/node/targets/cold_target.py
+++ b/lavenderstack/node/targets/cold_target.py
@@ -2,7 +2,7 @@
 
 A statement takes a permit before it waits for a slot, and counts when it is sent.
 Reads that another target may serve never wait for a permit; others wait as long as
-they can still be sent in time. ``core/cold_start.py`` explains the rules.
+they can still be sent in time. ``core/targets/cold_start.py`` explains the rules.
 """
 
 import asyncio
@@ -16,16 +16,16 @@
 
 from lavenderstack.core import clock
 from lavenderstack.core.catalog import TargetState
-from lavenderstack.core.cold_start import (
+from lavenderstack.core.messages import Failed
+from lavenderstack.core.outcome import DEFAULT_RETRY_S, Reason, Refused
+from lavenderstack.core.queue.fair_queue import FairQueue, QueueFull
+from lavenderstack.core.targets.cold_start import (
     TAKEOVER_WAIT_S,
     FirstChoice,
     SendWindow,
     may_have_restarted,
     may_send_from,
 )
-from lavenderstack.core.fair_queue import FairQueue, QueueFull
-from lavenderstack.core.messages import Failed
-from lavenderstack.core.outcome import DEFAULT_RETRY_S, Reason, Refused
 from lavenderstack.core.work_messages import Access, Work
 from lavenderstack.node.directory import Directory
 from lavenderstack.node.targets.target_connections import TargetConnections
--- a/lavenderstack/node/targets/cold_target_test.py
+++ b/lavenderstack/node/targets/cold_target_test.py
@@ -7,8 +7,8 @@
 
 from lavenderstack.core import clock
 from lavenderstack.core.catalog import Catalog, GroupLimits
-from lavenderstack.core.cold_start import TAKEOVER_WAIT_S, ColdLimits
 from lavenderstack.core.outcome import Reason
+from lavenderstack.core.targets.cold_start import TAKEOVER_WAIT_S, ColdLimits
 from lavenderstack.core.view import Plan, Target
 from lavenderstack.core.work_messages import Access, TransactionStart, WorkDone
 from lavenderstack.node.executor_test import COMMIT, READ, WRITE, ExecutorHarness
--- a/lavenderstack/node/targets/slots.py
+++ b/lavenderstack/node/targets/slots.py
@@ -22,11 +22,11 @@
 from contextlib import asynccontextmanager
 
 from lavenderstack.core import clock
-from lavenderstack.core.fair_queue import FairQueue, QueueFull
-from lavenderstack.core.load_shedding import LoadShedder, Shed
 from lavenderstack.core.outcome import Reason, Refused
-from lavenderstack.core.queue_load import QueueLoad
-from lavenderstack.core.statement_order import Urgency
+from lavenderstack.core.queue.fair_queue import FairQueue, QueueFull
+from lavenderstack.core.queue.load_shedding import LoadShedder, Shed
+from lavenderstack.core.queue.queue_load import QueueLoad
+from lavenderstack.core.queue.statement_order import Urgency
 
 # Cost assumed for an organisation before its first request has ended.
 INITIAL_COST_S = 0.01
--- a/lavenderstack/node/targets/slots_test.py
+++ b/lavenderstack/node/targets/slots_test.py
@@ -6,7 +6,7 @@
 import pytest
 
 from lavenderstack.core.outcome import Reason, Refused
-from lavenderstack.core.statement_order import Kind, Urgency
+from lavenderstack.core.queue.statement_order import Kind, Urgency
 from lavenderstack.node.targets.slots import Slots
 
 
--- a/lavenderstack/node/targets/slow_start.py
+++ b/lavenderstack/node/targets/slow_start.py
@@ -8,8 +8,8 @@
 import structlog
 
 from lavenderstack.core.catalog import TargetState
-from lavenderstack.core.cold_start import RAMP_S, ramped_slots
-from lavenderstack.core.evacuation import Use
+from lavenderstack.core.evacuation.evacuation import Use
+from lavenderstack.core.targets.cold_start import RAMP_S, ramped_slots
 from lavenderstack.node.directory import Directory
 
 log = structlog.get_logger()
--- a/lavenderstack/node/targets/target_concurrency.py
+++ b/lavenderstack/node/targets/target_concurrency.py
@@ -1,8 +1,8 @@
 """Applies the learned concurrency limit of one target to its slots.
 
-The limit is learned in ``core/concurrency_limit.py``, from the times between sending a
-statement and its answer. Waiting for a slot or for a connection isn't part of them.
-Where load control is off, the slots are those that the target declares.
+The limit is learned in ``core/targets/concurrency_limit.py``, from the times between
+sending a statement and its answer. Waiting for a slot or for a connection isn't part of
+them. Where load control is off, the slots are those that the target declares.
 """
 
 from collections.abc import Iterator
@@ -13,10 +13,10 @@
 
 from lavenderstack.core import clock
 from lavenderstack.core.catalog import TargetState
-from lavenderstack.core.concurrency_limit import ConcurrencyLimit, Sample
 from lavenderstack.core.messages import Failed
 from lavenderstack.core.outcome import Reason
 from lavenderstack.core.reply import Reply
+from lavenderstack.core.targets.concurrency_limit import ConcurrencyLimit, Sample
 from lavenderstack.core.work_messages import Work
 from lavenderstack.node.directory import Directory
 from lavenderstack.node.targets.slots import Slots
--- a/lavenderstack/node/targets/target_concurrency_test.py
+++ b/lavenderstack/node/targets/target_concurrency_test.py
@@ -6,10 +6,10 @@
 from prometheus_client import CollectorRegistry, generate_latest
 
 from lavenderstack.core import clock
-from lavenderstack.core.contention import LoadControl
 from lavenderstack.core.messages import Failed
 from lavenderstack.core.outcome import Reason
 from lavenderstack.core.reply import Reply
+from lavenderstack.core.targets.contention import LoadControl
 from lavenderstack.node.executor_test import WRITE, ExecutorHarness
 from lavenderstack.node.targets.slots import Slots
 from lavenderstack.node.targets.target_concurrency import is_completion
--- a/lavenderstack/node/targets/target_connections.py
+++ b/lavenderstack/node/targets/target_connections.py
@@ -14,8 +14,9 @@
 
 import structlog
 
-from lavenderstack.core import clock, connection_share
+from lavenderstack.core import clock
 from lavenderstack.core.outcome import Reason
+from lavenderstack.core.targets import connection_share
 from lavenderstack.core.view import Target
 from lavenderstack.node.backend import Backend, ConnectFailed, Connection
 
--- a/lavenderstack/node/usable_primaries.py
+++ b/lavenderstack/node/usable_primaries.py
@@ -7,8 +7,12 @@
 from collections.abc import Collection
 
 from lavenderstack.core import clock
-from lavenderstack.core.evacuation import Use
-from lavenderstack.core.evacuation_routing import GroupZones, Prospect, prospect
+from lavenderstack.core.evacuation.evacuation import Use
+from lavenderstack.core.evacuation.evacuation_routing import (
+    GroupZones,
+    Prospect,
+    prospect,
+)
 from lavenderstack.core.routing import targets_in_zones
 from lavenderstack.core.view import Group, Target
 from lavenderstack.node.evacuation.zone_evacuations import ZoneEvacuations
--- a/lavenderstack/node/usable_primaries_test.py
+++ b/lavenderstack/node/usable_primaries_test.py
@@ -2,8 +2,9 @@
 
 import pytest
 
-from lavenderstack.core import clock, evacuation
-from lavenderstack.core.group_messages import PrimaryReply
+from lavenderstack.core import clock
+from lavenderstack.core.evacuation import evacuation
+from lavenderstack.core.failover.group_messages import PrimaryReply
 from lavenderstack.core.outcome import Reason, Refused
 from lavenderstack.core.view import Vm
 from lavenderstack.node.router_test import (
--- a/lavenderstack/node/wire.py
+++ b/lavenderstack/node/wire.py
@@ -9,15 +9,9 @@
 
 import msgspec
 
-from lavenderstack.core import (
-    change_messages,
-    coordinator_messages,
-    group_messages,
-    messages,
-    relay_messages,
-    share_messages,
-    work_messages,
-)
+from lavenderstack.core import change_messages, messages, relay_messages, work_messages
+from lavenderstack.core.failover import group_messages
+from lavenderstack.core.quota import coordinator_messages, share_messages
 
 MESSAGES: tuple[type, ...] = (
     messages.Execute,
--- a/lavenderstack/platform/declared.py
+++ b/lavenderstack/platform/declared.py
@@ -1,7 +1,7 @@
 """Translates the platform's configuration document into a ``DeclaredConfig``.
 
-It only translates; ``core/config_check.py`` and ``core/config_diff.py`` decide. The
-document is decoded by the function that nodes decode it with.
+It only translates; ``core/config/config_check.py`` and ``core/config/config_diff.py``
+decide. The document is decoded by the function that nodes decode it with.
 """
 
 import re
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from lavenderstack.core.declared_config import (
+from lavenderstack.core.config.declared_config import (
     DeclaredConfig,
     DeclaredGroup,
     DeclaredKey,
--- a/lavenderstack/platform/declared_test.py
+++ b/lavenderstack/platform/declared_test.py
@@ -9,8 +9,8 @@
 
 from lavenderstack.__main__ import main
 from lavenderstack.border.declared_test import altered
-from lavenderstack.core.config_check import check
-from lavenderstack.core.config_diff import compare
+from lavenderstack.core.config.config_check import check
+from lavenderstack.core.config.config_diff import compare
 from lavenderstack.platform.declared import translate
 from lavenderstack.platform.documents import decode_catalog
 from lavenderstack.platform.documents_test import CONFIG
--- a/lavenderstack/platform/documents.py
+++ b/lavenderstack/platform/documents.py
@@ -28,7 +28,7 @@
     Reserve,
     Route,
 )
-from lavenderstack.core.replica_set import ReplicaSet, TargetRun
+from lavenderstack.core.failover.replica_set import ReplicaSet, TargetRun
 from lavenderstack.core.store_position import era_of
 from lavenderstack.core.view import DEFAULT_PRIORITY, Plan, Target, Vm
 from lavenderstack.platform.callers import digest_of
--- a/lavenderstack/platform/documents_test.py
+++ b/lavenderstack/platform/documents_test.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from lavenderstack.core.catalog import Consistency, GroupLimits
-from lavenderstack.core.replica_set import ReplicaSet, TargetRun
+from lavenderstack.core.failover.replica_set import ReplicaSet, TargetRun
 from lavenderstack.core.view import Vm
 from lavenderstack.platform import documents
 from lavenderstack.platform.callers import digest_of
--- a/lavenderstack/platform/history.py
+++ b/lavenderstack/platform/history.py
@@ -1,7 +1,7 @@
 """Reads which targets and nodes were ever registered in the platform's store.
 
-The store keeps its changes for some time. If it has all from the first one on when
-this process first owns a group, they are read once, and ``core/store_history.py``
+The store keeps its changes for some time. If it has all from the first one on when this
+process first owns a group, they are read once, and ``core/failover/store_history.py``
 follows the later ones. Nodes that own nothing don't read them, since many nodes start
 together and each reading takes the bytes of all entries. The loader tells when a change
 may have been missed.
@@ -9,7 +9,7 @@
 
 import structlog
 
-from lavenderstack.core.store_history import StoreHistory
+from lavenderstack.core.failover.store_history import StoreHistory
 from lavenderstack.core.store_position import (
     era_of,
     revision_of,
--- a/lavenderstack/platform/history_test.py
+++ b/lavenderstack/platform/history_test.py
@@ -6,7 +6,7 @@
 
 from lavenderstack.core import clock
 from lavenderstack.core.change_messages import ChangesReply
-from lavenderstack.core.replica_set import TargetRun
+from lavenderstack.core.failover.replica_set import TargetRun
 from lavenderstack.core.view import Vm
 from lavenderstack.platform import documents, history
 from lavenderstack.platform.loader_test import (
--- a/lavenderstack/platform/main.py
+++ b/lavenderstack/platform/main.py
@@ -15,7 +15,7 @@
 from lavenderstack.border.http import HttpResponse
 from lavenderstack.core import clock
 from lavenderstack.core.features import OWN_FEATURES
-from lavenderstack.core.log_rate_limit import LogRateLimiter
+from lavenderstack.core.log.log_rate_limit import LogRateLimiter
 from lavenderstack.node import supervisor
 from lavenderstack.node.supervisor import Part
 from lavenderstack.platform import settings, store
--- a/lavenderstack/platform/node.py
+++ b/lavenderstack/platform/node.py
@@ -6,13 +6,13 @@
 from lavenderstack.core import clock
 from lavenderstack.core.catalog import TargetState
 from lavenderstack.core.change_messages import ChangesRequest
-from lavenderstack.core.cold_start import ColdLimits
-from lavenderstack.core.coordinator_messages import Attach, Detach, DrawTokens
 from lavenderstack.core.features import OWN_FEATURES
 from lavenderstack.core.members import Members
 from lavenderstack.core.messages import Message
-from lavenderstack.core.placement import capacity
 from lavenderstack.core.position_history import PositionHistory
+from lavenderstack.core.quota.coordinator_messages import Attach, Detach, DrawTokens
+from lavenderstack.core.targets.cold_start import ColdLimits
+from lavenderstack.core.targets.placement import capacity
 from lavenderstack.core.view import Vm
 from lavenderstack.core.view_proof import ViewProof
 from lavenderstack.core.work_messages import (
--- a/lavenderstack/platform/registration.py
+++ b/lavenderstack/platform/registration.py
@@ -18,7 +18,7 @@
 import structlog
 
 from lavenderstack.core import clock
-from lavenderstack.core.replica_set import ReplicaSet
+from lavenderstack.core.failover.replica_set import ReplicaSet
 from lavenderstack.core.store_era import CLAIM_HOLD_S
 from lavenderstack.core.view import Vm
 from lavenderstack.node.backend import ClaimLost
--- a/lavenderstack/platform/settings.py
+++ b/lavenderstack/platform/settings.py
@@ -13,7 +13,7 @@
 from msgspec import Meta
 
 from lavenderstack.border.address import parse_address
-from lavenderstack.core.contention import LoadControl
+from lavenderstack.core.targets.contention import LoadControl
 
 PATH_VARIABLE = "LAVENDERSTACK_CONFIG"
 
--- a/lavenderstack/platform/store_restore_test.py
+++ b/lavenderstack/platform/store_restore_test.py
@@ -12,7 +12,7 @@
 
 from lavenderstack.core import clock
 from lavenderstack.core.change_messages import ChangesReply, ChangesRequest
-from lavenderstack.core.replica_set import ReplicaSet, TargetRun
+from lavenderstack.core.failover.replica_set import ReplicaSet, TargetRun
 from lavenderstack.core.store_era import READ_HOLD_S
 from lavenderstack.core.store_position import era_of, store_position
 from lavenderstack.core.view import Vm
--- a/lavenderstack/tools/check_config.py
+++ b/lavenderstack/tools/check_config.py
@@ -30,8 +30,8 @@
 from pathlib import Path
 from typing import Any, Protocol
 
-from lavenderstack.core import config_check, config_diff
-from lavenderstack.core.declared_config import DeclaredConfig, Finding, Severity
+from lavenderstack.core.config import config_check, config_diff
+from lavenderstack.core.config.declared_config import DeclaredConfig, Finding, Severity
 from lavenderstack.tools import config_file
 from lavenderstack.tools.admin import KEY_VARIABLE
 from lavenderstack.tools.admin_client import Client
--- a/lavenderstack/tools/config_file.py
+++ b/lavenderstack/tools/config_file.py
@@ -12,7 +12,7 @@
 
 import yaml
 
-from lavenderstack.core.declared_config import (
+from lavenderstack.core.config.declared_config import (
     Finding,
     PathPart,
     Place,
--- a/lavenderstack/tools/explain.py
+++ b/lavenderstack/tools/explain.py
@@ -19,7 +19,7 @@
 
 from docopt import docopt
 
-from lavenderstack.core.explanation import Explanation, LogLine, explain
+from lavenderstack.core.log.explanation import Explanation, LogLine, explain
 
 EXIT_NO_CAUSE = 1
 EXIT_UNREADABLE = 2
--- a/lavenderstack/tools/measures.py
+++ b/lavenderstack/tools/measures.py
@@ -16,7 +16,7 @@
 
 from docopt import docopt
 
-from lavenderstack.core.service_measures import Measures, measure
+from lavenderstack.core.log.service_measures import Measures, measure
 from lavenderstack.tools.explain import EXIT_UNREADABLE, read_lines
 
 
--- a/scripts/explore.sh
+++ b/scripts/explore.sh
@@ -8,6 +8,6 @@
 bash scripts/setup.sh
 export LAVENDERSTACK_DEPTH="${1:-10}"
 .venv/bin/python -m pytest -q \
-  lavenderstack/core/replacement_test.py \
+  lavenderstack/core/failover/replacement_test.py \
   lavenderstack/core/view_proof_test.py \
-  lavenderstack/core/connection_share_test.py
+  lavenderstack/core/targets/connection_share_test.py
--- a/standins/wire_samples.py
+++ b/standins/wire_samples.py
@@ -10,9 +10,8 @@
 ``ok``, ``unknown``, or why it isn't understood, and a message as it was understood, as
 bytes in hex again.
 
-It imports nothing but the parts of ``lavenderstack`` that it samples and their
-libraries, so that it also runs on the source of another build, with that on
-``PYTHONPATH``.
+It also runs on the source of another build, with that on ``PYTHONPATH``. So it imports
+only two modules of ``lavenderstack``, which keep their places.
 """
 
 import dataclasses
@@ -25,8 +24,6 @@
 
 import msgspec
 
-from lavenderstack.core.replica_set import ReplicaSet, TargetRun
-from lavenderstack.core.view import Vm
 from lavenderstack.node import wire
 from lavenderstack.platform import documents
 
@@ -77,10 +74,11 @@
 
 def _records() -> dict[str, bytes]:
     """Return one record of each kind that nodes keep in the store."""
-    replicas = ReplicaSet("t1", frozenset({TargetRun("t2", 5)}), 40)
+    replica = documents.TargetRun("t2", 5)
+    replicas = documents.ReplicaSet("t1", frozenset({replica}), 40)
     return {
         documents.NODES_PREFIX + "n1": documents.encode_node(
-            Vm("n1", "z1", "10.0.0.1", 1, capacity=9.0), ERA, "n1#ab"
+            documents.Vm("n1", "z1", "10.0.0.1", 1, capacity=9.0), ERA, "n1#ab"
         ),
         documents.OWNERSHIP_PREFIX + "g": documents.encode_ownership("n1#ab", ERA),
         documents.REPLICAS_PREFIX + "g": documents.encode_replica_set(replicas, ERA),
