--- a/lavenderstack/platform/directory_writer.py
+++ b/lavenderstack/platform/directory_writer.py
@@ -10,7 +10,7 @@
 from lavenderstack.core.store_era import StoreEra
 from lavenderstack.core.view import Target
 from lavenderstack.node.directory import Directory
-from lavenderstack.platform import documents
+from lavenderstack.platform import documents, records
 from lavenderstack.platform.store import Item
 
 # After a store outage in which all leases expired, this node's registration has ended
@@ -52,27 +52,27 @@
                 self._update_target_limits()
         elif key.startswith(documents.TARGETS_PREFIX):
             self._put_target(item, documents.decode_report(key, data))
-        elif key.startswith(documents.NODES_PREFIX):
-            node = documents.decode_node(key, data)
+        elif key.startswith(records.NODES_PREFIX):
+            node = records.decode_node(key, data)
             if node is not None:
                 directory.record_registration(node.name, True)
                 directory.put_member(node)
-        elif key == documents.ERA_KEY:
-            settled = documents.decode_era(data)
+        elif key == records.ERA_KEY:
+            settled = records.decode_era(data)
             if settled is not None:
                 self._era.settle(settled)
-        elif key == documents.RESERVE_KEY:
-            reserve = documents.decode_reserve(key, data, item.rev)
+        elif key == records.RESERVE_KEY:
+            reserve = records.decode_reserve(key, data, item.rev)
             if reserve is not None:
                 directory.put_reserve(reserve)
-        elif key.startswith(documents.OWNERSHIP_PREFIX):
-            ownership = documents.decode_ownership(key, data, item.rev)
+        elif key.startswith(records.OWNERSHIP_PREFIX):
+            ownership = records.decode_ownership(key, data, item.rev)
             if ownership is not None:
-                group = key.removeprefix(documents.OWNERSHIP_PREFIX)
+                group = key.removeprefix(records.OWNERSHIP_PREFIX)
                 directory.put_ownership(group, ownership)
-        elif key.startswith(documents.REPLICAS_PREFIX):
-            replicas = documents.decode_replica_set(key, data)
-            group = key.removeprefix(documents.REPLICAS_PREFIX)
+        elif key.startswith(records.REPLICAS_PREFIX):
+            replicas = records.decode_replica_set(key, data)
+            group = key.removeprefix(records.REPLICAS_PREFIX)
             if replicas is None:
                 directory.drop_replica_set(group, item.rev)
             else:
@@ -121,22 +121,22 @@
             name = key.removeprefix(documents.TARGETS_PREFIX)
             self._reports.pop(name, None)
             directory.drop_target(name, item.rev)
-        elif key.startswith(documents.NODES_PREFIX):
-            name = key.removeprefix(documents.NODES_PREFIX)
+        elif key.startswith(records.NODES_PREFIX):
+            name = key.removeprefix(records.NODES_PREFIX)
             directory.record_registration(name, False)
             loop = asyncio.get_running_loop()
             loop.call_later(MEMBER_REMOVAL_DELAY_S, self._member_removed, key, item.rev)
-        elif key.startswith(documents.OWNERSHIP_PREFIX):
-            directory.drop_ownership(key.removeprefix(documents.OWNERSHIP_PREFIX))
-        elif key.startswith(documents.REPLICAS_PREFIX):
-            group = key.removeprefix(documents.REPLICAS_PREFIX)
+        elif key.startswith(records.OWNERSHIP_PREFIX):
+            directory.drop_ownership(key.removeprefix(records.OWNERSHIP_PREFIX))
+        elif key.startswith(records.REPLICAS_PREFIX):
+            group = key.removeprefix(records.REPLICAS_PREFIX)
             directory.drop_replica_set(group, item.rev)
         elif (zone := documents.evacuated_zone(key)) is not None:
             directory.drop_evacuation(zone, item.rev)
 
     def _member_removed(self, key: str, rev: int) -> None:
         """Drop a node; wait first if this node's own registration has ended as well."""
-        own_key = documents.NODES_PREFIX + self._directory.name
+        own_key = records.NODES_PREFIX + self._directory.name
         if own_key in self._entries:
             self._drop_member(key, rev)
         else:
@@ -145,4 +145,4 @@
 
     def _drop_member(self, key: str, rev: int) -> None:
         if self._revisions.get(key) == rev:
-            self._directory.drop_member(key.removeprefix(documents.NODES_PREFIX))
+            self._directory.drop_member(key.removeprefix(records.NODES_PREFIX))
--- a/lavenderstack/platform/documents_test.py
+++ b/lavenderstack/platform/documents_test.py
@@ -10,7 +10,7 @@
 from lavenderstack.core.catalog import Consistency, GroupLimits
 from lavenderstack.core.failover.replica_set import ReplicaSet, TargetRun
 from lavenderstack.core.view import Vm
-from lavenderstack.platform import documents
+from lavenderstack.platform import documents, records
 from lavenderstack.platform.callers import digest_of
 
 CONFIG = {
@@ -169,8 +169,8 @@
 class TestServiceRecords:
     def test_node_is_decoded_as_it_was_encoded(self):
         vm = Vm("n1", "z1", "10.0.0.1", 7560, state="leaving")
-        key = documents.NODES_PREFIX + "n1"
-        assert documents.decode_node(key, documents.encode_node(vm, 0)) == vm
+        key = records.NODES_PREFIX + "n1"
+        assert records.decode_node(key, records.encode_node(vm, 0)) == vm
 
     @pytest.mark.parametrize(("fields", "started_ms"), [({}, 0), ({"born": 17}, 17)])
     def test_report_tells_when_the_run_of_the_target_began(self, fields, started_ms):
@@ -183,22 +183,22 @@
 
     def test_replica_set_is_the_same_after_encoding(self):
         runs = frozenset({TargetRun("i-1", 5), TargetRun("i-1", 6), TargetRun("i-2")})
-        data = documents.encode_replica_set(ReplicaSet("i-3", runs, as_of=40), 0)
-        decoded = documents.decode_replica_set("ls/replicas/g", data)
+        data = records.encode_replica_set(ReplicaSet("i-3", runs, as_of=40), 0)
+        decoded = records.decode_replica_set("ls/replicas/g", data)
         assert decoded == ReplicaSet("i-3", runs)
         assert decoded.as_of == 40
 
     @pytest.mark.parametrize("data", [b"", b"[]", b'{"primary": 1}', b"\xff"])
     def test_invalid_replica_set_counts_as_none(self, data):
-        assert documents.decode_replica_set("ls/replicas/g", data) is None
+        assert records.decode_replica_set("ls/replicas/g", data) is None
 
     def test_epoch_of_an_ownership_is_its_revision(self):
-        ownership = documents.decode_ownership(
-            "ls/duties/g", documents.encode_ownership("n1#a", 0), 42
+        ownership = records.decode_ownership(
+            "ls/duties/g", records.encode_ownership("n1#a", 0), 42
         )
         assert (ownership.node, ownership.epoch) == ("n1#a", 42)
 
     @given(st.binary(max_size=60))
     def test_invalid_bytes_raise_no_error(self, data):
-        documents.decode_node("ls/nodes/n", data)
-        documents.decode_ownership("ls/duties/g", data, 1)
+        records.decode_node("ls/nodes/n", data)
+        records.decode_ownership("ls/duties/g", data, 1)
--- a/lavenderstack/platform/history.py
+++ b/lavenderstack/platform/history.py
@@ -15,7 +15,7 @@
     revision_of,
     store_position,
 )
-from lavenderstack.platform import documents
+from lavenderstack.platform import documents, records
 from lavenderstack.platform.store import (
     HistoryGone,
     Item,
@@ -98,8 +98,8 @@
         if item.key.startswith(documents.TARGETS_PREFIX):
             name = item.key.removeprefix(documents.TARGETS_PREFIX)
             self._check_complete(item, self._history.has_target(name))
-        elif item.key.startswith(documents.NODES_PREFIX):
-            name = item.key.removeprefix(documents.NODES_PREFIX)
+        elif item.key.startswith(records.NODES_PREFIX):
+            name = item.key.removeprefix(records.NODES_PREFIX)
             self._check_complete(item, self._history.has_node(name))
         if not item.deleted and self._history.known:
             self._record_value(item)
@@ -122,9 +122,9 @@
                 self.end(f"{item.key} not understood")
             else:
                 self._history.add_target(*found)
-        elif item.key.startswith(documents.NODES_PREFIX):
-            name = item.key.removeprefix(documents.NODES_PREFIX)
-            self._history.add_node(name, documents.decode_node_run(data))
+        elif item.key.startswith(records.NODES_PREFIX):
+            name = item.key.removeprefix(records.NODES_PREFIX)
+            self._history.add_node(name, records.decode_node_run(data))
 
     def _record_catalog(self, data: bytes) -> None:
         catalog = documents.decode_catalog(data)
--- a/lavenderstack/platform/history_test.py
+++ b/lavenderstack/platform/history_test.py
@@ -8,7 +8,7 @@
 from lavenderstack.core.change_messages import ChangesReply
 from lavenderstack.core.failover.replica_set import TargetRun
 from lavenderstack.core.view import Vm
-from lavenderstack.platform import documents, history
+from lavenderstack.platform import history, records
 from lavenderstack.platform.loader_test import (
     report,
     run_loader,
@@ -26,9 +26,9 @@
     for name in ("i-1", "i-2"):
         kv.put(f"servers/{name}", report(born=5))
     kv.delete("servers/i-2")
-    kv.put("ls/nodes/n1", documents.encode_node(Vm("n1", "z1", "h", 1), 0, "n1#a"))
+    kv.put("ls/nodes/n1", records.encode_node(Vm("n1", "z1", "h", 1), 0, "n1#a"))
     kv.delete("ls/nodes/n1")
-    kv.put("ls/duties/g1", documents.encode_ownership("n1#b", kv.era or 0))
+    kv.put("ls/duties/g1", records.encode_ownership("n1#b", kv.era or 0))
     return kv
 
 
--- a/lavenderstack/platform/loader.py
+++ b/lavenderstack/platform/loader.py
@@ -35,7 +35,7 @@
 from lavenderstack.node.directory import Directory
 from lavenderstack.node.peers import Peers
 from lavenderstack.node.streams import NotSent, StreamLost
-from lavenderstack.platform import documents
+from lavenderstack.platform import documents, records
 from lavenderstack.platform.directory_writer import DirectoryWriter
 from lavenderstack.platform.history import HistoryReader
 from lavenderstack.platform.store import (
@@ -379,7 +379,7 @@
         except ValueError as exc:
             log.warning("loader: value can't be decoded", key=item.key, error=str(exc))
             data = None
-        if data and documents.is_void(item.key, data, item.rev):
+        if data and records.is_void(item.key, data, item.rev):
             log.info("loader: record of an older era ignored", key=item.key)
             item = Item(item.key, item.rev, deleted=True)
         self._recent.append(item)
--- a/lavenderstack/platform/loader_test.py
+++ b/lavenderstack/platform/loader_test.py
@@ -11,7 +11,7 @@
 from lavenderstack.core.view_proof import ViewProof
 from lavenderstack.node.directory import Directory
 from lavenderstack.node.streams import NotSent
-from lavenderstack.platform import documents, loader, store
+from lavenderstack.platform import loader, records, store
 from lavenderstack.platform.documents_test import CONFIG, REPORT
 from lavenderstack.platform.loader import Loader
 from standins.metadata_store import MetadataStore, serving
@@ -191,9 +191,9 @@
         kv.put("op/config", config(1))
         for number in range(8):
             vm = Vm(f"a{number}", "z1", "10.0.0.1", 1)
-            key = documents.NODES_PREFIX + vm.name
-            kv.put(key, documents.encode_node(vm, 0))
-        kv.put(documents.NODES_PREFIX + "n1", documents.encode_node(vm, 0))
+            key = records.NODES_PREFIX + vm.name
+            kv.put(key, records.encode_node(vm, 0))
+        kv.put(records.NODES_PREFIX + "n1", records.encode_node(vm, 0))
 
         class StartingPeers:
             async def ask(self, vm, msg, timeout_s):
@@ -256,21 +256,21 @@
         kv.put("op/config", config(1))
         for name in ("n1", "n2"):
             vm = Vm(name, "z1", "10.0.0.1", 1)
-            kv.put(documents.NODES_PREFIX + name, documents.encode_node(vm, 0))
+            kv.put(records.NODES_PREFIX + name, records.encode_node(vm, 0))
         return kv
 
     async def test_node_without_registration_is_dropped_at_once(self):
         kv = self.store_with_two_nodes()
         async with run_loader(kv) as directory:
             await wait_until(lambda: len(directory.view.vms) == 2)
-            kv.delete(documents.NODES_PREFIX + "n2")
+            kv.delete(records.NODES_PREFIX + "n2")
             await wait_until(lambda: set(directory.view.vms) == {"n1"}, 1.0)
 
     async def test_nodes_are_kept_if_all_registrations_end_together(self):
         kv = self.store_with_two_nodes()
         async with run_loader(kv) as directory:
             await wait_until(lambda: len(directory.view.vms) == 2)
-            kv.delete(documents.NODES_PREFIX + "n2")
-            kv.delete(documents.NODES_PREFIX + "n1")
+            kv.delete(records.NODES_PREFIX + "n2")
+            kv.delete(records.NODES_PREFIX + "n1")
             await asyncio.sleep(0.6)
             assert set(directory.view.vms) == {"n1", "n2"}
--- a/lavenderstack/platform/registration.py
+++ b/lavenderstack/platform/registration.py
@@ -22,7 +22,7 @@
 from lavenderstack.core.store_era import CLAIM_HOLD_S
 from lavenderstack.core.view import Vm
 from lavenderstack.node.backend import ClaimLost
-from lavenderstack.platform import documents
+from lavenderstack.platform import records
 from lavenderstack.platform.store import (
     Condition,
     Conflict,
@@ -111,8 +111,8 @@
             self._registered = True
 
     async def _register(self, vm: Vm) -> None:
-        key = documents.NODES_PREFIX + vm.name
-        data = documents.encode_node(vm, self._store.era.number, self.identity)
+        key = records.NODES_PREFIX + vm.name
+        data = records.encode_node(vm, self._store.era.number, self.identity)
         put = Put(key, data, self._lease)
         try:
             await self._store.change(puts=[put])
@@ -152,8 +152,8 @@
         """
         if self._store.era.number is None:
             raise ClaimLost("the store has not answered yet")
-        key = documents.RESERVE_KEY
-        data = documents.encode_reserve(self.identity, tokens, self._store.era.number)
+        key = records.RESERVE_KEY
+        data = records.encode_reserve(self.identity, tokens, self._store.era.number)
         put = Put(key, data)
         try:
             return await self._store.change([Condition(key, revision)], [put])
@@ -185,10 +185,10 @@
         if not self._store.era.number:
             # The store was never restored.
             return None
-        key = documents.OWNERSHIP_PREFIX + group
+        key = records.OWNERSHIP_PREFIX + group
         try:
             item = await self._store.get(key)
-            void = item is not None and documents.is_void(key, item.data, item.rev)
+            void = item is not None and records.is_void(key, item.data, item.rev)
         except (StoreFailed, ValueError) as exc:
             log.info("registration: claim not read", duty=group, error=repr(exc))
             return None
@@ -211,9 +211,9 @@
         number = self._store.era.number
         if number is None or self._lease_is_of_older_era():
             raise ClaimLost("no lease")
-        key = documents.REPLICAS_PREFIX + group
-        put = Put(key, documents.encode_replica_set(replicas, number))
-        owned = Condition(documents.OWNERSHIP_PREFIX + group, epoch)
+        key = records.REPLICAS_PREFIX + group
+        put = Put(key, records.encode_replica_set(replicas, number))
+        owned = Condition(records.OWNERSHIP_PREFIX + group, epoch)
         try:
             invalid_at = 0 if revision else await self._invalid_record(key)
             unchanged = Condition(key, revision or invalid_at)
@@ -230,14 +230,14 @@
             data = item.data
         except ValueError:
             return item.rev
-        void = documents.is_void(key, data, item.rev)
-        if void or documents.decode_replica_set(key, data) is None:
+        void = records.is_void(key, data, item.rev)
+        if void or records.decode_replica_set(key, data) is None:
             return item.rev
         return 0
 
     async def release(self, group: str, epoch: int) -> None:
         """Release the claim, so that another node may claim the group."""
-        key = documents.OWNERSHIP_PREFIX + group
+        key = records.OWNERSHIP_PREFIX + group
         try:
             await self._store.change([Condition(key, epoch)], deletes=[key])
         except (Conflict, StoreFailed, LeaseEnded) as exc:
@@ -248,13 +248,13 @@
     async def _write_claim(self, group: str, expected_rev: int) -> None:
         if not self._lease or self._lease_is_of_older_era():
             raise ClaimLost("no lease")
-        key, era = documents.OWNERSHIP_PREFIX + group, self._store.era
+        key, era = records.OWNERSHIP_PREFIX + group, self._store.era
         number = era.number
-        data = documents.encode_ownership(self.identity, number)
+        data = records.encode_ownership(self.identity, number)
         puts = [Put(key, data, self._lease)]
         if not era.settled:
             # Nodes that start later need not wait for owners of the older era.
-            puts.append(Put(documents.ERA_KEY, documents.encode_era(number)))
+            puts.append(Put(records.ERA_KEY, records.encode_era(number)))
         try:
             await self._store.change([Condition(key, expected_rev)], puts)
         except (Conflict, StoreFailed, LeaseEnded) as exc:
--- a/lavenderstack/platform/registration_test.py
+++ b/lavenderstack/platform/registration_test.py
@@ -7,7 +7,7 @@
 
 from lavenderstack.core.view import Vm
 from lavenderstack.node.backend import ClaimLost
-from lavenderstack.platform import documents, store
+from lavenderstack.platform import records, store
 from lavenderstack.platform.loader_test import (
     wait_until,
 )
@@ -22,14 +22,14 @@
         registration = Registration(client, Vm("n1", "z1", "10.0.0.1", 1))
         task = asyncio.ensure_future(registration.run())
         try:
-            await wait_until(lambda: documents.NODES_PREFIX + "n1" in kv.items)
+            await wait_until(lambda: records.NODES_PREFIX + "n1" in kv.items)
             yield registration
         finally:
             task.cancel()
 
 
 class TestRegistration:
-    OWNERSHIP_KEY = documents.OWNERSHIP_PREFIX + "g"
+    OWNERSHIP_KEY = records.OWNERSHIP_PREFIX + "g"
 
     async def test_claim_ends_with_the_lease(self):
         kv = MetadataStore()
@@ -41,7 +41,7 @@
 
     async def test_owned_group_cannot_be_claimed(self):
         kv = MetadataStore()
-        kv.put(self.OWNERSHIP_KEY, documents.encode_ownership("n2#x", 0))
+        kv.put(self.OWNERSHIP_KEY, records.encode_ownership("n2#x", 0))
         async with run_registration(kv) as registration:
             with pytest.raises(ClaimLost):
                 await registration.claim("g")
@@ -56,7 +56,7 @@
 
     async def test_ended_lease_causes_a_new_registration(self):
         kv = MetadataStore()
-        key = documents.NODES_PREFIX + "n1"
+        key = records.NODES_PREFIX + "n1"
         async with run_registration(kv):
             kv.end_lease(kv.items[key]["lease"])
             assert key not in kv.items
--- a/lavenderstack/platform/store_restore_claims_test.py
+++ b/lavenderstack/platform/store_restore_claims_test.py
@@ -9,7 +9,7 @@
 from lavenderstack.core.store_position import store_position
 from lavenderstack.core.view import Vm
 from lavenderstack.node.backend import ClaimLost
-from lavenderstack.platform import documents, store
+from lavenderstack.platform import records, store
 from lavenderstack.platform.registration import (
     REGISTER_SPREAD_S,
     RENEWAL_INTERVAL_S,
@@ -62,7 +62,7 @@
             item = kv.items[CLAIM_KEY]
             assert store_position(kv.era, item["rev"]) > first
             assert item["lease"] in kv.leases
-            assert kv.items[documents.ERA_KEY]
+            assert kv.items[records.ERA_KEY]
 
     async def test_lease_of_the_older_era_is_neither_renewed_nor_ended(self):
         """Its number may belong to another node by now."""
@@ -82,7 +82,7 @@
             kv.restore(kv.take_copy())
             await wait_until(lambda: registration._store.era.restores == 1)
             await registration.leave()
-            key = documents.NODES_PREFIX + "n1"
+            key = records.NODES_PREFIX + "n1"
             assert key not in kv.items or kv.items[key]["lease"]
 
     async def test_nodes_register_again_spread_over_time(self):
@@ -95,7 +95,7 @@
                 client = await opened.__aenter__()
                 registration = Registration(client, Vm(name, "z1", "10.0.0.1", 1))
                 tasks.append(asyncio.ensure_future(registration.run()))
-            prefix = documents.NODES_PREFIX
+            prefix = records.NODES_PREFIX
             await wait_until(lambda: all(prefix + name in kv.items for name in names))
             kv.change_times.clear()
             kv.restore(kv.take_copy())
--- a/lavenderstack/platform/store_restore_test.py
+++ b/lavenderstack/platform/store_restore_test.py
@@ -19,7 +19,7 @@
 from lavenderstack.core.view_proof import ViewProof
 from lavenderstack.node.backend import ClaimLost
 from lavenderstack.node.directory import Directory
-from lavenderstack.platform import documents, store
+from lavenderstack.platform import records, store
 from lavenderstack.platform.callers import digest_of
 from lavenderstack.platform.documents_test import CONFIG, REPORT
 from lavenderstack.platform.loader import RETRY_DELAY_S, Loader
@@ -30,7 +30,7 @@
 
 KEY = CONFIG["tenants"][0]["api_keys"][0]
 ORGANISATION = CONFIG["tenants"][0]["name"]
-CLAIM_KEY = documents.OWNERSHIP_PREFIX + "g"
+CLAIM_KEY = records.OWNERSHIP_PREFIX + "g"
 
 
 def config(version, keys=(KEY,)):
@@ -47,7 +47,7 @@
     kv = MetadataStore(era=era)
     kv.put("op/config", config(3))
     if settled:
-        kv.put(documents.ERA_KEY, documents.encode_era(era))
+        kv.put(records.ERA_KEY, records.encode_era(era))
     return kv
 
 
@@ -76,7 +76,7 @@
     async with serving(kv) as addr, store.open_store(addr) as client:
         registration = Registration(client, Vm(name, "z1", "10.0.0.1", 1))
         async with running(registration.run()):
-            await wait_until(lambda: documents.NODES_PREFIX + name in kv.items)
+            await wait_until(lambda: records.NODES_PREFIX + name in kv.items)
             # A loader would have read the record of the settled era.
             client.era.settle(kv.era)
             yield registration
@@ -274,23 +274,23 @@
         kv.keeps_leased = keeps_leased
         kv.leases.add(99)
         vm = Vm("n9", "z1", "10.0.0.9", 1)
-        kv.put(documents.NODES_PREFIX + "n9", documents.encode_node(vm, 1), 99)
-        kv.put(CLAIM_KEY, documents.encode_ownership("n9#x", 1), 99)
+        kv.put(records.NODES_PREFIX + "n9", records.encode_node(vm, 1), 99)
+        kv.put(CLAIM_KEY, records.encode_ownership("n9#x", 1), 99)
         kept = kv.take_copy()
         async with run_loader(kv) as (_, directory):
             await wait_until(lambda: "n9" in directory.view.vms)
             assert "g" in directory.ownerships
             kv.restore(kept)
             own = Vm("n1", "z1", "10.0.0.1", 1)
-            kv.put(documents.NODES_PREFIX + "n1", documents.encode_node(own, 2))
+            kv.put(records.NODES_PREFIX + "n1", records.encode_node(own, 2))
             await wait_until(lambda: "n9" not in directory.view.vms)
             await wait_until(lambda: "g" not in directory.ownerships)
 
     async def test_replica_set_of_the_copy_counts_as_none(self):
         kv = new_store()
         runs = frozenset({TargetRun("i-1")})
-        data = documents.encode_replica_set(ReplicaSet("i-2", runs), 1)
-        kv.put(documents.REPLICAS_PREFIX + "g", data)
+        data = records.encode_replica_set(ReplicaSet("i-2", runs), 1)
+        kv.put(records.REPLICAS_PREFIX + "g", data)
         kept = kv.take_copy()
         async with run_loader(kv) as (_, directory):
             await wait_until(lambda: "g" in directory.replica_sets)
@@ -298,15 +298,15 @@
             await wait_until(lambda: "g" not in directory.replica_sets)
 
     def test_tokens_of_an_older_era_are_not_handed_out_again(self):
-        data = documents.encode_reserve("n1#a", {"org": 40.0}, 1)
-        reserve = documents.decode_reserve("ls/reserve", data, store_position(2, 9))
+        data = records.encode_reserve("n1#a", {"org": 40.0}, 1)
+        reserve = records.decode_reserve("ls/reserve", data, store_position(2, 9))
         assert (reserve.node, reserve.tokens) == ("n1", {})
-        same = documents.decode_reserve("ls/reserve", data, store_position(1, 9))
+        same = records.decode_reserve("ls/reserve", data, store_position(1, 9))
         assert same.tokens == {"org": 40.0}
 
     def test_records_of_a_build_without_eras_stay_valid(self):
         data = b'{"node":"n1#a"}'
-        assert not documents.is_void(CLAIM_KEY, data, store_position(3, 9))
+        assert not records.is_void(CLAIM_KEY, data, store_position(3, 9))
 
 
 class TestReplicaSets:
@@ -332,15 +332,15 @@
             newer = ReplicaSet("i-2", frozenset())
             with pytest.raises(ClaimLost):
                 await registration.record_replicas("g", epoch, newer, 0)
-            known = kv.items[documents.REPLICAS_PREFIX + "g"]["rev"]
+            known = kv.items[records.REPLICAS_PREFIX + "g"]["rev"]
             revision = store_position(kv.era, known)
             await registration.record_replicas("g", epoch, newer, revision)
 
     @pytest.mark.parametrize("data", [b"nothing", None], ids=["invalid", "void"])
     async def test_a_record_that_counts_as_none_is_replaced(self, data):
         kv = new_store(era=2)
-        key = documents.REPLICAS_PREFIX + "g"
-        kv.put(key, data or documents.encode_replica_set(self.RUNS, 1))
+        key = records.REPLICAS_PREFIX + "g"
+        kv.put(key, data or records.encode_replica_set(self.RUNS, 1))
         async with run_registration(kv) as registration:
             await registration.claim("g")
             epoch = store_position(kv.era, kv.items[CLAIM_KEY]["rev"])
@@ -355,7 +355,7 @@
             await registration.renew_epoch("g", epoch)
             with pytest.raises(ClaimLost):
                 await registration.record_replicas("g", epoch, self.RUNS, 0)
-        assert documents.REPLICAS_PREFIX + "g" not in kv.items
+        assert records.REPLICAS_PREFIX + "g" not in kv.items
 
 
 class TestFollowers:
--- a/lavenderstack/tools/check_config_test.py
+++ b/lavenderstack/tools/check_config_test.py
@@ -21,7 +21,7 @@
 PACKAGE = Path(__file__).parents[1]
 PAGE = PACKAGE.parent / "docs" / "CHECK-CONFIG.md"
 SOURCES = [
-    *(PACKAGE / "core").glob("config_*.py"),
+    *(PACKAGE / "core" / "config").glob("config_*.py"),
     PACKAGE / "border" / "declared.py",
     PACKAGE / "platform" / "declared.py",
     PACKAGE / "tools" / "config_file.py",
--- a/standins/wire_samples.py
+++ b/standins/wire_samples.py
@@ -11,7 +11,7 @@
 bytes in hex again.
 
 It also runs on the source of another build, with that on ``PYTHONPATH``. So it imports
-only two modules of ``lavenderstack``, which keep their places.
+only two modules of ``lavenderstack``, wherever the other build has them.
 """
 
 import dataclasses
@@ -25,7 +25,12 @@
 import msgspec
 
 from lavenderstack.node import wire
-from lavenderstack.platform import documents
+
+try:
+    from lavenderstack.platform import records
+except ImportError:
+    # Builds up to 3ec1e96 have the records there.
+    from lavenderstack.platform import documents as records
 
 NUMBER = 7
 ERA = 0
@@ -74,30 +79,30 @@
 
 def _records() -> dict[str, bytes]:
     """Return one record of each kind that nodes keep in the store."""
-    replica = documents.TargetRun("t2", 5)
-    replicas = documents.ReplicaSet("t1", frozenset({replica}), 40)
+    replica = records.TargetRun("t2", 5)
+    replicas = records.ReplicaSet("t1", frozenset({replica}), 40)
     return {
-        documents.NODES_PREFIX + "n1": documents.encode_node(
-            documents.Vm("n1", "z1", "10.0.0.1", 1, capacity=9.0), ERA, "n1#ab"
+        records.NODES_PREFIX + "n1": records.encode_node(
+            records.Vm("n1", "z1", "10.0.0.1", 1, capacity=9.0), ERA, "n1#ab"
         ),
-        documents.OWNERSHIP_PREFIX + "g": documents.encode_ownership("n1#ab", ERA),
-        documents.REPLICAS_PREFIX + "g": documents.encode_replica_set(replicas, ERA),
-        documents.RESERVE_KEY: documents.encode_reserve("n1#ab", {"org": 2.5}, ERA),
-        documents.ERA_KEY: documents.encode_era(3),
+        records.OWNERSHIP_PREFIX + "g": records.encode_ownership("n1#ab", ERA),
+        records.REPLICAS_PREFIX + "g": records.encode_replica_set(replicas, ERA),
+        records.RESERVE_KEY: records.encode_reserve("n1#ab", {"org": 2.5}, ERA),
+        records.ERA_KEY: records.encode_era(3),
     }
 
 
 def _read_record(key: str, data: bytes) -> object:
     """Return a record as this build understands it, None if it doesn't."""
-    if key.startswith(documents.NODES_PREFIX):
-        return documents.decode_node(key, data)
-    if key.startswith(documents.OWNERSHIP_PREFIX):
-        return documents.decode_ownership(key, data, REVISION)
-    if key.startswith(documents.REPLICAS_PREFIX):
-        return documents.decode_replica_set(key, data)
-    if key == documents.RESERVE_KEY:
-        return documents.decode_reserve(key, data, REVISION)
-    return documents.decode_era(data) if key == documents.ERA_KEY else None
+    if key.startswith(records.NODES_PREFIX):
+        return records.decode_node(key, data)
+    if key.startswith(records.OWNERSHIP_PREFIX):
+        return records.decode_ownership(key, data, REVISION)
+    if key.startswith(records.REPLICAS_PREFIX):
+        return records.decode_replica_set(key, data)
+    if key == records.RESERVE_KEY:
+        return records.decode_reserve(key, data, REVISION)
+    return records.decode_era(data) if key == records.ERA_KEY else None
 
 
 def make() -> dict[str, str]:
