Split the choice of a successor from the supervision of groups

One change of behaviour, found while reading: an isolated owner resumes the replicas before it gives the group up, not after, since a late resume would undo the pause of the next owner. The new test fails on the order before.

--- a/bench/promotions.py
+++ b/bench/promotions.py
@@ -30,7 +30,7 @@
 from lavenderstack.core.position import START, Position
 from lavenderstack.core.view import Vm
 from lavenderstack.core.work_messages import GroupPosition
-from lavenderstack.node.failover import replacer, replica_sets
+from lavenderstack.node.failover import replacer, replica_sets, successor_choice
 from lavenderstack.node.failover.replacer_fake import ReplacerHarness
 
 NODES = ("n1", "n2", "n3", "n4")
@@ -200,7 +200,7 @@
         (replica_sets, "BLOCKED_RETRY_S"),
         (replica_sets, "PROOF_RETRY_S"),
         (replacer, "RELEASE_RETRY_S"),
-        (replacer, "CATCH_UP_TIMEOUT_S"),
+        (successor_choice, "CATCH_UP_TIMEOUT_S"),
     )
     before = [getattr(module, name) for module, name in names]
     for module, name in names:
--- a/lavenderstack/core/log/events_test.py
+++ b/lavenderstack/core/log/events_test.py
@@ -48,6 +48,7 @@
     "target_health",
     "token_coordinator",
     "followers",
+    "successor_choice",
     "zone_evacuations",
     "holder_evacuation_guard",
     "group_monitor",
--- a/lavenderstack/node/directory.py
+++ b/lavenderstack/node/directory.py
@@ -276,6 +276,10 @@
         """Return the targets of a group."""
         return list(self._groups[name].values())
 
+    def followers(self, group: str, primary: str) -> list[TargetState]:
+        """Return the targets of a group without the one that is its primary."""
+        return [one for one in self.group(group) if one.target.name != primary]
+
     def primary(self, group: str) -> TargetState | None:
         """Return the target that this node considers a group's primary, or None."""
         return primary_selection.select_primary(
--- a/lavenderstack/node/failover/isolated_owner_test.py
+++ b/lavenderstack/node/failover/isolated_owner_test.py
@@ -46,6 +46,23 @@
         assert harness.primary != "t1"
         assert harness.group.incomplete == []
 
+    async def test_replicas_are_resumed_before_another_node_may_pause_them(
+        self, monkeypatch
+    ):
+        """A resume after the release would undo the next owner's pause."""
+        monkeypatch.setattr(isolation, "ISOLATED_LIMIT_S", 0.0)
+        harness = await self.isolated()
+        release, paused = harness.claims.release, []
+
+        async def release_and_look(group, epoch):
+            paused.extend(name for name in ("t2", "t3") if harness.targets[name].paused)
+            await release(group, epoch)
+
+        harness.claims.release = release_and_look
+        await harness.check()
+        assert harness.claims.released == ["g"]
+        assert paused == []
+
     async def test_it_leaves_the_group_to_others_after_a_while(self, monkeypatch):
         monkeypatch.setattr(isolation, "ISOLATED_LIMIT_S", 0.0)
         harness = await self.isolated()
--- a/lavenderstack/node/failover/replacer.py
+++ b/lavenderstack/node/failover/replacer.py
@@ -17,23 +17,19 @@
 from lavenderstack.core.failover.replacement import (
     Obstacle,
     ReplicaState,
-    choose_successor,
-    commit_obstacle,
-    most_advanced,
-    takeover_obstacle,
 )
-from lavenderstack.core.position import Position
 from lavenderstack.core.work_messages import PrimaryPosition
 from lavenderstack.node.backend import Backend, Claims, Orders
 from lavenderstack.node.counters import Counters
 from lavenderstack.node.directory import Directory
-from lavenderstack.node.failover.followers import Followers, format_positions
+from lavenderstack.node.failover.followers import Followers
 from lavenderstack.node.failover.group_claims import GroupClaims
-from lavenderstack.node.failover.group_positions import GroupPositions, HeldEnd
+from lavenderstack.node.failover.group_positions import GroupPositions
 from lavenderstack.node.failover.planned_failover import PlannedFailover
-from lavenderstack.node.failover.primary_probe import PROBE_TIMEOUT_S, PrimaryProbe
+from lavenderstack.node.failover.primary_probe import PrimaryProbe
 from lavenderstack.node.failover.promoter import OrderOutcome, Promoter
 from lavenderstack.node.failover.replica_sets import ReplicaSets
+from lavenderstack.node.failover.successor_choice import Choice, SuccessorChoice
 from lavenderstack.node.peers import Peers
 
 log = structlog.get_logger()
@@ -44,9 +40,6 @@
 # How long a primary may have no connection free. The connections of nodes that lost
 # power count at a target for 3 s.
 MAX_FULL_S = 4.0
-# How long a replica may take to catch up before a leaving primary is replaced.
-CATCH_UP_TIMEOUT_S = 0.6
-CATCH_UP_POLL_S = 0.05
 # How often it is tried to resume replicas that an earlier attempt may have paused.
 RELEASE_RETRY_S = 1.0
 # The node acts only if its view was proved current within this time.
@@ -101,6 +94,9 @@
             directory, peers, self._probe, claims, orders, counters
         )
         self._planned = PlannedFailover(directory)
+        self._choice = SuccessorChoice(
+            directory, self._probe, self._replicas, self._positions, self._sets
+        )
         self._groups: dict[str, _GroupStatus] = defaultdict(_GroupStatus)
         self.stopping = False
 
@@ -184,143 +180,28 @@
     async def _replace_lost(
         self, group: str, status: _GroupStatus, lost: TargetState | None
     ) -> None:
-        """Promote the replica with the longest log in place of a lost primary.
-
-        The replicas are paused first. They are resumed if none may be promoted.
-        """
-        name = lost.target.name if lost else ""
-        replicated = self._is_replicated(group)
-        if not replicated or self._sets.is_complete(group, name):
-            followers = self._followers(group, lost)
-            states, end = await asyncio.gather(
-                self._replicas.pause(group, followers),
-                self._positions.hold(group, name),
-            )
-        else:
-            followers = self._followers(group, lost)
-            required = await self._sets.required_position(group, name, followers)
-            if required is None or not self._may_act():
-                self._release(group, status)
-                return
-            end = HeldEnd(required, everywhere=True)
-            followers = self._followers(group, lost)
-            states = await self._replicas.pause(group, followers)
-        chosen = choose_successor(states, replicated)
-        if replicated and self._has_joined(group, lost, followers):
-            chosen = Obstacle.SILENT_REPLICA
-        if isinstance(chosen, ReplicaState):
-            obstacle, end = await self._commit_obstacle(group, name, chosen, end)
-            chosen = obstacle or chosen
-        await self._give_up_if_isolated(group, status, chosen)
-        if self._has_other_primary(group, name):
-            chosen = Obstacle.LED
-        if isinstance(chosen, Obstacle):
-            self._sets.log_blocked(group, chosen, states, end.position)
-            await self._resume(group, status, followers)
-            return
-        log.warning(
-            "replacer: primary lost",
-            group=group,
-            lost=name,
-            chosen=chosen.name,
-            followers=format_positions(states),
-            primary=self._positions.describe_last_answer(group),
-            held=end.everywhere,
-        )
-        await self._promote(group, status, chosen.name, followers)
-
-    async def _commit_obstacle(
-        self, group: str, lost: str, chosen: ReplicaState, end: HeldEnd
-    ) -> tuple[Obstacle | None, HeldEnd]:
-        """Return what the answers of the nodes say against a chosen replica, or None.
-
-        Where that depends on nodes that gave no answer, all are asked once more. The
-        last answers of the nodes are returned as well.
-        """
-        unregistered = bool(self._sets.unregistered(group, lost))
-        obstacle = self._answers_obstacle(group, chosen, unregistered, end)
-        if obstacle in (Obstacle.SILENT_NODE, Obstacle.ISOLATED):
-            end = await self._positions.hold(group, lost, PROBE_TIMEOUT_S)
-            obstacle = self._answers_obstacle(group, chosen, unregistered, end)
-        return obstacle, end
-
-    def _answers_obstacle(
-        self, group: str, chosen: ReplicaState, unregistered: bool, end: HeldEnd
-    ) -> Obstacle | None:
-        if end.isolated:
-            return Obstacle.ISOLATED
-        if not self._is_replicated(group):
-            return None
-        return commit_obstacle(chosen, end.position, unregistered, end.everywhere)
-
-    async def _give_up_if_isolated(
-        self, group: str, status: _GroupStatus, chosen: ReplicaState | Obstacle
-    ) -> None:
-        """Leave the group to another owner if this node hears too few others."""
-        if status.isolation.observe(chosen is Obstacle.ISOLATED, clock.now()):
+        """Promote a replica in place of a lost primary, if one may take over."""
+        choice = await self._choice.in_place_of_lost(group, lost, self._may_act)
+        await self._act_on(group, status, choice)
+        isolated = choice.chosen is Obstacle.ISOLATED
+        if status.isolation.observe(isolated, clock.now()):
             await self._group_claims.give_up(group)
 
     async def _replace_leaving(
         self, group: str, status: _GroupStatus, primary: TargetState
     ) -> None:
-        """Promote a replica in place of one that leaves or whose zone is evacuated.
-
-        The other replicas are paused until the candidate has caught up with them.
-        """
-        followers = self._followers(group, primary)
-        staying = [one for one in followers if not one.leaving]
-        states = await self._replicas.send(staying, statement.STATUS)
-        candidate = most_advanced([one for one in states if not one.evacuated])
-        if candidate is None:
-            log.info("replacer: no replica to take over yet", group=group)
-            return
-        others = [one for one in followers if one.target.name != candidate.name]
-        held = await self._hold_for_unregistered(primary)
-        paused = await self._replicas.pause(group, others)
-        replicated = self._is_replicated(group)
-        until = clock.now() + CATCH_UP_TIMEOUT_S
-        state = next(s for s in followers if s.target.name == candidate.name)
-        while True:
-            end = await self._end_of_log(primary)
-            candidate = (await self._replicas.send([state], statement.STATUS))[0]
-            obstacle = takeover_obstacle(candidate, paused, replicated)
-            if obstacle is None and held is not None:
-                obstacle = commit_obstacle(
-                    candidate, held.position, True, held.everywhere
-                )
-            if obstacle is None:
-                if await self._is_caught_up(primary, candidate, end):
-                    break
-                obstacle = Obstacle.MISSING_REPLICA
-            if clock.now() > until:
-                log.info(
-                    "replacer: replacement postponed",
-                    group=group,
-                    obstacle=obstacle.name,
-                )
-                await self._resume(group, status, others)
-                return
-            await asyncio.sleep(CATCH_UP_POLL_S)
-        log.info(
-            "replacer: primary leaves",
-            group=group,
-            leaving=primary.target.name,
-            chosen=candidate.name,
-            followers=format_positions([candidate, *paused]),
-        )
-        await self._promote(group, status, candidate.name, others)
-
-    async def _hold_for_unregistered(self, primary: TargetState) -> HeldEnd | None:
-        """Let the nodes hold back acknowledgements, if a replica may live unregistered.
-
-        A replica that announced its end and left doesn't count, so that callers notice
-        nothing where targets are replaced one after the other.
-        """
-        group, name = primary.group, primary.target.name
-        unregistered = self._directory.unregistered.of(group, name, with_leaving=False)
-        if not unregistered or not self._is_replicated(group):
-            return None
-        return await self._positions.hold(group, name, PROBE_TIMEOUT_S)
+        """Promote a replica in place of one that leaves or whose zone is evacuated."""
+        choice = await self._choice.in_place_of_leaving(primary)
+        await self._act_on(group, status, choice)
+
+    async def _act_on(self, group: str, status: _GroupStatus, choice: Choice) -> None:
+        """Promote the chosen replica, or resume those that were paused for a choice."""
+        if isinstance(choice.chosen, ReplicaState):
+            await self._promote(group, status, choice.chosen.name, choice.paused)
+        elif choice.paused:
+            await self._resume(group, status, choice.paused)
+        else:
+            self._release(group, status)
 
     async def _promote(
         self, group: str, status: _GroupStatus, target: str, paused: list[TargetState]
@@ -384,47 +265,10 @@
             await self._resume(group, status, paused)
         status.may_be_paused = any(state.received is None for state in states)
 
-    def _has_joined(
-        self, group: str, lost: TargetState | None, paused: list[TargetState]
-    ) -> bool:
-        """Return whether a replica has registered since the others were paused."""
-        known = {state.run for state in paused}
-        return any(one.run not in known for one in self._followers(group, lost))
-
-    def _has_other_primary(self, group: str, lost: str) -> bool:
-        """Return whether a target other than the lost one is the primary by now."""
-        primary = self._directory.primary(group)
-        return primary is not None and primary.target.name != lost
-
     def _is_replicated(self, group: str) -> bool:
         """Return whether the group's commits are acknowledged by a replica too."""
         limits = self._directory.catalog.groups.get(group)
         return limits is not None and limits.replicated
 
-    async def _is_caught_up(
-        self, primary: TargetState, candidate: ReplicaState, end: Position | None
-    ) -> bool:
-        """Return whether a candidate has every commit of a leaving primary.
-
-        ``end`` is what the primary's log held before the candidate was asked, None if
-        it gave no answer. The other followers are paused, so nothing more is
-        acknowledged without the candidate.
-        """
-        group = primary.group
-        if not self._is_replicated(group):
-            return True
-        if end is not None:
-            return candidate.received >= end
-        told = await self._positions.highest_told(group)
-        complete = self._sets.is_complete(group, primary.target.name)
-        return complete and candidate.received >= told
-
-    async def _end_of_log(self, primary: TargetState) -> Position | None:
-        """Return where the primary's log ends now, None if it gives no answer."""
-        answer = await self._probe.ask(primary, max_age_s=0.0)
-        is_position = isinstance(answer, PrimaryPosition)
-        return Position(*answer.position) if is_position else None
-
-    def _followers(self, group: str, primary: TargetState | None) -> list[TargetState]:
-        name = primary.target.name if primary else ""
-        return [s for s in self._directory.group(group) if s.target.name != name]
+    def _followers(self, group: str, primary: TargetState) -> list[TargetState]:
+        return self._directory.followers(group, primary.target.name)
