Judge isolation by the nodes that are asked first

Sending to all of 3,100 nodes takes longer than the 0.1 s that they may take to answer, so a large fleet's owner would find itself isolated at each failover. Forty nodes, drawn at random, are asked 5 ms ahead and tell whether the owner is heard. The new test fails if all nodes count.

--- a/lavenderstack/node/failover/acknowledgement_holds.py
+++ b/lavenderstack/node/failover/acknowledgement_holds.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import itertools
+import random
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 
@@ -23,15 +24,23 @@
 # Longer than a node without the store serves on, so that the first answer of a primary
 # after that is later than its last acknowledgement.
 NODE_MEMORY_S = 6.0
+# In a large fleet asking all nodes takes the owner longer than they may take to answer.
+# The first of them are asked this much ahead, and tell whether it is heard at all.
+FIRST_ASKED = 40
+HEAD_START_S = 0.005
 RELEASE_TIMEOUT_S = 0.35
 MAX_RELEASE_TRIES = 3
 
 
 @dataclass(frozen=True, slots=True)
 class Told:
-    """The answers of the nodes that were asked, None for those that are silent."""
+    """The answers of the nodes that were asked, None for those that are silent.
+
+    ``first`` are those that were asked first.
+    """
 
     answers: dict[str, GroupPosition | None]
+    first: frozenset[str] = frozenset()
 
     @property
     def highest(self) -> Position:
@@ -106,10 +115,21 @@
         self, names: Collection[str], msg: GroupPositionRequest, timeout_s: float
     ) -> Told:
         """Ask nodes which position of a group they have acknowledged."""
-        answers = await asyncio.gather(
-            *(self._ask_node(name, msg, timeout_s) for name in names)
-        )
-        return Told(dict(zip(names, answers, strict=True)))
+        names = random.sample(list(names), len(names))
+        first, others = names[:FIRST_ASKED], names[FIRST_ASKED:]
+        async with asyncio.TaskGroup() as tasks:
+            asked = [
+                tasks.create_task(self._ask_node(name, msg, timeout_s))
+                for name in first
+            ]
+            if others:
+                await asyncio.sleep(HEAD_START_S)
+            asked += [
+                tasks.create_task(self._ask_node(name, msg, timeout_s))
+                for name in others
+            ]
+        answers = (task.result() for task in asked)
+        return Told(dict(zip(names, answers, strict=True)), frozenset(first))
 
     async def _ask_node(
         self, name: str, msg: GroupPositionRequest, timeout_s: float
--- a/lavenderstack/node/failover/group_positions.py
+++ b/lavenderstack/node/failover/group_positions.py
@@ -38,7 +38,7 @@
     """The highest position that nodes acknowledged when they were asked to hold back.
 
     ``everywhere`` tells that every node that may acknowledge commits holds them back,
-    ``isolated`` that fewer than half of the registered nodes answered.
+    ``isolated`` that fewer than half of the nodes that were asked first answered.
     """
 
     position: Position
@@ -115,9 +115,9 @@
         return HeldEnd(told.highest, told.hold_back(names), self._is_isolated(told))
 
     def _is_isolated(self, told: Told) -> bool:
-        registered = set(self._directory.view.vms)
-        answered = registered & {*told.answered(), self._directory.name}
-        return is_isolated(len(answered), len(registered))
+        asked = told.first.intersection(self._directory.view.vms)
+        answered = asked & {*told.answered(), self._directory.name}
+        return is_isolated(len(answered), len(asked))
 
     def release(self, group: str) -> None:
         """Let the nodes acknowledge commits again, as nobody takes over."""
--- a/lavenderstack/node/failover/isolated_owner_test.py
+++ b/lavenderstack/node/failover/isolated_owner_test.py
@@ -6,11 +6,16 @@
 from lavenderstack.core.position import START
 from lavenderstack.core.view import Vm
 from lavenderstack.core.work_messages import GroupPosition
+from lavenderstack.node.failover import acknowledgement_holds
 from lavenderstack.node.failover.replacer_fake import ReplacerHarness
 
 OTHERS = ("n2", "n3", "n4")
 
 
+def _known_first(names, count):
+    return sorted(names, key=lambda name: name.startswith("late"))
+
+
 class TestIsolatedOwner:
     """It took two live primaries for lost (lipa-central-now-grown, trouble-2)."""
 
@@ -38,6 +43,20 @@
         assert not harness.targets["t2"].paused
         assert "ISOLATED" in [one.get("obstacle") for one in lines]
 
+    async def test_many_silent_nodes_besides_do_not_stop_a_replacement(
+        self, monkeypatch
+    ):
+        """In a large fleet the answers of those asked last come too late."""
+        harness = await self.isolated()
+        monkeypatch.setattr(acknowledgement_holds, "FIRST_ASKED", len(OTHERS) + 1)
+        monkeypatch.setattr(acknowledgement_holds.random, "sample", _known_first)
+        for number in range(20):
+            vm = Vm(f"late{number}", "z3", "10.0.0.3", 1)
+            harness.directory.put_member(vm)
+        self.answer(harness)
+        await harness.check()
+        assert harness.primary != "t1"
+
     async def test_it_replaces_a_lost_primary_once_it_is_answered(self):
         harness = await self.isolated()
         await harness.check()
