Count a target that announced its end as ended once its report is gone

A target whose last report says that it is leaving has ended when the report is gone. A later release of holds replaces an earlier one of the group, so that it isn't tried and logged many times.

--- a/lavenderstack/core/failover/unregistered_targets.py
+++ b/lavenderstack/core/failover/unregistered_targets.py
@@ -4,7 +4,8 @@
 be behind a partition and come back before it has reported again: the primary reaches it
 at once, and commits through it. Such a replica isn't paused when another one takes
 over. A run of a target has ended for certain once its name is registered with another
-run, or its address with another target.
+run, or its address with another target; one that announced its end counts as ended too,
+so that a planned replacement of targets costs no later failover anything.
 """
 
 from collections import defaultdict
@@ -23,7 +24,12 @@
         self._by_group: dict[str, dict[TargetRun, TargetState]] = defaultdict(dict)
 
     def left(self, state: TargetState) -> None:
-        """Record that the registration of a target's run ended."""
+        """Record that the registration of a target's run ended.
+
+        One that had announced its end has left as planned.
+        """
+        if state.leaving:
+            return
         runs = self._by_group[state.group]
         runs[state.run] = state
         if len(runs) > MAX_UNREGISTERED:
@@ -36,19 +42,10 @@
             for run in ended:
                 del runs[run]
 
-    def of(
-        self, group: str, primary: str, with_leaving: bool = True
-    ) -> frozenset[TargetRun]:
-        """Return the runs of a group that may live on, without those of the primary.
-
-        Without ``with_leaving`` those that had announced their end don't count.
-        """
+    def of(self, group: str, primary: str) -> frozenset[TargetRun]:
+        """Return the runs of a group that may live on, without those of the primary."""
         runs = self._by_group.get(group, {})
-        return frozenset(
-            run
-            for run, state in runs.items()
-            if run.name != primary and (with_leaving or not state.leaving)
-        )
+        return frozenset(run for run in runs if run.name != primary)
 
 
 def _is_replaced(earlier: TargetState, later: TargetState) -> bool:
--- a/lavenderstack/core/failover/unregistered_targets_test.py
+++ b/lavenderstack/core/failover/unregistered_targets_test.py
@@ -137,9 +137,9 @@
         )
 
 
-def reported(name, port, started_ms=1, group="g"):
+def reported(name, port, started_ms=1, group="g", leaving=False):
     target = Target(name, "z1", "10.0.0.1", port, 2, 30)
-    return TargetState(target, group, False, False, 1, 0, started_ms)
+    return TargetState(target, group, leaving, False, 1, 0, started_ms)
 
 
 class TestUnregisteredTargets:
@@ -164,6 +164,10 @@
         unregistered.registered(reported("d", 1, group="h"))
         assert unregistered.of("g", "a") == frozenset()
 
+    def test_one_that_announced_its_end_has_ended(self):
+        """Else a zone that is cut off after a release stays without a primary."""
+        assert self.left(reported("b", 1, leaving=True)).of("g", "a") == frozenset()
+
     def test_the_primary_itself_does_not_count(self):
         unregistered = self.left(reported("a", 1), reported("b", 2))
         assert unregistered.of("g", "a") == {TargetRun("b", 1)}
--- a/lavenderstack/node/failover/acknowledgement_holds.py
+++ b/lavenderstack/node/failover/acknowledgement_holds.py
@@ -77,7 +77,7 @@
         self._asked: dict[str, _Asked] = {}
         # By node: the clock time at which it was last registered.
         self._seen_at: dict[str, float] = {}
-        self._releases: set[asyncio.Task] = set()
+        self._releases: dict[str, asyncio.Task] = {}
 
     def nodes_seen_lately(self) -> frozenset[str]:
         """Return the nodes that are registered or were so lately.
@@ -147,9 +147,11 @@
         asked = self._asked.pop(group, None)
         if asked is None:
             return
-        task = asyncio.ensure_future(self._release(group, asked))
-        self._releases.add(task)
-        task.add_done_callback(self._releases.discard)
+        before = self._releases.get(group)
+        if before is not None:
+            # The later release has a higher number and ends the earlier holds as well.
+            before.cancel()
+        self._releases[group] = asyncio.ensure_future(self._release(group, asked))
 
     async def _release(self, group: str, asked: _Asked) -> None:
         names = asked.names
--- a/lavenderstack/node/failover/successor_choice.py
+++ b/lavenderstack/node/failover/successor_choice.py
@@ -182,14 +182,9 @@
         return Choice(candidate, others)
 
     async def _hold_for_unregistered(self, primary: TargetState) -> HeldEnd | None:
-        """Let the nodes hold back acknowledgements, if a replica may live unregistered.
-
-        A replica that announced its end and left doesn't count, so that callers notice
-        nothing where targets are replaced one after the other.
-        """
+        """Let the nodes hold back acknowledgements, if a replica may live unregistered."""
         group, name = primary.group, primary.target.name
-        unregistered = self._directory.unregistered.of(group, name, with_leaving=False)
-        if not unregistered or not self._is_replicated(group):
+        if not self._sets.unregistered(group, name) or not self._is_replicated(group):
             return None
         return await self._positions.hold(group, name, PROBE_TIMEOUT_S)
 
