--- a/lavenderstack/node/failover/successor_choice.py
+++ b/lavenderstack/node/failover/successor_choice.py
@@ -182,7 +182,7 @@
         return Choice(candidate, others)
 
     async def _hold_for_unregistered(self, primary: TargetState) -> HeldEnd | None:
-        """Hold back acknowledgements if a replica may live on without a registration."""
+        """Hold back acknowledgements if a replica may live on unregistered."""
         group, name = primary.group, primary.target.name
         if not self._sets.unregistered(group, name) or not self._is_replicated(group):
             return None
