--- a/lavenderstack/core/log/events_test.py
+++ b/lavenderstack/core/log/events_test.py
@@ -31,7 +31,7 @@
     "load_control",
     "target_concurrency",
     "attempt_limits",
-    "acknowledgement_holds",
+    "hold_requests",
     "active_connections",
     "allocated_connections",
     "open_transactions",
--- a/lavenderstack/node/failover/group_positions.py
+++ b/lavenderstack/node/failover/group_positions.py
@@ -20,8 +20,8 @@
     PrimaryPosition,
 )
 from lavenderstack.node.directory import Directory
-from lavenderstack.node.failover.acknowledgement_holds import (
-    AcknowledgementHolds,
+from lavenderstack.node.failover.hold_requests import (
+    HoldRequests,
     Told,
 )
 from lavenderstack.node.failover.primary_probe import PROBE_TIMEOUT_S
@@ -67,7 +67,7 @@
         self._directory = directory
         self._peers = peers
         self._last_answers: dict[str, _LastAnswer] = {}
-        self._holds = AcknowledgementHolds(directory, peers)
+        self._holds = HoldRequests(directory, peers)
 
     def record_answer(
         self, primary: TargetState, answer: PrimaryPosition, asked_at: float
--- a/lavenderstack/node/failover/acknowledgement_holds.py
+++ b/lavenderstack/node/failover/hold_requests.py
@@ -67,7 +67,7 @@
     names: frozenset[str]
 
 
-class AcknowledgementHolds:
+class HoldRequests:
     """The holds that this node, as the owner of groups, has asked for."""
 
     def __init__(self, directory: Directory, peers: Peers) -> None:
--- a/lavenderstack/node/failover/isolated_owner_test.py
+++ b/lavenderstack/node/failover/isolated_owner_test.py
@@ -6,7 +6,7 @@
 from lavenderstack.core.position import START
 from lavenderstack.core.view import Vm
 from lavenderstack.core.work_messages import GroupPosition
-from lavenderstack.node.failover import acknowledgement_holds
+from lavenderstack.node.failover import hold_requests
 from lavenderstack.node.failover.replacer_fake import ReplacerHarness
 
 OTHERS = ("n2", "n3", "n4")
@@ -48,8 +48,8 @@
     ):
         """In a large fleet the answers of those asked last come too late."""
         harness = await self.isolated()
-        monkeypatch.setattr(acknowledgement_holds, "FIRST_ASKED", len(OTHERS) + 1)
-        monkeypatch.setattr(acknowledgement_holds.random, "sample", _known_first)
+        monkeypatch.setattr(hold_requests, "FIRST_ASKED", len(OTHERS) + 1)
+        monkeypatch.setattr(hold_requests.random, "sample", _known_first)
         for number in range(20):
             vm = Vm(f"late{number}", "z3", "10.0.0.3", 1)
             harness.directory.put_member(vm)
