--- a/lavenderstack/node/directory.py
+++ b/lavenderstack/node/directory.py
@@ -268,6 +268,11 @@
         log.info("directory: primary observed", target=name, group=group)
         self._signal_change()
 
+    def is_replicated(self, group: str) -> bool:
+        """Return whether a group's commits are acknowledged by a replica too."""
+        limits = self.catalog.groups.get(group)
+        return limits is not None and limits.replicated
+
     def is_load_controlled(self, group: str) -> bool:
         """Return whether load control is enabled for a group."""
         return is_load_controlled(self.load_control, self.catalog, group)
--- a/lavenderstack/node/failover/replacer.py
+++ b/lavenderstack/node/failover/replacer.py
@@ -151,7 +151,7 @@
             if self._planned.is_due(group, primary):
                 await self._replace_leaving(group, status, primary)
                 return
-            if self._is_replicated(group):
+            if self._directory.is_replicated(group):
                 self._sets.maintain(primary, claim, self._followers(group, primary))
             await self._group_claims.hand_over(primary, claim, status.acted_at)
             return
@@ -265,10 +265,5 @@
             await self._resume(group, status, paused)
         status.may_be_paused = any(state.received is None for state in states)
 
-    def _is_replicated(self, group: str) -> bool:
-        """Return whether the group's commits are acknowledged by a replica too."""
-        limits = self._directory.catalog.groups.get(group)
-        return limits is not None and limits.replicated
-
     def _followers(self, group: str, primary: TargetState) -> list[TargetState]:
         return self._directory.followers(group, primary.target.name)
--- a/lavenderstack/node/failover/successor_choice.py
+++ b/lavenderstack/node/failover/successor_choice.py
@@ -72,7 +72,7 @@
         The replicas are paused first, if ``may_act`` still allows that then.
         """
         name = lost.target.name if lost else ""
-        replicated = self._is_replicated(group)
+        replicated = self._directory.is_replicated(group)
         if not replicated or self._sets.is_complete(group, name):
             followers = self._followers(group, lost)
             states, end = await asyncio.gather(
@@ -129,7 +129,7 @@
     ) -> Obstacle | None:
         if end.isolated:
             return Obstacle.ISOLATED
-        if not self._is_replicated(group):
+        if not self._directory.is_replicated(group):
             return None
         return commit_obstacle(chosen, end.position, unregistered, end.everywhere)
 
@@ -149,7 +149,7 @@
         others = [one for one in followers if one.target.name != candidate.name]
         held = await self._hold_for_unregistered(primary)
         paused = await self._replicas.pause(group, others)
-        replicated = self._is_replicated(group)
+        replicated = self._directory.is_replicated(group)
         until = clock.now() + CATCH_UP_TIMEOUT_S
         state = next(s for s in followers if s.target.name == candidate.name)
         while True:
@@ -184,7 +184,9 @@
     async def _hold_for_unregistered(self, primary: TargetState) -> HeldEnd | None:
         """Hold back acknowledgements if a replica may live on unregistered."""
         group, name = primary.group, primary.target.name
-        if not self._sets.unregistered(group, name) or not self._is_replicated(group):
+        if not self._sets.unregistered(
+            group, name
+        ) or not self._directory.is_replicated(group):
             return None
         return await self._positions.hold(group, name, PROBE_TIMEOUT_S)
 
@@ -210,7 +212,7 @@
         acknowledged without the candidate.
         """
         group = primary.group
-        if not self._is_replicated(group):
+        if not self._directory.is_replicated(group):
             return True
         if end is not None:
             return candidate.received >= end
@@ -224,11 +226,6 @@
         is_position = isinstance(answer, PrimaryPosition)
         return Position(*answer.position) if is_position else None
 
-    def _is_replicated(self, group: str) -> bool:
-        """Return whether the group's commits are acknowledged by a replica too."""
-        limits = self._directory.catalog.groups.get(group)
-        return limits is not None and limits.replicated
-
     def _followers(self, group: str, primary: TargetState | None) -> list[TargetState]:
         name = primary.target.name if primary else ""
         return self._directory.followers(group, name)
