Log statements that ran on an unproved view, and how long large changes take

The line of a served statement is a sample and the users collect only the end of each node's output, so the record couldn't tell an outdated view from a wrong proof or from a session with an old route. The new counter served_unproved and its line name each such statement; a reply with large changes is logged with its source, size and time.

--- a/lavenderstack/core/log/events_process.py
+++ b/lavenderstack/core/log/events_process.py
@@ -51,6 +51,12 @@
         ("holder", "error"),
         "the store reader of the zone is not asked for a while",
     ),
+    Event(
+        "loader: large changes received",
+        LineKind.STATE,
+        ("source", "size_b", "transfer_s"),
+        "changes of more than 100 kB came from another node or the store",
+    ),
     Event(
         "loader: store reachable again",
         LineKind.LIFE,
--- a/lavenderstack/core/log/events_statements.py
+++ b/lavenderstack/core/log/events_statements.py
@@ -161,6 +161,13 @@
         ),
         "a caller was served (a sample)",
     ),
+    Event(
+        "callers: request served on an unproved view",
+        LineKind.FAILURE,
+        ("request", "organisation", "database", "version", "proof_age_s"),
+        "its route may have been changed or removed since; counted by "
+        "``served_unproved``, which stays 0",
+    ),
     Event(
         "callers: request unanswered",
         LineKind.FAILURE,
--- a/lavenderstack/node/counters.py
+++ b/lavenderstack/node/counters.py
@@ -34,6 +34,11 @@
             "Statements that succeeded, by freshness, read or write, and target's role",
             ["freshness", "statement", "role"],
         )
+        self.served_unproved = self._counter(
+            "served_unproved",
+            "Statements that ran though the view wasn't proved current on arrival",
+            [],
+        )
         self.attempts = self._counter(
             "attempts", "Attempts at targets by outcome", ["outcome"]
         )
--- a/lavenderstack/platform/callers.py
+++ b/lavenderstack/platform/callers.py
@@ -141,15 +141,32 @@
         self, request_id: str, statement: Statement | None
     ) -> None:
         started_at = clock.now()
+        proof = self._server.services.directory.proof
+        may_serve = proof.holds(started_at)
         if statement is None:
             reply = Reply(reason=Reason.BAD_REQUEST, detail="not a statement")
             reply.state = self.session.state
         else:
             reply = await self.session.run(request_id, statement)
+        if reply.target and reply.reason is None and not may_serve:
+            self._record_outdated(request_id)
         self._record_reply(request_id, statement, reply, clock.now() - started_at)
         if not self._transport.is_closing():
             self._transport.write(line_protocol.format_reply(reply))
 
+    def _record_outdated(self, request_id: str) -> None:
+        """Count and log a statement that ran though the view wasn't proved current."""
+        session, services = self.session, self._server.services
+        services.counters.served_unproved.inc()
+        log.warning(
+            "callers: request served on an unproved view",
+            request=request_id,
+            organisation=session.organisation,
+            database=session.database,
+            version=services.directory.catalog.version,
+            proof_age_s=round(services.directory.proof.age_s(clock.now()), 3),
+        )
+
     def _record_reply(
         self,
         request_id: str,
--- a/lavenderstack/platform/loader.py
+++ b/lavenderstack/platform/loader.py
@@ -64,6 +64,8 @@
 # Removed entries whose position is remembered, so that an older change of them that
 # arrives late is ignored.
 MAX_REMOVED_KEYS = 1000
+# Changes of at least this size are logged with the time that their transfer took.
+LARGE_CHANGES_B = 100_000
 # Added to the wait of a request to another node, for the round trip.
 REPLY_MARGIN_S = 0.4
 
@@ -78,6 +80,20 @@
     )
 
 
+def _log_if_large(source: str, size_b: int, sent_at: float) -> None:
+    """Log the size of large changes and the seconds since their transfer could begin.
+
+    The wait of a watch of the store is part of these.
+    """
+    if size_b >= LARGE_CHANGES_B:
+        log.info(
+            "loader: large changes received",
+            source=source,
+            size_b=size_b,
+            transfer_s=round(clock.now() - sent_at, 3),
+        )
+
+
 class Loader:
     """Copies the store's entries into a directory.
 
@@ -234,6 +250,8 @@
         if not self._is_usable(reply):
             self._skipped_until[vm.name] = clock.now() + SKIP_NODE_S
             return False
+        size_b = sum(len(entry.data) for entry in reply.entries)
+        _log_if_large(vm.name, size_b, asked_at + reply.held_s)
         # The sender has waited before it took over entries of a new era.
         self._store.era.observe(era_of(reply.as_of), clock.now())
         self._apply_reply(reply)
@@ -358,6 +376,7 @@
         wait_s = WATCH_WAIT_S if proof_holds else FIRST_WATCH_WAIT_S
         changes: Changes = await self._store.watch("", self._as_of, wait_s)
         self._record_store_answer()
+        _log_if_large("store", sum(len(item.value) for item in changes.events), sent_at)
         for item in changes.events:
             self._apply(item)
         self._advance_revision(changes.as_of)
