--- a/lavenderstack/node/session_test.py
+++ b/lavenderstack/node/session_test.py
@@ -279,6 +279,30 @@
         assert (await sess.run("q", READ)).reason is Reason.UNKNOWN_GROUP
 
 
+def public_session():
+    """Return a session without a key on a route that is open to everyone."""
+    sess, fake = session()
+    route = Route("db", "g", Consistency.SESSION, 1.0, 0.2, 2, 2.5, public=True)
+    sess.services.directory.update_catalog(Catalog(version=2, routes={"db": route}))
+    return Session(sess.services, "db", "", "d"), fake
+
+
+class TestOutdatedView:
+    async def test_a_public_route_is_not_served_by_an_outdated_view(self):
+        sess, fake = public_session()
+        assert (await sess.run("q", READ)).reason is None
+        sess.services.directory.proof.at = clock.now() - 5.0
+        assert (await sess.run("q", READ)).reason is Reason.STALE_VIEW
+        assert len(fake.calls) == 1
+
+    async def test_an_outdated_view_does_not_say_that_a_database_is_unknown(self):
+        sess, _ = session()
+        directory = sess.services.directory
+        directory.update_catalog(Catalog(version=2, keys={"d": "org"}))
+        directory.proof.at = clock.now() - 5.0
+        assert (await sess.run("q", READ)).reason is Reason.STALE_VIEW
+
+
 class TestPrepared:
     async def test_an_unknown_prepared_name_is_refused_without_sending(self):
         sess, fake = session()
--- a/lavenderstack/platform/node_test.py
+++ b/lavenderstack/platform/node_test.py
@@ -152,6 +152,15 @@
                 await process.communicate()
 
 
+async def connect_when_known(node, line):
+    """Connect once the node knows the database; return the caller."""
+    deadline = clock.now() + READY_TIMEOUT_S
+    while (caller := await node.caller(line)).greeting[0].startswith("ERROR"):
+        assert clock.now() < deadline, caller.greeting
+        await asyncio.sleep(0.05)
+    return caller
+
+
 class TestServing:
     async def test_reads_writes_values_prepared_statements_and_transactions(
         self, tmp_path
@@ -248,6 +257,25 @@
             assert all("retry after" in line for line in refused)
 
 
+class TestOutdatedView:
+    async def test_a_removed_public_route_ends_though_the_store_is_silent(
+        self, tmp_path
+    ):
+        route = {**CONFIG["routes"][0], "host": "db3", "public": True}
+        async with run_node(tmp_path) as node:
+            routes = [*json.loads(config())["routes"], route]
+            node.store.put("op/config", config(version=8, routes=routes))
+            caller = await connect_when_known(node, "CONNECT db3")
+            assert (await caller.query("READ a"))[0] == "ROW nothing"
+            node.store.silent = True
+            node.store.put("op/config", config(version=9))
+            await asyncio.sleep(5.0)
+            caller = await node.caller("CONNECT db3")
+            assert (await caller.query("READ a"))[0].startswith("ERROR BUSY")
+            unknown = await node.caller("CONNECT nowhere k1")
+            assert unknown.greeting[0].startswith("ERROR BUSY")
+
+
 class TestBadInput:
     @pytest.mark.parametrize(
         "data",
