Act on the catalog only while its proof holds, for requests without a key too

Cause: the age of a view's proof was looked at for keys and evacuated zones only. A statement on a route that is open to everyone passed with a proof of any age, at the entry and at the holder, and an unknown database was refused as such by any view. Class: acting on a copy beyond the time for which it is proved.

One check, Directory.unproved, now comes before each use of the catalog for a statement, at the entry, at a connection and at the holder. The limit is the catalog's own, the new setting catalog_limit_ms. Where that is shorter than the limit of withdrawn keys, an older proof is used on only while the store answers nothing: a store that is away accepts no change. A refusal for an outdated view says when to come back.

Two tests demanded the fault: test_public_routes_need_no_recent_proof and the row of test_an_old_proof_stops_public_routes_only_where_a_limit_is_set without a limit. Their replacements ask for a recent proof, and for no key.

--- a/lavenderstack/core/view_proof_test.py
+++ b/lavenderstack/core/view_proof_test.py
@@ -13,19 +13,27 @@
 from tests.explore import depth
 
 LIMIT_S = 5.0
+CATALOG_LIMIT_S = 3.0
 TICK_S = 0.5
 TICKS = 16
 SHORT_DEPTH = 7
 
 
-def last_sent(withdrawn_at, questions, counts_from):
+def last_sent(
+    withdrawn_at,
+    questions,
+    counts_from,
+    holds=ViewProof.holds,
+    is_store_answering=lambda now: False,
+):
     """Run a schedule; return the last moment at which a request with the key is sent.
 
     ``questions`` are pairs of ticks, asked and answered. The store answers with its
     state when the question arrives; ``counts_from`` gives the time from which the proof
-    counts.
+    counts. ``holds`` is the check before a request is sent. The store answers other
+    calls whenever ``is_store_answering``.
     """
-    proof = ViewProof(LIMIT_S)
+    proof = ViewProof(LIMIT_S, CATALOG_LIMIT_S)
     knows_withdrawal = False
     proof.prove(0.0)
     last = 0.0
@@ -35,7 +43,9 @@
             if answered == tick:
                 knows_withdrawal = knows_withdrawal or asked * TICK_S >= withdrawn_at
                 proof.prove(counts_from(asked * TICK_S, now))
-        if not knows_withdrawal and proof.holds(now):
+        if is_store_answering(now):
+            proof.record_store_answer(now)
+        if not knows_withdrawal and holds(proof, now):
             last = now
     return last
 
@@ -75,3 +85,37 @@
 
     def test_does_not_hold_before_any_proof(self):
         assert not ViewProof(LIMIT_S).holds(0.0)
+
+
+class TestCatalog:
+    """A route is removed in place of a key; it is used by requests without one too."""
+
+    @pytest.mark.parametrize("removed_at", [0.5, 2.0, 4.5, 6.0])
+    def test_a_removed_route_ends_in_time_while_the_store_answers(self, removed_at):
+        for questions in SCHEDULES:
+            last = last_sent(
+                removed_at,
+                questions,
+                lambda asked, _: asked,
+                ViewProof.catalog_holds,
+                is_store_answering=lambda now: True,
+            )
+            assert last <= removed_at + CATALOG_LIMIT_S, questions
+
+    @pytest.mark.parametrize("removed_at", [0.5, 2.0, 4.5, 6.0])
+    def test_a_removed_route_ends_with_the_limit_of_keys_otherwise(self, removed_at):
+        for questions in SCHEDULES:
+            last = last_sent(
+                removed_at, questions, lambda asked, _: asked, ViewProof.catalog_holds
+            )
+            assert last <= removed_at + LIMIT_S - MARGIN_S, questions
+
+    def test_a_store_that_went_away_ends_nothing_before_the_limit_of_keys(self):
+        proof = ViewProof(LIMIT_S, CATALOG_LIMIT_S, at=0.0)
+        proof.record_store_answer(CATALOG_LIMIT_S - MARGIN_S)
+        assert proof.catalog_holds(LIMIT_S - MARGIN_S)
+
+    def test_a_limit_longer_than_that_of_keys_counts_for_the_catalog(self):
+        proof = ViewProof(LIMIT_S, catalog_limit_s=6.0, at=0.0)
+        assert (proof.holds(5.5), proof.catalog_holds(5.5)) == (False, True)
+        assert not proof.catalog_holds(6.0)
--- a/lavenderstack/node/directory.py
+++ b/lavenderstack/node/directory.py
@@ -296,6 +296,21 @@
         states = self._groups[group].values()
         return [state for state in states if not state.leads and not state.leaving]
 
+    def unproved(self, has_key: bool, now: float) -> str:
+        """Return what this node can't know for a statement now, empty if it can.
+
+        ``has_key`` tells whether a key came with the statement, ``now`` is the local
+        clock in seconds. Such a statement must not be sent to a target, nor refused for
+        what the catalog lacks.
+        """
+        if not self.is_view_recent(now):
+            return "evacuated zones"
+        if not self.proof.catalog_holds(now):
+            return "changes of the catalog"
+        if has_key and not self.proof.holds(now):
+            return "withdrawn keys"
+        return ""
+
     def is_work_allowed(
         self, organisation: str, digest: str, version: int, now: float
     ) -> bool:
@@ -306,10 +321,10 @@
         A node with an older catalog accepts the sender's check: this node's view is
         proved recent, so the newer catalog and any later ones are recent too.
         """
+        if self.unproved(bool(organisation), now):
+            return False
         if not organisation:
             return True
-        if not self.proof.holds(now):
-            return False
         if self.catalog.version < version:
             return True
         return self.catalog.keys.get(digest) == organisation
--- a/lavenderstack/node/evacuation/evacuation_guard_test.py
+++ b/lavenderstack/node/evacuation/evacuation_guard_test.py
@@ -76,13 +76,17 @@
         harness.directory.drop_evacuation("z1", 51)
         assert isinstance(await harness.run(WRITE), WorkDone)
 
-    @pytest.mark.parametrize(("limit_s", "served"), [(5.0, False), (None, True)])
-    async def test_an_old_proof_stops_public_routes_only_where_a_limit_is_set(
-        self, limit_s, served
+    @pytest.mark.parametrize(
+        ("evacuation_limit_s", "catalog_limit_s", "served"),
+        [(5.0, 8.0, False), (None, 5.0, False), (None, None, False), (None, 8.0, True)],
+    )
+    async def test_an_old_proof_stops_public_routes_by_either_limit(
+        self, evacuation_limit_s, catalog_limit_s, served
     ):
-        """Without a proof the zone may be evacuated without this node knowing it."""
+        """The zone may be evacuated, or the route removed, without the node knowing."""
         harness = ExecutorHarness()
-        harness.directory.evacuation_limit_s = limit_s
+        harness.directory.evacuation_limit_s = evacuation_limit_s
+        harness.directory.proof.catalog_limit_s = catalog_limit_s
         harness.directory.proof.at = clock.now() - 4.9
         answer = await harness.run(WRITE, organisation="", key_digest="")
         assert isinstance(answer, WorkDone) is served
--- a/lavenderstack/node/executor.py
+++ b/lavenderstack/node/executor.py
@@ -165,16 +165,15 @@
 
     def _refusal(self, work: Work) -> Failed | None:
         """Return why the work may not be sent to the target now, or None."""
-        if not self._directory.is_view_recent(clock.now()):
+        now = clock.now()
+        if self._directory.unproved(bool(work.organisation), now):
             return failure(False, Reason.STALE_VIEW)
         known = self._directory.is_work_allowed(
-            work.organisation, work.key_digest, work.version, clock.now()
+            work.organisation, work.key_digest, work.version, now
         )
         if known:
-            return self._evacuation.refusal(self.target, work, clock.now())
-        holds = self._directory.proof.holds(clock.now())
-        reason = Reason.KEY_REFUSED if holds else Reason.STALE_VIEW
-        return failure(False, reason)
+            return self._evacuation.refusal(self.target, work, now)
+        return failure(False, Reason.KEY_REFUSED)
 
     def expected(self, work: Work) -> AbstractContextManager[None]:
         """Count the work as one that will need a connection, while it waits and runs.
--- a/lavenderstack/node/executor_refusal_test.py
+++ b/lavenderstack/node/executor_refusal_test.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-from lavenderstack.core import clock
 from lavenderstack.core.outcome import Reason, Refused
 from lavenderstack.core.work_messages import Access
 from lavenderstack.node.executor_test import WRITE, ExecutorHarness
@@ -35,13 +34,3 @@
         answer = await harness.run(access=Access.CURRENT_READ, target="t2")
         assert (answer.run, answer.reason) == (False, Reason.NOT_PRIMARY)
         assert answer.retry_after_s
-
-
-class TestOutdatedView:
-    async def test_public_work_is_not_sent_by_a_holder_with_an_outdated_view(self):
-        harness = ExecutorHarness()
-        public = {"organisation": "", "key_digest": ""}
-        harness.directory.proof.at = clock.now() - 5.0
-        answer = await harness.run(**public)
-        assert (answer.run, answer.reason) == (False, Reason.STALE_VIEW)
-        assert harness.targets["t1"].executed == []
--- a/lavenderstack/node/executor_test.py
+++ b/lavenderstack/node/executor_test.py
@@ -126,11 +126,14 @@
         answer = await harness.run(WRITE, key_digest="new", version=2)
         assert isinstance(answer, WorkDone)
 
-    async def test_public_routes_need_no_recent_proof(self):
+    async def test_public_routes_need_no_key_but_a_recent_proof(self):
         harness = ExecutorHarness()
-        harness.directory.proof.at = clock.now() - 60.0
-        answer = await harness.run(WRITE, organisation="", key_digest="")
-        assert isinstance(answer, WorkDone)
+        public = {"organisation": "", "key_digest": ""}
+        assert isinstance(await harness.run(WRITE, **public), WorkDone)
+        harness.directory.proof.at = clock.now() - 5.0
+        answer = await harness.run(WRITE, **public)
+        assert (answer.run, answer.reason) == (False, Reason.STALE_VIEW)
+        assert len(harness.targets["t1"].executed) == 1
 
 
 class TestOutcomes:
--- a/lavenderstack/node/session.py
+++ b/lavenderstack/node/session.py
@@ -13,7 +13,7 @@
 from lavenderstack.core import clock
 from lavenderstack.core.catalog import Route
 from lavenderstack.core.messages import Failed, Message
-from lavenderstack.core.outcome import Reason
+from lavenderstack.core.outcome import STALE_RETRY_S, Reason
 from lavenderstack.core.position import START, Position
 from lavenderstack.core.reply import Reply, TxState
 from lavenderstack.core.session_reply import (
@@ -45,6 +45,12 @@
 MAX_PREPARED = 256
 
 
+def outdated_detail(unproved: str) -> str:
+    """Return the detail of a refusal by a node that can't know ``unproved`` now."""
+    retry_ms = int(STALE_RETRY_S * 1000)
+    return f"this node can't check for {unproved} now, retry after {retry_ms} ms"
+
+
 @dataclass(slots=True)
 class Services:
     """Components of the node that sessions use."""
@@ -197,7 +203,11 @@
         return error_reply(reason, detail)
 
     async def _run_on_target(self, arrival: _Arrival) -> Reply:
-        route = self.services.directory.catalog.routes.get(self.database)
+        directory = self.services.directory
+        unproved = directory.unproved(bool(self.organisation), clock.now())
+        if unproved:
+            return self._refused(Reason.STALE_VIEW, outdated_detail(unproved))
+        route = directory.catalog.routes.get(self.database)
         if route is None:
             return self._refused(Reason.UNKNOWN_GROUP, "no such database")
         refusal = self._key_refusal(route)
@@ -243,19 +253,15 @@
         return self._refused(Reason(failed.reason), detail)
 
     def _key_refusal(self, route: Route) -> tuple[Reason, str] | None:
-        directory = self.services.directory
-        if not directory.is_view_recent(clock.now()):
-            return Reason.STALE_VIEW, "this node can't check for evacuated zones now"
         if route.public and not self.organisation:
             return None
         if not self.organisation:
             return Reason.NO_KEY, "the route needs a key"
+        directory = self.services.directory
         version, now = directory.catalog.version, clock.now()
         if directory.is_work_allowed(self.organisation, self.key_digest, version, now):
             return None
-        if directory.proof.holds(now):
-            return Reason.KEY_REFUSED, "the key is not in force"
-        return Reason.STALE_VIEW, "this node can't check for withdrawn keys now"
+        return Reason.KEY_REFUSED, "the key is not in force"
 
     def _call(self, arrival: _Arrival, route: Route, access: Access) -> Call:
         return Call(
--- a/lavenderstack/platform/callers.py
+++ b/lavenderstack/platform/callers.py
@@ -15,7 +15,7 @@
 from lavenderstack.core.position import START
 from lavenderstack.core.reply import Reply, TxState
 from lavenderstack.core.statement import Statement, StatementKind
-from lavenderstack.node.session import Services, Session
+from lavenderstack.node.session import Services, Session, outdated_detail
 from lavenderstack.platform import line_protocol
 from lavenderstack.platform.line_protocol import MessageType, ProtocolError
 
@@ -105,18 +105,18 @@
         if not directory.catalog.version:
             self._refuse(Reason.STALE_VIEW, "not ready")
             return
+        digest = digest_of(key)
+        organisation = directory.catalog.keys.get(digest, "")
+        allowed = route is not None and (organisation or route.public)
+        unproved = directory.unproved(bool(key), clock.now())
+        if not allowed and unproved:
+            self._refuse(Reason.STALE_VIEW, outdated_detail(unproved))
+            return
         if route is None:
             self._refuse(Reason.UNKNOWN_GROUP, "no such database")
             return
-        digest = digest_of(key)
-        organisation = directory.catalog.keys.get(digest, "")
-        if not organisation and not route.public:
-            if directory.proof.holds(clock.now()):
-                self._refuse(Reason.KEY_REFUSED, "the key is not in force")
-            else:
-                self._refuse(
-                    Reason.STALE_VIEW, "this node can't check for withdrawn keys now"
-                )
+        if not allowed:
+            self._refuse(Reason.KEY_REFUSED, "the key is not in force")
             return
         self.session = Session(services, database, organisation, digest)
         self._transport.write(line_protocol.format_ready(TxState.NONE, START).encode())
@@ -141,8 +141,7 @@
         self, request_id: str, statement: Statement | None
     ) -> None:
         started_at = clock.now()
-        proof = self._server.services.directory.proof
-        may_serve = proof.holds(started_at)
+        may_serve = self._server.services.directory.proof.catalog_holds(started_at)
         if statement is None:
             reply = Reply(reason=Reason.BAD_REQUEST, detail="not a statement")
             reply.state = self.session.state
--- a/lavenderstack/platform/loader.py
+++ b/lavenderstack/platform/loader.py
@@ -119,6 +119,7 @@
         self._listed_to = 0
         self._updated = asyncio.Event()
         self._store = store
+        store.on_answer = directory.proof.record_store_answer
         self._directory = directory
         # The position of the last change, by key; removed entries are included.
         self._revisions: dict[str, int] = {}
--- a/lavenderstack/platform/node.py
+++ b/lavenderstack/platform/node.py
@@ -87,12 +87,16 @@
     parse_replication_status = staticmethod(targets.parse_replication_status)
 
 
+def _seconds(limit_ms: float | None) -> float | None:
+    return None if limit_ms is None else limit_ms / 1000
+
+
 def apply_settings(directory: Directory, cfg: Settings) -> None:
     """Apply the settings that may change while the node runs."""
     directory.proof.limit_s = cfg.withdrawn_key_limit_ms / 1000
+    directory.proof.catalog_limit_s = _seconds(cfg.catalog_limit_ms)
     directory.load_control = cfg.load_control
-    limit_ms = cfg.evacuation_limit_ms
-    directory.evacuation_limit_s = None if limit_ms is None else limit_ms / 1000
+    directory.evacuation_limit_s = _seconds(cfg.evacuation_limit_ms)
     directory.orders_per_s = cfg.orders_per_s
     directory.regions = cfg.zones
     directory.cold_limits = None
--- a/lavenderstack/platform/settings.py
+++ b/lavenderstack/platform/settings.py
@@ -36,7 +36,9 @@
     If ``metrics_port`` is 0, no metrics are served. ``descriptors`` is the number of
     file descriptors that the process may use, ``withdrawn_key_limit_ms`` how long a
     withdrawn key may still be accepted, ``stop_limit_s`` how long the node may take to
-    stop. ``evacuation_limit_ms`` is how long after its acknowledgement an evacuation
+    stop. ``catalog_limit_ms`` is how long after its acknowledgement a catalog must be
+    in force, None if that is as long as a withdrawn key may be accepted.
+    ``evacuation_limit_ms`` is how long after its acknowledgement an evacuation
     must be in force, None if there is no such limit. ``cold_excess`` and ``cold_slack``
     limit what targets get shortly after their start, None if nothing does. ``zones``
     maps zones to regions. ``orders_per_s`` is how many promotions the platform accepts
@@ -57,6 +59,7 @@
     orders: Name
     descriptors: Annotated[int, Meta(ge=300)] = 1024
     withdrawn_key_limit_ms: Annotated[float, Meta(gt=0)] = 5000.0
+    catalog_limit_ms: Annotated[float, Meta(gt=0)] | None = None
     stop_limit_s: Annotated[float, Meta(gt=0)] = 6.0
     log_level: str = "info"
     evacuation_limit_ms: Annotated[float, Meta(gt=0)] | None = None
--- a/lavenderstack/platform/store.py
+++ b/lavenderstack/platform/store.py
@@ -11,7 +11,7 @@
 """
 
 import base64
-from collections.abc import AsyncIterator, Mapping, Sequence
+from collections.abc import AsyncIterator, Callable, Mapping, Sequence
 from contextlib import asynccontextmanager
 from urllib.parse import urlencode
 
@@ -31,6 +31,7 @@
 # A store that doesn't send the header was never restored.
 ERA_HEADER = "store-era"
 NO_ERA = "0"
+TOO_MANY_CALLS = 429
 
 
 class StoreFailed(Exception):
@@ -126,6 +127,8 @@
 
     def __init__(self, http: HttpClient) -> None:
         self._http = http
+        # Called with the clock time of each answer that isn't a refusal to answer.
+        self.on_answer: Callable[[float], None] = lambda now: None
         self.calls: dict[str, int] = {}
         self.era = StoreEra()
 
@@ -172,6 +175,8 @@
             response = await self._http.request(method, url, timeout_s, payload)
         except HttpFailed as exc:
             raise StoreFailed(f"{path}: {exc}") from exc
+        if response.status < 500 and response.status != TOO_MANY_CALLS:
+            self.on_answer(clock.now())
         self._observe_era(response, sent_era)
         if response.status == 200:
             try:
