Give up a response by its progress, not by the time that it takes

A catalog of 0.9 MB takes 1.5 s over a link of 5 Mbit/s. The limit of a call now moves on with each part of its response; a response that stops midway fails after 0.5 s, one that never begins as before, one that never ends after 10 s.

--- a/lavenderstack/border/http.py
+++ b/lavenderstack/border/http.py
@@ -14,6 +14,8 @@
 
 READ_B = 65536  # most bytes per read from a connection
 MAX_IDLE_CONNECTIONS = 4
+PROGRESS_TIMEOUT_S = 0.5  # longest pause within a response
+MAX_RESPONSE_S = 10.0  # longest time for a response that keeps arriving
 PAGE_TIMEOUT_S = 5.0  # longest wait for more data from a client
 SERVER_NAME = "lavenderstack"
 
@@ -44,8 +46,16 @@
         self._writer = writer
         self._conn = h11.Connection(our_role=h11.CLIENT)
 
-    async def run(self, request: h11.Request, body: bytes) -> HttpResponse:
-        """Send a request and return the complete response."""
+    async def run(
+        self, request: h11.Request, body: bytes, limit: asyncio.Timeout, wait_s: float
+    ) -> HttpResponse:
+        """Send a request and return the complete response.
+
+        Each part of the response that arrives moves ``limit`` to ``wait_s`` later, up
+        to ``MAX_RESPONSE_S`` in all.
+        """
+        loop = asyncio.get_running_loop()
+        latest = max(limit.when(), loop.time() + MAX_RESPONSE_S)
         conn = self._conn
         data = conn.send(request)
         if body:
@@ -56,6 +66,7 @@
             event = conn.next_event()
             if event is h11.NEED_DATA:
                 conn.receive_data(await self._reader.read(READ_B))
+                limit.reschedule(min(latest, max(limit.when(), loop.time() + wait_s)))
             elif isinstance(event, h11.Response):
                 status = event.status_code
                 headers = {
@@ -101,9 +112,11 @@
     ) -> HttpResponse:
         """Send a request and return its response.
 
-        Raises ``HttpFailed`` if no complete response arrives within ``timeout_s``
-        seconds. The connection is then closed, because a late response on it would
-        be taken for the response to the next request.
+        Raises ``HttpFailed`` if nothing arrives within ``timeout_s`` seconds, or if a
+        response that has begun stops arriving for ``PROGRESS_TIMEOUT_S``. A long one
+        may take longer than ``timeout_s`` over a narrow link. The connection is then
+        closed, because a late response on it would be taken for the response to the
+        next request.
         """
         all_headers = [("Host", f"{self._host}:{self._port}"), *(headers or {}).items()]
         if body:
@@ -113,9 +126,10 @@
         request = h11.Request(method=method, target=target, headers=all_headers)
         connection = None
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(timeout_s) as limit:
                 connection = await self._acquire_connection()
-                answer = await connection.run(request, body)
+                wait_s = min(timeout_s, PROGRESS_TIMEOUT_S)
+                answer = await connection.run(request, body, limit, wait_s)
         except (OSError, TimeoutError, h11.ProtocolError, HttpFailed) as exc:
             if connection is not None:
                 connection.close()
