Refuse open statements over HTTP too while the view is outdated

Behind a cut a statement that operators closed stayed open without an end. Both are now refused with a time to come back, as statements with a key are; a confirmed outage of the store still proves the view. test_stale_view_serves_only_open_statements demanded the fault; its replacement failed before and asks for the refusal with its time, for known and unknown statements, and that a recent view serves.

--- a/lavenderstack/node/entry.py
+++ b/lavenderstack/node/entry.py
@@ -148,6 +148,7 @@
 
     async def open_statement(self, request: CallerRequest) -> Done:
         """Run one read-only statement that needs no API key."""
+        self._check_usable()
         body: StatementBody = request.body
         group = self._relay.view.groups.get(request.group)
         if group is None:
--- a/lavenderstack/node/entry_test.py
+++ b/lavenderstack/node/entry_test.py
@@ -118,13 +118,20 @@
         assert (await entry.statement(caller_request())).result == "r"
         assert relay.refreshes == 1
 
-    async def test_stale_view_serves_only_open_statements(self):
+    @pytest.mark.parametrize("statement", ["prices", "unknown"])
+    async def test_a_stale_view_serves_and_judges_nothing(self, statement):
         entry, relay, router = make_entry()
         relay.fresh = False
-        with pytest.raises(Refused) as caught:
-            await entry.statement(caller_request())
-        assert caught.value.reason == Reason.STALE_VIEW
-        assert caught.value.retry_after_s
+        opened = caller_request(key="", statement=statement)
+        for running in (
+            entry.statement(caller_request()),
+            entry.open_statement(opened),
+        ):
+            with pytest.raises(Refused) as caught:
+                await running
+            assert caught.value.reason == Reason.STALE_VIEW
+            assert caught.value.retry_after_s
+        relay.fresh = True
         opened = await entry.open_statement(caller_request(key="", statement="prices"))
         assert opened.result == "r"
 
