--- a/lavenderstack/core/change_messages.py
+++ b/lavenderstack/core/change_messages.py
@@ -31,8 +31,8 @@
     When it was sent, the sender had held the request for ``held_s`` seconds, and its
     state had been proved current ``age_s`` seconds before. ``listed`` tells that some
     entries were read in a listing, which has only the last change of each; a build that
-    doesn't tell may have listed them. ``compressed`` has the large values by key; the
-    ``data`` of their entries is empty (``core/entry_compression.py``).
+    doesn't tell may have listed them. ``compressed`` has the large values by the index
+    of their entries, whose ``data`` is empty (``core/entry_compression.py``).
     """
 
     entries: list[Entry]
@@ -41,4 +41,4 @@
     held_s: float
     age_s: float
     listed: bool = True
-    compressed: dict[str, bytes] = {}
+    compressed: dict[int, bytes] = {}
--- a/lavenderstack/core/entry_compression.py
+++ b/lavenderstack/core/entry_compression.py
@@ -7,7 +7,7 @@
 
 import base64
 import zlib
-from collections.abc import Iterable
+from collections.abc import Sequence
 from functools import lru_cache
 
 from lavenderstack.core.change_messages import ChangesReply, Entry
@@ -37,15 +37,17 @@
     return zlib.compress(value, LEVEL)
 
 
-def compress(entries: Iterable[Entry]) -> tuple[list[Entry], dict[str, bytes]]:
-    """Return entries without their large values, and those compressed, by key."""
-    remaining, compressed = [], {}
-    for entry in entries:
+def compress(entries: Sequence[Entry]) -> tuple[list[Entry], dict[int, bytes]]:
+    """Return entries without their large values, and those compressed, by index.
+
+    Two of the entries may be changes of the same key.
+    """
+    remaining, compressed = list(entries), {}
+    for index, entry in enumerate(entries):
         value = _compress(entry.data) if len(entry.data) >= MIN_COMPRESSED_B else b""
         if value:
-            compressed[entry.key] = value
-            entry = Entry(entry.key, entry.revision, "", entry.deleted)
-        remaining.append(entry)
+            compressed[index] = value
+            remaining[index] = Entry(entry.key, entry.revision, "", entry.deleted)
     return remaining, compressed
 
 
@@ -53,7 +55,7 @@
     """Return a compressed value as base64 text; raises ``BadValue``.
 
     >>> _, compressed = compress([Entry("op/x", 7, "bGFiZWw=" * 2000)])
-    >>> expand(compressed["op/x"]) == "bGFiZWw=" * 2000
+    >>> expand(compressed[0]) == "bGFiZWw=" * 2000
     True
     """
     expander = zlib.decompressobj()
@@ -68,9 +70,10 @@
 
 def expanded(reply: ChangesReply) -> list[Entry]:
     """Return the entries of a reply with all their values; raises ``BadValue``."""
-    return [
-        Entry(one.key, one.revision, expand(reply.compressed[one.key]), one.deleted)
-        if one.key in reply.compressed
-        else one
-        for one in reply.entries
-    ]
+    entries = list(reply.entries)
+    for index, value in reply.compressed.items():
+        if not 0 <= index < len(entries):
+            raise BadValue(f"a value for entry {index} of {len(entries)}")
+        one = entries[index]
+        entries[index] = Entry(one.key, one.revision, expand(value), one.deleted)
+    return entries
--- a/lavenderstack/platform/loader.py
+++ b/lavenderstack/platform/loader.py
@@ -326,7 +326,7 @@
             for item in items
             if whole or item.rev > msg.after
         ]
-        compressed: dict[str, bytes] = {}
+        compressed: dict[int, bytes] = {}
         if msg.compressed:
             entries, compressed = compress(entries)
         now = clock.now()
--- a/lavenderstack/platform/loader_readers_test.py
+++ b/lavenderstack/platform/loader_readers_test.py
@@ -59,7 +59,7 @@
                     if not peers_state["on"]:
                         raise NotSent("off")
                     reply = await reader.handle_changes_request(msg)
-                    damaged = {one.key: b"?" for one in reply.entries}
+                    damaged = dict.fromkeys(range(len(reply.entries)), b"?")
                     if peers_state["damage"]:
                         return msgspec.structs.replace(reply, compressed=damaged)
                     return reply
@@ -179,7 +179,7 @@
             task.cancel()
         assert not older.compressed
         assert len(older.entries[0].data) > MIN_COMPRESSED_B
-        assert len(current.compressed["op/config"]) < 1000
+        assert len(current.compressed[0]) < 1000
         assert expanded(current) == older.entries
 
     async def test_changes_that_cannot_be_expanded_are_read_elsewhere(self):
