--- a/lavenderstack/platform/loader.py
+++ b/lavenderstack/platform/loader.py
@@ -16,13 +16,12 @@
 """
 
 import asyncio
-from collections import deque
 
 import structlog
 
 from lavenderstack.core import clock
 from lavenderstack.core.change_messages import ChangesReply, ChangesRequest, Entry
-from lavenderstack.core.entry_compression import BadValue, compress, expanded
+from lavenderstack.core.entry_compression import BadValue, compress
 from lavenderstack.core.messages import Failed, Message
 from lavenderstack.core.outcome import Reason
 from lavenderstack.core.readers import (
@@ -39,6 +38,12 @@
 from lavenderstack.platform import documents, records
 from lavenderstack.platform.directory_writer import DirectoryWriter
 from lavenderstack.platform.history import HistoryReader
+from lavenderstack.platform.received_changes import (
+    evacuations_last,
+    items_of,
+    log_if_large,
+)
+from lavenderstack.platform.recent_changes import RecentChanges
 from lavenderstack.platform.store import (
     Changes,
     HistoryGone,
@@ -59,50 +64,13 @@
 # An answer with more events than this may be truncated, so it does not prove that the
 # directory is current.
 MAX_EVENTS = 200
-# Changes that a store reader keeps for the nodes that ask it. A node that lacks older
-# ones is sent all entries.
-MAX_RECENT_CHANGES = 500
 # Removed entries whose position is remembered, so that an older change of them that
 # arrives late is ignored.
 MAX_REMOVED_KEYS = 1000
-# Changes of at least this size are logged with the time that their transfer took.
-LARGE_CHANGES_B = 100_000
 # Added to the wait of a request to another node, for the round trip.
 REPLY_MARGIN_S = 0.4
 
 
-def _evacuations_last(items: list[Item]) -> list[Item]:
-    """Return changes with the evacuations after the targets and nodes of their zones.
-
-    A zone of which nothing is known yet would be reported as unknown.
-    """
-    return sorted(
-        items, key=lambda item: documents.evacuated_zone(item.key) is not None
-    )
-
-
-def _items(reply: ChangesReply) -> list[Item]:
-    """Return the changes of a reply; raises ``BadValue`` if one can't be expanded."""
-    return [
-        Item(entry.key, entry.revision, entry.data, deleted=entry.deleted)
-        for entry in expanded(reply)
-    ]
-
-
-def _log_if_large(source: str, size_b: int, sent_at: float) -> None:
-    """Log the size of large changes and the seconds since their transfer could begin.
-
-    The wait of a watch of the store is part of these.
-    """
-    if size_b >= LARGE_CHANGES_B:
-        log.info(
-            "loader: large changes received",
-            source=source,
-            size_b=size_b,
-            transfer_s=round(clock.now() - sent_at, 3),
-        )
-
-
 class Loader:
     """Copies the store's entries into a directory.
 
@@ -121,11 +89,7 @@
         # By node without a usable reply: the clock time until which it is not asked.
         self._skipped_until: dict[str, float] = {}
         self._entries: dict[str, Item] = {}
-        self._recent: deque[Item] = deque(maxlen=MAX_RECENT_CHANGES)
-        # ``_recent`` has all changes after this revision.
-        self._recent_after = 0
-        # The changes up to this position come from a listing of several pages.
-        self._listed_to = 0
+        self._recent = RecentChanges(self._entries)
         self._updated = asyncio.Event()
         self._store = store
         store.on_answer = directory.proof.record_store_answer
@@ -262,18 +226,17 @@
             return False
         size_b = sum(len(entry.data) for entry in reply.entries)
         size_b += sum(map(len, reply.compressed.values()))
-        _log_if_large(vm.name, size_b, asked_at + reply.held_s)
+        log_if_large(vm.name, size_b, asked_at + reply.held_s)
+        # The sender has waited before it took over entries of a new era.
+        self._store.era.observe(era_of(reply.as_of), clock.now())
         try:
-            items = _items(reply)
+            self._apply_reply(reply)
         except BadValue as exc:
             log.warning(
                 "loader: changes not understood", holder=vm.name, error=str(exc)
             )
             self._skipped_until[vm.name] = clock.now() + SKIP_NODE_S
             return False
-        # The sender has waited before it took over entries of a new era.
-        self._store.era.observe(era_of(reply.as_of), clock.now())
-        self._apply_reply(reply, items)
         self._prove(proved_at(asked_at, reply.held_s, reply.age_s))
         return True
 
@@ -283,11 +246,13 @@
             return False
         return era_of(reply.as_of) >= (self._store.era.number or 0)
 
-    def _apply_reply(self, reply: ChangesReply, items: list[Item]) -> None:
-        for item in _evacuations_last(items):
+    def _apply_reply(self, reply: ChangesReply) -> None:
+        """Apply the changes of a reply; raises ``BadValue`` before the first one."""
+        items = items_of(reply)
+        for item in evacuations_last(items):
             self._apply(item)
         if reply.listed:
-            self._listed_to = max(self._listed_to, reply.as_of)
+            self._recent.received_listed(reply.as_of)
             self._history.end("entries were received from a listing")
         if reply.whole:
             for key in self._entries.keys() - {item.key for item in items}:
@@ -319,19 +284,16 @@
         if not self._listed:
             return Failed(run=False, reason=Reason.STALE_VIEW)
         await self._wait_for_changes(msg.after, msg.wait_s)
-        whole = msg.after < self._recent_after
-        items = self._entries.values() if whole else self._recent
+        items, whole = self._recent.since(msg.after)
         entries = [
-            Entry(item.key, item.rev, item.value, item.deleted)
-            for item in items
-            if whole or item.rev > msg.after
+            Entry(item.key, item.rev, item.value, item.deleted) for item in items
         ]
         compressed: dict[int, bytes] = {}
         if msg.compressed:
             entries, compressed = compress(entries)
         now = clock.now()
         age_s = self._directory.proof.age_s(now)
-        listed = whole or msg.after < self._listed_to
+        listed = self._recent.is_listed(msg.after)
         held_s = now - received_at
         return ChangesReply(
             entries, self._as_of, whole, held_s, age_s, listed, compressed
@@ -372,15 +334,7 @@
             self._apply(item)
         for key in self._entries.keys() - seen:
             self._apply(Item(key=key, rev=as_of, deleted=True))
-        # Changes before the first page can only be passed on as a whole listing. Those
-        # made while the pages were read may be in the pages, and the next watch would
-        # then skip them as known, so they are added here.
-        self._recent.clear()
-        self._recent.extend(
-            known for known in self._entries.values() if known.rev > as_of
-        )
-        self._recent_after = as_of
-        self._listed_to = max((known.rev for known in self._recent), default=as_of)
+        self._recent.begin_after_listing(as_of)
         self._advance_revision(as_of)
         self._listed = True
         if is_snapshot and self._store.era.read_wait_s(clock.now()) <= 0:
@@ -396,7 +350,7 @@
         wait_s = WATCH_WAIT_S if proof_holds else FIRST_WATCH_WAIT_S
         changes: Changes = await self._store.watch("", self._as_of, wait_s)
         self._record_store_answer()
-        _log_if_large("store", sum(len(item.value) for item in changes.events), sent_at)
+        log_if_large("store", sum(len(item.value) for item in changes.events), sent_at)
         for item in changes.events:
             self._apply(item)
         self._advance_revision(changes.as_of)
@@ -411,8 +365,6 @@
             return
         self._record_position(item)
         self._history.record(item)
-        if len(self._recent) == MAX_RECENT_CHANGES:
-            self._recent_after = max(self._recent_after, self._recent[0].rev)
         try:
             data = item.data
         except ValueError as exc:
@@ -421,7 +373,7 @@
         if data and records.is_void(item.key, data, item.rev):
             log.info("loader: record of an older era ignored", key=item.key)
             item = Item(item.key, item.rev, deleted=True)
-        self._recent.append(item)
+        self._recent.record(item)
         if item.deleted:
             self._entries.pop(item.key, None)
             self._writer.remove(item)
--- /dev/null
+++ b/lavenderstack/platform/recent_changes.py
@@ -0,0 +1,59 @@
+"""The changes of the store that a node passes on to nodes that ask it."""
+
+from collections import deque
+from collections.abc import Collection, Mapping
+
+from lavenderstack.platform.store import Item
+
+# Changes that are kept. A node that lacks older ones is sent all entries.
+MAX_RECENT_CHANGES = 500
+
+
+class RecentChanges:
+    """The latest changes in their order; ``entries`` are all known entries by key."""
+
+    def __init__(self, entries: Mapping[str, Item]) -> None:
+        self._entries = entries
+        self._recent: deque[Item] = deque(maxlen=MAX_RECENT_CHANGES)
+        # ``_recent`` has all changes after this position.
+        self._complete_after = 0
+        # The changes up to this position come from a listing of several pages.
+        self._listed_to = 0
+
+    def record(self, item: Item) -> None:
+        """Add a change."""
+        if len(self._recent) == MAX_RECENT_CHANGES:
+            self._complete_after = max(self._complete_after, self._recent[0].rev)
+        self._recent.append(item)
+
+    def begin_after_listing(self, as_of: int) -> None:
+        """Start anew after a listing whose first page was of the position ``as_of``.
+
+        Changes before that page can only be passed on as a whole listing. Those made
+        while the pages were read may be in the pages, and the next watch then skips
+        them as known, so they are added here.
+        """
+        self._recent.clear()
+        self._recent.extend(item for item in self._entries.values() if item.rev > as_of)
+        self._complete_after = as_of
+        self._listed_to = max((item.rev for item in self._recent), default=as_of)
+
+    def received_listed(self, as_of: int) -> None:
+        """Record that changes up to ``as_of`` came from another node's listing."""
+        self._listed_to = max(self._listed_to, as_of)
+
+    def since(self, after: int) -> tuple[Collection[Item], bool]:
+        """Return the changes after a position, or all entries if some are gone.
+
+        The second value tells that these are all entries.
+        """
+        if after < self._complete_after:
+            return self._entries.values(), True
+        return [item for item in self._recent if item.rev > after], False
+
+    def is_listed(self, after: int) -> bool:
+        """Return whether changes after a position were read in a listing.
+
+        A listing has only the last change of each entry.
+        """
+        return after < max(self._listed_to, self._complete_after)
