Read the store through the larger nodes of a zone

The larger nodes now come first in the tree, once all nodes of the zone have the feature readers_by_capacity.

--- a/lavenderstack/core/features.py
+++ b/lavenderstack/core/features.py
@@ -16,11 +16,13 @@
 
     ``HOLDS``: it holds back acknowledgements
     (``core/failover/acknowledgement_hold.py``). ``UNSUPPORTED``: it answers a message
-    that it doesn't know with ``Unsupported``.
+    that it doesn't know with ``Unsupported``. ``READERS_BY_CAPACITY``: it looks for
+    changes of the store at larger nodes first (``core/readers.py``).
     """
 
     HOLDS = "acknowledgement_holds"
     UNSUPPORTED = "unsupported_reply"
+    READERS_BY_CAPACITY = "readers_by_capacity"
 
 
 OWN_FEATURES = frozenset(Feature)
