--- a/lavenderstack/core/readers_test.py
+++ b/lavenderstack/core/readers_test.py
@@ -156,6 +156,13 @@
         """The proportion of VMs is that of today, up to the size that is aimed at."""
         assert self.slowest_transfer_s(*mixed_zone(large, small)) <= MAX_PROOF_AGE_S
 
+    @pytest.mark.parametrize(("large", "small"), [(2, 13), (2, 15), (4, 29), (46, 344)])
+    def test_only_larger_nodes_pass_changes_on(self, large, small):
+        """A full link delays the statements of callers on the same VM, too."""
+        vms, links = mixed_zone(large, small)
+        asked = {above[0].name for above in upstream_by_name(vms).values() if above}
+        assert {links[name] for name in asked} == {100.0}
+
     def test_nodes_of_another_build_keep_the_order_by_the_ring_alone(self):
         vms, _ = mixed_zone(2, 15)
         older, _ = mixed_zone(2, 15, features=frozenset())
