Split the checks before sending and the opening of transactions from the executor

WorkGuard has the one question whether work may be sent now, TransactionOpening what a connection needs before the caller's statement. No behaviour changes.

--- a/lavenderstack/node/executor.py
+++ b/lavenderstack/node/executor.py
@@ -2,13 +2,12 @@
 
 The node that does this for a target is its connection holder and keeps its queue. A
 statement may wait in the queue, so just before it is sent the executor checks again
-that its key is in force.
+that it may be (``node/work_guard.py``).
 
 A failure says whether the statement may have run. It has not run before its own bytes
 were sent, even if internal statements of the service were sent before it.
 """
 
-import asyncio
 import random
 from collections.abc import Awaitable, Callable
 from contextlib import (
@@ -27,10 +26,8 @@
 from lavenderstack.core.position_history import PositionHistory
 from lavenderstack.core.queue.queue_load import refusal_retry_after_s
 from lavenderstack.core.reply import TxState
-from lavenderstack.core.statement import StatementKind
 from lavenderstack.core.work_messages import (
     Access,
-    TransactionStart,
     Work,
 )
 from lavenderstack.node.acknowledged_positions import AcknowledgedPositions
@@ -62,12 +59,11 @@
 )
 from lavenderstack.node.targets.target_connections import PooledConnection
 from lavenderstack.node.targets.target_health import TargetHealth
+from lavenderstack.node.transaction_opening import TransactionOpening, time_limit
+from lavenderstack.node.work_guard import WorkGuard
 
 log = structlog.get_logger()
 
-# A connection that was idle for longer is probed before a write is sent on it, since a
-# write that gets no answer can't be retried.
-MAX_UNPROBED_IDLE_S = 1.0
 # Statements that may wait for a slot of one target.
 MAX_QUEUED = 400
 # Routes of this priority or a higher one (0 is the highest) get a larger share of the
@@ -78,11 +74,6 @@
 MinPositionFor = Callable[[str, float, float, float], Awaitable[Position]]
 
 
-def _time_limit(deadline: float) -> asyncio.Timeout:
-    """Return a context that raises ``TimeoutError`` at a time on the clock."""
-    return asyncio.timeout(max(0.0, deadline - clock.now()))
-
-
 class TargetExecutor:
     """The queue, connections and open transactions of one target."""
 
@@ -122,6 +113,15 @@
         )
         self._cold = cold
         self._cold.connections = self.connections
+        self._guard = WorkGuard(
+            lambda: self.target, directory, self._evacuation, self._cold
+        )
+        self._opening = TransactionOpening(
+            self.connections,
+            self._active,
+            self.health.positions,
+            self._guard.require_allowed,
+        )
         # Whether work was limited when it last arrived.
         self._limited = False
 
@@ -163,18 +163,6 @@
         """Positions of the target's log at known times while it was the primary."""
         return self.health.positions
 
-    def _refusal(self, work: Work) -> Failed | None:
-        """Return why the work may not be sent to the target now, or None."""
-        now = clock.now()
-        if self._directory.unproved(bool(work.organisation), now):
-            return failure(False, Reason.STALE_VIEW)
-        known = self._directory.is_work_allowed(
-            work.organisation, work.key_digest, work.version, now
-        )
-        if known:
-            return self._evacuation.refusal(self.target, work, now)
-        return failure(False, Reason.KEY_REFUSED)
-
     def expected(self, work: Work) -> AbstractContextManager[None]:
         """Count the work as one that will need a connection, while it waits and runs.
 
@@ -184,21 +172,9 @@
             return nullcontext()
         return self.connections.expected(work.organisation)
 
-    def _require_allowed(self, work: Work) -> None:
-        """Raise ``Refused`` if the work may not be sent to the target now."""
-        refusal = self._refusal(work)
-        if refusal is not None:
-            reason = Reason(refusal.reason)
-            raise Refused(reason, refusal.detail, refusal.retry_after_s)
-
-    def _send_refusal(self, work: Work) -> Failed | None:
-        """Return why the statement may not be sent now; else it counts as sent."""
-        refusal = self._refusal(work)
-        return refusal or self._cold.count_sent(work, clock.now())
-
     async def run(self, work: Work) -> Message:
         """Run one statement; answer with ``WorkDone`` or ``Failed``."""
-        refusal = self._refusal(work)
+        refusal = self._guard.refusal(work)
         if refusal is not None:
             return refusal
         now = clock.now()
@@ -210,7 +186,9 @@
             return await self._run_permitted(work)
         try:
             async with self._cold.permit(work) as permitted:
-                refusal = self._send_refusal(permitted) if permitted.tx else None
+                refusal = (
+                    self._guard.refusal_to_send(permitted) if permitted.tx else None
+                )
                 return refusal or await self._run_permitted(permitted)
         except Refused as exc:
             return failed(work, exc)
@@ -297,11 +275,11 @@
                 return failure(
                     False, Reason.UNREACHABLE, self.health.unreachable_reason
                 )
-            self._require_allowed(work)
+            self._guard.require_allowed(work)
             if work.opens:
                 self.connections.check_transaction(work.organisation)
             try:
-                async with _time_limit(deadline):
+                async with time_limit(deadline):
                     pooled = await self.connections.acquire(
                         work.organisation, work.values, force_new
                     )
@@ -312,7 +290,10 @@
                     self.health.mark_unreachable(exc.detail)
                 return failure(False, exc.reason, exc.detail)
             try:
-                if not await self._open_in_time(work, pooled, min_position, deadline):
+                opened = await self._opening.open_in_time(
+                    work, pooled, min_position, deadline
+                )
+                if not opened:
                     # The connection failed before the caller's statement was sent.
                     # Other idle connections may have failed too, so the second
                     # attempt opens a new one.
@@ -326,61 +307,6 @@
             return await self._send(work, pooled, min_position, deadline)
         return failure(False, Reason.UNREACHABLE, "no answer on a new connection")
 
-    async def _open_in_time(
-        self,
-        work: Work,
-        pooled: PooledConnection,
-        min_position: Position,
-        deadline: float,
-    ) -> bool:
-        """Call ``_open_transaction``; raises ``TimeoutError`` at the deadline."""
-        async with _time_limit(deadline):
-            try:
-                return await self._open_transaction(work, pooled, min_position)
-            except asyncio.CancelledError:
-                self.connections.discard(pooled)
-                raise
-
-    async def _open_transaction(
-        self, work: Work, pooled: PooledConnection, min_position: Position
-    ) -> bool:
-        """Begin a transaction if the work needs one; return False without an answer.
-
-        Before a write on a connection that was idle, probes the connection instead.
-        The answer must arrive before the statement is sent: a read after a refused
-        BEGIN would run outside any transaction, where nothing proves that the target
-        is the primary. Raises ``Refused`` if the target refuses the transaction or may
-        not be used any more.
-        """
-        self._require_allowed(work)
-        proves_primary = work.access is Access.CURRENT_READ and not work.opens
-        if proves_primary or work.opens:
-            read_only = work.opens is TransactionStart.READ_ONLY
-            commands = setup_commands(work, pooled)
-            required = min_position if read_only else START
-            commands.append(Command(statement.begin(read_only), min_position=required))
-        elif (
-            work.access is Access.WRITE
-            and clock.now() - pooled.used_at > MAX_UNPROBED_IDLE_S
-        ):
-            commands = [
-                Command(statement.begin(read_only=False)),
-                Command(statement.ROLLBACK),
-            ]
-        else:
-            return True
-        asked_at = clock.now()
-        reply = await self._active.run_internal(pooled, commands)
-        if reply is None:
-            return False
-        if commands[-1].statement.kind is StatementKind.ROLLBACK:
-            return True
-        if reply.reason is not None:
-            raise Refused(reply.reason, reply.detail)
-        if not work.opens or work.opens is TransactionStart.READ_WRITE:
-            self.positions.add(reply.position, asked_at)
-        return True
-
     async def _send(
         self,
         work: Work,
@@ -389,7 +315,7 @@
         deadline: float,
     ) -> Message:
         """Send the caller's statement on a prepared connection and await its answer."""
-        refusal = self._send_refusal(work)
+        refusal = self._guard.refusal_to_send(work)
         if refusal is not None:
             self._active.roll_back_and_release(pooled)
             return refusal
--- /dev/null
+++ b/lavenderstack/node/work_guard.py
@@ -0,0 +1,59 @@
+"""Whether a holder may send work to its target now.
+
+A statement may wait in the queue, so the holder asks when the work arrives and again
+just before it is sent.
+"""
+
+from collections.abc import Callable
+
+from lavenderstack.core import clock
+from lavenderstack.core.messages import Failed
+from lavenderstack.core.outcome import Reason, Refused
+from lavenderstack.core.view import Target
+from lavenderstack.core.work_messages import Work
+from lavenderstack.node.directory import Directory
+from lavenderstack.node.evacuation.evacuation_guard import EvacuationGuard
+from lavenderstack.node.targets.active_connections import failure
+from lavenderstack.node.targets.cold_target import ColdTarget
+
+
+class WorkGuard:
+    """Refuses work for one target that its holder may not send.
+
+    ``target`` returns the target with its present limits.
+    """
+
+    def __init__(
+        self,
+        target: Callable[[], Target],
+        directory: Directory,
+        evacuation: EvacuationGuard,
+        cold: ColdTarget,
+    ) -> None:
+        self._target = target
+        self._directory = directory
+        self._evacuation = evacuation
+        self._cold = cold
+
+    def refusal(self, work: Work) -> Failed | None:
+        """Return why the work may not be sent to the target now, or None."""
+        now = clock.now()
+        if self._directory.unproved(bool(work.organisation), now):
+            return failure(False, Reason.STALE_VIEW)
+        known = self._directory.is_work_allowed(
+            work.organisation, work.key_digest, work.version, now
+        )
+        if known:
+            return self._evacuation.refusal(self._target(), work, now)
+        return failure(False, Reason.KEY_REFUSED)
+
+    def require_allowed(self, work: Work) -> None:
+        """Raise ``Refused`` if the work may not be sent to the target now."""
+        refusal = self.refusal(work)
+        if refusal is not None:
+            reason = Reason(refusal.reason)
+            raise Refused(reason, refusal.detail, refusal.retry_after_s)
+
+    def refusal_to_send(self, work: Work) -> Failed | None:
+        """Return why the statement may not be sent now; else it counts as sent."""
+        return self.refusal(work) or self._cold.count_sent(work, clock.now())
