--- a/lavenderstack/core/log/events_test.py
+++ b/lavenderstack/core/log/events_test.py
@@ -42,6 +42,8 @@
     "group_positions",
     "group_claims",
     "session",
+    "framing",
+    "stream_server",
     "streams",
     "supervisor",
     "target_connections",
--- a/lavenderstack/node/holder_without_power_test.py
+++ b/lavenderstack/node/holder_without_power_test.py
@@ -20,7 +20,8 @@
 from lavenderstack.node.directory import Directory
 from lavenderstack.node.dispatch import Dispatcher
 from lavenderstack.node.peers import Peers
-from lavenderstack.node.streams import StreamLimits, StreamPool, StreamServer
+from lavenderstack.node.stream_server import StreamServer
+from lavenderstack.node.streams import StreamLimits, StreamPool
 
 WRITE = Statement(StatementKind.WRITE, "WRITE a b", writes=True)
 STATEMENTS = 60
--- a/lavenderstack/node/main.py
+++ b/lavenderstack/node/main.py
@@ -34,7 +34,8 @@
 from lavenderstack.node.relay import Relay
 from lavenderstack.node.revisions import where_in_force
 from lavenderstack.node.router import Router
-from lavenderstack.node.streams import StreamPool, StreamServer
+from lavenderstack.node.stream_server import StreamServer
+from lavenderstack.node.streams import StreamPool
 from lavenderstack.node.supervisor import Part
 from lavenderstack.node.target_holder import TargetHolder
 
--- a/lavenderstack/node/monitors.py
+++ b/lavenderstack/node/monitors.py
@@ -17,7 +17,8 @@
 from lavenderstack.core.routing import TermPrimary
 from lavenderstack.core.view import Group, View, Vm
 from lavenderstack.node.group_monitor import GroupMonitor
-from lavenderstack.node.streams import Handler, NotSent, StreamLost, StreamPool
+from lavenderstack.node.stream_server import Handler
+from lavenderstack.node.streams import NotSent, StreamLost, StreamPool
 
 VIEW_INTERVAL_S = 0.25
 NODES_INTERVAL_S = 1.0
--- a/lavenderstack/node/monitors_test.py
+++ b/lavenderstack/node/monitors_test.py
@@ -12,7 +12,8 @@
 from lavenderstack.core.view import EvacuationRequest, Group, Target, View, Vm
 from lavenderstack.node.monitors import Monitors
 from lavenderstack.node.primaries import Primaries
-from lavenderstack.node.streams import StreamPool, StreamServer
+from lavenderstack.node.stream_server import StreamServer
+from lavenderstack.node.streams import StreamPool
 from standins.link import open_link
 from standins.target import Limits, serve
 
--- a/lavenderstack/node/other_builds_test.py
+++ b/lavenderstack/node/other_builds_test.py
@@ -9,13 +9,13 @@
 from lavenderstack.core.members import Members
 from lavenderstack.core.messages import Begin, Begun, Ping, Pong
 from lavenderstack.core.view import View, Vm
-from lavenderstack.node import streams, wire
+from lavenderstack.node import framing, wire
 from lavenderstack.node.peers import Peers
+from lavenderstack.node.stream_server import StreamServer
 from lavenderstack.node.streams import (
     NotSupported,
     StreamLost,
     StreamPool,
-    StreamServer,
 )
 from lavenderstack.node.streams_test import BEGIN
 
@@ -108,4 +108,4 @@
     def test_frames_of_this_build_are_decoded(self):
         frame = wire.Frame(3, False, Ping())
         assert wire.decode(wire.encode(frame)) == frame
-        assert len(wire.encode(frame)) < streams.MAX_FRAME_B
+        assert len(wire.encode(frame)) < framing.MAX_FRAME_B
--- a/lavenderstack/node/streams.py
+++ b/lavenderstack/node/streams.py
@@ -1,48 +1,35 @@
-"""Streams between nodes: framed msgpack over TCP, with many requests on each.
-
-A frame is a four-byte big-endian length and a msgpack array ``(number, reply, body)``.
-A reply carries the number of its request, so replies may come in any order and a late
-one can't be mistaken for another's. Streams are opened on first use and closed when
-idle. While a reply is awaited, a quiet stream is pinged; one that stays silent is
-closed and the next request opens a new one, because a network device between the nodes
-may have dropped the state of the old connection permanently.
+"""The client end of the streams between nodes, with many requests on each.
+
+Replies may come in any order, and a late one can't be mistaken for another's. Streams
+are opened on first use and closed when idle. While a reply is awaited, a quiet stream
+is pinged; one that stays silent is closed and the next request opens a new one, because
+a network device between the nodes may have dropped the state of the old connection
+permanently. ``node/stream_server.py`` is the other end, ``node/framing.py`` has what
+both share.
 """
 
 import asyncio
-import struct
-from collections.abc import Awaitable, Callable, Mapping
 from contextlib import suppress
 from dataclasses import dataclass
 from functools import partial
-from typing import Any
 
-import msgspec
-import structlog
-
-from lavenderstack.border.traffic import TRAFFIC
 from lavenderstack.core import clock
 from lavenderstack.core.messages import (
     Cancel,
     Goodbye,
     Message,
     Ping,
-    Pong,
     Unsupported,
 )
 from lavenderstack.core.targets.connect_timeout import ConnectTimeout
 from lavenderstack.node import wire
+from lavenderstack.node.framing import FramedProtocol
 
 CONNECT_TIMEOUT_S = 1.0
 PING_AFTER_S = 0.5
 SILENT_AFTER_S = 1.5
 IDLE_CLOSE_S = 30.0
 TICK_S = 0.25
-MAX_FRAME_B = 4 * 1024 * 1024
-
-log = structlog.get_logger()
-_LENGTH = struct.Struct(">I")
-
-Handler = Callable[[Any], Awaitable[Message]]
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,160 +70,7 @@
     """The stream closed or stayed silent after the request had been sent."""
 
 
-class _FramedProtocol(asyncio.Protocol):
-    """Splits the byte stream into frames; subclasses handle each frame."""
-
-    def __init__(self) -> None:
-        self.transport: asyncio.Transport | None = None
-        self._buffer = bytearray()
-        self.received_at = clock.now()
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = transport  # type: ignore[assignment]
-
-    def data_received(self, data: bytes) -> None:
-        self.received_at = clock.now()
-        TRAFFIC.nodes_received_b += len(data)
-        buffer = self._buffer
-        buffer += data
-        start = 0
-        while len(buffer) - start >= _LENGTH.size:
-            (length,) = _LENGTH.unpack_from(buffer, start)
-            if length > MAX_FRAME_B:
-                log.warning("streams: frame too long", length=length)
-                self.transport.abort()
-                return
-            end = start + _LENGTH.size + length
-            if len(buffer) < end:
-                break
-            body = bytes(buffer[start + _LENGTH.size : end])
-            start = end
-            self._accept(body)
-        del buffer[:start]
-
-    def _accept(self, body: bytes) -> None:
-        try:
-            frame = wire.decode(body)
-        except wire.UnknownMessage as exc:
-            log.info("streams: message not supported", message=exc.tag, reply=exc.reply)
-            self.unknown_received(exc)
-            return
-        except msgspec.MsgspecError as exc:
-            log.warning("streams: frame not understood", error=str(exc))
-            self.transport.abort()
-            return
-        self.frame_received(frame)
-
-    def frame_received(self, frame: wire.Frame) -> None:
-        """Handle one frame."""
-        raise NotImplementedError
-
-    def unknown_received(self, unknown: wire.UnknownMessage) -> None:
-        """Handle a frame whose message only another build knows."""
-        raise NotImplementedError
-
-    def send(self, frame: wire.Frame) -> None:
-        """Write a frame; a closing transport discards it."""
-        body = wire.encode(frame)
-        TRAFFIC.nodes_sent_b += _LENGTH.size + len(body)
-        self.transport.write(_LENGTH.pack(len(body)) + body)
-
-
-class _ServerStream(_FramedProtocol):
-    """The server end of a stream: it runs the handlers of incoming requests."""
-
-    def __init__(self, server: "StreamServer") -> None:
-        super().__init__()
-        self._server = server
-        self._tasks: dict[int, asyncio.Task] = {}
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        super().connection_made(transport)
-        self._server.connections.add(self)
-        self._server.all_closed.clear()
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self._server.connections.discard(self)
-        if not self._server.connections:
-            self._server.all_closed.set()
-
-    def frame_received(self, frame: wire.Frame) -> None:
-        body = frame.body
-        if isinstance(body, Ping):
-            self.send(wire.Frame(frame.number, True, Pong()))
-            return
-        if isinstance(body, Cancel):
-            self._cancel(body.number)
-            return
-        task = asyncio.ensure_future(self._answer(frame))
-        self._tasks[frame.number] = task
-        self._server.running.add(task)
-        task.add_done_callback(lambda _: self._remove_task(frame.number, task))
-
-    def unknown_received(self, unknown: wire.UnknownMessage) -> None:
-        self.send(wire.Frame(unknown.number, True, Unsupported(unknown.tag)))
-
-    def _remove_task(self, number: int, task: asyncio.Task) -> None:
-        self._tasks.pop(number, None)
-        self._server.running.discard(task)
-
-    def _cancel(self, number: int) -> None:
-        if task := self._tasks.get(number):
-            task.cancel()
-
-    async def _answer(self, frame: wire.Frame) -> None:
-        handler = self._server.handlers.get(type(frame.body))
-        if handler is None:
-            name = type(frame.body).__name__
-            log.warning("streams: no handler", message=name)
-            self.send(wire.Frame(frame.number, True, Unsupported(name)))
-            return
-        reply = await handler(frame.body)
-        if not self.transport.is_closing():
-            self.send(wire.Frame(frame.number, True, reply))
-
-
-class StreamServer:
-    """Accepts streams from other nodes and passes each request to its handler.
-
-    ``handlers`` maps a message type to a coroutine function that takes the message
-    and returns the reply message. Handlers must convert their failures to messages:
-    if one raises, asyncio logs the exception and the caller times out.
-    """
-
-    def __init__(self, handlers: Mapping[type, Handler]) -> None:
-        self.handlers = dict(handlers)
-        self.connections: set[_ServerStream] = set()
-        self.running: set[asyncio.Task] = set()
-        self.all_closed = asyncio.Event()
-        self._server: asyncio.Server | None = None
-
-    async def start(self, host: str, port: int) -> int:
-        """Listen; return the port, chosen by the system if ``port`` is 0."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(lambda: _ServerStream(self), host, port)
-        return self._server.sockets[0].getsockname()[1]
-
-    async def stop(self, left_s: float) -> None:
-        """Accept no new streams and close the open ones after their last reply.
-
-        Sends ``Goodbye`` on each stream, so that the client sends no more requests
-        and closes the stream when it has its last reply. Streams that are still open
-        after ``left_s`` seconds are closed.
-        """
-        if self._server is None:
-            return
-        self._server.close()
-        for connection in self.connections:
-            connection.send(wire.Frame(0, True, Goodbye()))
-        with suppress(TimeoutError):
-            async with asyncio.timeout(left_s if self.connections else 0.0):
-                await self.all_closed.wait()
-        for connection in list(self.connections):
-            connection.transport.close()
-
-
-class _ClientStream(_FramedProtocol):
+class _ClientStream(FramedProtocol):
     """The client end of a stream: it sends requests and receives their replies."""
 
     def __init__(self) -> None:
--- a/lavenderstack/node/streams_test.py
+++ b/lavenderstack/node/streams_test.py
@@ -8,13 +8,13 @@
 from lavenderstack.core import clock
 from lavenderstack.core.messages import Begin, Begun, Ping, Pong
 from lavenderstack.node import streams
+from lavenderstack.node.stream_server import StreamServer
 from lavenderstack.node.streams import (
     NotSent,
     StillConnecting,
     StreamLimits,
     StreamLost,
     StreamPool,
-    StreamServer,
 )
 
 BEGIN = Begin(
--- a/lavenderstack/platform/node.py
+++ b/lavenderstack/platform/node.py
@@ -33,7 +33,8 @@
 from lavenderstack.node.primary_positions import PrimaryPositions
 from lavenderstack.node.quota.admitter import Admitter
 from lavenderstack.node.session import Services
-from lavenderstack.node.streams import StreamLimits, StreamPool, StreamServer
+from lavenderstack.node.stream_server import StreamServer
+from lavenderstack.node.streams import StreamLimits, StreamPool
 from lavenderstack.platform import store, targets
 from lavenderstack.platform.build_id import build_id
 from lavenderstack.platform.callers import CallerServer
