Hand out tokens by the newest plan that coordinator or entry knows

The quota coordinator limited organisations by its own catalog of any age. While an entry had a new version and the coordinator didn't, a lowered limit wasn't in force, and an organisation that the coordinator didn't know was given all that it wanted, without any limit. Nobody reported it.

A draw now says the plan and the version of the sender's catalog; the newest one counts. Where no plan is known the draw fails and the entry uses its fallback quota. The fields have defaults; a coordinator of another build passes them over.

--- a/lavenderstack/core/quota/coordinator_messages.py
+++ b/lavenderstack/core/quota/coordinator_messages.py
@@ -19,12 +19,18 @@
     """Request tokens of an organisation, and attach; answered by ``TokensReply``.
 
     ``wanted`` operations wait for tokens; ``prefetch`` more are expected soon.
+    ``version`` is that of the sender's catalog, in which the organisation has ``rate``
+    and ``burst``; 0 if the sender doesn't say. Answered by ``Failed`` if neither knows
+    a plan.
     """
 
     node: str
     organisation: str
     wanted: int
     prefetch: int = 0
+    version: int = 0
+    rate: float = 0.0
+    burst: float = 0.0
 
 
 class TokensReply(Message, tag="drawn"):
--- a/lavenderstack/node/quota/admitter.py
+++ b/lavenderstack/node/quota/admitter.py
@@ -151,13 +151,31 @@
                     queue.waiting.popleft(), _over_rate(MAX_REFUSED_S, "no coordinator")
                 )
 
+    def _draw_request(
+        self, organisation: str, wanted: int, prefetch: int
+    ) -> DrawTokens:
+        catalog, name = self._directory.catalog, self._directory.name
+        plan = catalog.plans.get(organisation)
+        if plan is None:
+            return DrawTokens(name, organisation, wanted, prefetch)
+        return DrawTokens(
+            name,
+            organisation,
+            wanted,
+            prefetch,
+            catalog.version,
+            plan.rate,
+            plan.burst,
+        )
+
     async def _draw_once(
         self, organisation: str, queue: _OrganisationQueue, wanted: int
     ) -> None:
         prefetch = min(MAX_PREFETCH, int(queue.prefetched.demand * PREFETCH_S))
         asked_at = clock.now()
-        msg = DrawTokens(self._directory.name, organisation, wanted, prefetch)
-        reply = await self._ask_coordinator(msg)
+        reply = await self._ask_coordinator(
+            self._draw_request(organisation, wanted, prefetch)
+        )
         if reply is None:
             self._use_fallback_quota(organisation, queue, wanted)
             return
--- a/lavenderstack/node/quota/token_coordinator.py
+++ b/lavenderstack/node/quota/token_coordinator.py
@@ -12,7 +12,8 @@
 import structlog
 
 from lavenderstack.core import clock
-from lavenderstack.core.messages import Message
+from lavenderstack.core.messages import Failed, Message
+from lavenderstack.core.outcome import Reason
 from lavenderstack.core.quota.coordinator_messages import (
     Attach,
     Detach,
@@ -20,6 +21,8 @@
     TokensReply,
 )
 from lavenderstack.core.quota.coordinator_quota import CoordinatorQuota
+from lavenderstack.core.quota.newest_plans import NewestPlans, VersionedPlan
+from lavenderstack.core.view import Plan
 from lavenderstack.node.backend import ClaimLost, ReserveStore
 from lavenderstack.node.directory import Directory
 
@@ -50,6 +53,7 @@
         self._owned_revision: int | None = None
         self._directory = directory
         self._quota = CoordinatorQuota()
+        self._plans = NewestPlans()
         self._tasks: set[asyncio.Task] = set()
 
     def run_in_background(self, work: Coroutine) -> None:
@@ -79,9 +83,9 @@
         """Handle ``DrawTokens``; hands out tokens, which also attaches the node."""
         now = clock.now()
         self._quota.attach(msg.node, self._node_count(), now)
-        plan = self._directory.catalog.plans.get(msg.organisation)
+        plan = self._newest_plan(msg)
         if plan is None:
-            return TokensReply(msg.wanted)
+            return Failed(run=False, reason=Reason.STALE_VIEW)
         self._create_buckets()
         if self._may_take_over(now):
             await self._run_briefly(self._take_over)
@@ -99,6 +103,13 @@
             granted.spacing_s,
         )
 
+    def _newest_plan(self, msg: DrawTokens) -> Plan | None:
+        """Return the plan of the newest catalog that either node knows."""
+        catalog, name = self._directory.catalog, msg.organisation
+        own = VersionedPlan(catalog.version, catalog.plans.get(name))
+        sent = VersionedPlan(msg.version, Plan(name, msg.rate, msg.burst))
+        return self._plans.newest(name, own, sent)
+
     def _create_buckets(self) -> None:
         # Every coordinator creates the record at once, so a recent view without a
         # record shows that there was none.
