Split the outcomes of a request's attempts from the router; one place turns a refusal into a message

The same conversion of Refused to Failed stood in the router, the executor and the limit of cold targets. No behaviour changes.

--- a/lavenderstack/core/messages.py
+++ b/lavenderstack/core/messages.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from lavenderstack.core.outcome import Refused
 from lavenderstack.core.position import Position
 from lavenderstack.core.targets.target_load import TargetLoad
 
@@ -112,6 +113,16 @@
     load: TargetLoad | None = None
 
 
+def refusal_of(exc: Refused) -> Failed:
+    """Return a refusal as a message: nothing has run."""
+    return Failed(
+        run=False,
+        reason=exc.reason,
+        detail=exc.detail,
+        retry_after_s=exc.retry_after_s,
+    )
+
+
 class Cancel(Message, tag="cancel"):
     """Drop the request with this stream number if it has not started."""
 
--- a/lavenderstack/node/executor.py
+++ b/lavenderstack/node/executor.py
@@ -20,7 +20,7 @@
 
 from lavenderstack.core import clock, statement
 from lavenderstack.core.catalog import TargetState
-from lavenderstack.core.messages import Failed, Message
+from lavenderstack.core.messages import Failed, Message, refusal_of
 from lavenderstack.core.outcome import Reason, Refused
 from lavenderstack.core.position import START, Position
 from lavenderstack.core.position_history import PositionHistory
@@ -211,12 +211,7 @@
                 with self.load_reports.times.measured(work.priority, clock.now):
                     return await self._run_in_slot(work, min_position, deadline)
         except Refused as exc:
-            return Failed(
-                run=False,
-                reason=exc.reason,
-                detail=exc.detail,
-                retry_after_s=exc.retry_after_s,
-            )
+            return refusal_of(exc)
 
     def _slot(self, work: Work, deadline: float) -> AbstractAsyncContextManager[None]:
         """Return a context that holds a slot for a new statement.
--- a/lavenderstack/node/router.py
+++ b/lavenderstack/node/router.py
@@ -7,7 +7,6 @@
 
 import asyncio
 from collections.abc import Iterable
-from dataclasses import dataclass, field
 
 from lavenderstack.core import clock
 from lavenderstack.core.messages import (
@@ -18,8 +17,9 @@
     Executed,
     Failed,
     Message,
+    refusal_of,
 )
-from lavenderstack.core.outcome import NO_PRIMARY_RETRY_S, Reason, Refused, Unknown
+from lavenderstack.core.outcome import Reason, Refused
 from lavenderstack.core.position import START, Position
 from lavenderstack.core.queue.retry import (
     RetryBudget,
@@ -35,6 +35,13 @@
 from lavenderstack.node.evacuation.zone_evacuations import ZoneEvacuations
 from lavenderstack.node.peers import Peers
 from lavenderstack.node.primaries import Primaries
+from lavenderstack.node.request_attempts import (
+    RequestAttempts,
+    final_exception,
+    no_holder,
+    no_primary,
+    to_exception,
+)
 from lavenderstack.node.streams import NotSent, StreamLost
 from lavenderstack.node.transactions import parse
 from lavenderstack.node.usable_primaries import UsablePrimaries
@@ -59,23 +66,6 @@
 )
 
 
-@dataclass(slots=True)
-class _Attempts:
-    """State of one request across its attempts.
-
-    ``admitted`` tells whether it was charged to its organisation's rate, ``avoid``
-    has the targets that failed, ``evacuated`` those whose holder refused because of an
-    evacuation, and ``last`` is the latest failure.
-    """
-
-    count: int = 0
-    admitted: bool = False
-    may_have_run: bool = False
-    avoid: set[str] = field(default_factory=set)
-    evacuated: set[str] = field(default_factory=set)
-    last: Failed | None = None
-
-
 class Router:
     """Routes the requests that one node's entry accepts."""
 
@@ -104,7 +94,7 @@
     async def run(self, req: Request) -> Answer:
         """Run one statement; raises ``Refused`` or ``Unknown``."""
         self._budget.count_request()
-        attempts = _Attempts()
+        attempts = RequestAttempts()
         while True:
             group = self._group(req.group)
             target = await self._choose(req, group, attempts)
@@ -127,7 +117,7 @@
     # Choosing a target.
 
     async def _choose(
-        self, req: Request, group: Group, attempts: _Attempts
+        self, req: Request, group: Group, attempts: RequestAttempts
     ) -> Target | None:
         if not needs_primary(req):
             replica = self._replica(req, group, attempts)
@@ -136,7 +126,7 @@
         return await self._primary(group, attempts)
 
     def _replica(
-        self, req: Request, group: Group, attempts: _Attempts
+        self, req: Request, group: Group, attempts: RequestAttempts
     ) -> Target | None:
         group_status = self._primaries.of(group.name)
         view: View = self._view()
@@ -146,21 +136,21 @@
         order = read_order(group, req.watermark, self._zone, group_status, avoid)
         return order[0] if order else None
 
-    async def _primary(self, group: Group, attempts: _Attempts) -> Target | None:
+    async def _primary(self, group: Group, attempts: RequestAttempts) -> Target | None:
         try:
             target = await self._usable_primaries.find(group, attempts.evacuated)
         except Refused as exc:
-            attempts.last = _to_failed(exc)
-            raise _final_exception(attempts) from exc
+            attempts.last = refusal_of(exc)
+            raise final_exception(attempts) from exc
         if target is None:
-            attempts.last = _no_primary()
+            attempts.last = no_primary()
             attempts.count += 1
         return target
 
     # Sending one attempt and evaluating its reply.
 
     async def _attempt(
-        self, req: Request, group: Group, target: Target, attempts: _Attempts
+        self, req: Request, group: Group, target: Target, attempts: RequestAttempts
     ) -> Answer | None:
         msg = self._message(req, target, attempts)
         reply = await self._send(target, msg, msg.left_s)
@@ -169,10 +159,12 @@
         self._record_failure(group, target, reply, attempts, req.write)
         return None
 
-    def _message(self, req: Request, target: Target, attempts: _Attempts) -> Execute:
+    def _message(
+        self, req: Request, target: Target, attempts: RequestAttempts
+    ) -> Execute:
         left_s = req.deadline - clock.now()
         if left_s <= 0:
-            raise _final_exception(attempts)
+            raise final_exception(attempts)
         if is_idempotent(req) and attempts.count == 0:
             # Leave time for a second attempt in case the connection does not answer.
             left_s *= FIRST_ATTEMPT_SHARE
@@ -199,7 +191,7 @@
 
     async def _send(self, target: Target, msg: Message, left_s: float) -> Message:
         """Send to the target's holder, or to the next one if the message never left."""
-        failed = _no_holder(target)
+        failed = no_holder(target)
         for vm in self._peers.holders(target)[:3]:
             try:
                 return await self._peers.ask(vm, msg, left_s + REPLY_GRACE_S)
@@ -230,7 +222,7 @@
         group: Group,
         target: Target,
         reply: Failed,
-        attempts: _Attempts,
+        attempts: RequestAttempts,
         write: bool,
     ) -> None:
         attempts.last = reply
@@ -249,13 +241,13 @@
         if reply.primary and not group_status.leads(reply.primary):
             group_status.record_primary(reply.term, reply.primary)
 
-    async def _pause_or_raise(self, req: Request, attempts: _Attempts) -> None:
+    async def _pause_or_raise(self, req: Request, attempts: RequestAttempts) -> None:
         """Pause before the next attempt, or raise the final outcome immediately."""
         failed = attempts.last
         if failed is None or not may_retry(req, failed):
-            raise _final_exception(attempts)
+            raise final_exception(attempts)
         if not self._budget.take():
-            raise _final_exception(attempts)
+            raise final_exception(attempts)
         is_elsewhere = failed.reason in (Reason.BEHIND, Reason.EVACUATED)
         pause = 0.0 if is_elsewhere else backoff_s(attempts.count)
         await _pause(attempts, pause, req.deadline)
@@ -269,7 +261,7 @@
         ``Unknown``.
         """
         group = self._group(group_name)
-        attempts = _Attempts()
+        attempts = RequestAttempts()
         while True:
             target = await self._primary(group, attempts)
             if target is not None:
@@ -280,7 +272,7 @@
                     return reply.transaction
                 self._record_failure(group, target, reply, attempts, write=False)
             if not is_transient(attempts.last):
-                raise _final_exception(attempts)
+                raise final_exception(attempts)
             await _pause(attempts, backoff_s(attempts.count), deadline)
 
     async def _begin_on(
@@ -347,7 +339,7 @@
         reply = await self._send_to_holder(location.holder, msg, left_s)
         if isinstance(reply, Executed):
             return Watermark(reply.position, tuple(reply.holders))
-        raise _to_exception(reply)
+        raise to_exception(reply)
 
     async def _send_to_holder(self, name: str, msg: Message, left_s: float) -> Message:
         vm: Vm | None = self._view().vms.get(name)
@@ -367,51 +359,8 @@
             )
 
 
-async def _pause(attempts: _Attempts, pause: float, deadline: float) -> None:
+async def _pause(attempts: RequestAttempts, pause: float, deadline: float) -> None:
     """Wait ``pause`` seconds; raise the final outcome if the deadline is sooner."""
     if clock.now() + pause >= deadline:
-        raise _final_exception(attempts)
+        raise final_exception(attempts)
     await asyncio.sleep(pause)
-
-
-def _no_primary() -> Failed:
-    return Failed(
-        run=False,
-        reason=Reason.NO_PRIMARY,
-        detail="the group has no primary at the moment",
-        retry_after_s=NO_PRIMARY_RETRY_S,
-    )
-
-
-def _to_failed(exc: Refused) -> Failed:
-    return Failed(
-        run=False,
-        reason=exc.reason,
-        detail=exc.detail,
-        retry_after_s=exc.retry_after_s,
-    )
-
-
-def _no_holder(target: Target) -> Failed:
-    return Failed(
-        run=False,
-        reason=Reason.UNREACHABLE,
-        detail=f"no VM answers for {target.name}",
-        retry_after_s=NO_PRIMARY_RETRY_S,
-    )
-
-
-def _final_exception(attempts: _Attempts) -> Refused | Unknown:
-    failed = attempts.last
-    if failed is None:
-        return Refused(Reason.DEADLINE, "the deadline has passed", 0.0)
-    if attempts.may_have_run and not failed.run:
-        return Unknown(Reason(failed.reason), failed.detail)
-    return _to_exception(failed)
-
-
-def _to_exception(failed: Failed) -> Refused | Unknown:
-    reason = Reason(failed.reason)
-    if failed.run:
-        return Unknown(reason, failed.detail)
-    return Refused(reason, failed.detail, failed.retry_after_s)
--- a/lavenderstack/node/targets/cold_target.py
+++ b/lavenderstack/node/targets/cold_target.py
@@ -16,7 +16,7 @@
 
 from lavenderstack.core import clock
 from lavenderstack.core.catalog import TargetState
-from lavenderstack.core.messages import Failed
+from lavenderstack.core.messages import Failed, refusal_of
 from lavenderstack.core.outcome import DEFAULT_RETRY_S, Reason, Refused
 from lavenderstack.core.queue.fair_queue import FairQueue, QueueFull
 from lavenderstack.core.targets.cold_start import (
@@ -290,7 +290,7 @@
 
 def failed(work: Work, exc: Refused) -> Failed:
     """Return the refusal of a statement, which ends its transaction if one is open."""
-    reason = Reason.TRANSACTION_LOST if work.tx else exc.reason
-    return Failed(
-        run=False, reason=reason, detail=exc.detail, retry_after_s=exc.retry_after_s
-    )
+    refusal = refusal_of(exc)
+    if not work.tx:
+        return refusal
+    return msgspec.structs.replace(refusal, reason=Reason.TRANSACTION_LOST)
