--- a/lavenderstack/core/entry_compression_test.py
+++ b/lavenderstack/core/entry_compression_test.py
@@ -25,7 +25,9 @@
         entries = [Entry("servers/i-1", 9, "", deleted=True), entry(b"{}")]
         assert compress(entries) == (entries, {})
 
-    @pytest.mark.parametrize("text", ["%" * 20_000, "bGFi\n" * 4_000, "YR==" * 5_000])
+    @pytest.mark.parametrize(
+        "text", ["%" * 20_000, "bGFi\n" * 4_000, "YWFh" * 5_000 + "YR=="]
+    )
     def test_a_text_that_is_not_standard_base64_is_sent_as_it_is(self, text):
         """It would come out as another text, which the operators didn't write."""
         entries = [Entry("op/config", 9, text)]
--- a/lavenderstack/platform/loader_test.py
+++ b/lavenderstack/platform/loader_test.py
@@ -113,6 +113,21 @@
             assert len(directory.targets) == 4
 
 
+class TestStoreAnswers:
+    async def test_answers_are_recorded_and_refusals_to_answer_are_not(self):
+        """A store that answers may have accepted changes that this node lacks."""
+        kv = MetadataStore()
+        kv.put("op/config", config(1))
+        async with run_loader(kv) as directory:
+            await wait_until(lambda: directory.proof.holds(clock.now()))
+            assert directory.proof.answered_at >= directory.proof.at
+            kv.down = True
+            await asyncio.sleep(1.5)
+            known = directory.proof.answered_at
+            await asyncio.sleep(0.7)
+            assert directory.proof.answered_at == known
+
+
 class TestMemory:
     async def test_removed_entries_are_remembered_up_to_a_number(self, monkeypatch):
         monkeypatch.setattr(loader, "MAX_REMOVED_KEYS", 20)
