--- a/lavenderstack/core/entry_compression.py
+++ b/lavenderstack/core/entry_compression.py
@@ -17,8 +17,9 @@
 LEVEL = 1
 # The longest value that is accepted, before base64; the store holds up to 1 MiB.
 MAX_VALUE_B = 2 * 1024 * 1024
-# The catalog is the only large value; the one before may still be asked for.
-CACHED_VALUES = 2
+# The catalog is the only large value. Nodes that are behind ask for several versions of
+# it while they come in quick succession.
+CACHED_VALUES = 4
 
 
 class BadValue(ValueError):
--- a/lavenderstack/platform/callers.py
+++ b/lavenderstack/platform/callers.py
@@ -141,19 +141,19 @@
         self, request_id: str, statement: Statement | None
     ) -> None:
         started_at = clock.now()
-        may_serve = self._server.services.directory.proof.catalog_holds(started_at)
+        was_proved = self._server.services.directory.proof.catalog_holds(started_at)
         if statement is None:
             reply = Reply(reason=Reason.BAD_REQUEST, detail="not a statement")
             reply.state = self.session.state
         else:
             reply = await self.session.run(request_id, statement)
-        if reply.target and reply.reason is None and not may_serve:
-            self._record_outdated(request_id)
+        if reply.target and reply.reason is None and not was_proved:
+            self._record_unproved(request_id)
         self._record_reply(request_id, statement, reply, clock.now() - started_at)
         if not self._transport.is_closing():
             self._transport.write(line_protocol.format_reply(reply))
 
-    def _record_outdated(self, request_id: str) -> None:
+    def _record_unproved(self, request_id: str) -> None:
         """Count and log a statement that ran though the view wasn't proved current."""
         session, services = self.session, self._server.services
         services.counters.served_unproved.inc()
