Review, case 3: a server that joins while a primary is replaced costs writes

Between the choice of the successor and the time at which it leads, a new server of the service may register and acknowledge commits alone.

--- a/review/world.py
+++ b/review/world.py
@@ -642,6 +642,16 @@
         }
         self.store.put(f"servers/{target.name}", json.dumps(fields).encode())
 
+    async def start_target(self, group: Group, target: Target) -> None:
+        """Serve a target and let it receive what the primary writes."""
+        loop = asyncio.get_running_loop()
+        target.born = int(time.time() * 1000)
+        server = await loop.create_server(lambda: Conn(group, target), HOST, 0)
+        self.stack.callback(server.close)
+        target.port = server.sockets[0].getsockname()[1]
+        group.targets[target.name] = target
+        self.tasks.append(asyncio.ensure_future(group.follow(target)))
+
     async def _heartbeats(self) -> None:
         while True:
             now = time.monotonic()
@@ -658,18 +668,11 @@
 
     async def start(self) -> None:
         """Start everything and wait until the nodes are ready and have owners."""
-        loop = asyncio.get_running_loop()
         folder = Path(self.stack.enter_context(tempfile.TemporaryDirectory()))
         self.logs = folder
         for group in self.groups.values():
             for target in group.targets.values():
-                target.born = int(time.time() * 1000)
-                server = await loop.create_server(
-                    lambda g=group, t=target: Conn(g, t), HOST, 0
-                )
-                self.stack.callback(server.close)
-                target.port = server.sockets[0].getsockname()[1]
-                self.tasks.append(asyncio.ensure_future(group.follow(target)))
+                await self.start_target(group, target)
         app = web.Application()
         app.router.add_post("/promote", self.promoting.handle)
         runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
