--- a/review/world.py
+++ b/review/world.py
@@ -20,6 +20,7 @@
 import sys
 import tempfile
 import time
+import traceback
 from collections.abc import Callable
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
@@ -821,12 +822,18 @@
         try:
             async with asyncio.timeout(110):
                 return await case(world)
-        except (CaseFailed, TimeoutError) as exc:
+        except Exception as exc:
+            # Whatever fails here shows nothing about the rule.
             world.record.say("case", f"could not run: {exc!r}")
+            traceback.print_exc()
             return NOT_RUN
         finally:
             await world.stop()
 
-    status = asyncio.run(main())
+    try:
+        status = asyncio.run(main())
+    except Exception:
+        traceback.print_exc()
+        status = NOT_RUN
     print({HELD: "held", BROKEN: "BROKEN", NOT_RUN: "not run"}[status], flush=True)
     sys.exit(status)
