--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""A primary is replaced as planned, and its successor's server starts meanwhile."""
+"""A primary is replaced as planned, and another new server starts meanwhile."""
 
 import asyncio
 
@@ -6,8 +6,8 @@
 
 SERVICES = ("g1", "g2", "g3", "g4")
 SESSIONS = 30
-# The new server of the zone starts this long after the old one said that it leaves.
-STARTS_AFTER_S = 0.6
+# A new server starts this long before the old one says that it leaves.
+STARTS_BEFORE_S = 1.1
 
 
 class Writers:
@@ -40,33 +40,52 @@
 
 
 async def release(world: World, group: Group) -> list[str]:
-    """Replace the primary of a service; return what was lost."""
+    """Replace the primary and a replica of a service; return what was lost."""
     first = group.primary
     writers = Writers(world, group.name)
     await asyncio.sleep(1.0)
     if TROUBLE:
-        first.draining = True
-        world.report(group, first)
-        world.record.say("trouble", f"{first.name} is draining")
-        await asyncio.sleep(STARTS_AFTER_S)
-        new = Target(f"{group.name}-d", first.zone, delay_s=0.0001)
-        await world.start_target(group, new)
-        world.report(group, new)
-        line = f"{new.name} starts in its zone, after {STARTS_AFTER_S} s"
-        world.record.say("trouble", line)
-        await world.until(lambda: group.promotions, 20, "the primary is replaced")
-        await asyncio.sleep(1.0)
+        await replace_servers(world, group, first)
     else:
-        await asyncio.sleep(2.0)
+        await asyncio.sleep(4.0)
     writers.stop()
     missing = group.acknowledged_but_missing(writers.acknowledged)
     for line in missing:
-        world.record.say("check", f"lost: {line}")
+        world.record.add("check", f"lost: {line}")
     count = len(writers.acknowledged)
     world.record.say("check", f"{len(missing)} of {count} acknowledged writes are lost")
     return missing
 
 
+async def replace_servers(world: World, group: Group, first: Target) -> None:
+    """Start each new server first; the second one while the primary is replaced."""
+    ordered: list[str] = []
+
+    def on_call(service: str, name: str, fence: int) -> None:
+        ordered.append(name)
+
+    world.promoting.on_call = on_call
+    await start(world, group, Target(f"{group.name}-d", first.zone, delay_s=0.0001))
+    await asyncio.sleep(STARTS_BEFORE_S)
+    first.draining = True
+    world.report(group, first)
+    world.record.say("trouble", f"{first.name} is draining")
+    await world.until(lambda: ordered, 10, "its successor is named")
+    await start(world, group, Target(f"{group.name}-e", "z2", delay_s=0.0039))
+    await asyncio.sleep(0.1)
+    group.targets[ordered[0]].deaf = True
+    world.record.say("trouble", f"{ordered[0]} receives nothing")
+    await world.until(lambda: group.promotions, 20, "the primary is replaced")
+    await asyncio.sleep(1.0)
+
+
+async def start(world: World, group: Group, new: Target) -> None:
+    """Start a server of a service."""
+    await world.start_target(group, new)
+    world.report(group, new)
+    world.record.say("trouble", f"{new.name} starts in {new.zone}")
+
+
 async def case(world: World) -> int:
     """Run the case; return its status."""
     for name in SERVICES:
