Transactions: a name that no restart makes again

Cause: transactions were named {node}/{target}/{number}, and each process and each new executor of a target counts from 1 again. Ruled out: a connection of the killed process that is used again (the COMMIT ran on a connection opened by the new one), and sessions mixed up at the entry (the executors alone show it, both transactions named n1/t1/1).

The number becomes a unique identifier, core/unique_id.py. The form of the name and its meaning stay, so builds side by side understand each other.

--- /dev/null
+++ b/lavenderstack/core/unique_id.py
@@ -0,0 +1,17 @@
+"""Identifiers that are never made again, by whatever process makes the next one.
+
+A message that names something of another process (a transaction, a connection, a
+process itself) may reach it late: after that process was restarted, under another
+owner, or when the thing that it names has long been replaced. A number that counts from
+1 in each process would then name something else.
+"""
+
+import secrets
+
+# A late identifier equals one of a million in use with a probability of 5e-14.
+UNIQUE_ID_BYTES = 8
+
+
+def unique_id() -> str:
+    """Return a new identifier of 16 hexadecimal digits."""
+    return secrets.token_hex(UNIQUE_ID_BYTES)
--- a/lavenderstack/node/executor_test.py
+++ b/lavenderstack/node/executor_test.py
@@ -35,6 +35,7 @@
 
     def __init__(self, min_position=START, slots=2):
         names = ("t1", "t2", "t3")
+        self.slots = slots
         self.targets = {name: FakeTarget(name, leads=name == "t1") for name in names}
         self.group = FakeGroup(self.targets)
         self.directory = Directory("n1", "z1", ViewProof(limit_s=5.0))
@@ -50,9 +51,23 @@
         async def min_position_for(group, max_age_s, now, within_s):
             return self.min_position
 
-        self.executors = Executors(
-            self.directory, FakeBackend(self.group), min_position_for, lambda _: True
-        )
+        def start_node():
+            backend = FakeBackend(self.group)
+            return Executors(self.directory, backend, min_position_for, lambda _: True)
+
+        self.start_node = start_node
+        self.executors = start_node()
+
+    def restart_node(self):
+        """Kill the node and start it again under its name."""
+        for executor in self.executors.target_executors.values():
+            executor.close()
+        self.executors = self.start_node()
+
+    def move_target(self):
+        """Make ``t1`` known at another address, so that it gets a new executor."""
+        moved = Target("t1", "z1", "10.0.0.2", 1, self.slots, 30)
+        self.directory.put_target(moved, "g", False, True, 9)
 
     async def run(self, statement=READ, access=Access.WRITE, target="t1", **fields):
         work = Work(
@@ -294,6 +309,27 @@
         )
         assert answer.reason == Reason.TRANSACTION_LOST
 
+    @pytest.mark.parametrize(
+        "begin_anew", [ExecutorHarness.restart_node, ExecutorHarness.move_target]
+    )
+    async def test_an_earlier_transaction_is_never_taken_for_a_later_one(
+        self, begin_anew
+    ):
+        """Found by the review: one session's commit ended the transaction of another.
+
+        The numbers of transactions began at 1 again in a new process or executor.
+        """
+        harness = ExecutorHarness()
+        earlier = await self.open(harness)
+        begin_anew(harness)
+        later = await self.open(harness)
+        assert isinstance(later, WorkDone)
+        answer = await harness.run(COMMIT, tx=earlier.tx)
+        assert (answer.run, answer.reason) == (False, Reason.TRANSACTION_LOST)
+        assert harness.group.acknowledged == 0
+        await harness.executors.end(EndWork(earlier.tx))
+        assert isinstance(await harness.run(COMMIT, tx=later.tx), WorkDone)
+
     async def test_an_idle_transaction_is_ended(self):
         harness = ExecutorHarness()
         opened = await self.open(harness)
--- a/lavenderstack/node/open_transactions.py
+++ b/lavenderstack/node/open_transactions.py
@@ -5,7 +5,6 @@
 """
 
 from dataclasses import dataclass
-from itertools import count
 
 import structlog
 
@@ -15,6 +14,7 @@
 from lavenderstack.core.position_history import PositionHistory
 from lavenderstack.core.reply import Reply
 from lavenderstack.core.statement import StatementKind
+from lavenderstack.core.unique_id import unique_id
 from lavenderstack.core.work_messages import Access, EndWork, Work, WorkEnded
 from lavenderstack.node.acknowledged_positions import AcknowledgedPositions
 from lavenderstack.node.backend import Command, ConnectionLost
@@ -47,7 +47,11 @@
 
 
 class OpenTransactions:
-    """Open transactions of a target, named ``{node}/{target}/{number}``."""
+    """Open transactions of a target, named ``{node}/{target}/{unique id}``.
+
+    A session may ask for its transaction after this node was restarted, or after the
+    target got a new executor, so a name must not be used for a second transaction.
+    """
 
     def __init__(
         self,
@@ -65,7 +69,6 @@
         self._positions = positions
         self._acknowledged = acknowledged
         self._open: dict[str, _Transaction] = {}
-        self._numbers = count(1)
 
     def __len__(self) -> int:
         return len(self._open)
@@ -78,7 +81,7 @@
         if reply.reason is not None:
             self._active.roll_back_and_release(pooled)
             return work_result(reply)
-        name = f"{self._prefix}/{next(self._numbers)}"
+        name = f"{self._prefix}/{unique_id()}"
         self._connections.pin(pooled)
         self._open[name] = _Transaction(pooled, work.organisation, clock.now())
         return work_result(reply, name)
--- a/lavenderstack/node/transactions.py
+++ b/lavenderstack/node/transactions.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import secrets
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -14,6 +13,7 @@
 from lavenderstack.border.target import TargetConn
 from lavenderstack.core import clock
 from lavenderstack.core.outcome import Reason, Refused, Unknown
+from lavenderstack.core.unique_id import unique_id
 
 IDLE_LIMIT_S = 10.0
 # Sent commits that are remembered; beyond that the oldest is forgotten.
@@ -43,7 +43,7 @@
 
     def generate_name(self) -> str:
         """Return a fresh name that can't be guessed."""
-        return "~".join([self.group, self.target, self.holder, secrets.token_hex(8)])
+        return "~".join([self.group, self.target, self.holder, unique_id()])
 
 
 def parse(name: str) -> TransactionName:
