Holds: a primary whose log is empty may be of any term

Cause: a hold concerns primaries of up to the term of the last answer. As long as the primary's log is empty that term is 0, and the hold excludes no commit at all: a primary that is taken for lost right after its start could acknowledge its first commits without the replica that takes over.

Test, failed before with a term of 0: replica_sets_test.py::test_a_hold_concerns_a_primary_whose_log_was_empty_so_far.

--- a/lavenderstack/node/failover/group_positions.py
+++ b/lavenderstack/node/failover/group_positions.py
@@ -29,7 +29,8 @@
 
 # How long nodes may take to object to a promotion that the replica set allows.
 OBJECTION_TIMEOUT_S = 0.1
-# Above the term of any primary; used where that of the lost one isn't known.
+# Above the term of any primary; used where that of the lost one isn't known, which is
+# so too as long as its log is empty.
 ANY_TERM = 2**62
 
 
@@ -140,7 +141,7 @@
         return last
 
     def _term(self, last: _LastAnswer | None) -> int:
-        return last.position.term if last else ANY_TERM
+        return last.position.term or ANY_TERM if last else ANY_TERM
 
     async def acknowledged_end(self, group: str, primary: str) -> AcknowledgedEnd:
         """Return the highest position that may have been acknowledged, if it is known.
--- a/lavenderstack/node/failover/replica_sets_test.py
+++ b/lavenderstack/node/failover/replica_sets_test.py
@@ -4,13 +4,14 @@
 
 import pytest
 
+from lavenderstack.core.failover.acknowledgement_hold import NO_HOLD
 from lavenderstack.core.failover.replica_set import ReplicaSet, TargetRun
 from lavenderstack.core.messages import Failed
 from lavenderstack.core.outcome import Reason
 from lavenderstack.core.position import START
 from lavenderstack.core.statement import StatementKind
 from lavenderstack.core.view import Target
-from lavenderstack.core.work_messages import GroupPosition
+from lavenderstack.core.work_messages import GroupPosition, GroupPositionRequest
 from lavenderstack.node.backend import ClaimLost
 from lavenderstack.node.failover import replica_sets
 from lavenderstack.node.failover.replacer_fake import ReplacerHarness
@@ -73,6 +74,21 @@
         await harness.check()
         assert harness.group.incomplete == []
 
+    async def test_a_hold_concerns_a_primary_whose_log_was_empty_so_far(self):
+        """Its first commits have a term that the owner doesn't know yet."""
+        harness = await self.replica_without_registration()
+        ask, terms = harness.ask, []
+
+        async def ask_and_record(vm, msg, timeout_s):
+            is_request = isinstance(msg, GroupPositionRequest) and not msg.release
+            if is_request and msg.hold != NO_HOLD:
+                terms.append(msg.term)
+            return await ask(vm, msg, timeout_s)
+
+        harness.peers.ask = ask_and_record
+        await harness.check()
+        assert min(terms) > 0
+
     async def test_a_commit_during_a_planned_change_is_not_lost(self):
         harness = await self.replica_without_registration()
         harness.primary_answers = True
