Planned changes: acknowledge only what the successor has received

Cause: the replicas of the group were listed once, all but the successor paused, and the next second rested on that, until the order takes effect. A replica that joins meanwhile isn't paused, so the primary commits through it alone. Ruled out: listing again before the order (the replica of the case joins after it), replicas that are resumed too early (no RESUME in the trace).

Every planned change of a replicated group works with holds at all nodes now. While the order is under way the owner tells them what the successor has received, and they acknowledge up to there (new field GroupPositionRequest.received, with a default; a build before this one holds back everything until the successor leads). A node that gives no answer postpones the change before anything is paused or held. The new primary is announced to all nodes, so that held commits end at once.

--- a/bench/promotions.py
+++ b/bench/promotions.py
@@ -1,11 +1,13 @@
 """Promote replicas at random moments, and check that no acknowledged commit is lost.
 
 Usage:
-  bench promotions [--count N] [--seed N] [--go-on]
+  bench promotions [--count N] [--seed N] [--joins WHEN] [--go-on]
 
 Options:
   --count N  Promotions to play [default: 10000].
   --seed N   Seed of the first play; each next one has the next seed [default: 1].
+  --joins WHEN  When new replicas join: never, served (while the owner doesn't take the
+                primary for lost) or always [default: never].
   --go-on    Play on after a loss.
 
 A play has a group of three targets, the real supervision of one node, and the answers
@@ -22,6 +24,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
+from enum import StrEnum
 
 import structlog
 from docopt import docopt
@@ -30,19 +33,30 @@
 from lavenderstack.core.position import START, Position
 from lavenderstack.core.view import Vm
 from lavenderstack.core.work_messages import GroupPosition
+from lavenderstack.node.backend_fake import FakeTarget
 from lavenderstack.node.failover import replacer, replica_sets, successor_choice
 from lavenderstack.node.failover.replacer_fake import ReplacerHarness
 
 NODES = ("n1", "n2", "n3", "n4")
-TARGETS = ("t1", "t2", "t3")
+MAX_TARGETS = 6
 PROMOTIONS_PER_PLAY = 8
 STEPS_PER_PLAY = 300
 MAX_COMMITS = 3
 # The chance that a fault comes while an order is under way.
 ORDERED_FAULT_CHANCE = 0.3
+# The chance that a replica that joins is registered before it receives.
+REGISTERED_CHANCE = 0.5
 SHOWN_STEPS = 40
 
 
+class Joins(StrEnum):
+    """When new replicas join: ``SERVED`` is while the primary isn't taken for lost."""
+
+    NEVER = "never"
+    SERVED = "served"
+    ALWAYS = "always"
+
+
 @dataclass
 class Node:
     """What a node has acknowledged since its start; a silent one doesn't tell."""
@@ -57,11 +71,13 @@
     """One play; ``steps`` are what happened, for the report of a loss."""
 
     seed: int
+    joins: Joins = Joins.NEVER
     steps: list[str] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         self.rng = random.Random(self.seed)
         self.nodes = {name: Node() for name in NODES}
+        self.joining: list[str] = []
         self.harness = ReplacerHarness()
         for name in NODES[2:]:
             self.harness.directory.put_member(Vm(name, "z3", "10.0.0.3", 1))
@@ -73,6 +89,8 @@
         await self.harness.claims.claim("g")
         await self.harness.check(2)
         for _ in range(STEPS_PER_PLAY):
+            while self.joining:
+                self.harness.put_target(self.joining.pop())
             self._act(self.rng.choice(self._actions()))
             self._write()
             await self.harness.check()
@@ -103,6 +121,7 @@
             self._lose_primary,
             self._let_primary_leave,
             self._heal,
+            *([self._join] if self.joins is not Joins.NEVER else []),
         ]
 
     def _show_nodes(self) -> None:
@@ -128,13 +147,17 @@
 
     def _act_while_ordered(self) -> None:
         self.steps.append("order under way")
-        for action in (self._register_again, self._change_deafness):
+        actions = [self._register_again, self._change_deafness]
+        if self.joins is not Joins.NEVER:
+            actions.insert(0, self._join)
+        for action in actions:
             if self.rng.random() < ORDERED_FAULT_CHANCE:
                 self._act(action)
         self._write()
 
     def _replicas(self) -> list[str]:
-        return [name for name in TARGETS if not self.harness.targets[name].leads]
+        targets = self.harness.targets
+        return [name for name in targets if not targets[name].leads]
 
     def _is_registered(self, name: str) -> bool:
         return name in self.harness.directory.targets
@@ -176,7 +199,19 @@
     def _restart_node(self) -> None:
         name = self.rng.choice(NODES[1:])
         self.nodes[name] = Node(started_at=clock.now())
-        self.harness.holding.discard(name)
+        self.harness.holding.pop(name, None)
+
+    def _join(self) -> None:
+        """Start a replica, which receives now and is registered by the next step."""
+        if self.joins is Joins.SERVED and not self.harness.primary_answers:
+            return
+        name = f"t{len(self.harness.targets) + 1}"
+        if len(self.harness.targets) < MAX_TARGETS:
+            self.harness.targets[name] = FakeTarget(name)
+            if self.rng.random() < REGISTERED_CHANCE:
+                self.harness.put_target(name)
+            else:
+                self.joining.append(name)
 
     def _lose_primary(self) -> None:
         self.harness.primary_answers = False
@@ -186,8 +221,8 @@
 
     def _heal(self) -> None:
         self.harness.primary_answers = True
-        for name in TARGETS:
-            self.harness.targets[name].deaf = False
+        for target in self.harness.targets.values():
+            target.deaf = False
         self._start_again()
         self._register_again()
         self._let_nodes_answer()
@@ -212,12 +247,14 @@
             setattr(module, name, value)
 
 
-async def play_until(count: int, seed: int, go_on: bool) -> tuple[int, list[Play]]:
+async def play_until(
+    count: int, seed: int, go_on: bool, joins: Joins = Joins.NEVER
+) -> tuple[int, list[Play]]:
     """Play until there were ``count`` promotions; return how many, and the losses."""
     promotions, losses = 0, []
     with without_pauses():
         while promotions < count and (go_on or not losses):
-            play = Play(seed)
+            play = Play(seed, joins)
             promotions += await play.run()
             losses += [play] * bool(play.lost)
             seed += 1
@@ -232,7 +269,9 @@
         wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL)
     )
     count, seed = int(args["--count"]), int(args["--seed"])
-    promotions, losses = asyncio.run(play_until(count, seed, args["--go-on"]))
+    promotions, losses = asyncio.run(
+        play_until(count, seed, args["--go-on"], Joins(args["--joins"]))
+    )
     print(f"{promotions} promotions, {len(losses)} plays that lost a commit")
     for play in losses:
         print(f"LOST seed {play.seed}: {', '.join(play.steps[-SHOWN_STEPS:])}")
--- a/bench/promotions_test.py
+++ b/bench/promotions_test.py
@@ -3,10 +3,12 @@
 import pytest
 
 from bench import promotions
+from bench.promotions import Joins
 
 COUNT = 300
 # Without holds 11 and 22 lose a commit, without counting unregistered replicas 244.
 SEEDS = (11, 22, 244, 1038)
+LATE_JOIN_SEEDS = (76,)
 
 
 class TestPromotions:
@@ -19,7 +21,16 @@
             assert await play.run() > 0
         assert play.lost == []
 
-    async def test_no_commit_is_lost_in_many(self):
-        count, losses = await promotions.play_until(COUNT, 1, go_on=False)
+    @pytest.mark.parametrize("joins", [Joins.NEVER, Joins.SERVED])
+    async def test_no_commit_is_lost_in_many(self, joins):
+        count, losses = await promotions.play_until(COUNT, 1, False, joins)
         assert count >= COUNT
         assert losses == []
+
+    @pytest.mark.parametrize("seed", LATE_JOIN_SEEDS)
+    async def test_a_replica_that_joins_after_the_choice_costs_no_commit(self, seed):
+        """It joins while the primary is taken for lost, and a node is silent."""
+        with promotions.without_pauses():
+            play = promotions.Play(seed, Joins.ALWAYS)
+            assert await play.run() > 0
+        assert play.lost == []
--- a/lavenderstack/core/failover/acknowledgement_hold.py
+++ b/lavenderstack/core/failover/acknowledgement_hold.py
@@ -9,6 +9,11 @@
 hold, a replica that has received the highest of their answers has every commit that is
 ever acknowledged under that primary.
 
+A primary that leaves goes on serving until its successor takes over. Then the owner
+repeats the hold with what the successor has received so far, and nodes acknowledge
+commits up to there. So nothing is acknowledged that a replica received alone which
+joined unnoticed in the meantime.
+
 Holds are numbered by the owner's epoch and its attempt. A release ends all holds up to
 its number, also those that arrive after it.
 """
--- a/lavenderstack/core/failover/replacement.py
+++ b/lavenderstack/core/failover/replacement.py
@@ -7,8 +7,9 @@
 received at least as much as every paused one; if all are paused, the one that received
 most is safe.
 
-A replica that lives on without a registration isn't paused. While there may be one,
-all nodes must hold back acknowledgements (``core/failover/acknowledgement_hold.py``).
+A replica that lives on without a registration isn't paused, and neither is one that
+joins after the others were listed. While there may be one, all nodes must hold back
+acknowledgements (``core/failover/acknowledgement_hold.py``).
 
 A replica that does not answer may be the only one that has a commit. Then no replica
 may take over until it answers. What a replica that is gone may have had is decided in
@@ -111,8 +112,8 @@
     """Return why a chosen replica may lack an acknowledged commit, None if it can't.
 
     ``told`` is the highest position that a node has acknowledged. ``unregistered``
-    tells that a replica may live on without a registration, ``held`` that all nodes
-    hold back acknowledgements.
+    tells that a replica may receive without being registered or paused, ``held`` that
+    all nodes hold back acknowledgements.
     """
     if chosen.received < told:
         return Obstacle.BEHIND
--- a/lavenderstack/core/log/events_groups.py
+++ b/lavenderstack/core/log/events_groups.py
@@ -104,8 +104,14 @@
     Event(
         "replacer: replacement postponed",
         LineKind.STATE,
-        ("group", "obstacle"),
-        "it is retried",
+        ("group", "obstacle", "nodes"),
+        "it is retried; ``nodes`` gave no answer",
+    ),
+    Event(
+        "replacer: receipts not reported",
+        LineKind.STATE,
+        ("exc_info",),
+        "an unexpected error; commits wait until the successor has taken over",
     ),
     Event(
         "replacer: replica set recorded",
--- a/lavenderstack/core/log/events_test.py
+++ b/lavenderstack/core/log/events_test.py
@@ -38,6 +38,7 @@
     "primary_positions",
     "promoter",
     "replacer",
+    "receipt_reports",
     "replica_sets",
     "group_positions",
     "group_claims",
--- a/lavenderstack/core/work_messages.py
+++ b/lavenderstack/core/work_messages.py
@@ -120,13 +120,16 @@
     If ``term`` isn't 0, the node acknowledges no more of what it has sent to primaries
     of up to this term. With a number in ``hold`` it acknowledges nothing beyond its
     answer under these primaries, also of what it sends later, until a request with
-    ``release`` and a number as high arrives. Answered by ``GroupPosition``.
+    ``release`` and a number as high arrives. ``received`` is how far the replica that
+    takes over has received the log: a hold doesn't concern commits up to there.
+    Answered by ``GroupPosition``.
     """
 
     group: str
     term: int = 0
     hold: HoldNumber = NO_HOLD
     release: bool = False
+    received: Position = START
 
 
 class GroupPosition(Message, tag="group_position"):
--- a/lavenderstack/node/acknowledged_positions.py
+++ b/lavenderstack/node/acknowledged_positions.py
@@ -89,13 +89,23 @@
             self._told[group] = _Told(position, term, clock.now())
         return position
 
-    def hold(self, group: str, term: int, number: HoldNumber) -> bool:
+    def hold(
+        self,
+        group: str,
+        term: int,
+        number: HoldNumber,
+        received: Position = START,
+    ) -> bool:
         """Acknowledge nothing beyond the highest position until the hold is released.
 
-        That concerns primaries of up to ``term``. Returns whether the hold is in force.
+        That concerns primaries of up to ``term``. Commits up to ``received``, which the
+        successor has, are acknowledged. Returns whether the hold is in force.
         """
-        position = self.highest(group)
-        return self._holds.hold(group, number, position, term, clock.now())
+        position = max(self.highest(group), received)
+        held = self._holds.hold(group, number, position, term, clock.now())
+        if held:
+            self._wake(group)
+        return held
 
     def release(self, group: str, number: HoldNumber) -> None:
         """End the holds of a group up to this number."""
--- a/lavenderstack/node/acknowledged_positions_test.py
+++ b/lavenderstack/node/acknowledged_positions_test.py
@@ -59,3 +59,16 @@
         assert not recording.done()
         positions.release("g", HoldNumber(7, 2))
         assert await recording
+
+    async def test_it_is_acknowledged_once_the_successor_has_received_it(self):
+        positions = self.hold()
+        recording = self.record(positions)
+        await asyncio.sleep(0)
+        assert positions.hold("g", 2, HoldNumber(7, 2), Position(2, 40))
+        await asyncio.sleep(0)
+        assert not recording.done()
+        assert positions.hold("g", 2, HoldNumber(7, 3), COMMIT)
+        assert await recording
+        assert positions.hold("g", 2, HoldNumber(7, 4))
+        later = positions.record("g", Position(2, 42), 0.0, clock.now() + 0.02)
+        assert not await later
--- a/lavenderstack/node/executors.py
+++ b/lavenderstack/node/executors.py
@@ -108,7 +108,7 @@
         if msg.release:
             acknowledged.release(group, msg.hold)
         elif msg.hold != NO_HOLD:
-            holds = acknowledged.hold(group, msg.term, msg.hold)
+            holds = acknowledged.hold(group, msg.term, msg.hold, msg.received)
         else:
             acknowledged.tell(group, msg.term)
         uptime_s = clock.now() - acknowledged.started_at
--- a/lavenderstack/node/failover/followers.py
+++ b/lavenderstack/node/failover/followers.py
@@ -1,12 +1,15 @@
 """Queries replicas for their replication status and sends them commands."""
 
 import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 
 import structlog
 
 from lavenderstack.core import statement
 from lavenderstack.core.catalog import TargetState
 from lavenderstack.core.failover.replacement import ReplicaState
+from lavenderstack.core.position import Position
 from lavenderstack.core.statement import Statement
 from lavenderstack.node.backend import (
     Backend,
@@ -94,26 +97,43 @@
             for s, status in zip(states, found, strict=True)
         ]
 
+    @asynccontextmanager
+    async def connected(self, state: TargetState) -> AsyncIterator[Connection]:
+        """Keep a connection to a target open for the duration of a block.
+
+        Raises ``ConnectFailed`` if none can be opened.
+        """
+        organisation = next(iter(self._directory.catalog.plans), "")
+        conn = await self._backend.connect(
+            state.target, state.group, organisation, STATUS_TIMEOUT_S
+        )
+        try:
+            yield conn
+        finally:
+            conn.close()
+
+    async def received(self, conn: Connection) -> Position | None:
+        """Return what a replica has received, None if it gives no status or leads.
+
+        Raises ``ConnectionLost``, or ``TimeoutError`` if no answer arrives in time.
+        """
+        async with asyncio.timeout(STATUS_TIMEOUT_S):
+            reply = await conn.send([Command(statement.STATUS)])[0]
+        status = self._backend.parse_replication_status(reply)
+        return None if status is None or status.leads else status.received
+
     async def _query_status(
         self, state: TargetState, command: Statement
     ) -> ReplicationStatus | None:
         """Send a query or command to a target; return None if it gives no status."""
-        organisation = next(iter(self._directory.catalog.plans), "")
-        conn: Connection | None = None
         try:
-            async with asyncio.timeout(STATUS_TIMEOUT_S):
-                conn = await self._backend.connect(
-                    state.target, state.group, organisation, STATUS_TIMEOUT_S
-                )
+            async with asyncio.timeout(STATUS_TIMEOUT_S), self.connected(state) as conn:
                 reply = await conn.send([Command(command)])[0]
         except (ConnectFailed, ConnectionLost, TimeoutError) as exc:
             log.info(
                 "replacer: replica silent", target=state.target.name, error=repr(exc)
             )
             return None
-        finally:
-            if conn is not None:
-                conn.close()
         status = self._backend.parse_replication_status(reply)
         if status is None:
             log.info(
--- a/lavenderstack/node/failover/group_positions.py
+++ b/lavenderstack/node/failover/group_positions.py
@@ -111,10 +111,42 @@
         ``primary`` is the name of the lost one, empty if it isn't known.
         """
         names = self._holds.nodes_seen_lately()
+        return await self._hold(group, primary, names, timeout_s)
+
+    async def hold_for_planned(self, group: str, primary: str) -> HeldEnd:
+        """Let all nodes hold back acknowledgements before a planned change."""
+        names = self._holds.nodes_that_may_acknowledge()
+        return await self._hold(group, primary, names, PROBE_TIMEOUT_S)
+
+    async def _hold(
+        self, group: str, primary: str, names: frozenset[str], timeout_s: float
+    ) -> HeldEnd:
         term = self._term(self._last_answer(group, primary))
         told = await self._holds.hold(group, term, names, timeout_s)
         return HeldEnd(told.highest, told.hold_back(names), self._is_isolated(told))
 
+    async def silent_nodes(self, group: str) -> list[str]:
+        """Return the nodes that may acknowledge commits and give no answer."""
+        names = self._holds.nodes_that_may_acknowledge()
+        msg = GroupPositionRequest(group)
+        told = await self._holds.ask(names, msg, PROBE_TIMEOUT_S)
+        return sorted(names - told.answered())
+
+    async def let_acknowledge(
+        self, group: str, received: Position, everywhere: bool
+    ) -> None:
+        """Let nodes that hold back acknowledge commits up to a position.
+
+        With ``everywhere`` all nodes are asked, also those that registered or started
+        again since; otherwise only those that acknowledge commits of the group.
+        """
+        names = self._holds.acknowledging(group)
+        if everywhere:
+            names = self._holds.nodes_that_may_acknowledge()
+        term = self._holds.term(group)
+        if term:
+            await self._holds.hold(group, term, names, OBJECTION_TIMEOUT_S, received)
+
     def _is_isolated(self, told: Told) -> bool:
         asked = told.first.intersection(self._directory.view.vms)
         answered = asked & {*told.answered(), self._directory.name}
--- a/lavenderstack/node/failover/hold_requests.py
+++ b/lavenderstack/node/failover/hold_requests.py
@@ -7,7 +7,7 @@
 import itertools
 import random
 from collections.abc import Collection, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import structlog
 
@@ -48,6 +48,14 @@
         told = (Position(*one.position) for one in self.answers.values() if one)
         return max(told, default=START)
 
+    def acknowledging(self) -> set[str]:
+        """Return the nodes that have acknowledged a commit since their start."""
+        return {
+            name
+            for name, one in self.answers.items()
+            if one is not None and Position(*one.position) > START
+        }
+
     def answered(self) -> set[str]:
         """Return the nodes that gave an answer."""
         return {name for name, one in self.answers.items() if one is not None}
@@ -60,11 +68,15 @@
 
 @dataclass(frozen=True, slots=True)
 class _Asked:
-    """The last hold of a group, and all nodes that were asked for one."""
+    """The last hold of a group, and all nodes that were asked for one.
+
+    ``acknowledging`` are those that had acknowledged a commit of the group by then.
+    """
 
     number: HoldNumber
     term: int
     names: frozenset[str]
+    acknowledging: frozenset[str]
 
 
 class HoldRequests:
@@ -77,6 +89,8 @@
         self._asked: dict[str, _Asked] = {}
         # By node: the clock time at which it was last registered.
         self._seen_at: dict[str, float] = {}
+        # The nodes that were last registered as leaving.
+        self._leaving: set[str] = set()
         self._releases: dict[str, asyncio.Task] = {}
 
     def nodes_seen_lately(self) -> frozenset[str]:
@@ -86,21 +100,52 @@
         at each check, so that it notices when a registration ends.
         """
         now = clock.now()
-        self._seen_at.update(dict.fromkeys(self._directory.view.vms, now))
+        vms = self._directory.view.vms
+        self._seen_at.update(dict.fromkeys(vms, now))
+        self._leaving.difference_update(vms)
+        self._leaving.update(vm.name for vm in vms.values() if vm.state == "leaving")
         for name in [n for n, at in self._seen_at.items() if now - at > NODE_MEMORY_S]:
             del self._seen_at[name]
+        self._leaving.intersection_update(self._seen_at)
         return frozenset(self._seen_at)
 
+    def nodes_that_may_acknowledge(self) -> frozenset[str]:
+        """Return the nodes seen lately, without those that have ended as planned.
+
+        A node that stops is registered as leaving until its last statement has ended.
+        """
+        seen = self.nodes_seen_lately()
+        return seen - self._leaving.difference(self._directory.view.vms)
+
     async def hold(
-        self, group: str, term: int, names: Collection[str], timeout_s: float
+        self,
+        group: str,
+        term: int,
+        names: Collection[str],
+        timeout_s: float,
+        received: Position = START,
     ) -> Told:
-        """Ask nodes to hold back acknowledgements of primaries of up to ``term``."""
+        """Ask nodes to hold back acknowledgements of primaries of up to ``term``.
+
+        Commits up to ``received`` are not held back.
+        """
         number = HoldNumber(self._epoch(group), next(self._attempts))
         before = self._asked.get(group)
         asked = before.names.union(names) if before else frozenset(names)
-        self._asked[group] = _Asked(number, term, asked)
-        msg = GroupPositionRequest(group, term, number)
-        return await self.ask(names, msg, timeout_s)
+        active = before.acknowledging if before else frozenset()
+        self._asked[group] = _Asked(number, term, asked, active)
+        msg = GroupPositionRequest(group, term, number, received=received)
+        told = await self.ask(names, msg, timeout_s)
+        latest = self._asked.get(group)
+        if latest is not None:
+            active = latest.acknowledging.union(told.acknowledging())
+            self._asked[group] = replace(latest, acknowledging=active)
+        return told
+
+    def acknowledging(self, group: str) -> frozenset[str]:
+        """Return the nodes that had acknowledged commits when they were last asked."""
+        asked = self._asked.get(group)
+        return asked.acknowledging if asked is not None else frozenset()
 
     def term(self, group: str) -> int:
         """Return the term up to which acknowledgements are held, 0 without a hold."""
--- a/lavenderstack/node/failover/promoter.py
+++ b/lavenderstack/node/failover/promoter.py
@@ -166,19 +166,22 @@
         return None
 
     async def _wait_for_primary(self, group: str, target: str) -> None:
-        """Wait until the chosen target is the primary, and notify all nodes at once."""
+        """Wait until the chosen target is the primary, and notify all nodes at once.
+
+        That also ends the wait of commits that are held back at a node.
+        """
         until = clock.now() + PROMOTION_TIMEOUT_S
         while clock.now() < until:
             state = self._directory.targets.get(target)
             primary = self._directory.primary(group)
             if primary is not None and primary.target.name == target:
                 log.info("replacer: primary replaced", group=group, target=target)
+                await self._broadcast(LeadTaken(group, target))
                 return
             if state is not None and isinstance(
                 await self._probe.ask(state), PrimaryPosition
             ):
                 self._directory.record_primary(group, target)
-                await self._broadcast(LeadTaken(group, target))
                 continue
             await self._directory.wait_for_change(PROMOTED_POLL_S)
         log.warning(
@@ -186,8 +189,8 @@
         )
 
     async def _broadcast(self, notice: LeadTaken) -> None:
-        """Notify the other nodes; one that misses it reads the target's own report."""
-        vms = [vm for vm in self._peers.live() if vm.name != self._directory.name]
+        """Notify all nodes; one that misses it reads the target's own report."""
+        vms = self._directory.view.vms.values()
         await asyncio.gather(*(self._notify(vm, notice) for vm in vms))
 
     async def _notify(self, vm: Vm, notice: LeadTaken) -> None:
--- a/lavenderstack/node/failover/replacer.py
+++ b/lavenderstack/node/failover/replacer.py
@@ -28,6 +28,7 @@
 from lavenderstack.node.failover.planned_failover import PlannedFailover
 from lavenderstack.node.failover.primary_probe import PrimaryProbe
 from lavenderstack.node.failover.promoter import OrderOutcome, Promoter
+from lavenderstack.node.failover.receipt_reports import ReceiptReports
 from lavenderstack.node.failover.replica_sets import ReplicaSets
 from lavenderstack.node.failover.successor_choice import Choice, SuccessorChoice
 from lavenderstack.node.peers import Peers
@@ -97,6 +98,7 @@
         self._choice = SuccessorChoice(
             directory, self._probe, self._replicas, self._positions, self._sets
         )
+        self._reports = ReceiptReports(self._replicas, self._positions)
         self._groups: dict[str, _GroupStatus] = defaultdict(_GroupStatus)
         self.stopping = False
 
@@ -192,7 +194,13 @@
     ) -> None:
         """Promote a replica in place of one that leaves or whose zone is evacuated."""
         choice = await self._choice.in_place_of_leaving(primary)
-        await self._act_on(group, status, choice)
+        successor = choice.chosen.name if choice.serving else ""
+        state = self._directory.targets.get(successor)
+        if state is None:
+            await self._act_on(group, status, choice)
+            return
+        async with self._reports.running(state):
+            await self._act_on(group, status, choice)
 
     async def _act_on(self, group: str, status: _GroupStatus, choice: Choice) -> None:
         """Promote the chosen replica, or resume those that were paused for a choice."""
--- a/lavenderstack/node/failover/replacer_fake.py
+++ b/lavenderstack/node/failover/replacer_fake.py
@@ -13,12 +13,14 @@
 from lavenderstack.core.members import Members
 from lavenderstack.core.messages import Failed
 from lavenderstack.core.outcome import Reason
-from lavenderstack.core.position import START
+from lavenderstack.core.position import START, Position
 from lavenderstack.core.view import Plan, Target, Vm
 from lavenderstack.core.view_proof import ViewProof
 from lavenderstack.core.work_messages import (
     GroupPosition,
     GroupPositionRequest,
+    LeadAcknowledged,
+    LeadTaken,
     PrimaryPosition,
     PrimaryPositionRequest,
 )
@@ -106,8 +108,10 @@
         self.observed = {
             name: GroupPosition(START, uptime_s=60.0) for name in ("n1", "n2")
         }
-        # The nodes that hold back acknowledgements.
-        self.holding: set[str] = set()
+        # How far the nodes acknowledge commits that hold back the others.
+        self.holding: dict[str, Position] = {}
+        # The new primaries that were announced to each node.
+        self.announced: list[tuple[str, str]] = []
         self.primary_answers = True
         self.primary_full = False
         self.peers.ask = self.ask
@@ -129,7 +133,7 @@
     def put_target(self, name, leaving=False):
         """Let a target report itself."""
         self.revision += 1
-        zone = {"t1": "z1", "t2": "z2", "t3": "z3"}[name]
+        zone = {"t1": "z1", "t3": "z3"}.get(name, "z2")
         port = int(name[1:])
         target = Target(name, zone, "10.0.0.1", port, 2, 30)
         leads = self.targets[name].leads
@@ -143,7 +147,7 @@
         """Commit a write that a node acknowledges to its caller, unless it holds."""
         primary, acknowledged = self.targets[self.primary], self.group.acknowledged
         self.group.commit(primary)
-        if node in self.holding:
+        if primary.position > self.holding.get(node, primary.position):
             self.group.acknowledged = acknowledged
             return
         self.observed[node] = GroupPosition(primary.position, uptime_s=60.0)
@@ -185,6 +189,9 @@
 
     async def ask(self, vm, msg, timeout_s):
         """Answer a message as the node ``vm`` does."""
+        if isinstance(msg, LeadTaken):
+            self.announced.append((vm.name, msg.target))
+            return LeadAcknowledged()
         if isinstance(msg, GroupPositionRequest):
             if vm.name not in self.observed:
                 raise StreamLost("no answer")
@@ -198,11 +205,12 @@
 
     def _position_of(self, node, msg):
         """Answer as a node does that knows holds, unless its answer is None."""
+        answer = self.observed[node]
         if msg.release:
-            self.holding.discard(node)
+            self.holding.pop(node, None)
         elif msg.hold != NO_HOLD:
-            self.holding.add(node)
-        answer = self.observed[node]
+            told = answer.position if isinstance(answer, GroupPosition) else START
+            self.holding[node] = max(told, msg.received)
         if not isinstance(answer, GroupPosition) or node not in self.holding:
             return answer
         return msgspec.structs.replace(answer, holds=True)
--- a/lavenderstack/node/failover/replica_sets_test.py
+++ b/lavenderstack/node/failover/replica_sets_test.py
@@ -125,7 +125,7 @@
         await harness.check()
         await asyncio.sleep(0)
         assert harness.primary == "t1"
-        assert harness.holding == set()
+        assert harness.holding == {}
 
     async def test_it_takes_over_again_once_it_is_paused(self):
         """A silent node stops a promotion only while a replica is unaccounted for."""
--- a/lavenderstack/node/failover/successor_choice.py
+++ b/lavenderstack/node/failover/successor_choice.py
@@ -40,11 +40,13 @@
 class Choice:
     """The replica that takes over, or why none may, None if that is logged already.
 
-    ``paused`` are the replicas that were paused for the choice.
+    ``paused`` are the replicas that were paused for the choice. ``serving`` tells that
+    the primary serves on while acknowledgements are held back.
     """
 
     chosen: ReplicaState | Obstacle | None
     paused: list[TargetState] = field(default_factory=list)
+    serving: bool = False
 
 
 class SuccessorChoice:
@@ -136,7 +138,9 @@
     async def in_place_of_leaving(self, primary: TargetState) -> Choice:
         """Choose a replica in place of one that leaves or whose zone is evacuated.
 
-        The other replicas are paused until the candidate has caught up with them.
+        The other replicas are paused, and the candidate catches up with them. Then all
+        nodes hold back acknowledgements beyond what the candidate has received, since
+        another replica may join at any time until it has taken over.
         """
         group = primary.group
         followers = self._followers(group, primary)
@@ -146,32 +150,33 @@
         if candidate is None:
             log.info("replacer: no replica to take over yet", group=group)
             return Choice(None)
+        replicated = self._directory.is_replicated(group)
+        if replicated and await self._has_silent_node(group):
+            return Choice(Obstacle.SILENT_NODE)
         others = [one for one in followers if one.target.name != candidate.name]
-        held = await self._hold_for_unregistered(primary)
         paused = await self._replicas.pause(group, others)
-        replicated = self._directory.is_replicated(group)
         until = clock.now() + CATCH_UP_TIMEOUT_S
         state = next(s for s in followers if s.target.name == candidate.name)
         while True:
             end = await self._end_of_log(primary)
             candidate = (await self._replicas.send([state], statement.STATUS))[0]
             obstacle = takeover_obstacle(candidate, paused, replicated)
-            if obstacle is None and held is not None:
-                obstacle = commit_obstacle(
-                    candidate, held.position, True, held.everywhere
-                )
             if obstacle is None:
                 if await self._is_caught_up(primary, candidate, end):
                     break
                 obstacle = Obstacle.MISSING_REPLICA
             if clock.now() > until:
-                log.info(
-                    "replacer: replacement postponed",
-                    group=group,
-                    obstacle=obstacle.name,
-                )
-                return Choice(obstacle, others)
+                return _postponed(group, obstacle, others)
             await asyncio.sleep(CATCH_UP_POLL_S)
+        if replicated:
+            held = await self._positions.hold_for_planned(group, primary.target.name)
+            candidate = (await self._replicas.send([state], statement.STATUS))[0]
+            obstacle = takeover_obstacle(candidate, paused, replicated)
+            obstacle = obstacle or commit_obstacle(
+                candidate, held.position, True, held.everywhere
+            )
+            if obstacle is not None:
+                return _postponed(group, obstacle, others)
         log.info(
             "replacer: primary leaves",
             group=group,
@@ -179,16 +184,22 @@
             chosen=candidate.name,
             followers=format_positions([candidate, *paused]),
         )
-        return Choice(candidate, others)
-
-    async def _hold_for_unregistered(self, primary: TargetState) -> HeldEnd | None:
-        """Hold back acknowledgements if a replica may live on unregistered."""
-        group, name = primary.group, primary.target.name
-        if not self._sets.unregistered(
-            group, name
-        ) or not self._directory.is_replicated(group):
-            return None
-        return await self._positions.hold(group, name, PROBE_TIMEOUT_S)
+        return Choice(candidate, others, serving=replicated)
+
+    async def _has_silent_node(self, group: str) -> bool:
+        """Return whether a node gives no answer that may acknowledge commits.
+
+        Then no hold is certain. It is asked before anything is held back or paused.
+        """
+        silent = await self._positions.silent_nodes(group)
+        if silent:
+            log.info(
+                "replacer: replacement postponed",
+                group=group,
+                obstacle=Obstacle.SILENT_NODE.name,
+                nodes=silent,
+            )
+        return bool(silent)
 
     def _has_joined(
         self, group: str, lost: TargetState | None, paused: list[TargetState]
@@ -229,3 +240,14 @@
     def _followers(self, group: str, primary: TargetState | None) -> list[TargetState]:
         name = primary.target.name if primary else ""
         return self._directory.followers(group, name)
+
+
+def _postponed(group: str, obstacle: Obstacle, paused: list[TargetState]) -> Choice:
+    """Return that no replica may take over from a leaving primary yet."""
+    log.info(
+        "replacer: replacement postponed",
+        group=group,
+        obstacle=obstacle.name,
+        nodes=[],
+    )
+    return Choice(obstacle, paused)
