Connections: values count as set once the target has confirmed them

Cause: the record of a pooled connection was changed as the commands to prepare it were built, and their answers were never read. In a transaction whose target has lost the lead RESET is refused, and after the rollback the connection went back to the pool with a record that isn't true. Ruled out: values that outlive the change of role at the target, two sessions on one connection.

What was sent is kept with the connection and applied once all of it has succeeded; the pool closes a connection that comes back without that. A statement that ran unprepared isn't answered as done.

--- a/lavenderstack/core/log/events_statements.py
+++ b/lavenderstack/core/log/events_statements.py
@@ -48,6 +48,13 @@
     Event(
         "executor: idle transaction ended", LineKind.STATE, ("tx",), "rolled back here"
     ),
+    Event(
+        "executor: connection not prepared",
+        LineKind.STATE,
+        ("target", "reason", "detail"),
+        "the target refused to set a session's values or prepared statement; the "
+        "connection is closed",
+    ),
     Event(
         "executor: share of connections changed",
         LineKind.STATE,
--- a/lavenderstack/node/backend_fake.py
+++ b/lavenderstack/node/backend_fake.py
@@ -22,6 +22,9 @@
     ReplicationStatus,
 )
 
+# Statements that a target accepts in a failed transaction.
+_ENDS = (StatementKind.COMMIT, StatementKind.ROLLBACK)
+
 
 @dataclass
 class FakeTarget:
@@ -30,6 +33,7 @@
     ``deaf`` means that it receives no log entries though it answers.
     ``dead_connections`` of nodes that lost power count towards ``max_connections``.
 
+    It fails statements of the kinds in ``refused``, outside of transactions too.
     ``executed`` lists its statements as ``(organisation, request, kind, values)``.
     """
 
@@ -45,6 +49,7 @@
     lose_answers: bool = False
     work_s: float = 0.0
     connect_s: float = 0.0
+    refused: frozenset[StatementKind] = frozenset()
     executed: list = field(default_factory=list)
     orders: list = field(default_factory=list)
     connects: int = 0
@@ -124,6 +129,8 @@
         self.values: dict[str, str] = {}
         self.prepared: dict[str, str] = {}
         self.state = TxState.NONE
+        # Whether a read-write transaction is open.
+        self._needs_primary = False
         self._group = group
         self._target = target
 
@@ -154,13 +161,21 @@
         target, kind = self._target, command.statement.kind
         if command.min_position > target.position:
             return Reply(reason=Reason.BEHIND)
+        if kind not in _ENDS and self.state is TxState.FAILED:
+            return Reply(reason=Reason.BAD_REQUEST)
+        if kind not in _ENDS and self._needs_primary and not target.leads:
+            self.state = TxState.FAILED
+            return Reply(reason=Reason.NOT_PRIMARY)
+        if kind in target.refused:
+            return Reply(reason=Reason.STATEMENT_FAILED)
         match kind:
             case StatementKind.BEGIN:
                 if not command.statement.read_only and not target.leads:
                     return Reply(reason=Reason.NOT_PRIMARY)
                 self.state = TxState.OPEN
+                self._needs_primary = not command.statement.read_only
             case StatementKind.ROLLBACK:
-                self.state = TxState.NONE
+                self._end_transaction()
             case StatementKind.RESET:
                 target.resets += 1
                 self.values.clear()
@@ -201,11 +216,14 @@
         if statement.kind is StatementKind.COMMIT or (
             statement.writes and self.state is TxState.NONE
         ):
-            self.state = TxState.NONE
+            self._end_transaction()
             if not self._group.commit(target):
                 return None
         return Reply(rows=["row"], receipt="receipt")
 
+    def _end_transaction(self) -> None:
+        self.state, self._needs_primary = TxState.NONE, False
+
 
 @dataclass
 class FakeBackend:
--- a/lavenderstack/node/executor.py
+++ b/lavenderstack/node/executor.py
@@ -50,7 +50,7 @@
 )
 from lavenderstack.node.targets.allocated_connections import AllocatedConnections
 from lavenderstack.node.targets.cold_target import ColdTarget, failed
-from lavenderstack.node.targets.connection_setup import setup_commands, target_statement
+from lavenderstack.node.targets.connection_setup import send_prepared, target_statement
 from lavenderstack.node.targets.slots import Slots
 from lavenderstack.node.targets.slow_start import SlowStart
 from lavenderstack.node.targets.target_concurrency import (
@@ -314,25 +314,23 @@
         if refusal is not None:
             self._active.roll_back_and_release(pooled)
             return refusal
-        commands = setup_commands(work, pooled)
-        index = len(commands)
         required = (
             min_position
             if work.access is Access.AGED_READ and not work.opens
             else START
         )
-        commands.append(Command(target_statement(work), work.request, required))
+        commands = [Command(target_statement(work), work.request, required)]
         proves_primary = work.access is Access.CURRENT_READ and not work.opens
         if proves_primary:
             commands.append(Command(statement.ROLLBACK))
         sent_at = clock.now()
         try:
-            futs = pooled.conn.send(commands)
+            futs = send_prepared(work, pooled, commands)
         except ConnectionLost as exc:
             self.connections.discard(pooled)
             return failure(False, Reason.UNREACHABLE, str(exc))
         with self.concurrency.measured(work) as measurement:
-            reply = await self._active.answer(pooled, futs[index], deadline)
+            reply = await self._active.answer(pooled, futs[0], deadline)
             measurement.counts = is_completion(reply)
             measurement.timed_out = isinstance(reply, Failed)
         if isinstance(reply, Failed):
--- a/lavenderstack/node/executor_test.py
+++ b/lavenderstack/node/executor_test.py
@@ -272,6 +272,60 @@
         assert [run[0] for run in harness.targets["t1"].executed] == ["org", ""]
 
 
+class TestConnectionSetup:
+    """Values and prepared statements count as set once the target has confirmed them.
+
+    Found by the review: after a target had lost the lead, it refused what was sent to
+    prepare a connection, and later sessions ran with the values of an earlier one.
+    """
+
+    FIRST, SECOND = {"v": "first"}, {"v": "second"}
+    SHAPE = Prepared(False, "q")
+    EXECUTE = Statement(StatementKind.EXECUTE, "EXEC s a", "s", "a")
+
+    async def lose_the_lead_in_a_transaction(self, harness):
+        """Return a connection on which the setup of a later statement was refused."""
+        opens = TransactionStart.READ_WRITE
+        opened = await harness.run(WRITE, opens=opens, values=self.FIRST)
+        targets = harness.targets
+        targets["t1"].leads, targets["t2"].leads = False, True
+        answer = await harness.run(
+            self.EXECUTE, tx=opened.tx, values=self.SECOND, prepared=self.SHAPE
+        )
+        assert (answer.run, answer.reason) == (False, Reason.NOT_PRIMARY)
+        await asyncio.sleep(0.01)
+
+    async def test_a_session_never_runs_with_the_values_of_another(self):
+        harness = ExecutorHarness()
+        await self.lose_the_lead_in_a_transaction(harness)
+        answer = await harness.run(access=Access.AGED_READ, values=self.SECOND)
+        assert isinstance(answer, WorkDone)
+        assert harness.targets["t1"].executed[-1][-1] == self.SECOND
+
+    async def test_a_prepared_statement_is_known_where_it_is_executed(self):
+        harness = ExecutorHarness()
+        await self.lose_the_lead_in_a_transaction(harness)
+        answer = await harness.run(
+            self.EXECUTE,
+            access=Access.AGED_READ,
+            values=self.SECOND,
+            prepared=self.SHAPE,
+        )
+        assert isinstance(answer, WorkDone)
+
+    @pytest.mark.parametrize("access", list(Access))
+    @pytest.mark.parametrize("opens", list(TransactionStart))
+    async def test_nothing_is_answered_that_ran_without_its_values(self, access, opens):
+        harness = ExecutorHarness()
+        harness.targets["t1"].refused = frozenset({StatementKind.SET_VALUE})
+        answer = await harness.run(access=access, opens=opens, values=self.FIRST)
+        assert isinstance(answer, Failed)
+        await asyncio.sleep(0.01)
+        harness.targets["t1"].refused = frozenset()
+        assert isinstance(await harness.run(values=self.FIRST), WorkDone)
+        assert harness.targets["t1"].executed[-1][-1] == self.FIRST
+
+
 class TestTransactions:
     async def open(self, harness):
         return await harness.run(WRITE, opens=TransactionStart.READ_WRITE)
--- a/lavenderstack/node/open_transactions.py
+++ b/lavenderstack/node/open_transactions.py
@@ -24,7 +24,7 @@
     failure,
     work_result,
 )
-from lavenderstack.node.targets.connection_setup import setup_commands, target_statement
+from lavenderstack.node.targets.connection_setup import send_prepared, target_statement
 from lavenderstack.node.targets.slots import Slots
 from lavenderstack.node.targets.target_connections import (
     PooledConnection,
@@ -105,18 +105,16 @@
 
     async def _run_in_slot(self, work: Work, tx: _Transaction) -> Message:
         pooled = tx.pooled
-        commands = setup_commands(work, pooled)
-        index = len(commands)
-        commands.append(Command(target_statement(work), work.request))
+        command = Command(target_statement(work), work.request)
         sent_at = clock.now()
         try:
-            futs = pooled.conn.send(commands)
+            (fut,) = send_prepared(work, pooled, [command])
         except ConnectionLost as exc:
             self._remove(work.tx)
             self._connections.discard(pooled)
             return failure(False, Reason.TRANSACTION_LOST, str(exc))
         deadline = sent_at + work.left_s
-        reply = await self._active.answer(pooled, futs[index], deadline)
+        reply = await self._active.answer(pooled, fut, deadline)
         if isinstance(reply, Failed):
             self._remove(work.tx)
             return reply
--- a/lavenderstack/node/targets/active_connections.py
+++ b/lavenderstack/node/targets/active_connections.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Sequence
+from dataclasses import replace
 
 import structlog
 
@@ -16,6 +17,7 @@
 from lavenderstack.core.work_messages import Work, WorkDone
 from lavenderstack.node.acknowledged_positions import AcknowledgedPositions
 from lavenderstack.node.backend import Command, ConnectionLost
+from lavenderstack.node.targets.connection_setup import send_prepared
 from lavenderstack.node.targets.target_connections import (
     PooledConnection,
     TargetConnections,
@@ -87,7 +89,8 @@
     ) -> Reply | Failed:
         """Wait for the answer to a statement until ``deadline``, on the clock.
 
-        The connection is closed if the answer doesn't arrive.
+        The connection is closed if the answer doesn't arrive, or if the statement ran
+        though the target had refused what prepares the connection for it.
         """
         try:
             async with asyncio.timeout(max(0.0, deadline - clock.now())):
@@ -104,14 +107,34 @@
             self._connections.discard(pooled)
             raise
         self._connections.record_answer()
+        error = pooled.confirm_setup()
+        return reply if error is None else self._unprepared(pooled, reply, error)
+
+    def _unprepared(
+        self, pooled: PooledConnection, reply: Reply, error: Reply
+    ) -> Reply | Failed:
+        """Return the outcome of a statement whose connection wasn't prepared for it.
+
+        If the target refused the statement too, the first error tells why.
+        """
+        self._log_unprepared(error)
+        if reply.reason is None:
+            self._connections.discard(pooled)
+            return failure(True, Reason.CONNECTION_LOST, "values not set")
+        if reply.reason is Reason.BAD_REQUEST:
+            return replace(reply, reason=error.reason, detail=error.detail)
         return reply
 
     async def run_internal(
-        self, pooled: PooledConnection, commands: Sequence[Command]
+        self, work: Work, pooled: PooledConnection, commands: Sequence[Command]
     ) -> Reply | None:
-        """Send internal statements; return the last answer, None if there is none."""
+        """Prepare a connection for the work and run internal statements on it.
+
+        Returns the last answer, None if one is missing or the target refused what
+        prepares the connection.
+        """
         try:
-            futs = pooled.conn.send(commands)
+            futs = send_prepared(work, pooled, commands)
             async with asyncio.timeout(INTERNAL_STATEMENT_TIMEOUT_S):
                 reply = await futs[-1]
         except (ConnectionLost, TimeoutError) as exc:
@@ -122,8 +145,20 @@
             )
             return None
         self._connections.record_answer()
+        error = pooled.confirm_setup()
+        if error is not None:
+            self._log_unprepared(error)
+            return None
         return reply
 
+    def _log_unprepared(self, error: Reply) -> None:
+        log.info(
+            "executor: connection not prepared",
+            target=self._connections.target.name,
+            reason=error.reason,
+            detail=error.detail,
+        )
+
     def release_clean(self, pooled: PooledConnection, reply: Reply) -> None:
         """Release a connection, first rolling back a transaction that is open on it."""
         if reply.state is TxState.NONE:
--- a/lavenderstack/node/targets/connection_setup.py
+++ b/lavenderstack/node/targets/connection_setup.py
@@ -3,35 +3,65 @@
 Sessions of one organisation share connections. Before a statement runs, the values set
 on the connection must be exactly those of the session. Prepared statements have names
 on the connection that are the same for all sessions.
+
+What prepares a connection is sent together with the statement. It counts once the
+target has answered it: a target that has lost the lead refuses it in a transaction.
 """
 
+import asyncio
+from collections.abc import Sequence
+
 from lavenderstack.core import statement
+from lavenderstack.core.reply import Reply
 from lavenderstack.core.statement import Statement, StatementKind
 from lavenderstack.core.work_messages import Work
-from lavenderstack.node.backend import Command
-from lavenderstack.node.targets.target_connections import PooledConnection
+from lavenderstack.node.backend import Command, ConnectionLost
+from lavenderstack.node.targets.target_connections import PooledConnection, SentSetup
 
 
-def setup_commands(work: Work, pooled: PooledConnection) -> list[Command]:
-    """Return the commands that set the work's values and prepared statement.
+def send_prepared(
+    work: Work, pooled: PooledConnection, commands: Sequence[Command]
+) -> list["asyncio.Future[Reply]"]:
+    """Send commands after what sets the work's values and prepared statement.
 
-    ``pooled`` is updated as if the commands had been run, so they must be sent.
+    Returns the futures of the answers to ``commands``. Raises ``ConnectionLost`` if
+    nothing was sent, also if the target refused what prepared the connection before.
     """
+    if pooled.confirm_setup() is not None:
+        raise ConnectionLost("the connection could not be prepared")
+    if _is_prepared(work, pooled):
+        return pooled.conn.send(commands)
+    setup, values, names = _setup(work, pooled)
+    futs = pooled.conn.send([*setup, *commands])
+    pooled.setup = SentSetup(futs[: len(setup)], values, names)
+    return futs[len(setup) :]
+
+
+def _is_prepared(work: Work, pooled: PooledConnection) -> bool:
+    prepared = work.prepared
+    known = prepared is None or prepared.shared_name in pooled.prepared
+    return known and pooled.values == work.values
+
+
+def _setup(
+    work: Work, pooled: PooledConnection
+) -> tuple[list[Command], dict[str, str], set[str]]:
+    """Return what prepares the connection, and its values and names after that."""
     commands = []
-    if pooled.values != work.values:
-        if any(work.values.get(k) != v for k, v in pooled.values.items()):
-            commands.append(Command(statement.RESET))
-            pooled.values.clear()
-            pooled.prepared.clear()
-        for name, value in work.values.items():
-            if name not in pooled.values:
-                commands.append(Command(statement.set_value(name, value)))
-                pooled.values[name] = value
+    values, names = dict(pooled.values), set(pooled.prepared)
+    if any(work.values.get(name) != value for name, value in values.items()):
+        commands.append(Command(statement.RESET))
+        values.clear()
+        names.clear()
+    for name, value in work.values.items():
+        if name not in values:
+            commands.append(Command(statement.set_value(name, value)))
+            values[name] = value
     prepared = work.prepared
-    if prepared is not None and prepared.shared_name not in pooled.prepared:
+    if prepared is not None and prepared.shared_name not in names:
         commands.append(Command(statement.prepare(prepared)))
-        pooled.prepared.add(prepared.shared_name)
-    return commands
+        names.add(prepared.shared_name)
+    return commands, values, names
 
 
 def target_statement(work: Work) -> Statement:
--- a/lavenderstack/node/targets/target_connections.py
+++ b/lavenderstack/node/targets/target_connections.py
@@ -8,7 +8,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -16,6 +16,7 @@
 
 from lavenderstack.core import clock
 from lavenderstack.core.outcome import Reason
+from lavenderstack.core.reply import Reply
 from lavenderstack.core.targets import connection_share
 from lavenderstack.core.view import Target
 from lavenderstack.node.backend import Backend, ConnectFailed, Connection
@@ -42,12 +43,35 @@
     FORCED = "forced"
 
 
+@dataclass(frozen=True, slots=True)
+class SentSetup:
+    """Statements that were sent to prepare a connection, with their answers.
+
+    ``values`` and ``prepared`` are those of the connection once all have succeeded.
+    """
+
+    futs: Sequence["asyncio.Future[Reply]"]
+    values: dict[str, str]
+    prepared: set[str]
+
+    def error(self) -> Reply | None:
+        """Return the first answer that is an error or missing, or None."""
+        for fut in self.futs:
+            if not fut.done() or fut.cancelled() or fut.exception() is not None:
+                return Reply(reason=Reason.CONNECTION_LOST, detail="no answer")
+            if fut.result().reason is not None:
+                return fut.result()
+        return None
+
+
 @dataclass(slots=True, eq=False)
 class PooledConnection:
     """An open connection with the values and prepared statements set on it.
 
-    ``used_at`` is the time of the last release and ``taken_at`` that since which it is
-    in use, in seconds on the clock. ``pinned`` tells that a transaction is open on it.
+    ``values`` and ``prepared`` are those that the target has confirmed, ``setup`` is
+    what was sent to change them and isn't confirmed yet. ``used_at`` is the time of the
+    last release and ``taken_at`` that since which it is in use, in seconds on the
+    clock. ``pinned`` tells that a transaction is open on it.
     """
 
     conn: Connection
@@ -57,6 +81,21 @@
     pinned: bool = False
     values: dict[str, str] = field(default_factory=dict)
     prepared: set[str] = field(default_factory=set)
+    setup: SentSetup | None = None
+
+    def confirm_setup(self) -> Reply | None:
+        """Apply what was sent to prepare the connection, if the target confirms it.
+
+        Returns an error otherwise; what is set on the connection isn't known then.
+        """
+        setup = self.setup
+        if setup is None:
+            return None
+        error = setup.error()
+        if error is None:
+            self.values, self.prepared = setup.values, setup.prepared
+            self.setup = None
+        return error
 
 
 class TargetConnections:
@@ -231,8 +270,11 @@
         self._refused_until = clock.now() + REFUSED_PAUSE_S
 
     def release(self, pooled: PooledConnection) -> None:
-        """Return a connection to the pool; no statement may be running on it."""
-        if pooled.conn.closed:
+        """Return a connection to the pool; no statement may be running on it.
+
+        It is closed instead if it isn't known which values are set on it.
+        """
+        if pooled.conn.closed or pooled.confirm_setup() is not None:
             self.discard(pooled)
             return
         pooled.used_at = clock.now()
--- a/lavenderstack/node/transaction_opening.py
+++ b/lavenderstack/node/transaction_opening.py
@@ -12,7 +12,6 @@
 from lavenderstack.node.backend import Command
 from lavenderstack.node.targets.active_connections import ActiveConnections
 from lavenderstack.node.targets.allocated_connections import AllocatedConnections
-from lavenderstack.node.targets.connection_setup import setup_commands
 from lavenderstack.node.targets.target_connections import PooledConnection
 
 # A connection that was idle for longer is probed before a write is sent on it, since a
@@ -77,9 +76,8 @@
         proves_primary = work.access is Access.CURRENT_READ and not work.opens
         if proves_primary or work.opens:
             read_only = work.opens is TransactionStart.READ_ONLY
-            commands = setup_commands(work, pooled)
             required = min_position if read_only else START
-            commands.append(Command(statement.begin(read_only), min_position=required))
+            commands = [Command(statement.begin(read_only), min_position=required)]
         elif (
             work.access is Access.WRITE
             and clock.now() - pooled.used_at > MAX_UNPROBED_IDLE_S
@@ -91,7 +89,7 @@
         else:
             return True
         asked_at = clock.now()
-        reply = await self._active.run_internal(pooled, commands)
+        reply = await self._active.run_internal(work, pooled, commands)
         if reply is None:
             return False
         if commands[-1].statement.kind is StatementKind.ROLLBACK:
