Reports of targets: an odd entry of another writer names no target

What callers saw, shown with a node process on: an entry without a field that we don't use, or with a number too large, that claims to be the primary takes every statement of its service; one with a host name of 64 letters ends the checks of its group five times a second, so that no primary is replaced, and callers' connections without an answer. A line end in a name begins a statement of its own at the target. No process ended.

Cause: a report was checked for the types of the fields that we use; ranges, names and addresses were left to those that use them, who expect errors of the network only.

platform/target_reports.py takes an entry with all fields of the platform's page, of their types and in range, an IP address and names that can be sent. An address that can't be one is a failed connection, and an entry that raises doesn't hold back the others.

The end of a transaction of a target with a slash in its name is found as well.

--- a/lavenderstack/border/address.py
+++ b/lavenderstack/border/address.py
@@ -24,7 +24,13 @@
     Address(host='::1', port=7001)
     """
     host, _, port = text.rpartition(":")
-    host = checked_ip(host.removeprefix("[").removesuffix("]"))
+    if host.startswith("[") and host.endswith("]"):
+        host = host[1:-1]
+    host = checked_ip(host)
+    if "%" in host:
+        raise ValueError("an address with a zone of its own")
+    if not (port.isascii() and port.isdecimal()):
+        raise ValueError("the port is no number")
     number = int(port)
     if not 0 < number < 65536:
         raise ValueError("port out of range")
--- a/lavenderstack/core/log/events_process.py
+++ b/lavenderstack/core/log/events_process.py
@@ -110,6 +110,12 @@
     Event(
         "loader: value can't be decoded", LineKind.STATE, ("key", "error"), "ignored"
     ),
+    Event(
+        "loader: entry not applied",
+        LineKind.STATE,
+        ("key", "exc_info"),
+        "an unexpected error; the entry is ignored until it changes",
+    ),
     Event(
         "documents: catalog not understood",
         LineKind.STATE,
--- a/lavenderstack/node/executor_test.py
+++ b/lavenderstack/node/executor_test.py
@@ -384,6 +384,17 @@
         await harness.executors.end(EndWork(earlier.tx))
         assert isinstance(await harness.run(COMMIT, tx=later.tx), WorkDone)
 
+    async def test_the_name_of_a_target_may_have_a_slash(self):
+        """Its transactions were not found, and kept their connections when ended."""
+        harness = ExecutorHarness()
+        harness.targets["t/1"] = FakeTarget("t/1", leads=True)
+        target = Target("t/1", "z1", "10.0.0.1", 2, 2, 30)
+        harness.directory.put_target(target, "g", False, True, 9)
+        opens = TransactionStart.READ_WRITE
+        opened = await harness.run(WRITE, target="t/1", opens=opens)
+        await harness.executors.end(EndWork(opened.tx))
+        assert harness.executors.open_transactions == 0
+
     async def test_an_idle_transaction_is_ended(self):
         harness = ExecutorHarness()
         opened = await self.open(harness)
--- a/lavenderstack/node/executors.py
+++ b/lavenderstack/node/executors.py
@@ -91,7 +91,7 @@
     async def end(self, msg: EndWork) -> Message:
         """Handle ``EndWork``: roll back an open transaction."""
         _, _, rest = msg.tx.partition("/")
-        executor = self.target_executors.get(rest.partition("/")[0])
+        executor = self.target_executors.get(rest.rpartition("/")[0])
         return executor.transactions.end(msg) if executor else WorkEnded()
 
     async def primary_position(self, msg: PrimaryPositionRequest) -> Message:
--- a/lavenderstack/platform/declared.py
+++ b/lavenderstack/platform/declared.py
@@ -23,8 +23,8 @@
     shown_name,
 )
 from lavenderstack.platform.callers import digest_of
+from lavenderstack.platform.decoding import DECODE_ERRORS
 from lavenderstack.platform.documents import (
-    CONFIG_ERRORS,
     CONSISTENCIES,
     MS_PER_S,
     convert_config,
@@ -70,7 +70,7 @@
     """
     try:
         cfg = parse_config(raw)
-    except CONFIG_ERRORS as exc:
+    except DECODE_ERRORS as exc:
         return DeclaredConfig(root=_ROOT), _find_errors(document, raw, exc)
     routes = tuple(_declare_routes(cfg.routes))
     tenants = [(tenant, _at("tenants", i)) for i, tenant in enumerate(cfg.tenants)]
@@ -141,7 +141,7 @@
     """Return the errors of a document that can't be decoded, one for each entry."""
     try:
         msgspec.json.decode(raw)
-    except CONFIG_ERRORS as not_json:
+    except DECODE_ERRORS as not_json:
         text = f"The document isn't JSON, which nodes read: {_split(not_json)[0]}."
         return [error("invalid-value", Place(), text)]
     emptied = {n: [] for n in _LISTS if isinstance(document.get(n), list)}
@@ -156,7 +156,7 @@
     """Yield the error of a document whose lists have one entry, at ``index``."""
     try:
         convert_config(document)
-    except CONFIG_ERRORS as exc:
+    except DECODE_ERRORS as exc:
         message, path = _split(exc)
         place = _ROOT
         for name, number in _PATH_PART.findall(path):
--- a/lavenderstack/platform/directory_writer.py
+++ b/lavenderstack/platform/directory_writer.py
@@ -11,7 +11,9 @@
 from lavenderstack.core.view import Target
 from lavenderstack.node.directory import Directory
 from lavenderstack.platform import documents, records
+from lavenderstack.platform.decoding import TARGETS_PREFIX
 from lavenderstack.platform.store import Item
+from lavenderstack.platform.target_reports import TargetReport, decode_report
 
 # After a store outage in which all leases expired, this node's registration has ended
 # like all others. The other nodes still run and will register again, so they are kept
@@ -41,7 +43,7 @@
         self._era = era
         self._entries = entries
         self._revisions = revisions
-        self._reports: dict[str, documents.TargetReport] = {}
+        self._reports: dict[str, TargetReport] = {}
 
     def put(self, item: Item, data: bytes) -> None:
         """Write an entry with its decoded value."""
@@ -50,8 +52,8 @@
             catalog = documents.decode_catalog(data)
             if catalog is not None and directory.update_catalog(catalog):
                 self._update_target_limits()
-        elif key.startswith(documents.TARGETS_PREFIX):
-            self._put_target(item, documents.decode_report(key, data))
+        elif key.startswith(TARGETS_PREFIX):
+            self._put_target(item, decode_report(key, data))
         elif key.startswith(records.NODES_PREFIX):
             node = records.decode_node(key, data)
             if node is not None:
@@ -78,8 +80,8 @@
             else:
                 directory.put_replica_set(group, replicas, item.rev)
 
-    def _put_target(self, item: Item, report: documents.TargetReport | None) -> None:
-        name = item.key.removeprefix(documents.TARGETS_PREFIX)
+    def _put_target(self, item: Item, report: TargetReport | None) -> None:
+        name = item.key.removeprefix(TARGETS_PREFIX)
         if report is None:
             self._reports.pop(name, None)
             self._directory.drop_target(name, item.rev)
@@ -95,7 +97,7 @@
             report.cold_s,
         )
 
-    def _with_limits(self, report: documents.TargetReport) -> Target:
+    def _with_limits(self, report: TargetReport) -> Target:
         """Return the target with the number of connections that the catalog allows."""
         limits = self._directory.catalog.groups.get(report.group)
         target = report.target
@@ -117,8 +119,8 @@
     def remove(self, item: Item) -> None:
         """Write the removal of an entry."""
         key, directory = item.key, self._directory
-        if key.startswith(documents.TARGETS_PREFIX):
-            name = key.removeprefix(documents.TARGETS_PREFIX)
+        if key.startswith(TARGETS_PREFIX):
+            name = key.removeprefix(TARGETS_PREFIX)
             self._reports.pop(name, None)
             directory.drop_target(name, item.rev)
         elif key.startswith(records.NODES_PREFIX):
--- a/lavenderstack/platform/documents.py
+++ b/lavenderstack/platform/documents.py
@@ -1,10 +1,9 @@
-"""Decodes the documents in the platform's store into the types of this project.
+"""Decodes the operators' documents in the platform's store.
 
-The platform calls a group a service, an organisation a tenant and a target a server.
-
-For a document that can't be decoded, the functions log a line and return None. An
-invalid catalog is ignored, so that the last valid one stays in effect; an invalid
-report removes its target. This service's own records are in ``platform/records.py``.
+The platform calls a group a service and an organisation a tenant. An invalid catalog is
+logged and ignored, so that the last valid one stays in effect. The reports of targets
+are in ``platform/target_reports.py``, this service's own records in
+``platform/records.py``.
 """
 
 from typing import Any, Literal
@@ -19,18 +18,16 @@
     GroupLimits,
     Route,
 )
-from lavenderstack.core.failover.replica_set import TargetRun
-from lavenderstack.core.view import DEFAULT_PRIORITY, Plan, Target
+from lavenderstack.core.view import DEFAULT_PRIORITY, Plan
 from lavenderstack.platform.callers import digest_of
+from lavenderstack.platform.decoding import DECODE_ERRORS, MS_PER_S
 
 log = structlog.get_logger()
 
 CATALOG_KEY = "op/config"
-TARGETS_PREFIX = "servers/"
 EVACUATIONS_PREFIX = "op/evacuate/"
 
 DEFAULT_TIMEOUT_MS = 1000.0
-MS_PER_S = 1000.0
 
 
 class _Route(msgspec.Struct):
@@ -81,13 +78,9 @@
     "read_your_writes": Consistency.SESSION,
 }
 
-# msgspec raises SystemError for an integer beyond the range of floats in the place of a
-# float, and RecursionError for a document that is nested too deeply.
-CONFIG_ERRORS = (msgspec.MsgspecError, ValueError, SystemError, RecursionError)
-
 
 def parse_config(value: bytes) -> _Config:
-    """Return the operators' document; raises an error of ``CONFIG_ERRORS``."""
+    """Return the operators' document; raises an error of ``DECODE_ERRORS``."""
     return convert_config(msgspec.json.decode(value))
 
 
@@ -100,7 +93,7 @@
     """Return the catalog that the operators wrote, or None if it is invalid."""
     try:
         cfg = parse_config(value)
-    except CONFIG_ERRORS as exc:
+    except DECODE_ERRORS as exc:
         log.warning("documents: catalog not understood", error=repr(exc)[:200])
         return None
     return Catalog(
@@ -150,87 +143,8 @@
     )
 
 
-class _Server(msgspec.Struct):
-    service: str
-    addr: str
-    zone: str
-    slots: int
-    state: str
-    db_role: str
-    # When its present run began, in Unix milliseconds.
-    born: int = 0
-    # For how much longer it is slow after its start.
-    cold_left_ms: float = 0.0
-
-
-# Values of ``state`` and ``db_role`` in a target's report.
-READY = "ready"
-DRAINING = "draining"
-PRIMARY = "primary"
-REPLICA = "replica"
-
-
-class TargetReport(msgspec.Struct, frozen=True):
-    """A target's report about itself.
-
-    ``leads`` tells whether it is the primary, ``leaving`` whether it is draining.
-    ``started_ms`` is when its present run began, in Unix milliseconds, 0 if it doesn't
-    say so. ``cold_s`` is how many more seconds it is cold, from the report's arrival.
-    """
-
-    target: Target
-    group: str
-    leaving: bool
-    leads: bool
-    started_ms: int = 0
-    cold_s: float = 0.0
-
-
-def decode_report(key: str, value: bytes) -> TargetReport | None:
-    """Return a target's report, or None if it names no usable target.
-
-    The target's number of connections is left at 0: the catalog defines it.
-    """
-    try:
-        server = msgspec.json.decode(value, type=_Server)
-        host, _, port = server.addr.rpartition(":")
-        if server.state not in (READY, DRAINING) or not host:
-            raise ValueError(f"state {server.state!r}, address {server.addr!r}")
-        if server.db_role not in (PRIMARY, REPLICA) or server.slots < 1:
-            raise ValueError(f"role {server.db_role!r}, slots {server.slots}")
-        name = key.removeprefix(TARGETS_PREFIX)
-        target = Target(name, server.zone, host, int(port), server.slots, 0)
-    except CONFIG_ERRORS as exc:
-        log.info(
-            "documents: report names no usable target", key=key, error=str(exc)[:200]
-        )
-        return None
-    leaving = server.state == DRAINING
-    leads = server.db_role == PRIMARY
-    cold_s = max(0.0, server.cold_left_ms / MS_PER_S)
-    return TargetReport(target, server.service, leaving, leads, server.born, cold_s)
-
-
 def evacuated_zone(key: str) -> str | None:
     """Return the zone that an entry evacuates, whatever its value is, or None."""
     if not key.startswith(EVACUATIONS_PREFIX):
         return None
     return key.removeprefix(EVACUATIONS_PREFIX) or None
-
-
-class _TargetRun(msgspec.Struct):
-    service: str
-    born: int = 0
-
-
-def decode_target_run(key: str, value: bytes) -> tuple[str, TargetRun] | None:
-    """Return the group and the run of a target, whatever state it reports.
-
-    Returns None if the report is invalid.
-    """
-    try:
-        report = msgspec.json.decode(value, type=_TargetRun)
-    except CONFIG_ERRORS as exc:
-        log.info("documents: target's run not understood", key=key, error=str(exc))
-        return None
-    return report.service, TargetRun(key.removeprefix(TARGETS_PREFIX), report.born)
--- a/lavenderstack/platform/history.py
+++ b/lavenderstack/platform/history.py
@@ -16,6 +16,7 @@
     store_position,
 )
 from lavenderstack.platform import documents, records
+from lavenderstack.platform.decoding import TARGETS_PREFIX
 from lavenderstack.platform.store import (
     HistoryGone,
     Item,
@@ -23,6 +24,7 @@
     Store,
     StoreFailed,
 )
+from lavenderstack.platform.target_reports import decode_target_run
 
 log = structlog.get_logger()
 
@@ -95,8 +97,8 @@
         """Record a change of the store, if all before it are recorded."""
         if not self._history.known:
             return
-        if item.key.startswith(documents.TARGETS_PREFIX):
-            name = item.key.removeprefix(documents.TARGETS_PREFIX)
+        if item.key.startswith(TARGETS_PREFIX):
+            name = item.key.removeprefix(TARGETS_PREFIX)
             self._check_complete(item, self._history.has_target(name))
         elif item.key.startswith(records.NODES_PREFIX):
             name = item.key.removeprefix(records.NODES_PREFIX)
@@ -116,8 +118,8 @@
             data = b""
         if item.key == documents.CATALOG_KEY:
             self._record_catalog(data)
-        elif item.key.startswith(documents.TARGETS_PREFIX):
-            found = documents.decode_target_run(item.key, data)
+        elif item.key.startswith(TARGETS_PREFIX):
+            found = decode_target_run(item.key, data)
             if found is None:
                 self.end(f"{item.key} not understood")
             else:
--- a/lavenderstack/platform/records.py
+++ b/lavenderstack/platform/records.py
@@ -19,6 +19,7 @@
 from lavenderstack.core.failover.replica_set import ReplicaSet, TargetRun
 from lavenderstack.core.store_position import era_of
 from lavenderstack.core.view import Vm
+from lavenderstack.platform.decoding import DECODE_ERRORS
 
 log = structlog.get_logger()
 
@@ -63,7 +64,7 @@
         return False
     try:
         written = msgspec.json.decode(value, type=_Written)
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         # The decoder of the record reports it.
         return False
     return written.era is not None and written.era != era_of(position)
@@ -82,7 +83,7 @@
     """Return the era that is recorded as settled, or None if the record is invalid."""
     try:
         return msgspec.json.decode(value, type=_Era).era
-    except msgspec.MsgspecError as exc:
+    except DECODE_ERRORS as exc:
         log.warning("documents: era not understood", error=str(exc))
         return None
 
@@ -111,7 +112,7 @@
     """Return the process that a registration names, empty if it names none."""
     try:
         return msgspec.json.decode(value, type=_Node).run
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         # ``decode_node`` reports it.
         return ""
 
@@ -120,7 +121,7 @@
     """Return the node that a registration describes, or None if it is invalid."""
     try:
         node = msgspec.json.decode(value, type=_Node)
-    except msgspec.MsgspecError as exc:
+    except DECODE_ERRORS as exc:
         log.warning("documents: node not understood", key=key, error=str(exc))
         return None
     state = "leaving" if node.leaving else "live"
@@ -160,7 +161,7 @@
     """
     try:
         record = msgspec.json.decode(value, type=_Reserve)
-    except msgspec.MsgspecError as exc:
+    except DECODE_ERRORS as exc:
         log.warning("documents: reserve not understood", key=key, error=str(exc))
         return None
     is_current = record.era is None or record.era == era_of(rev)
@@ -181,7 +182,7 @@
     """
     try:
         ownership = msgspec.json.decode(value, type=_Ownership)
-    except msgspec.MsgspecError as exc:
+    except DECODE_ERRORS as exc:
         log.warning("documents: ownership not understood", key=key, error=str(exc))
         return None
     return RecordedOwnership(ownership.node, rev)
@@ -206,7 +207,7 @@
     """Return the recorded replica set of a group, or None if the record is invalid."""
     try:
         record = msgspec.json.decode(value, type=_ReplicaSet)
-    except msgspec.MsgspecError as exc:
+    except DECODE_ERRORS as exc:
         log.warning("documents: replica set not understood", key=key, error=str(exc))
         return None
     runs = frozenset(TargetRun(*run) for run in record.replicas)
--- a/lavenderstack/platform/targets.py
+++ b/lavenderstack/platform/targets.py
@@ -164,7 +164,8 @@
             )
             conn.send_greeting(group, organisation, target.name)
             await conn.greeting
-    except (OSError, TimeoutError) as exc:
+    except (OSError, TimeoutError, ValueError, OverflowError) as exc:
+        # The last two are for an address that can't be one.
         if conn is not None:
             conn.close()
         timed_out = isinstance(exc, TimeoutError)
