Store: an item that can't be read doesn't hold back the others

Cause: a page of the store's list and an answer to a watch were decoded whole, so one key among those of the targets that isn't valid Unicode ended both, and a node that listed followed the store no more. Such an item is passed over now, if it is among those of the targets, where others write; any other one may be the catalog, and then nothing is proved.

Test, failed before: odd_entries_test.py::TestUnreadableItem::test_it_is_passed_over_in_a_listing_and_in_a_watch.

--- a/lavenderstack/core/log/events_process.py
+++ b/lavenderstack/core/log/events_process.py
@@ -116,6 +116,12 @@
         ("key", "exc_info"),
         "an unexpected error; the entry is ignored until it changes",
     ),
+    Event(
+        "store: entry not readable",
+        LineKind.STATE,
+        ("key", "error"),
+        "an entry among those of the targets; ignored",
+    ),
     Event(
         "documents: catalog not understood",
         LineKind.STATE,
--- a/lavenderstack/platform/odd_entries_test.py
+++ b/lavenderstack/platform/odd_entries_test.py
@@ -9,12 +9,14 @@
 
 import pytest
 
+from lavenderstack.core import clock
 from lavenderstack.core.view import Target
 from lavenderstack.node.backend import ConnectFailed
 from lavenderstack.platform import targets
 from lavenderstack.platform.documents_test import REPORT
 from lavenderstack.platform.loader_test import (
     report,
+    run_loader,
     run_loader_object,
     wait_until,
 )
@@ -144,6 +146,31 @@
 
 
 class TestUnreadableItem:
+    """An item of the store's answer that can't be read must not hold back others."""
+
+    KEY = "servers/\ud800"
+
+    async def test_it_is_passed_over_in_a_listing_and_in_a_watch(self):
+        kv = MetadataStore(page_size=2)
+        kv.put("op/config", config())
+        kv.put("servers/i-1", report())
+        kv.put(self.KEY, report())
+        kv.put("servers/\ue000", report())
+        async with run_loader(kv) as directory:
+            await wait_until(lambda: directory.proof.holds(clock.now()))
+            assert set(directory.targets) == {"i-1", "\ue000"}
+            kv.put(self.KEY, report())
+            kv.put("servers/i-3", report())
+            await wait_until(lambda: "i-3" in directory.targets)
+
+    async def test_one_that_may_be_the_catalog_proves_nothing(self):
+        kv = MetadataStore()
+        kv.put("op/config", config())
+        kv.put("op/config\ud800", b"")
+        async with run_loader(kv) as directory:
+            await asyncio.sleep(0.5)
+            assert not directory.proof.holds(clock.now())
+
     async def test_an_entry_that_raises_ends_neither_the_loader_nor_the_others(self):
         kv = MetadataStore()
         kv.put("op/config", config())
--- a/lavenderstack/platform/store.py
+++ b/lavenderstack/platform/store.py
@@ -11,6 +11,7 @@
 """
 
 import base64
+import json
 from collections.abc import AsyncIterator, Callable, Mapping, Sequence
 from contextlib import asynccontextmanager
 from urllib.parse import urlencode
@@ -24,6 +25,7 @@
 from lavenderstack.core import clock
 from lavenderstack.core.store_era import EraNews, StoreEra
 from lavenderstack.core.store_position import era_of, revision_of, store_position
+from lavenderstack.platform.decoding import DECODE_ERRORS, TARGETS_PREFIX
 
 log = structlog.get_logger()
 
@@ -179,13 +181,15 @@
             self.on_answer(clock.now())
         self._observe_era(response, sent_era)
         if response.status == 200:
+            if reply_type is bytes:
+                return response.body
             try:
                 return (
                     msgspec.json.decode(response.body, type=reply_type)
                     if reply_type
                     else None
                 )
-            except msgspec.MsgspecError as exc:
+            except DECODE_ERRORS as exc:
                 raise StoreFailed(f"{path}: {exc}") from exc
         raise _ERRORS.get(response.status, StoreFailed)(f"{path}: {response.status}")
 
@@ -201,8 +205,11 @@
         params = {"prefix": prefix}
         if after:
             params["after"] = after
-        page = await self._call("GET", "kv-range", Page, params=params)
+        body = await self._call("GET", "kv-range", bytes, params=params)
+        page = _decode_items(body, Page, "items")
         items = [self._positioned(item) for item in page.items]
+        if page.has_more and not items:
+            raise StoreFailed("kv-range: no entry of a page can be read")
         return Page(items, self._position(page.as_of), page.has_more)
 
     async def get(self, key: str) -> Item | None:
@@ -227,7 +234,8 @@
             "wait_ms": str(int(wait_s * 1000)),
         }
         timeout_s = wait_s + CALL_TIMEOUT_S
-        found = await self._call("GET", "kv-watch", Changes, timeout_s, params=params)
+        body = await self._call("GET", "kv-watch", bytes, timeout_s, params=params)
+        found = _decode_items(body, Changes, "events")
         events = [self._positioned(item) for item in found.events]
         return Changes(events, self._position(found.as_of))
 
@@ -281,6 +289,40 @@
         await self._call_with_lease("DELETE", f"kv-lease-end/{lease}", None)
 
 
+def _decode_items(body: bytes, kind: type, field: str):
+    """Decode an answer of type ``kind`` with its items in ``field``.
+
+    One that can't be read doesn't hold back the others if it is among those of the
+    targets, where others write. Raises ``StoreFailed`` if more can't be read.
+    """
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except DECODE_ERRORS as exc:
+        error = str(exc)[:200]
+    try:
+        raw = json.loads(body.decode("utf-8", "replace"))
+        raw[field] = [item for item in raw[field] if _is_readable(item, error)]
+        return msgspec.convert(raw, kind)
+    except (*DECODE_ERRORS, KeyError, TypeError) as exc:
+        raise StoreFailed(f"answer not understood: {error}") from exc
+
+
+def _is_readable(raw: object, error: str) -> bool:
+    """Return whether an item can be read.
+
+    Raises an error of ``DECODE_ERRORS`` if it may not be left out.
+    """
+    try:
+        msgspec.json.decode(json.dumps(raw), type=Item)
+    except DECODE_ERRORS:
+        key = raw.get("key") if isinstance(raw, dict) else None
+        if not isinstance(key, str) or not key.startswith(TARGETS_PREFIX):
+            raise
+        log.warning("store: entry not readable", key=ascii(key)[:200], error=error)
+        return False
+    return True
+
+
 @asynccontextmanager
 async def open_store(addr: str) -> AsyncIterator[Store]:
     """Open a client of the store; it is closed at the end of the block."""
