Failover: a replica counts as resumed once it has said so

A replica whose RESUME is lost, most often the one whose silence stopped the choice, stayed paused until the next failover. With it no commit is acknowledged if the other replica leaves. The same after a lease that was too old to resume them.

The owner notes that replicas may be paused until each has answered that it isn't, and then looks again as it does after a former owner.

Tests, both failed before: promoter_test.py::TestPause, a replica that did not get RESUME, and a lease that is renewed later.

--- a/lavenderstack/node/failover/followers.py
+++ b/lavenderstack/node/failover/followers.py
@@ -61,14 +61,15 @@
         )
         return followers
 
-    async def resume(self, group: str, states: list[TargetState]) -> None:
-        """Let replicas receive log entries again."""
+    async def resume(self, group: str, states: list[TargetState]) -> bool:
+        """Let replicas receive log entries again; return whether all are known to."""
         followers = await self.send(states, statement.RESUME)
         log.info(
             "replacer: replicas resumed",
             group=group,
             followers=format_positions(followers),
         )
+        return not any(one.received is None or one.paused for one in followers)
 
     async def send(
         self, states: list[TargetState], command: Statement
--- a/lavenderstack/node/failover/promoter_test.py
+++ b/lavenderstack/node/failover/promoter_test.py
@@ -4,6 +4,7 @@
 
 from lavenderstack.core.statement import StatementKind
 from lavenderstack.node.backend import OrderRefused, OrderUnanswered
+from lavenderstack.node.failover import replacer
 from lavenderstack.node.failover.replacer_fake import ReplacerHarness
 
 
@@ -67,6 +68,59 @@
         assert harness.group.epochs
         assert harness.primary == "t1"
 
+    async def lose_the_answer_to_resume(self, harness, monkeypatch):
+        """Let the owner find an obstacle, and t3 get no RESUME after it."""
+        monkeypatch.setattr(replacer, "RELEASE_RETRY_S", 0.0)
+        await harness.check(2)
+        harness.targets["t2"].silent = True
+        harness.primary_answers = False
+        send = harness.replacer._replicas.send
+
+        async def send_without_resume(states, command):
+            is_resume = command.kind is StatementKind.RESUME
+            harness.targets["t3"].silent = is_resume
+            return await send(states, command)
+
+        harness.replacer._replicas.send = send_without_resume
+        await harness.check()
+        harness.replacer._replicas.send = send
+
+    async def test_a_replica_that_did_not_get_resume_is_resumed_later(
+        self, monkeypatch
+    ):
+        """It received nothing for good, and no commit is acknowledged through it."""
+        harness = ReplacerHarness()
+        await self.lose_the_answer_to_resume(harness, monkeypatch)
+        assert harness.targets["t3"].paused
+        for name in ("t2", "t3"):
+            harness.targets[name].silent = False
+        harness.primary_answers = True
+        await harness.check(2)
+        assert not harness.targets["t3"].paused
+        assert harness.primary == "t1"
+
+    async def test_replicas_are_resumed_once_the_lease_is_renewed(self, monkeypatch):
+        monkeypatch.setattr(replacer, "RELEASE_RETRY_S", 0.0)
+        harness = ReplacerHarness()
+        await harness.check(2)
+        harness.targets["t2"].silent = True
+        harness.primary_answers = False
+        pause = harness.replacer._replicas.pause
+
+        async def pause_and_freeze(group, states):
+            answers = await pause(group, states)
+            harness.claims.valid_s = 0.0
+            return answers
+
+        harness.replacer._replicas.pause = pause_and_freeze
+        await harness.check()
+        assert harness.targets["t3"].paused
+        harness.claims.valid_s = 3.0
+        harness.targets["t2"].silent = False
+        harness.primary_answers = True
+        await harness.check(2)
+        assert not harness.targets["t3"].paused
+
     async def test_an_owner_whose_lease_ended_resumes_nothing(self):
         """The next owner may have paused the replicas by then."""
         harness = ReplacerHarness()
--- a/lavenderstack/node/failover/replacer.py
+++ b/lavenderstack/node/failover/replacer.py
@@ -226,18 +226,22 @@
             self._positions.promoted(group)
             return
         if outcome is OrderOutcome.UNKNOWN:
-            status.may_be_paused = status.order_pending = True
+            status.order_pending = True
         await self._resume(group, status, paused)
 
     async def _resume(
         self, group: str, status: _GroupStatus, followers: list[TargetState]
     ) -> None:
-        """Resume replicas, unless an order is pending or the next owner may act."""
+        """Resume replicas, unless an order is pending or the next owner may act.
+
+        One that isn't known to receive again is resumed later, if it is still paused.
+        """
         self._release(group, status)
+        status.may_be_paused = True
         if status.order_pending:
             log.warning("replacer: replicas stay paused", group=group)
         elif self._promoter.lease_holds():
-            await self._replicas.resume(group, followers)
+            status.may_be_paused = not await self._replicas.resume(group, followers)
         else:
             log.warning("replacer: lease too old to act", group=group)
 
@@ -265,13 +269,16 @@
             for follower, state in zip(followers, states, strict=True)
             if state.paused
         ]
+        silent = any(state.received is None for state in states)
         if paused or status.order_pending:
             if not await self._promoter.raise_fence(group, primary.target.name):
                 return
             # Another owner's order must not follow this one closely.
             status.acted_at, status.order_pending = now, False
             await self._resume(group, status, paused)
-        status.may_be_paused = any(state.received is None for state in states)
+            status.may_be_paused = status.may_be_paused or silent
+        else:
+            status.may_be_paused = silent
 
     def _followers(self, group: str, primary: TargetState) -> list[TargetState]:
         return self._directory.followers(group, primary.target.name)
