Holds: an owner uses the epoch of its own claim only

An owner that loses its claim in the middle of a check asked for holds under its successor's epoch: the nodes then refuse the successor's holds, or end them with the release of the former one.

Test, failed before: replica_sets_test.py:: test_a_former_owner_does_not_use_the_epoch_of_the_present_one.

--- a/lavenderstack/node/failover/group_positions.py
+++ b/lavenderstack/node/failover/group_positions.py
@@ -62,13 +62,16 @@
 
 
 class GroupPositions:
-    """What this node, as the owner of groups, learns about their logs."""
+    """What this node, as the owner of groups, learns about their logs.
 
-    def __init__(self, directory: Directory, peers: Peers) -> None:
+    ``identity`` names this node and its run, as in its claims.
+    """
+
+    def __init__(self, directory: Directory, peers: Peers, identity: str) -> None:
         self._directory = directory
         self._peers = peers
         self._last_answers: dict[str, _LastAnswer] = {}
-        self._holds = HoldRequests(directory, peers)
+        self._holds = HoldRequests(directory, peers, identity)
 
     def record_answer(
         self, primary: TargetState, answer: PrimaryPosition, asked_at: float
--- a/lavenderstack/node/failover/hold_requests.py
+++ b/lavenderstack/node/failover/hold_requests.py
@@ -80,11 +80,15 @@
 
 
 class HoldRequests:
-    """The holds that this node, as the owner of groups, has asked for."""
+    """The holds that this node, as the owner of groups, has asked for.
 
-    def __init__(self, directory: Directory, peers: Peers) -> None:
+    ``identity`` names this node and its run, as in its claims.
+    """
+
+    def __init__(self, directory: Directory, peers: Peers, identity: str) -> None:
         self._directory = directory
         self._peers = peers
+        self._identity = identity
         self._attempts = itertools.count(1)
         self._asked: dict[str, _Asked] = {}
         # By node: the clock time at which it was last registered.
@@ -153,8 +157,14 @@
         return asked.term if asked is not None else 0
 
     def _epoch(self, group: str) -> int:
+        """Return the epoch of this node's claim, 0 if it has none any more.
+
+        Attempts count from 1 in each process, so under the epoch of another owner they
+        would be taken for later or earlier ones of that owner.
+        """
         claim = self._directory.ownerships.get(group)
-        return claim.epoch if claim is not None else 0
+        is_own = claim is not None and claim.node == self._identity
+        return claim.epoch if is_own else 0
 
     async def ask(
         self, names: Collection[str], msg: GroupPositionRequest, timeout_s: float
--- a/lavenderstack/node/failover/replica_sets_test.py
+++ b/lavenderstack/node/failover/replica_sets_test.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from lavenderstack.core.catalog import RecordedOwnership
 from lavenderstack.core.failover.acknowledgement_hold import NO_HOLD
 from lavenderstack.core.failover.replica_set import ReplicaSet, TargetRun
 from lavenderstack.core.messages import Failed
@@ -89,6 +90,33 @@
         await harness.check()
         assert min(terms) > 0
 
+    async def test_a_former_owner_does_not_use_the_epoch_of_the_present_one(self):
+        """Its attempts would be taken for later ones than those of the present owner.
+
+        The holds of that one were refused, and ended by the release of the former one.
+        """
+        harness = await self.replica_without_registration()
+        pause = harness.replacer._replicas.pause
+
+        async def lose_the_claim(group, states):
+            later = RecordedOwnership("n2#2", 99)
+            harness.directory.put_ownership("g", later)
+            return await pause(group, states)
+
+        harness.replacer._replicas.pause = lose_the_claim
+        ask, numbers = harness.ask, []
+
+        async def ask_and_record(vm, msg, timeout_s):
+            if isinstance(msg, GroupPositionRequest) and msg.hold != NO_HOLD:
+                numbers.append(msg.hold)
+            return await ask(vm, msg, timeout_s)
+
+        harness.peers.ask = ask_and_record
+        await harness.check()
+        await asyncio.sleep(0)
+        assert numbers
+        assert all(number.epoch != 99 for number in numbers)
+
     async def test_a_commit_during_a_planned_change_is_not_lost(self):
         harness = await self.replica_without_registration()
         harness.primary_answers = True
