--- a/lavenderstack/node/backend_fake.py
+++ b/lavenderstack/node/backend_fake.py
@@ -33,7 +33,8 @@
     ``deaf`` means that it receives no log entries though it answers.
     ``dead_connections`` of nodes that lost power count towards ``max_connections``.
 
-    It fails statements of the kinds in ``refused``, outside of transactions too.
+    It fails statements of the kinds in ``refused``, outside of transactions too, and
+    while ``failing`` those of callers once they have run.
     ``executed`` lists its statements as ``(organisation, request, kind, values)``.
     """
 
@@ -50,6 +51,7 @@
     work_s: float = 0.0
     connect_s: float = 0.0
     refused: frozenset[StatementKind] = frozenset()
+    failing: bool = False
     executed: list = field(default_factory=list)
     orders: list = field(default_factory=list)
     connects: int = 0
@@ -213,6 +215,8 @@
         target.executed.append(run)
         if target.lose_answers:
             return None
+        if target.failing:
+            return Reply(reason=Reason.STATEMENT_FAILED)
         if statement.kind is StatementKind.COMMIT or (
             statement.writes and self.state is TxState.NONE
         ):
--- a/lavenderstack/node/executor_test.py
+++ b/lavenderstack/node/executor_test.py
@@ -326,6 +326,43 @@
         assert harness.targets["t1"].executed[-1][-1] == self.FIRST
 
 
+class TestProbes:
+    """A connection may be used again only if no transaction is open on it."""
+
+    async def probe(self, harness):
+        health = harness.executors.for_target("t1").health
+        return await health.primary_position(0.0)
+
+    async def count_open(self, harness):
+        await asyncio.sleep(0.01)
+        return len(harness.executors.for_target("t1").connections)
+
+    async def test_one_that_stays_in_its_transaction_is_closed(self):
+        """The answer to ROLLBACK was awaited and not read."""
+        harness = ExecutorHarness()
+        harness.targets["t1"].refused = frozenset({StatementKind.ROLLBACK})
+        await self.probe(harness)
+        assert await self.count_open(harness) == 0
+
+    async def test_one_that_stays_in_its_transaction_gets_no_write(self):
+        harness = ExecutorHarness()
+        await harness.run(WRITE)
+        pooled = harness.executors.for_target("t1").connections._idle[0]
+        pooled.used_at -= 5.0
+        harness.targets["t1"].refused = frozenset({StatementKind.ROLLBACK})
+        await harness.run(WRITE, request="r2")
+        assert pooled.conn.closed
+
+    async def test_a_cancelled_probe_keeps_no_connection(self):
+        harness = ExecutorHarness()
+        await harness.run(WRITE)
+        harness.targets["t1"].silent = True
+        probing = asyncio.ensure_future(self.probe(harness))
+        await asyncio.sleep(0.02)
+        probing.cancel()
+        assert await self.count_open(harness) == 0
+
+
 class TestTransactions:
     async def open(self, harness):
         return await harness.run(WRITE, opens=TransactionStart.READ_WRITE)
--- a/lavenderstack/node/targets/target_health.py
+++ b/lavenderstack/node/targets/target_health.py
@@ -13,6 +13,7 @@
 from lavenderstack.core.messages import Failed, Message
 from lavenderstack.core.outcome import Reason
 from lavenderstack.core.position_history import PositionHistory
+from lavenderstack.core.reply import TxState
 from lavenderstack.core.view import Target
 from lavenderstack.core.work_messages import PrimaryPosition
 from lavenderstack.node.backend import Command, ConnectFailed, ConnectionLost
@@ -107,12 +108,18 @@
             futs = pooled.conn.send([begin, Command(statement.ROLLBACK)])
             async with asyncio.timeout(INTERNAL_STATEMENT_TIMEOUT_S):
                 reply = await futs[0]
-                await futs[1]
+                ended = await futs[1]
         except (ConnectionLost, TimeoutError):
             self._connections.discard(pooled)
             return None
+        except asyncio.CancelledError:
+            self._connections.discard(pooled)
+            raise
         self._connections.record_answer()
-        self._connections.release(pooled)
+        if ended.state is TxState.NONE:
+            self._connections.release(pooled)
+        else:
+            self._connections.discard(pooled)
         if reply.reason is None:
             self.positions.add(reply.position, asked_at)
             return True
--- a/lavenderstack/node/transaction_opening.py
+++ b/lavenderstack/node/transaction_opening.py
@@ -7,6 +7,7 @@
 from lavenderstack.core.outcome import Refused
 from lavenderstack.core.position import START, Position
 from lavenderstack.core.position_history import PositionHistory
+from lavenderstack.core.reply import TxState
 from lavenderstack.core.statement import StatementKind
 from lavenderstack.core.work_messages import Access, TransactionStart, Work
 from lavenderstack.node.backend import Command
@@ -67,6 +68,8 @@
     ) -> bool:
         """Begin a transaction if the work needs one; return False without an answer.
 
+        False also tells that the connection can't be used for the work.
+
         Before a write on a connection that was idle, probes the connection instead.
         The answer must arrive before the statement is sent: a read after a refused
         BEGIN would run outside any transaction, where nothing proves that the target
@@ -93,7 +96,7 @@
         if reply is None:
             return False
         if commands[-1].statement.kind is StatementKind.ROLLBACK:
-            return True
+            return reply.state is TxState.NONE
         if reply.reason is not None:
             raise Refused(reply.reason, reply.detail)
         if not work.opens or work.opens is TransactionStart.READ_WRITE:
