Connections: handed out once and given back once

Cause: a request to end a transaction gave its connection back behind a statement that was still running; that statement failed and gave it back again, so it stood in the pool twice. Ruled out: a rollback that overtakes the statement (a target answers in order), and transactions with one name.

The pool hands a connection out in a new object each time; a former holder can neither send on it nor close it nor give it back. While a statement of a transaction runs the connection is that statement's, and the rollback follows its answer.

--- a/lavenderstack/core/log/events_statements.py
+++ b/lavenderstack/core/log/events_statements.py
@@ -48,6 +48,12 @@
     Event(
         "executor: idle transaction ended", LineKind.STATE, ("tx",), "rolled back here"
     ),
+    Event(
+        "executor: connection given back twice",
+        LineKind.STATE,
+        ("target",),
+        "a defect; it has no effect",
+    ),
     Event(
         "executor: connection not prepared",
         LineKind.STATE,
--- a/lavenderstack/node/open_transactions.py
+++ b/lavenderstack/node/open_transactions.py
@@ -40,6 +40,8 @@
 
 @dataclass(slots=True)
 class _Transaction:
+    """An open transaction; a statement of it runs while it is ``busy``."""
+
     pooled: PooledConnection
     organisation: str
     used_at: float
@@ -127,7 +129,8 @@
                     self._acknowledged, work, reply, sent_at, deadline
                 )
             self._active.release_clean(pooled, reply)
-        elif reply.reason is not None:
+        elif reply.reason is not None or work.tx not in self._open:
+            # It failed, or its session ended it meanwhile.
             self._remove(work.tx)
             self._active.roll_back_and_release(pooled)
         return work_result(reply)
@@ -136,9 +139,13 @@
         self._open.pop(name, None)
 
     def end(self, msg: EndWork) -> Message:
-        """Roll back a transaction at the request of its session."""
+        """Roll back a transaction at the request of its session.
+
+        While a statement of it runs the connection belongs to that one, which rolls
+        back once it is answered.
+        """
         tx = self._open.pop(msg.tx, None)
-        if tx is not None:
+        if tx is not None and not tx.busy:
             self._active.roll_back_and_release(tx.pooled)
         return WorkEnded()
 
--- a/lavenderstack/node/targets/allocated_connections.py
+++ b/lavenderstack/node/targets/allocated_connections.py
@@ -245,8 +245,9 @@
 
     def release(self, pooled: PooledConnection) -> None:
         """Return a connection to the pool; no statement may be running on it."""
-        self._record_use(pooled)
-        self._unpin(pooled)
+        if pooled.is_held:
+            self._record_use(pooled)
+            self._unpin(pooled)
         super().release(pooled)
 
     def discard(self, pooled: PooledConnection) -> None:
--- a/lavenderstack/node/targets/target_connections.py
+++ b/lavenderstack/node/targets/target_connections.py
@@ -9,17 +9,24 @@
 import asyncio
 from collections import Counter
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import StrEnum
 
 import structlog
 
 from lavenderstack.core import clock
 from lavenderstack.core.outcome import Reason
+from lavenderstack.core.position import START
 from lavenderstack.core.reply import Reply
 from lavenderstack.core.targets import connection_share
 from lavenderstack.core.view import Target
-from lavenderstack.node.backend import Backend, ConnectFailed, Connection
+from lavenderstack.node.backend import (
+    Backend,
+    Command,
+    ConnectFailed,
+    Connection,
+    ConnectionLost,
+)
 
 log = structlog.get_logger()
 
@@ -64,10 +71,33 @@
         return None
 
 
+class _GivenBack:
+    """Stands for the connection where it has been given back to the pool."""
+
+    __slots__ = ()
+
+    position = START
+    closed = True
+
+    def send(self, commands: Sequence[Command]) -> list["asyncio.Future[Reply]"]:
+        """Send nothing, since the connection may be another statement's by now."""
+        raise ConnectionLost("the connection was given back")
+
+    def close(self) -> None:
+        """Leave the connection to its present holder."""
+
+
+_GIVEN_BACK = _GivenBack()
+
+
 @dataclass(slots=True, eq=False)
 class PooledConnection:
     """An open connection with the values and prepared statements set on it.
 
+    It belongs to whoever acquired it until it is released or discarded, once. The pool
+    hands the connection out in another object after that, so that a former holder can
+    neither use it nor give it back again.
+
     ``values`` and ``prepared`` are those that the target has confirmed, ``setup`` is
     what was sent to change them and isn't confirmed yet. ``used_at`` is the time of the
     last release and ``taken_at`` that since which it is in use, in seconds on the
@@ -83,6 +113,17 @@
     prepared: set[str] = field(default_factory=set)
     setup: SentSetup | None = None
 
+    @property
+    def is_held(self) -> bool:
+        """Whether it has not been released or discarded yet."""
+        return self.conn is not _GIVEN_BACK
+
+    def give_back(self) -> "PooledConnection":
+        """End the use of this object; return another one for the next holder."""
+        successor = replace(self, used_at=clock.now(), pinned=False)
+        self.conn = _GIVEN_BACK
+        return successor
+
     def confirm_setup(self) -> Reply | None:
         """Apply what was sent to prepare the connection, if the target confirms it.
 
@@ -274,15 +315,20 @@
 
         It is closed instead if it isn't known which values are set on it.
         """
+        if not pooled.is_held:
+            log.error("executor: connection given back twice", target=self.target.name)
+            return
         if pooled.conn.closed or pooled.confirm_setup() is not None:
             self.discard(pooled)
             return
-        pooled.used_at = clock.now()
-        self._idle.append(pooled)
+        self._open.discard(pooled)
+        idle = pooled.give_back()
+        self._open.add(idle)
+        self._idle.append(idle)
         self._released.set()
 
     def discard(self, pooled: PooledConnection) -> None:
-        """Close a connection and remove it from the pool."""
+        """Close a connection and remove it from the pool, unless it was given back."""
         if pooled.conn.closed and pooled in self._open:
             self.maybe_restarted_at = clock.now()
         pooled.conn.close()
