Failover: replicas stay paused until orders before the fence have had their effect

Cause: ordering the present primary under a higher epoch was taken for the end of all earlier orders, but one that was carried out shortly before takes effect some hundred ms later.

Replicas stay paused, and holds in force, for 2 s after the fence was raised.

Test, both parts failed before: promoter_test.py:: test_one_that_is_taking_effect_loses_no_commit.

--- a/bench/promotions.py
+++ b/bench/promotions.py
@@ -235,6 +235,7 @@
         (replica_sets, "BLOCKED_RETRY_S"),
         (replica_sets, "PROOF_RETRY_S"),
         (replacer, "RELEASE_RETRY_S"),
+        (replacer, "EFFECT_LIMIT_S"),
         (successor_choice, "CATCH_UP_TIMEOUT_S"),
     )
     before = [getattr(module, name) for module, name in names]
--- a/lavenderstack/node/backend_fake.py
+++ b/lavenderstack/node/backend_fake.py
@@ -110,6 +110,10 @@
         if self.epochs and epoch < self.epochs[-1]:
             raise OrderRefused("the epoch is too old")
         self.epochs.append(epoch)
+        self.take_effect(target)
+
+    def take_effect(self, target: str) -> None:
+        """Make a target the primary, some time after the order was carried out."""
         chosen = self.targets[target]
         if not chosen.leads:
             if chosen.received < self.acknowledged:
--- a/lavenderstack/node/failover/promoter_test.py
+++ b/lavenderstack/node/failover/promoter_test.py
@@ -48,10 +48,34 @@
         await harness.check()
         assert all(harness.targets[name].paused for name in others)
 
-    async def test_it_has_no_effect_once_the_replicas_are_resumed(self):
+    @pytest.mark.parametrize("former_owner", [False, True])
+    async def test_one_that_is_taking_effect_loses_no_commit(
+        self, monkeypatch, former_owner
+    ):
+        """Found by the review: it was carried out just before the fence was raised.
+
+        The replicas were resumed at once, and commits acknowledged that the replica
+        lacks which leads some hundred ms later.
+        """
+        monkeypatch.setattr(replacer, "EFFECT_LIMIT_S", 0.2)
+        monkeypatch.setattr(replacer, "RELEASE_RETRY_S", 0.0)
         harness, order = await self.send_unanswered()
+        if former_owner:
+            harness.replacer._groups.clear()
         harness.primary_answers = True
-        await harness.check()
+        for _ in range(3):
+            await harness.check()
+            harness.targets[order[1]].deaf = True
+            harness.commit_through("n2")
+        harness.group.take_effect(order[1])
+        assert harness.group.incomplete == []
+
+    async def test_it_has_no_effect_once_the_replicas_are_resumed(self, monkeypatch):
+        monkeypatch.setattr(replacer, "EFFECT_LIMIT_S", 0.0)
+        monkeypatch.setattr(replacer, "RELEASE_RETRY_S", 0.0)
+        harness, order = await self.send_unanswered()
+        harness.primary_answers = True
+        await harness.check(2)
         assert not harness.targets["t2"].paused
         with pytest.raises(OrderRefused):
             await harness.group.promote(*order)
@@ -59,17 +83,20 @@
 
 
 class TestPause:
-    async def test_a_new_owner_resumes_what_a_former_one_left_paused(self):
+    async def test_a_new_owner_resumes_what_a_former_one_left_paused(self, monkeypatch):
         """Writes would stay without an answer as long as replicas are paused."""
+        monkeypatch.setattr(replacer, "EFFECT_LIMIT_S", 0.0)
+        monkeypatch.setattr(replacer, "RELEASE_RETRY_S", 0.0)
         harness = ReplacerHarness()
         harness.targets["t2"].paused, harness.targets["t2"].paused_term = True, 2
-        await harness.check(2)
+        await harness.check(3)
         assert not harness.targets["t2"].paused
         assert harness.group.epochs
         assert harness.primary == "t1"
 
     async def lose_the_answer_to_resume(self, harness, monkeypatch):
         """Let the owner find an obstacle, and t3 get no RESUME after it."""
+        monkeypatch.setattr(replacer, "EFFECT_LIMIT_S", 0.0)
         monkeypatch.setattr(replacer, "RELEASE_RETRY_S", 0.0)
         await harness.check(2)
         harness.targets["t2"].silent = True
@@ -100,6 +127,7 @@
         assert harness.primary == "t1"
 
     async def test_replicas_are_resumed_once_the_lease_is_renewed(self, monkeypatch):
+        monkeypatch.setattr(replacer, "EFFECT_LIMIT_S", 0.0)
         monkeypatch.setattr(replacer, "RELEASE_RETRY_S", 0.0)
         harness = ReplacerHarness()
         await harness.check(2)
--- a/lavenderstack/node/failover/replacer.py
+++ b/lavenderstack/node/failover/replacer.py
@@ -43,6 +43,8 @@
 MAX_FULL_S = 4.0
 # How often it is tried to resume replicas that an earlier attempt may have paused.
 RELEASE_RETRY_S = 1.0
+# The longest time from an order being carried out to its effect.
+EFFECT_LIMIT_S = 2.0
 # The node acts only if its view was proved current within this time.
 MAX_VIEW_AGE_S = 2.5
 
@@ -56,7 +58,9 @@
     ``order_pending`` that an order of this node may still be carried out. The other
     fields are in seconds on the clock: the first of the latest checks in a row at which
     the primary had no connection free, the last accepted order, and the last try to
-    resume replicas. ``isolation`` tells how long other nodes haven't answered.
+    resume replicas. With ``fenced`` the fence was raised under the present primary, and
+    orders carried out before may take effect until ``fenced_until``. ``isolation``
+    tells how long other nodes haven't answered.
     """
 
     misses: int = 0
@@ -65,6 +69,8 @@
     may_be_paused: bool = True
     order_pending: bool = False
     released_at: float = float("-inf")
+    fenced: bool = False
+    fenced_until: float = float("-inf")
     isolation: Isolation = field(default_factory=Isolation)
 
 
@@ -128,7 +134,8 @@
         self._positions.observe_nodes()
         claim = await self._group_claims.own(group)
         if claim is None:
-            status.may_be_paused, status.order_pending = True, False
+            status.may_be_paused = True
+            status.order_pending = status.fenced = False
             return
         if not self._may_act():
             return
@@ -219,10 +226,12 @@
         ``paused`` are resumed if the order is certain not to be carried out. Otherwise
         they must not receive what the target may lack when it becomes the primary.
         """
+        status.fenced = False
         outcome = await self._promoter.promote(group, target)
         if outcome is OrderOutcome.TAKEN:
             status.acted_at = clock.now()
             status.misses, status.order_pending = 0, False
+            status.may_be_paused = True
             self._positions.promoted(group)
             return
         if outcome is OrderOutcome.UNKNOWN:
@@ -256,10 +265,12 @@
         """Resume replicas that an earlier attempt left paused under this primary.
 
         An order of that attempt may still be under way. It must not take effect once
-        the replicas receive again.
+        the replicas receive again: no earlier order is carried out any more once the
+        fence is raised, and one that was carried out just before has taken effect or
+        never will ``EFFECT_LIMIT_S`` later.
         """
         now = clock.now()
-        if now - status.released_at < RELEASE_RETRY_S:
+        if now < status.fenced_until or now - status.released_at < RELEASE_RETRY_S:
             return
         status.released_at = now
         followers = self._followers(group, primary)
@@ -269,16 +280,17 @@
             for follower, state in zip(followers, states, strict=True)
             if state.paused
         ]
-        silent = any(state.received is None for state in states)
-        if paused or status.order_pending:
-            if not await self._promoter.raise_fence(group, primary.target.name):
-                return
+        if not paused and not status.order_pending:
+            status.may_be_paused = any(state.received is None for state in states)
+        elif not status.fenced:
+            status.fenced = await self._promoter.raise_fence(group, primary.target.name)
+            status.fenced_until = clock.now() + EFFECT_LIMIT_S
+        else:
             # Another owner's order must not follow this one closely.
-            status.acted_at, status.order_pending = now, False
+            status.acted_at = now
+            status.fenced = status.order_pending = False
             await self._resume(group, status, paused)
-            status.may_be_paused = status.may_be_paused or silent
-        else:
-            status.may_be_paused = silent
+            status.may_be_paused |= any(state.received is None for state in states)
 
     def _followers(self, group: str, primary: TargetState) -> list[TargetState]:
         return self._directory.followers(group, primary.target.name)
