Targets that leave: no new work after the platform's limit

Cause: nothing limits how long a primary that leaves is used.

Entries choose it no more, and holders refuse new work just before it is sent, once the platform's limit (new setting target_drain_limit_ms, no limit by default) has passed since the node last knew that the target did not leave. The refusal is true and has a time to come back; statements of open transactions may end. No commit is put at risk.

--- a/lavenderstack/core/catalog.py
+++ b/lavenderstack/core/catalog.py
@@ -5,6 +5,7 @@
 far more often, so they are kept separately.
 """
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -79,7 +80,8 @@
     ``leads`` is the target's own claim to be the primary. ``leads_since`` is the
     revision of the first report in the current unbroken run of such claims. ``run``
     identifies the target's present run. ``cold_until`` is until when it is cold after
-    its start, in seconds on the clock, 0 if it isn't.
+    its start, in seconds on the clock, 0 if it isn't; ``usable_until`` is until when it
+    may get new work, which ends if it leaves.
     """
 
     target: Target
@@ -90,6 +92,7 @@
     leads_since: int = 0
     started_ms: int = 0
     cold_until: float = 0.0
+    usable_until: float = math.inf
 
     @property
     def run(self) -> TargetRun:
--- a/lavenderstack/node/directory.py
+++ b/lavenderstack/node/directory.py
@@ -19,6 +19,7 @@
 from lavenderstack.core.failover.store_history import StoreHistory
 from lavenderstack.core.failover.unregistered_targets import UnregisteredTargets
 from lavenderstack.core.targets.contention import LoadControl, is_load_controlled
+from lavenderstack.core.targets.drain_limit import usable_until
 from lavenderstack.core.view import Target, View, Vm
 from lavenderstack.core.view_proof import ViewProof
 from lavenderstack.node.evacuation.evacuated_zones import EvacuatedZones
@@ -55,6 +56,8 @@
         self.history = StoreHistory()
         self.load_control = LoadControl.AUTO
         self.regions: Mapping[str, str] = {}
+        # How long targets that leave may get new work, None if there is no limit.
+        self.drain_limit_s: float | None = None
         self._groups: dict[str, dict[str, TargetState]] = defaultdict(dict)
         # All changes of the store up to this position are known.
         self.as_of = 0
@@ -112,6 +115,8 @@
             # When it stopped being cold, from which on it gets its slots back.
             cold_until = min(before.cold_until, clock.now())
             state = replace(state, cold_until=cold_until)
+        if leaving:
+            state = replace(state, usable_until=self._usable_until(before, state))
         if before is not None and before.group != group:
             self._groups[before.group].pop(target.name, None)
         if before is not None and (before.group, before.run) != (group, state.run):
@@ -132,6 +137,12 @@
             )
         self._signal_change()
 
+    def _usable_until(self, before: TargetState | None, leaving: TargetState) -> float:
+        """Return until when a target that leaves may get new work, on the clock."""
+        if before is not None and before.leaving and before.run == leaving.run:
+            return before.usable_until
+        return usable_until(clock.now(), self.proof.at, self.drain_limit_s)
+
     def _record_departed(self, state: TargetState, revision: int) -> None:
         departed = self._departed[state.group]
         if len(departed) < MAX_DEPARTED:
--- a/lavenderstack/node/dispatch.py
+++ b/lavenderstack/node/dispatch.py
@@ -44,6 +44,7 @@
 from lavenderstack.node.peers import Peers
 from lavenderstack.node.read_choices import ReadChoices
 from lavenderstack.node.streams import NotSent, StreamLost
+from lavenderstack.node.work_guard import drained
 
 log = structlog.get_logger()
 
@@ -144,6 +145,8 @@
         primary = self._directory.primary(call.route.group)
         if primary is None:
             return DispatchResult(Failed(run=False, reason=Reason.NO_PRIMARY))
+        if clock.now() > primary.usable_until:
+            return DispatchResult(drained())
         choices = [(primary, call.access)]
         if not self.limits.accepting(call.route, choices):
             return DispatchResult(self.limits.refusal(call.route, choices))
@@ -176,6 +179,8 @@
         primary = self._directory.primary(group)
         if primary is not None and not self._usable([primary], homes):
             primary = None
+        if primary is not None and clock.now() > primary.usable_until:
+            primary = None
         if primary is not None and call.opens is not TransactionStart.READ_ONLY:
             index = len(choices)
             if clock.now() - call.wrote_at < RECENT_WRITE_S:
--- a/lavenderstack/node/work_guard.py
+++ b/lavenderstack/node/work_guard.py
@@ -8,7 +8,7 @@
 
 from lavenderstack.core import clock
 from lavenderstack.core.messages import Failed
-from lavenderstack.core.outcome import Reason, Refused
+from lavenderstack.core.outcome import NO_PRIMARY_RETRY_S, Reason, Refused
 from lavenderstack.core.view import Target
 from lavenderstack.core.work_messages import Work
 from lavenderstack.node.directory import Directory
@@ -17,6 +17,16 @@
 from lavenderstack.node.targets.cold_target import ColdTarget
 
 
+def drained() -> Failed:
+    """Return the refusal of a statement whose target has left, and was not replaced."""
+    return Failed(
+        run=False,
+        reason=Reason.LEAVING,
+        detail="the target has left and is not replaced yet",
+        retry_after_s=NO_PRIMARY_RETRY_S,
+    )
+
+
 class WorkGuard:
     """Refuses work for one target that its holder may not send.
 
@@ -43,9 +53,12 @@
         known = self._directory.is_work_allowed(
             work.organisation, work.key_digest, work.version, now
         )
-        if known:
-            return self._evacuation.refusal(self._target(), work, now)
-        return failure(False, Reason.KEY_REFUSED)
+        if not known:
+            return failure(False, Reason.KEY_REFUSED)
+        state = self._directory.targets.get(self._target().name)
+        if state is not None and not work.tx and now > state.usable_until:
+            return drained()
+        return self._evacuation.refusal(self._target(), work, now)
 
     def require_allowed(self, work: Work) -> None:
         """Raise ``Refused`` if the work may not be sent to the target now."""
--- a/lavenderstack/platform/node.py
+++ b/lavenderstack/platform/node.py
@@ -98,6 +98,7 @@
     directory.proof.catalog_limit_s = _seconds(cfg.catalog_limit_ms)
     directory.load_control = cfg.load_control
     directory.evacuation_limit_s = _seconds(cfg.evacuation_limit_ms)
+    directory.drain_limit_s = _seconds(cfg.target_drain_limit_ms)
     directory.orders_per_s = cfg.orders_per_s
     directory.regions = cfg.zones
     directory.cold_limits = None
--- a/lavenderstack/platform/settings.py
+++ b/lavenderstack/platform/settings.py
@@ -38,11 +38,13 @@
     withdrawn key may still be accepted, ``stop_limit_s`` how long the node may take to
     stop. ``catalog_limit_ms`` is how long after its acknowledgement a catalog must be
     in force, None if that is as long as a withdrawn key may be accepted.
-    ``evacuation_limit_ms`` is how long after its acknowledgement an evacuation
-    must be in force, None if there is no such limit. ``cold_excess`` and ``cold_slack``
-    limit what targets get shortly after their start, None if nothing does. ``zones``
-    maps zones to regions. ``orders_per_s`` is how many promotions the platform accepts
-    from all nodes. ``load_control`` tells for which groups load control is enabled.
+    ``evacuation_limit_ms`` is how long after its acknowledgement an evacuation must be
+    in force, None if there is no such limit. ``target_drain_limit_ms`` is how long
+    after its report that it leaves a target may get new work. ``cold_excess`` and
+    ``cold_slack`` limit what targets get shortly after their start, None if nothing
+    does. ``zones`` maps zones to regions. ``orders_per_s`` is how many promotions the
+    platform accepts from all nodes. ``load_control`` tells for which groups load
+    control is enabled.
     ``cores`` times ``core_share`` is the processor of the VM in cores, ``link_mbps``
     its link in Mbit/s; None if they aren't known.
     ``first_store_era`` is the era of the store when it was empty.
@@ -63,6 +65,7 @@
     stop_limit_s: Annotated[float, Meta(gt=0)] = 6.0
     log_level: str = "info"
     evacuation_limit_ms: Annotated[float, Meta(gt=0)] | None = None
+    target_drain_limit_ms: Annotated[float, Meta(gt=0)] | None = None
     cold_excess: Annotated[float, Meta(gt=0)] | None = None
     cold_slack: Annotated[float, Meta(ge=0)] | None = None
     zones: dict[str, str] = {}
