--- a/lavenderstack/node/draining_target_test.py
+++ b/lavenderstack/node/draining_target_test.py
@@ -12,7 +12,7 @@
 from lavenderstack.core.view import Target
 from lavenderstack.core.work_messages import Access, TransactionStart, WorkDone
 from lavenderstack.node.dispatch_test import DONE, DispatcherHarness
-from lavenderstack.node.executor_test import COMMIT, READ, WRITE, ExecutorHarness
+from lavenderstack.node.executor_fake import COMMIT, READ, WRITE, ExecutorHarness
 
 BEGIN = TransactionStart.READ_WRITE
 
--- a/lavenderstack/node/evacuation/evacuation_guard_test.py
+++ b/lavenderstack/node/evacuation/evacuation_guard_test.py
@@ -8,7 +8,7 @@
 from lavenderstack.core.outcome import Reason
 from lavenderstack.core.work_messages import Access, TransactionStart, WorkDone
 from lavenderstack.node.backend_fake import FakeConnection
-from lavenderstack.node.executor_test import COMMIT, READ, WRITE, ExecutorHarness
+from lavenderstack.node.executor_fake import COMMIT, READ, WRITE, ExecutorHarness
 
 
 def evacuate(harness, ago_s=0.0):
--- a/lavenderstack/node/executor_refusal_test.py
+++ b/lavenderstack/node/executor_refusal_test.py
@@ -4,7 +4,7 @@
 
 from lavenderstack.core.outcome import Reason, Refused
 from lavenderstack.core.work_messages import Access
-from lavenderstack.node.executor_test import WRITE, ExecutorHarness
+from lavenderstack.node.executor_fake import WRITE, ExecutorHarness
 
 
 class TestRetryTime:
--- a/lavenderstack/node/failover/promoter_test.py
+++ b/lavenderstack/node/failover/promoter_test.py
@@ -126,10 +126,8 @@
         assert not harness.targets["t3"].paused
         assert harness.primary == "t1"
 
-    async def test_replicas_are_resumed_once_the_lease_is_renewed(self, monkeypatch):
-        monkeypatch.setattr(replacer, "EFFECT_LIMIT_S", 0.0)
-        monkeypatch.setattr(replacer, "RELEASE_RETRY_S", 0.0)
-        harness = ReplacerHarness()
+    async def freeze_after_the_pause(self, harness):
+        """Let the owner's lease end once it has paused the replicas."""
         await harness.check(2)
         harness.targets["t2"].silent = True
         harness.primary_answers = False
@@ -142,30 +140,24 @@
 
         harness.replacer._replicas.pause = pause_and_freeze
         await harness.check()
+
+    async def test_an_owner_whose_lease_ended_resumes_nothing(self):
+        """The next owner may have paused the replicas by then."""
+        harness = ReplacerHarness()
+        await self.freeze_after_the_pause(harness)
         assert harness.targets["t3"].paused
+
+    async def test_replicas_are_resumed_once_the_lease_is_renewed(self, monkeypatch):
+        monkeypatch.setattr(replacer, "EFFECT_LIMIT_S", 0.0)
+        monkeypatch.setattr(replacer, "RELEASE_RETRY_S", 0.0)
+        harness = ReplacerHarness()
+        await self.freeze_after_the_pause(harness)
         harness.claims.valid_s = 3.0
         harness.targets["t2"].silent = False
         harness.primary_answers = True
         await harness.check(2)
         assert not harness.targets["t3"].paused
 
-    async def test_an_owner_whose_lease_ended_resumes_nothing(self):
-        """The next owner may have paused the replicas by then."""
-        harness = ReplacerHarness()
-        await harness.check(2)
-        harness.targets["t2"].silent = True
-        harness.primary_answers = False
-        pause = harness.replacer._replicas.pause
-
-        async def pause_and_freeze(group, states):
-            answers = await pause(group, states)
-            harness.claims.valid_s = 0.0
-            return answers
-
-        harness.replacer._replicas.pause = pause_and_freeze
-        await harness.check()
-        assert harness.targets["t3"].paused
-
     async def test_a_new_owner_pauses_above_the_term_of_the_replicas(self):
         """A target ignores a PAUSE that is not above its term."""
         harness = ReplacerHarness()
--- a/lavenderstack/node/load_control_test.py
+++ b/lavenderstack/node/load_control_test.py
@@ -8,7 +8,7 @@
 from lavenderstack.core.targets.contention import LoadControl
 from lavenderstack.core.view import Plan
 from lavenderstack.core.work_messages import WorkDone
-from lavenderstack.node.executor_test import WRITE, ExecutorHarness
+from lavenderstack.node.executor_fake import WRITE, ExecutorHarness
 
 READ_FIELDS = {"priority": 2, "latency_goal_s": 1.2, "latency_goal_left_s": 1.2}
 WRITE_FIELDS = {"priority": 0, "latency_goal_s": 0.3, "latency_goal_left_s": 0.3}
--- a/lavenderstack/node/load_reports_test.py
+++ b/lavenderstack/node/load_reports_test.py
@@ -7,7 +7,7 @@
 from lavenderstack.core.outcome import Reason
 from lavenderstack.core.queue.slot_times import SlotTimes
 from lavenderstack.core.targets.contention import LoadControl
-from lavenderstack.node.executor_test import WRITE, ExecutorHarness
+from lavenderstack.node.executor_fake import WRITE, ExecutorHarness
 
 
 class Harness(ExecutorHarness):
--- a/lavenderstack/node/targets/allocated_connections_test.py
+++ b/lavenderstack/node/targets/allocated_connections_test.py
@@ -13,7 +13,7 @@
 from lavenderstack.core.work_messages import TransactionStart, WorkDone
 from lavenderstack.node.backend import ConnectFailed
 from lavenderstack.node.backend_fake import FakeBackend, FakeGroup, FakeTarget
-from lavenderstack.node.executor_test import ExecutorHarness
+from lavenderstack.node.executor_fake import ExecutorHarness
 from lavenderstack.node.targets.allocated_connections import (
     AllocatedConnections,
     ConnectionState,
--- a/lavenderstack/node/targets/cold_target_test.py
+++ b/lavenderstack/node/targets/cold_target_test.py
@@ -11,7 +11,7 @@
 from lavenderstack.core.targets.cold_start import TAKEOVER_WAIT_S, ColdLimits
 from lavenderstack.core.view import Plan, Target
 from lavenderstack.core.work_messages import Access, TransactionStart, WorkDone
-from lavenderstack.node.executor_test import COMMIT, READ, WRITE, ExecutorHarness
+from lavenderstack.node.executor_fake import COMMIT, READ, WRITE, ExecutorHarness
 
 # Half of 4.0 * 1.5 + 2.0.
 LIMIT = 4
--- a/lavenderstack/node/targets/target_concurrency_test.py
+++ b/lavenderstack/node/targets/target_concurrency_test.py
@@ -10,7 +10,7 @@
 from lavenderstack.core.outcome import Reason
 from lavenderstack.core.reply import Reply
 from lavenderstack.core.targets.contention import LoadControl
-from lavenderstack.node.executor_test import WRITE, ExecutorHarness
+from lavenderstack.node.executor_fake import WRITE, ExecutorHarness
 from lavenderstack.node.targets.slots import Slots
 from lavenderstack.node.targets.target_concurrency import is_completion
 from lavenderstack.node.targets.target_gauges import TargetGauges
