Commits: an acknowledged position counts for the group of its target

After a route has moved to another service in the middle of a transaction, that is another group: the owner of the right one is told less than was acknowledged, and could let a replica take over that lacks the commit; the owner of the other one is told more than its log has, and lets nobody take over.

Test, both parts failed before: executor_test.py::TestPositions::test_a_commit_counts_for_the_group_of_its_target.

--- a/lavenderstack/node/executor.py
+++ b/lavenderstack/node/executor.py
@@ -343,7 +343,7 @@
             self.positions.add(reply.position, sent_at)
             self._active.release_clean(pooled, reply)
             return await acknowledged_result(
-                self._acknowledged, work, reply, sent_at, deadline
+                self._acknowledged, self.group, reply, sent_at, deadline
             )
         if work.opens and reply.state is not TxState.NONE:
             return self.transactions.register(work, pooled, reply)
--- a/lavenderstack/node/executor_test.py
+++ b/lavenderstack/node/executor_test.py
@@ -319,6 +319,23 @@
         other = await harness.executors.group_position(GroupPositionRequest("other"))
         assert other.position == START
 
+    @pytest.mark.parametrize("in_transaction", [False, True])
+    async def test_a_commit_counts_for_the_group_of_its_target(self, in_transaction):
+        """A route that moves to another group has the name of that one in the work.
+
+        The commit was recorded for the other group, so the owner of its own one could
+        let a replica take over that lacks it.
+        """
+        harness = ExecutorHarness()
+        if in_transaction:
+            opened = await harness.run(WRITE, opens=TransactionStart.READ_WRITE)
+            await harness.run(COMMIT, tx=opened.tx, group="other")
+        else:
+            await harness.run(WRITE, group="other")
+        acknowledged = harness.executors.acknowledged
+        assert acknowledged.highest("g") == Position(1, 1)
+        assert acknowledged.highest("other") == START
+
     @pytest.mark.parametrize("in_transaction", [False, True])
     async def test_a_commit_on_its_way_is_unknown_once_the_position_was_told(
         self, in_transaction
--- a/lavenderstack/node/open_transactions.py
+++ b/lavenderstack/node/open_transactions.py
@@ -126,7 +126,11 @@
                 self._positions.add(reply.position, sent_at)
                 self._active.release_clean(pooled, reply)
                 return await acknowledged_result(
-                    self._acknowledged, work, reply, sent_at, deadline
+                    self._acknowledged,
+                    self._connections.group,
+                    reply,
+                    sent_at,
+                    deadline,
                 )
             self._active.release_clean(pooled, reply)
         elif reply.reason is not None or work.tx not in self._open:
--- a/lavenderstack/node/targets/active_connections.py
+++ b/lavenderstack/node/targets/active_connections.py
@@ -53,13 +53,17 @@
 
 async def acknowledged_result(
     acknowledged: AcknowledgedPositions,
-    work: Work,
+    group: str,
     reply: Reply,
     sent_at: float,
     deadline: float,
 ) -> Message:
-    """Convert the answer to a commit, once it may be acknowledged."""
-    if await acknowledged.record(work.group, reply.position, sent_at, deadline):
+    """Convert the answer to a commit, once it may be acknowledged.
+
+    ``group`` is that of the target, which need not be that of the caller's route any
+    more.
+    """
+    if await acknowledged.record(group, reply.position, sent_at, deadline):
         return work_result(reply)
     return replaced_while_committing()
 
