--- a/lavenderstack/platform/directory_writer.py
+++ b/lavenderstack/platform/directory_writer.py
@@ -7,6 +7,8 @@
 import asyncio
 from collections.abc import Mapping
 
+import structlog
+
 from lavenderstack.core.store_era import StoreEra
 from lavenderstack.core.view import Target
 from lavenderstack.node.directory import Directory
@@ -15,6 +17,8 @@
 from lavenderstack.platform.store import Item
 from lavenderstack.platform.target_reports import TargetReport, decode_report
 
+log = structlog.get_logger()
+
 # After a store outage in which all leases expired, this node's registration has ended
 # like all others. The other nodes still run and will register again, so they are kept
 # for this long.
@@ -46,7 +50,16 @@
         self._reports: dict[str, TargetReport] = {}
 
     def put(self, item: Item, data: bytes) -> None:
-        """Write an entry with its decoded value."""
+        """Write an entry with its decoded value.
+
+        An unexpected error must not hold back the other entries.
+        """
+        try:
+            self._put(item, data)
+        except Exception as exc:
+            log.error("loader: entry not applied", key=item.key, exc_info=exc)
+
+    def _put(self, item: Item, data: bytes) -> None:
         key, directory = item.key, self._directory
         if key == documents.CATALOG_KEY:
             catalog = documents.decode_catalog(data)
--- a/lavenderstack/platform/loader.py
+++ b/lavenderstack/platform/loader.py
@@ -383,14 +383,7 @@
         if zone is not None:
             self._directory.put_evacuation(zone, item.rev)
         elif data is not None:
-            self._write(item, data)
-
-    def _write(self, item: Item, data: bytes) -> None:
-        """Write an entry; an unexpected error must not hold back the others."""
-        try:
             self._writer.put(item, data)
-        except Exception as exc:
-            log.error("loader: entry not applied", key=item.key, exc_info=exc)
 
     def _record_position(self, item: Item) -> None:
         # Removed first, so that the dict stays ordered by the time of the last change.
--- a/lavenderstack/platform/odd_entries_test.py
+++ b/lavenderstack/platform/odd_entries_test.py
@@ -177,14 +177,14 @@
         for name in ("i-1", "i-2"):
             kv.put(f"servers/{name}", report())
         async with run_loader_object(kv) as (loader, directory):
-            put = loader._writer.put
+            put = loader._writer._put
 
             def put_or_raise(item, data):
                 if item.key == "servers/i-1":
                     raise RuntimeError("unexpected")
                 put(item, data)
 
-            loader._writer.put = put_or_raise
+            loader._writer._put = put_or_raise
             await wait_until(lambda: set(directory.targets) == {"i-2"})
 
 
