--- a/lavenderstack/node/dispatch.py
+++ b/lavenderstack/node/dispatch.py
@@ -44,7 +44,7 @@
 from lavenderstack.node.peers import Peers
 from lavenderstack.node.read_choices import ReadChoices
 from lavenderstack.node.streams import NotSent, StreamLost
-from lavenderstack.node.work_guard import drained
+from lavenderstack.node.work_guard import drain_refusal
 
 log = structlog.get_logger()
 
@@ -146,7 +146,7 @@
         if primary is None:
             return DispatchResult(Failed(run=False, reason=Reason.NO_PRIMARY))
         if clock.now() > primary.usable_until:
-            return DispatchResult(drained())
+            return DispatchResult(drain_refusal())
         choices = [(primary, call.access)]
         if not self.limits.accepting(call.route, choices):
             return DispatchResult(self.limits.refusal(call.route, choices))
--- a/lavenderstack/node/failover/group_positions.py
+++ b/lavenderstack/node/failover/group_positions.py
@@ -135,10 +135,10 @@
         told = await self._holds.ask(names, msg, PROBE_TIMEOUT_S)
         return sorted(names - told.answered())
 
-    async def let_acknowledge(
+    async def release_up_to(
         self, group: str, received: Position, everywhere: bool
     ) -> None:
-        """Let nodes that hold back acknowledge commits up to a position.
+        """Let nodes that hold back acknowledgements give those up to a position.
 
         With ``everywhere`` all nodes are asked, also those that registered or started
         again since; otherwise only those that acknowledge commits of the group.
@@ -176,7 +176,8 @@
         return last
 
     def _term(self, last: _LastAnswer | None) -> int:
-        return last.position.term or ANY_TERM if last else ANY_TERM
+        known = last.position.term if last else 0
+        return known or ANY_TERM
 
     async def acknowledged_end(self, group: str, primary: str) -> AcknowledgedEnd:
         """Return the highest position that may have been acknowledged, if it is known.
--- a/lavenderstack/node/failover/receipt_reports.py
+++ b/lavenderstack/node/failover/receipt_reports.py
@@ -68,5 +68,5 @@
             if received > reported or everywhere:
                 reported = max(reported, received)
                 everywhere_at = now if everywhere else everywhere_at
-                await self._positions.let_acknowledge(group, reported, everywhere)
+                await self._positions.release_up_to(group, reported, everywhere)
             await asyncio.sleep(REPORT_INTERVAL_S)
--- a/lavenderstack/node/targets/target_connections.py
+++ b/lavenderstack/node/targets/target_connections.py
@@ -115,7 +115,7 @@
 
     @property
     def is_held(self) -> bool:
-        """Whether it has not been released or discarded yet."""
+        """Whether it has not been given back to the pool yet."""
         return self.conn is not _GIVEN_BACK
 
     def give_back(self) -> "PooledConnection":
--- a/lavenderstack/node/work_guard.py
+++ b/lavenderstack/node/work_guard.py
@@ -17,7 +17,7 @@
 from lavenderstack.node.targets.cold_target import ColdTarget
 
 
-def drained() -> Failed:
+def drain_refusal() -> Failed:
     """Return the refusal of a statement whose target has left, and was not replaced."""
     return Failed(
         run=False,
@@ -57,7 +57,7 @@
             return failure(False, Reason.KEY_REFUSED)
         state = self._directory.targets.get(self._target().name)
         if state is not None and not work.tx and now > state.usable_until:
-            return drained()
+            return drain_refusal()
         return self._evacuation.refusal(self._target(), work, now)
 
     def require_allowed(self, work: Work) -> None:
