Read again: one place for a postponed change, one question for a target's time

successor_choice logged the postponement in two places, and three places compared the time of a target that leaves themselves. No behaviour changes; the tests of node, failover, mixed builds and promotions pass.

--- a/lavenderstack/core/catalog.py
+++ b/lavenderstack/core/catalog.py
@@ -94,6 +94,10 @@
     cold_until: float = 0.0
     usable_until: float = math.inf
 
+    def takes_new_work(self, now: float) -> bool:
+        """Return whether new work may be sent to the target at a time on the clock."""
+        return now <= self.usable_until
+
     @property
     def run(self) -> TargetRun:
         """The present run of the target."""
--- a/lavenderstack/node/dispatch.py
+++ b/lavenderstack/node/dispatch.py
@@ -145,7 +145,7 @@
         primary = self._directory.primary(call.route.group)
         if primary is None:
             return DispatchResult(Failed(run=False, reason=Reason.NO_PRIMARY))
-        if clock.now() > primary.usable_until:
+        if not primary.takes_new_work(clock.now()):
             return DispatchResult(drain_refusal())
         choices = [(primary, call.access)]
         if not self.limits.accepting(call.route, choices):
@@ -177,9 +177,9 @@
         replicas.sort(key=lambda state: state.target.zone != self._directory.zone)
         choices = [(state, Access.AGED_READ) for state in replicas]
         primary = self._directory.primary(group)
-        if primary is not None and not self._usable([primary], homes):
-            primary = None
-        if primary is not None and clock.now() > primary.usable_until:
+        if primary is not None and not (
+            self._usable([primary], homes) and primary.takes_new_work(clock.now())
+        ):
             primary = None
         if primary is not None and call.opens is not TransactionStart.READ_ONLY:
             index = len(choices)
--- a/lavenderstack/node/failover/successor_choice.py
+++ b/lavenderstack/node/failover/successor_choice.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 import structlog
@@ -151,8 +151,10 @@
             log.info("replacer: no replica to take over yet", group=group)
             return Choice(None)
         replicated = self._directory.is_replicated(group)
-        if replicated and await self._has_silent_node(group):
-            return Choice(Obstacle.SILENT_NODE)
+        # Asked before anything is paused or held back: a silent node may hold nothing.
+        silent = await self._positions.silent_nodes(group) if replicated else []
+        if silent:
+            return _postponed(group, Obstacle.SILENT_NODE, nodes=silent)
         others = [one for one in followers if one.target.name != candidate.name]
         paused = await self._replicas.pause(group, others)
         until = clock.now() + CATCH_UP_TIMEOUT_S
@@ -186,21 +188,6 @@
         )
         return Choice(candidate, others, serving=replicated)
 
-    async def _has_silent_node(self, group: str) -> bool:
-        """Return whether a node gives no answer that may acknowledge commits.
-
-        Then no hold is certain. It is asked before anything is held back or paused.
-        """
-        silent = await self._positions.silent_nodes(group)
-        if silent:
-            log.info(
-                "replacer: replacement postponed",
-                group=group,
-                obstacle=Obstacle.SILENT_NODE.name,
-                nodes=silent,
-            )
-        return bool(silent)
-
     def _has_joined(
         self, group: str, lost: TargetState | None, paused: list[TargetState]
     ) -> bool:
@@ -242,12 +229,20 @@
         return self._directory.followers(group, name)
 
 
-def _postponed(group: str, obstacle: Obstacle, paused: list[TargetState]) -> Choice:
-    """Return that no replica may take over from a leaving primary yet."""
+def _postponed(
+    group: str,
+    obstacle: Obstacle,
+    paused: Sequence[TargetState] = (),
+    nodes: Sequence[str] = (),
+) -> Choice:
+    """Return that no replica may take over from a leaving primary yet.
+
+    ``nodes`` are those whose silence is the obstacle.
+    """
     log.info(
         "replacer: replacement postponed",
         group=group,
         obstacle=obstacle.name,
-        nodes=[],
+        nodes=list(nodes),
     )
-    return Choice(obstacle, paused)
+    return Choice(obstacle, list(paused))
--- a/lavenderstack/node/work_guard.py
+++ b/lavenderstack/node/work_guard.py
@@ -56,7 +56,7 @@
         if not known:
             return failure(False, Reason.KEY_REFUSED)
         state = self._directory.targets.get(self._target().name)
-        if state is not None and not work.tx and now > state.usable_until:
+        if state is not None and not work.tx and not state.takes_new_work(now):
             return drain_refusal()
         return self._evacuation.refusal(self._target(), work, now)
 
