--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -6,10 +6,11 @@
   bench soak [OPTIONS...]
   bench upgrade [OPTIONS...]
   bench promotions [OPTIONS...]
+  bench stops [OPTIONS...]
 
 ``bench soak --help`` lists the options of the fault soak, ``bench upgrade --help``
 those of an upgrade from another build, ``bench promotions --help`` those of promotions
-at random moments.
+at random moments, ``bench stops --help`` those of planned stops that overlap.
 
 Options:
   --json FILE  Write the results as JSON.
@@ -74,6 +75,10 @@
         from bench import promotions
 
         return promotions.main(words)
+    if words[:1] == ["stops"]:
+        from bench import stops
+
+        return stops.main(words)
     args = docopt(__doc__, argv)
     if args["--list"]:
         print("\n".join(BENCHMARKS))
--- a/lavenderstack/core/log/events_process.py
+++ b/lavenderstack/core/log/events_process.py
@@ -15,6 +15,21 @@
         ("open",),
         "asked to stop; open: operations still running",
     ),
+    Event(
+        "node: drained",
+        LineKind.LIFE,
+        ("after_s", "statements", "sessions", "undelivered", "transactions")
+        + ("node_requests",),
+        "a stop waits no longer; after_s: since the signal; statements of callers and "
+        "requests of other nodes that run, sessions and transactions that are open, "
+        "and connections whose last answer is not sent completely",
+    ),
+    Event(
+        "node: ending",
+        LineKind.LIFE,
+        ("statements", "sessions", "undelivered", "transactions", "node_requests"),
+        "the lease has ended and the process is about to; what it leaves open",
+    ),
     Event("node: ended", LineKind.LIFE, ("status",), "the process ends"),
     Event("node: settings read", LineKind.LIFE, ("changed",), "new settings apply"),
     Event(
--- a/lavenderstack/platform/callers.py
+++ b/lavenderstack/platform/callers.py
@@ -251,6 +251,11 @@
         if session.state is TxState.NONE:
             self._transport.close()
 
+    @property
+    def is_undelivered(self) -> bool:
+        """Whether part of an answer still waits to be taken by the network."""
+        return bool(self._transport.get_write_buffer_size())
+
     def enforce_timeouts(self, now: float) -> None:
         """Close a connection without a greeting; end an idle transaction.
 
@@ -296,6 +301,11 @@
             or (conn.session is not None and conn.session.state is not TxState.NONE)
         )
 
+    @property
+    def undelivered(self) -> int:
+        """The number of connections whose last answer is not sent completely."""
+        return sum(conn.is_undelivered for conn in self.connections)
+
     def stop_listening(self) -> None:
         """Accept no new connections."""
         if self._server is not None:
--- a/lavenderstack/platform/main.py
+++ b/lavenderstack/platform/main.py
@@ -138,6 +138,17 @@
     )
 
 
+def _unfinished(node: Node) -> dict[str, int]:
+    """Return how much work of each kind is open, as fields of a log line."""
+    return {
+        "statements": len(node.callers.running),
+        "sessions": len(node.callers.connections),
+        "undelivered": node.callers.undelivered,
+        "transactions": node.executors.open_transactions,
+        "node_requests": len(node.server.running),
+    }
+
+
 async def _drain(node: Node) -> None:
     """Shut down in order; open operations may finish within ``stop_limit_s``."""
     started_at = clock.now()
@@ -150,9 +161,12 @@
             if not _count_open_operations(node):
                 break
         await asyncio.sleep(STOP_POLL_INTERVAL_S)
+    after_s = round(clock.now() - started_at, 3)
+    log.info("node: drained", after_s=after_s, **_unfinished(node))
     node.callers.stop_listening()
     await leave_task
     await node.registration.end()
+    log.info("node: ending", **_unfinished(node))
 
 
 async def _serve(node: Node, path: Path) -> None:
--- a/standins/line_group.py
+++ b/standins/line_group.py
@@ -159,13 +159,14 @@
 class LineGroup:
     """The targets of a group and the record of what they ran.
 
-    ``leader`` is the primary by order, ``term`` its term. ``changed`` is called with a
+    ``work_s`` has the shortest and the longest time that a statement takes. ``leader`` is the primary by order, ``term`` its term. ``changed`` is called with a
     target whose role changed, which then reports itself.
     """
 
     name: str
     targets: dict[str, GroupTarget]
     rng: random.Random = field(default_factory=random.Random)
+    work_s: tuple[float, float] = (0.0005, 0.004)
     term: int = 1
     leader: str = ""
     lineage: Lineage = field(default_factory=Lineage)
--- a/standins/line_server.py
+++ b/standins/line_server.py
@@ -97,7 +97,7 @@
             if name not in self.prepared:
                 return ["ERROR NOSTMT unknown"]
             verb = self.prepared[name].split(" ")[0]
-        await asyncio.sleep(self.group.rng.uniform(0.0005, 0.004))
+        await asyncio.sleep(self.group.rng.uniform(*self.group.work_s))
         if not target.up:
             return [_NO_ANSWER]
         in_tx = self.state == "T"
