--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -18,6 +18,7 @@
 from bench.soak_time_checks import (
     deadlines,
     evacuated_zones,
+    lost_answers,
     own_ends,
     planned_stops,
     rates,
@@ -39,6 +40,7 @@
     reverted_configurations,
     evacuated_zones,
     planned_stops,
+    lost_answers,
     deadlines,
     own_ends,
 )
--- a/bench/soak_checks_test.py
+++ b/bench/soak_checks_test.py
@@ -243,6 +243,11 @@
     play.record.idle_cuts.append(IdleCut(12.0, "n1#1", 9.5))
 
 
+def plant_lost_with_a_holder(play):
+    play.record.stops.append(Stop("n2#1", 10.0, 12.3))
+    play.run(play.request("r1", "READ x", 12.1, took_s=0.3, outcome="UNKNOWN"))
+
+
 def plant_late(play):
     play.run(play.request("r1", "READ x", 1.0, took_s=2.3))
 
@@ -280,6 +285,7 @@
     (plant_cut_by_stop, {"planned_stops"}),
     (plant_cut_before_it_ran, {"planned_stops"}),
     (plant_cut_transaction, {"planned_stops"}),
+    (plant_lost_with_a_holder, {"lost_answers"}),
     (plant_late, {"deadlines"}),
     (plant_unanswered, {"deadlines"}),
     (plant_own_end, {"own_ends"}),
--- a/bench/soak_fleet.py
+++ b/bench/soak_fleet.py
@@ -39,7 +39,8 @@
 class Node:
     """A node and its current process; ``starts`` counts its processes.
 
-    ``links`` are those in front of what the node calls and of the node itself.
+    ``links`` are those in front of what the node calls and of the node itself;
+    ``own_port`` is where it listens for callers, behind such a link.
     ``misses`` counts unanswered questions of the balancer in a row. ``source`` is the
     root of the source that its processes run.
     """
@@ -49,6 +50,7 @@
     settings: Path
     callers_port: int
     ready_port: int
+    own_port: int = 0
     links: dict[str, Link] = field(default_factory=dict)
     process: Process | None = None
     starts: int = 0
@@ -229,7 +231,15 @@
     }
     path = fleet.folder / f"{name}.json"
     path.write_text(json.dumps(settings))
-    node = Node(name, zone, path, links["callers"].port, ports["ready"], links)
+    node = Node(
+        name,
+        zone,
+        path,
+        links["callers"].port,
+        ports["ready"],
+        ports["callers"],
+        links,
+    )
     fleet.nodes[name] = node
 
 
--- a/bench/soak_time_checks.py
+++ b/bench/soak_time_checks.py
@@ -22,6 +22,8 @@
 # A request that was sent this soon after SIGTERM and is still at work in the last sixth
 # of the time may be cut.
 LATE_REQUEST_S = 3.0
+# The answers of statements that ran, or may have, without a result.
+LOST_OUTCOMES = ("UNKNOWN", "TIMEOUT")
 
 
 def rates(record: Record) -> Iterator[str]:
@@ -176,6 +178,35 @@
             )
 
 
+def lost_answers(record: Record) -> Iterator[str]:
+    """Check that no answer is lost with a node that stops, whoever asked it.
+
+    The node may run statements for others, so every caller's are judged.
+    """
+    for request in record.requests:
+        if request.outcome not in LOST_OUTCOMES:
+            continue
+        stop = next(
+            (one for one in record.stops if _overlaps(one, request)),
+            None,
+        )
+        if stop is None or _may_be_cut_late(stop, request):
+            continue
+        held_s = request.ended_at - request.sent_at
+        if held_s >= request.database.timeout_s:
+            continue
+        if record.is_calm(request.sent_at - STABLE_WINDOW_S, request.ended_at):
+            yield (
+                f"{request.name} through {request.node} got {request.outcome} "
+                f"{request.ended_at - stop.at:.2f} s after SIGTERM of {stop.node}"
+            )
+
+
+def _overlaps(stop: Stop, request: Request) -> bool:
+    ended_at = stop.ended_at or request.ended_at
+    return request.sent_at <= ended_at and request.ended_at >= stop.at
+
+
 def _falls_into(stop: Stop, sent_at: float, ended_at: float) -> bool:
     return sent_at <= stop.at + GRACE_S + 1 and ended_at >= stop.at
 
--- a/bench/stops.py
+++ b/bench/stops.py
@@ -45,7 +45,7 @@
 
 PAUSES_S = (0.0, 0.02, 0.2)
 # How long a target works on a statement.
-WORK_S = (0.005, 0.08)
+WORK_S = (0.02, 0.2)
 # Seconds between the stops of a series, which overlap, and before a node's next start.
 STOP_GAP_S, RESTART_S = (0.0, 3.0), (0.0, 1.0)
 
@@ -108,6 +108,9 @@
     ):
         for group in fleet.groups.values():
             group.work_s = WORK_S
+        for node in fleet.nodes.values():
+            # A link would delay the callers' next statements.
+            node.callers_port = node.own_port
         pauses_s = [PAUSES_S[i % len(PAUSES_S)] for i in range(options.callers)]
         callers = [
             Caller(fleet, "wide", random.Random(rng.random()), pause_s)
