Planned stops: what a node has read it answers, and it refuses before it ends

Cause: the stop looked every 50 ms for sessions without a statement and closed those. A caller that never pauses has none between two looks, so its statements and transactions were taken until the process ended at 5.3 s. Work that came after the last look, while the end of the lease was awaited, was run although nobody waited for it; an answer counted as delivered once it was handed to the transport; other nodes were not told, so what they sent was lost with the streams. One class: the end was decided by a sample, not by what is accepted.

Now core/stop_phases.py says what is accepted when: new operations until half of the time, later statements of open transactions until two thirds, and from 5.3 s what still runs is answered with what is known. Sessions and holders ask it before they take anything; a refusal says truthfully that nothing was run, and an entry tries the next holder. The process ends once all answers are delivered and other nodes have said goodbye to their streams.

--- a/lavenderstack/node/executors.py
+++ b/lavenderstack/node/executors.py
@@ -22,6 +22,7 @@
 from lavenderstack.node.backend import Backend
 from lavenderstack.node.directory import Directory
 from lavenderstack.node.executor import MinPositionFor, TargetExecutor
+from lavenderstack.node.planned_stop import PlannedStop
 from lavenderstack.node.targets.cold_target import Choice
 from lavenderstack.node.targets.cold_targets import ColdTargets
 
@@ -35,6 +36,7 @@
     ``first_choice`` tells whether this node is the first choice as the connection
     holder of a target; ``cold_choice`` tells the same for cold targets, and they are
     limited by ``cold``. ``run_id`` identifies this process, as in its registration.
+    ``stop`` tells what is still run while this node stops.
     """
 
     directory: Directory
@@ -44,6 +46,7 @@
     target_executors: dict[str, TargetExecutor] = field(default_factory=dict)
     acknowledged: AcknowledgedPositions = field(default_factory=AcknowledgedPositions)
     run_id: str = ""
+    stop: PlannedStop = field(default_factory=PlannedStop)
     cold_choice: Choice = lambda state: (True, -math.inf)
     cold: ColdTargets = field(init=False)
 
@@ -77,6 +80,9 @@
 
     async def work(self, msg: Work) -> Message:
         """Handle ``Work`` from this or another node."""
+        refusal = self.stop.refusal(msg)
+        if refusal is not None:
+            return refusal
         executor = self.for_target(msg.target)
         if executor is None:
             detail = "the target is unknown at this node"
@@ -119,6 +125,11 @@
         """Return how many transactions are open at this node."""
         return sum(len(one.transactions) for one in self.target_executors.values())
 
+    def end_idle_transactions(self) -> None:
+        """Roll back the open transactions in which no statement runs."""
+        for executor in self.target_executors.values():
+            executor.transactions.end_idle()
+
     async def run(self) -> None:
         """Sweep the executors and drop those of removed targets, until cancelled."""
         while True:
--- a/lavenderstack/node/session.py
+++ b/lavenderstack/node/session.py
@@ -35,6 +35,7 @@
 from lavenderstack.node.evacuation.evacuation_refusals import refusal_at_once
 from lavenderstack.node.home_routing import homes_of, refusal_outside
 from lavenderstack.node.peers import Peers
+from lavenderstack.node.planned_stop import STOPPING_DETAIL, PlannedStop
 from lavenderstack.node.quota.admitter import Admitter
 from lavenderstack.node.streams import NotSent, StreamLost
 
@@ -60,6 +61,7 @@
     admitter: Admitter
     peers: Peers
     counters: Counters
+    stop: PlannedStop = field(default_factory=PlannedStop)
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,6 +97,8 @@
     used_at: float = field(default_factory=clock.now)
     _tx: SessionTransaction | None = None
     _failed: bool = False
+    # Why the transaction was rolled back here, until the caller has been told.
+    _aborted: str = ""
 
     @property
     def state(self) -> TxState:
@@ -119,6 +123,9 @@
     async def _run(self, request: str, statement: Statement) -> Reply:
         if self._failed:
             return self._run_in_failed_transaction(statement)
+        refusal = self._refusal_while_stopping(statement)
+        if refusal is not None:
+            return refusal
         match statement.kind:
             case StatementKind.BEGIN:
                 return self._begin(statement)
@@ -136,26 +143,56 @@
             prepared = self.prepared.get(statement.name)
             if prepared is None:
                 return self._refused(Reason.NO_PREPARED, "no such prepared statement")
-        writes = statement.writes or (prepared is not None and prepared.writes)
-        if writes != statement.writes:
-            statement = Statement(
-                statement.kind, statement.text, statement.name, statement.body, writes
-            )
+        statement = self._with_writes(statement)
         if statement.kind is StatementKind.COMMIT and self._tx is None:
             return self._refused(Reason.BAD_REQUEST, "no transaction is open")
         return await self._run_on_target(
             _Arrival(request, statement, prepared, clock.now())
         )
 
+    def _with_writes(self, statement: Statement) -> Statement:
+        """Return the statement, as a write if what it executes is one."""
+        prepared = self.prepared.get(statement.name)
+        executes = statement.kind is StatementKind.EXECUTE and prepared is not None
+        if not executes or not prepared.writes:
+            return statement
+        return Statement(
+            statement.kind, statement.text, statement.name, statement.body, True
+        )
+
     def _run_in_failed_transaction(self, statement: Statement) -> Reply:
         """Answer in a failed transaction, which accepts only COMMIT and ROLLBACK."""
         if statement.kind is StatementKind.ROLLBACK:
             return self._rollback()
+        cause, self._aborted = self._aborted, ""
         if statement.kind is StatementKind.COMMIT:
             self._rollback()
-            return error_reply(Reason.TRANSACTION_LOST, "rolled back")
+            return error_reply(Reason.TRANSACTION_LOST, cause or "rolled back")
+        if cause:
+            return error_reply(Reason.TRANSACTION_LOST, cause)
         return error_reply(Reason.BAD_REQUEST, "the transaction has failed")
 
+    def _refusal_while_stopping(self, statement: Statement) -> Reply | None:
+        """Return the answer to a statement that comes too late in a planned stop."""
+        tx = self._tx
+        is_open = tx is not None and bool(tx.name)
+        accepted = self.services.stop.accepts(in_transaction=is_open)
+        if accepted or statement.kind is StatementKind.ROLLBACK:
+            return None
+        if is_open:
+            self.abort_transaction(STOPPING_DETAIL)
+            return self._run_in_failed_transaction(statement)
+        if statement.kind is StatementKind.COMMIT:
+            self._tx = None
+        return self._refused(Reason.LEAVING, STOPPING_DETAIL)
+
+    def interrupted(self, statement: Statement) -> Reply:
+        """Return the answer to a statement that is ended while its outcome is open."""
+        failed = Failed(run=True, reason=Reason.CONNECTION_LOST, detail=STOPPING_DETAIL)
+        reply = self._failure_reply(failed, self._with_writes(statement))
+        reply.state = self.state
+        return reply
+
     def _begin(self, statement: Statement) -> Reply:
         if self._tx is not None:
             return self._refused(Reason.BAD_REQUEST, "a transaction is open")
@@ -163,7 +200,7 @@
         return Reply()
 
     def _rollback(self) -> Reply:
-        tx, self._tx, self._failed = self._tx, None, False
+        tx, self._tx, self._failed, self._aborted = self._tx, None, False, ""
         if tx is not None and tx.name:
             self._end_remote(tx)
         return Reply()
@@ -383,8 +420,13 @@
                 organisation=self.organisation,
                 tx=tx.name,
             )
-            self._failed = True
-            self._end_and_clear(tx)
+            self.abort_transaction("the transaction was idle for too long")
+
+    def abort_transaction(self, cause: str) -> None:
+        """Roll back an open transaction; its next statement gets the cause."""
+        if self._tx is not None and not self._failed:
+            self._failed, self._aborted = True, cause
+            self._end_and_clear(self._tx)
 
     def close(self) -> None:
         """End the session, rolling back an open transaction."""
--- a/lavenderstack/node/session_test.py
+++ b/lavenderstack/node/session_test.py
@@ -9,12 +9,14 @@
 from lavenderstack.core.position import Position
 from lavenderstack.core.reply import TxState
 from lavenderstack.core.statement import Statement, StatementKind
+from lavenderstack.core.stop_phases import StopPhase
 from lavenderstack.core.view import Vm
 from lavenderstack.core.view_proof import ViewProof
 from lavenderstack.core.work_messages import Access, TransactionStart, WorkDone
 from lavenderstack.node.call import DispatchResult
 from lavenderstack.node.counters import Counters
 from lavenderstack.node.directory import Directory
+from lavenderstack.node.planned_stop import PlannedStop
 from lavenderstack.node.session import Services, Session
 
 READ = Statement(StatementKind.READ, "READ a")
@@ -319,3 +321,74 @@
         await sess.run("q", Statement(StatementKind.EXECUTE, "EXEC s 1", "s", "1"))
         assert fake.calls[0].access is Access.WRITE
         assert not fake.calls[0].repeatable
+
+
+class TestPlannedStop:
+    """What a session answers in each phase of a stop of its node."""
+
+    def stopping(self, one, phase):
+        one.services.stop = PlannedStop()
+        one.services.stop.begin(6.0)
+        begins_s = {
+            StopPhase.LEAVING: 0.0,
+            StopPhase.CLOSING: 2.3,
+            StopPhase.REFUSING: 3.1,
+            StopPhase.FINISHING: 4.1,
+            StopPhase.ENDED: 5.4,
+        }
+        one.services.stop.begun_at -= begins_s[phase]
+
+    @pytest.mark.parametrize("phase", list(StopPhase)[1:])
+    @pytest.mark.parametrize("statement", [READ, WRITE, BEGIN])
+    async def test_new_operations_are_refused_from_half_of_the_time(
+        self, phase, statement
+    ):
+        one, fake = session()
+        self.stopping(one, phase)
+        reply = await one.run("q", statement)
+        accepted = phase < StopPhase.REFUSING
+        assert reply.reason is (None if accepted else Reason.LEAVING)
+        assert reply.state is (
+            TxState.OPEN if accepted and statement is BEGIN else TxState.NONE
+        )
+        assert accepted or not fake.calls
+
+    @pytest.mark.parametrize("phase", list(StopPhase)[1:])
+    async def test_an_open_transaction_goes_on_for_longer(self, phase):
+        one, fake = session()
+        await one.run("q1", BEGIN)
+        await one.run("q2", WRITE)
+        self.stopping(one, phase)
+        reply = await one.run("q3", COMMIT)
+        accepted = phase < StopPhase.FINISHING
+        assert reply.reason is (None if accepted else Reason.TRANSACTION_LOST)
+        assert reply.state is TxState.NONE
+        assert bool(fake.transaction_calls) is accepted
+        assert bool(fake.background_calls) is not accepted
+
+    async def test_the_first_statement_after_an_abort_is_told_so_once(self):
+        one, _ = session()
+        await one.run("q1", BEGIN)
+        await one.run("q2", WRITE)
+        one.abort_transaction("the node is stopping")
+        assert (await one.run("q3", WRITE)).reason is Reason.TRANSACTION_LOST
+        assert (await one.run("q4", WRITE)).reason is Reason.BAD_REQUEST
+        assert (await one.run("q5", ROLLBACK)).state is TxState.NONE
+
+    @pytest.mark.parametrize(
+        ("texts", "statement", "reason", "state"),
+        [
+            ([], READ, Reason.CONNECTION_LOST, TxState.NONE),
+            ([], WRITE, Reason.OUTCOME_UNKNOWN, TxState.NONE),
+            ([BEGIN, WRITE], READ, Reason.TRANSACTION_LOST, TxState.FAILED),
+            ([BEGIN, WRITE], COMMIT, Reason.OUTCOME_UNKNOWN, TxState.NONE),
+        ],
+    )
+    async def test_an_interrupted_statement_promises_only_what_is_certain(
+        self, texts, statement, reason, state
+    ):
+        one, _ = session()
+        for text in texts:
+            await one.run("q", text)
+        reply = one.interrupted(statement)
+        assert (reply.reason, reply.state) == (reason, state)
--- a/lavenderstack/platform/callers.py
+++ b/lavenderstack/platform/callers.py
@@ -15,6 +15,8 @@
 from lavenderstack.core.position import START
 from lavenderstack.core.reply import Reply, TxState
 from lavenderstack.core.statement import Statement, StatementKind
+from lavenderstack.core.stop_phases import StopPhase
+from lavenderstack.node.planned_stop import STOPPING_DETAIL
 from lavenderstack.node.session import Services, Session, outdated_detail
 from lavenderstack.platform import line_protocol
 from lavenderstack.platform.line_protocol import MessageType, ProtocolError
@@ -27,6 +29,7 @@
 # Statements that may wait on one connection behind the one that runs.
 MAX_PENDING_STATEMENTS = 64
 TIMEOUT_CHECK_INTERVAL_S = 0.5
+CLOSE_POLL_INTERVAL_S = 0.01
 
 
 def digest_of(key: str) -> str:
@@ -102,6 +105,9 @@
         services = self._server.services
         directory = services.directory
         route = directory.catalog.routes.get(database)
+        if not services.stop.accepts(in_transaction=False):
+            self._refuse(Reason.LEAVING, STOPPING_DETAIL)
+            return
         if not directory.catalog.version:
             self._refuse(Reason.STALE_VIEW, "not ready")
             return
@@ -146,13 +152,22 @@
             reply = Reply(reason=Reason.BAD_REQUEST, detail="not a statement")
             reply.state = self.session.state
         else:
-            reply = await self.session.run(request_id, statement)
+            reply = await self._run_to_the_end(request_id, statement)
         if reply.target and reply.reason is None and not was_proved:
             self._record_unproved(request_id)
         self._record_reply(request_id, statement, reply, clock.now() - started_at)
         if not self._transport.is_closing():
             self._transport.write(line_protocol.format_reply(reply))
 
+    async def _run_to_the_end(self, request_id: str, statement: Statement) -> Reply:
+        """Run a statement; if the stop of this node ends it, say what is known."""
+        try:
+            return await self.session.run(request_id, statement)
+        except asyncio.CancelledError:
+            if self._server.services.stop.phase < StopPhase.ENDED:
+                raise
+            return self.session.interrupted(statement)
+
     def _record_unproved(self, request_id: str) -> None:
         """Count and log a statement that ran though the view wasn't proved current."""
         session, services = self.session, self._server.services
@@ -251,6 +266,20 @@
         if session.state is TxState.NONE:
             self._transport.close()
 
+    def abort_idle_transaction(self) -> None:
+        """Roll back the session's transaction unless a statement of it runs."""
+        if self.session is not None and not self.busy and not self._pending:
+            self.session.abort_transaction(STOPPING_DETAIL)
+
+    def close_if_answered(self) -> None:
+        """Close the connection unless a statement waits for its answer."""
+        if not self.busy and not self._pending:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Drop the connection with what isn't delivered yet."""
+        self._transport.abort()
+
     @property
     def is_undelivered(self) -> bool:
         """Whether part of an answer still waits to be taken by the network."""
@@ -311,6 +340,28 @@
         if self._server is not None:
             self._server.close()
 
+    def abort_idle_transactions(self) -> None:
+        """Roll back all transactions in which no statement runs."""
+        for conn in self.connections:
+            conn.abort_idle_transaction()
+
+    async def close(self, until: float) -> None:
+        """Answer what still runs, and close the connections once all is delivered.
+
+        What arrives meanwhile is refused. Connections that have not taken their answers
+        at ``until``, on the clock, are dropped.
+        """
+        for task in list(self.running):
+            task.cancel()
+        while self.connections and clock.now() < until:
+            # What has arrived is read before a connection is closed.
+            await asyncio.sleep(0)
+            for conn in list(self.connections):
+                conn.close_if_answered()
+            await asyncio.sleep(CLOSE_POLL_INTERVAL_S)
+        for conn in list(self.connections):
+            conn.abort()
+
     async def run(self) -> None:
         """Enforce the connections' timeouts until cancelled."""
         while True:
--- a/lavenderstack/platform/loader.py
+++ b/lavenderstack/platform/loader.py
@@ -91,6 +91,7 @@
         self._entries: dict[str, Item] = {}
         self._recent = RecentChanges(self._entries)
         self._updated = asyncio.Event()
+        self._stopping = False
         self._store = store
         store.on_answer = directory.proof.record_store_answer
         self._directory = directory
@@ -299,12 +300,21 @@
             entries, self._as_of, whole, held_s, age_s, listed, compressed
         )
 
+    def stop_waiting(self) -> None:
+        """Answer the nodes that wait for changes, now and from now on."""
+        self._stopping = True
+        self._updated.set()
+
     async def _wait_for_changes(self, after: int, wait_s: float) -> None:
         proof = self._directory.proof
         proved_before = proof.at
         try:
             async with asyncio.timeout(wait_s):
-                while self._as_of <= after and proof.at <= proved_before:
+                while (
+                    self._as_of <= after
+                    and proof.at <= proved_before
+                    and not self._stopping
+                ):
                     await self._updated.wait()
         except TimeoutError:
             # A reply without changes still proves that the asking node is up to date.
--- a/lavenderstack/platform/main.py
+++ b/lavenderstack/platform/main.py
@@ -16,6 +16,7 @@
 from lavenderstack.core import clock
 from lavenderstack.core.features import OWN_FEATURES
 from lavenderstack.core.log.log_rate_limit import LogRateLimiter
+from lavenderstack.core.stop_phases import StopPhase
 from lavenderstack.node import supervisor
 from lavenderstack.node.supervisor import Part
 from lavenderstack.platform import settings, store
@@ -30,10 +31,8 @@
 EXIT_BAD_SETTINGS = 2
 EXIT_PART_FAILED = 1
 READINESS_CHECK_INTERVAL_S = 0.3
-# The load balancer probes once a second and removes a node after two failed probes.
-BALANCER_REMOVAL_S = 2.2
-# Part of the stop limit that is reserved for ending the lease.
-STOP_MARGIN_S = 0.7
+# Part of the stop limit that is left for the process to end in.
+EXIT_S = 0.2
 STOP_POLL_INTERVAL_S = 0.05
 SETTINGS_POLL_INTERVAL_S = 1.0
 
@@ -130,14 +129,6 @@
         return None
 
 
-def _count_open_operations(node: Node) -> int:
-    """Return the number of operations open here, for callers and for other nodes."""
-    caller_operations = node.callers.open_operations + len(node.callers.running)
-    return (
-        caller_operations + node.executors.open_transactions + len(node.server.running)
-    )
-
-
 def _unfinished(node: Node) -> dict[str, int]:
     """Return how much work of each kind is open, as fields of a log line."""
     return {
@@ -149,23 +140,56 @@
     }
 
 
+def _is_drained(node: Node) -> bool:
+    """Return whether nothing is open here, for callers and for other nodes."""
+    callers = node.callers
+    caller_operations = callers.open_operations + len(callers.running)
+    other_work = node.executors.open_transactions + len(node.server.running)
+    return not (caller_operations + callers.undelivered + other_work)
+
+
 async def _drain(node: Node) -> None:
-    """Shut down in order; open operations may finish within ``stop_limit_s``."""
-    started_at = clock.now()
-    deadline = started_at + node.cfg.stop_limit_s - STOP_MARGIN_S
-    node.replacer.stopping = True
-    leave_task = asyncio.ensure_future(node.registration.leave())
-    while (now := clock.now()) < deadline:
-        if now - started_at > BALANCER_REMOVAL_S:
+    """Wait until nothing is open, accepting ever less, as ``stop_phases`` says."""
+    stop = node.planned_stop
+    while (phase := stop.phase) < StopPhase.ENDED:
+        if phase >= StopPhase.FINISHING:
+            node.callers.abort_idle_transactions()
+            node.executors.end_idle_transactions()
+        if phase >= StopPhase.CLOSING:
+            # What has arrived is read before a session counts as idle.
+            await asyncio.sleep(0)
             node.callers.close_idle()
-            if not _count_open_operations(node):
+            if _is_drained(node):
                 break
         await asyncio.sleep(STOP_POLL_INTERVAL_S)
-    after_s = round(clock.now() - started_at, 3)
+    stop.end()
+    after_s = round(clock.now() - stop.begun_at, 3)
     log.info("node: drained", after_s=after_s, **_unfinished(node))
+
+
+async def _end_lease(node: Node, limit_s: float) -> None:
+    try:
+        async with asyncio.timeout(limit_s):
+            await node.registration.end()
+    except TimeoutError:
+        log.info("registration: lease not ended", error="no answer in time")
+
+
+async def _shut_down(node: Node) -> None:
+    """Stop within ``stop_limit_s``, with an answer to all that was read."""
+    node.planned_stop.begin(node.cfg.stop_limit_s)
+    until = node.planned_stop.begun_at + node.cfg.stop_limit_s - EXIT_S
+    node.replacer.stopping = True
+    leave_task = asyncio.ensure_future(node.registration.leave())
+    await _drain(node)
     node.callers.stop_listening()
-    await leave_task
-    await node.registration.end()
+    node.loader.stop_waiting()
+    leave_task.cancel()
+    left_s = max(0.0, until - clock.now())
+    async with asyncio.TaskGroup() as tasks:
+        tasks.create_task(node.callers.close(until))
+        tasks.create_task(node.server.stop(left_s))
+        tasks.create_task(_end_lease(node, left_s))
     log.info("node: ending", **_unfinished(node))
 
 
@@ -186,7 +210,7 @@
         )
         await node.stop.wait()
         log.info("node: stopping", open=node.callers.open_operations)
-        await _drain(node)
+        await _shut_down(node)
         parts.cancel()
     node.pool.close()
 
--- a/lavenderstack/platform/node.py
+++ b/lavenderstack/platform/node.py
@@ -30,6 +30,7 @@
 from lavenderstack.node.failover.replacer import Replacer
 from lavenderstack.node.holder_placement import HolderPlacement
 from lavenderstack.node.peers import Peers
+from lavenderstack.node.planned_stop import PlannedStop
 from lavenderstack.node.primary_positions import PrimaryPositions
 from lavenderstack.node.quota.admitter import Admitter
 from lavenderstack.node.session import Services
@@ -72,6 +73,7 @@
     server: StreamServer
     callers: CallerServer
     counters: Counters
+    planned_stop: PlannedStop
     stop: asyncio.Event = field(default_factory=asyncio.Event)
 
     def ready(self) -> bool:
@@ -164,6 +166,7 @@
     dispatcher = Dispatcher(directory, peers, counters)
     registration = Registration(metadata_store, vm)
     executors.run_id = registration.identity
+    planned_stop = executors.stop
     admitter = Admitter(directory, peers, registration)
     replacer = Replacer(directory, peers, backend, registration, orders, counters)
 
@@ -185,7 +188,7 @@
         DrawTokens: admitter.draw,
     }
     peers.set_handlers(handlers)
-    services = Services(directory, dispatcher, admitter, peers, counters)
+    services = Services(directory, dispatcher, admitter, peers, counters, planned_stop)
     max_connections = max(100, cfg.descriptors - RESERVED_DESCRIPTORS)
     return Node(
         cfg=cfg,
@@ -200,4 +203,5 @@
         server=StreamServer(handlers),
         callers=CallerServer(services, max_connections),
         counters=counters,
+        planned_stop=planned_stop,
     )
--- a/lavenderstack/platform/registration.py
+++ b/lavenderstack/platform/registration.py
@@ -58,6 +58,7 @@
         self._lease_era: int | None = None
         self._valid_until = float("-inf")
         self._registered = False
+        self._ended = False
 
     def _lease_is_of_older_era(self) -> bool:
         return self._lease_era is not None and self._lease_era != self._store.era.number
@@ -76,8 +77,8 @@
         self._registered = False
 
     async def run(self) -> None:
-        """Renew the lease, and the registration if needed, until cancelled."""
-        while True:
+        """Renew the lease, and the registration if needed, until it is ended."""
+        while not self._ended:
             try:
                 if self._lease_is_of_older_era():
                     await self._leave_older_era()
@@ -137,6 +138,7 @@
 
         A lease of an older era is gone; its number may belong to another node by now.
         """
+        self._ended = True
         if not self._lease or self._lease_is_of_older_era():
             return
         try:
--- a/standins/line_group.py
+++ b/standins/line_group.py
@@ -159,7 +159,8 @@
 class LineGroup:
     """The targets of a group and the record of what they ran.
 
-    ``work_s`` has the shortest and the longest time that a statement takes. ``leader`` is the primary by order, ``term`` its term. ``changed`` is called with a
+    ``work_s`` has the shortest and the longest time that a statement takes.
+    ``leader`` is the primary by order, ``term`` its term. ``changed`` is called with a
     target whose role changed, which then reports itself.
     """
 
