Executors: one that is replaced closes once its statements are answered

What callers saw: the outcome of a statement was unknown (CONNECTION_LOST) when its target's report ended, or named another address, while it ran: the holder closed the executor with all its connections.

The fake connection now fails pending answers when it is closed, as the real one does.

--- a/lavenderstack/node/backend_fake.py
+++ b/lavenderstack/node/backend_fake.py
@@ -139,20 +139,29 @@
         self._needs_primary = False
         self._group = group
         self._target = target
+        self._pending: set[asyncio.Future] = set()
 
     def send(self, commands):
         """Run statements in order and return the futures of their answers."""
         if self.closed:
             raise ConnectionLost("closed")
         futs = [asyncio.get_running_loop().create_future() for _ in commands]
+        self._pending.update(futs)
+        for fut in futs:
+            fut.add_done_callback(self._pending.discard)
         if not self._target.silent:
             task = asyncio.ensure_future(self._run(list(commands), futs))
             task.add_done_callback(lambda _: None)
         return futs
 
     def close(self):
-        """Close the connection; later statements raise ``ConnectionLost``."""
+        """Close the connection; pending answers fail with ``ConnectionLost``."""
         self.closed = True
+        for fut in [one for one in self._pending if not one.done()]:
+            fut.set_exception(ConnectionLost("closed here"))
+            # An answer that nobody awaits any more is no error.
+            fut.exception()
+        self._pending.clear()
 
     async def _run(self, commands, futs):
         for command, fut in zip(commands, futs, strict=True):
--- a/lavenderstack/node/executor.py
+++ b/lavenderstack/node/executor.py
@@ -122,6 +122,8 @@
             self.health.positions,
             self._guard.require_allowed,
         )
+        # Whether another executor has replaced this one, or the target has left.
+        self.retired = False
         # Whether work was limited when it last arrived.
         self._limited = False
 
@@ -163,6 +165,11 @@
         """Positions of the target's log at known times while it was the primary."""
         return self.health.positions
 
+    @property
+    def in_use(self) -> bool:
+        """Whether a statement has, or waits for, one of the connections."""
+        return bool(self.connections.in_use or self.slots.waiting)
+
     def expected(self, work: Work) -> AbstractContextManager[None]:
         """Count the work as one that will need a connection, while it waits and runs.
 
@@ -266,6 +273,8 @@
         self, work: Work, min_position: Position, deadline: float
     ) -> Message:
         for force_new in (False, True):
+            if self.retired:
+                return failure(False, Reason.UNREACHABLE, "the target has left")
             if self.health.unreachable_reason:
                 return failure(
                     False, Reason.UNREACHABLE, self.health.unreachable_reason
--- a/lavenderstack/node/executors.py
+++ b/lavenderstack/node/executors.py
@@ -47,6 +47,7 @@
     acknowledged: AcknowledgedPositions = field(default_factory=AcknowledgedPositions)
     run_id: str = ""
     stop: PlannedStop = field(default_factory=PlannedStop)
+    _retired: list[TargetExecutor] = field(default_factory=list)
     cold_choice: Choice = lambda state: (True, -math.inf)
     cold: ColdTargets = field(init=False)
 
@@ -63,7 +64,7 @@
         if executor is not None:
             if state is None or executor.update_state(state):
                 return executor
-            executor.close()
+            self._retire(target)
         if state is None:
             return None
         executor = TargetExecutor(
@@ -78,6 +79,20 @@
         self.target_executors[target] = executor
         return executor
 
+    def _retire(self, target: str) -> None:
+        """Take an executor out of use; it closes once its statements are answered."""
+        executor = self.target_executors.pop(target)
+        executor.retired = True
+        self._retired.append(executor)
+        self._close_retired()
+
+    def _close_retired(self) -> None:
+        for executor in list(self._retired):
+            executor.transactions.end_idle()
+            if not executor.in_use:
+                executor.close()
+                self._retired.remove(executor)
+
     async def work(self, msg: Work) -> Message:
         """Handle ``Work`` from this or another node."""
         refusal = self.stop.refusal(msg)
@@ -138,11 +153,11 @@
             for name, executor in list(self.target_executors.items()):
                 state = self.directory.targets.get(name)
                 if state is None and not executor.transactions:
-                    executor.close()
-                    del self.target_executors[name]
+                    self._retire(name)
                     continue
                 executor.set_first_choice(
                     state is not None and self.first_choice(state)
                 )
                 executor.sweep(now)
+            self._close_retired()
             self.cold.forget_unused(set(self.target_executors), now)
--- a/lavenderstack/node/targets/target_connections.py
+++ b/lavenderstack/node/targets/target_connections.py
@@ -187,6 +187,11 @@
     def __len__(self) -> int:
         return len(self._open) + self._opening
 
+    @property
+    def in_use(self) -> int:
+        """The number of connections that are acquired or being opened."""
+        return len(self) - len(self._idle)
+
     async def acquire(
         self, organisation: str, values: Mapping[str, str], force_new: bool = False
     ) -> PooledConnection:
