Sessions: services and details of refusals in one place each

No behaviour changes: Services move to a module of their own, the time to come back is put into a detail in one place (it stood in two), and the entries of a reply to other nodes are made where the changes are kept.

--- a/lavenderstack/core/session_reply.py
+++ b/lavenderstack/core/session_reply.py
@@ -12,6 +12,14 @@
     return Reply(reason=reason, detail=detail)
 
 
+def retry_detail(failed: Failed) -> str:
+    """Return the detail of a failure for the caller, with the time to come back."""
+    if failed.retry_after_s is None:
+        return failed.detail
+    retry_ms = int(failed.retry_after_s * 1000)
+    return f"{failed.detail or failed.reason}, retry after {retry_ms} ms"
+
+
 def success_reply(answer: WorkDone) -> Reply:
     """Return the reply of a statement that a connection holder ran."""
     return Reply(
--- a/lavenderstack/core/statement.py
+++ b/lavenderstack/core/statement.py
@@ -89,3 +89,11 @@
 def pause(term: int) -> Statement:
     """Return the statement that pauses replication on a replica, under a new term."""
     return Statement(StatementKind.PAUSE, "", body=str(term))
+
+
+def as_executed(statement: Statement, prepared: Prepared | None) -> Statement:
+    """Return a statement as a write if what it executes, ``prepared``, is one."""
+    executes = statement.kind is StatementKind.EXECUTE and prepared is not None
+    if not executes or not prepared.writes:
+        return statement
+    return msgspec.structs.replace(statement, writes=True)
--- a/lavenderstack/node/session.py
+++ b/lavenderstack/node/session.py
@@ -13,12 +13,13 @@
 from lavenderstack.core import clock
 from lavenderstack.core.catalog import Route
 from lavenderstack.core.messages import Failed, Message
-from lavenderstack.core.outcome import STALE_RETRY_S, Reason
+from lavenderstack.core.outcome import Reason
 from lavenderstack.core.position import START, Position
 from lavenderstack.core.reply import Reply, TxState
 from lavenderstack.core.session_reply import (
     autocommit_reason,
     error_reply,
+    retry_detail,
     success_reply,
 )
 from lavenderstack.core.session_transaction import (
@@ -26,17 +27,18 @@
     access_for,
     transaction_start,
 )
-from lavenderstack.core.statement import Prepared, Statement, StatementKind
+from lavenderstack.core.statement import (
+    Prepared,
+    Statement,
+    StatementKind,
+    as_executed,
+)
 from lavenderstack.core.work_messages import Access, EndWork
 from lavenderstack.node.call import Call, DispatchResult, TransactionLocation
-from lavenderstack.node.counters import Counters
-from lavenderstack.node.directory import Directory
-from lavenderstack.node.dispatch import Dispatcher
 from lavenderstack.node.evacuation.evacuation_refusals import refusal_at_once
 from lavenderstack.node.home_routing import homes_of, refusal_outside
-from lavenderstack.node.peers import Peers
-from lavenderstack.node.planned_stop import STOPPING_DETAIL, PlannedStop
-from lavenderstack.node.quota.admitter import Admitter
+from lavenderstack.node.planned_stop import STOPPING_DETAIL
+from lavenderstack.node.session_services import Services, outdated_detail
 from lavenderstack.node.streams import NotSent, StreamLost
 
 log = structlog.get_logger()
@@ -46,24 +48,6 @@
 MAX_PREPARED = 256
 
 
-def outdated_detail(unproved: str) -> str:
-    """Return the detail of a refusal by a node that can't know ``unproved`` now."""
-    retry_ms = int(STALE_RETRY_S * 1000)
-    return f"this node can't check for {unproved} now, retry after {retry_ms} ms"
-
-
-@dataclass(slots=True)
-class Services:
-    """Components of the node that sessions use."""
-
-    directory: Directory
-    dispatcher: Dispatcher
-    admitter: Admitter
-    peers: Peers
-    counters: Counters
-    stop: PlannedStop = field(default_factory=PlannedStop)
-
-
 @dataclass(frozen=True, slots=True)
 class _Arrival:
     """A statement for a target and when it arrived, in seconds on the clock.
@@ -143,23 +127,13 @@
             prepared = self.prepared.get(statement.name)
             if prepared is None:
                 return self._refused(Reason.NO_PREPARED, "no such prepared statement")
-        statement = self._with_writes(statement)
+        statement = as_executed(statement, prepared)
         if statement.kind is StatementKind.COMMIT and self._tx is None:
             return self._refused(Reason.BAD_REQUEST, "no transaction is open")
         return await self._run_on_target(
             _Arrival(request, statement, prepared, clock.now())
         )
 
-    def _with_writes(self, statement: Statement) -> Statement:
-        """Return the statement, as a write if what it executes is one."""
-        prepared = self.prepared.get(statement.name)
-        executes = statement.kind is StatementKind.EXECUTE and prepared is not None
-        if not executes or not prepared.writes:
-            return statement
-        return Statement(
-            statement.kind, statement.text, statement.name, statement.body, True
-        )
-
     def _run_in_failed_transaction(self, statement: Statement) -> Reply:
         """Answer in a failed transaction, which accepts only COMMIT and ROLLBACK."""
         if statement.kind is StatementKind.ROLLBACK:
@@ -189,7 +163,8 @@
     def interrupted(self, statement: Statement) -> Reply:
         """Return the answer to a statement that is ended while its outcome is open."""
         failed = Failed(run=True, reason=Reason.CONNECTION_LOST, detail=STOPPING_DETAIL)
-        reply = self._failure_reply(failed, self._with_writes(statement))
+        prepared = self.prepared.get(statement.name)
+        reply = self._failure_reply(failed, as_executed(statement, prepared))
         reply.state = self.state
         return reply
 
@@ -258,7 +233,7 @@
             return self._failure_reply(unservable, arrival.statement)
         failed = await self.services.admitter.admit(self.organisation)
         if failed is not None:
-            return self._over_rate(failed)
+            return self._refused(Reason(failed.reason), retry_detail(failed))
         return await self._run_first(arrival, route, tx)
 
     def _refusal_at_once(self, arrival: _Arrival, route: Route) -> Failed | None:
@@ -284,11 +259,6 @@
             call.use,
         )
 
-    def _over_rate(self, failed: Failed) -> Reply:
-        retry_ms = int((failed.retry_after_s or 0) * 1000)
-        detail = f"{failed.detail}, retry after {retry_ms} ms"
-        return self._refused(Reason(failed.reason), detail)
-
     def _key_refusal(self, route: Route) -> tuple[Reason, str] | None:
         if route.public and not self.organisation:
             return None
@@ -384,10 +354,7 @@
         tx = self._tx
         reason = Reason(failed.reason)
         wrote = statement.writes or (tx is not None and tx.wrote)
-        detail = failed.detail
-        if failed.retry_after_s is not None:
-            retry_ms = int(failed.retry_after_s * 1000)
-            detail = f"{detail or reason.value}, retry after {retry_ms} ms"
+        detail = retry_detail(failed)
         if tx is None:
             return error_reply(autocommit_reason(failed, wrote), detail)
         if statement.kind is StatementKind.COMMIT:
--- a/lavenderstack/node/session_test.py
+++ b/lavenderstack/node/session_test.py
@@ -17,7 +17,8 @@
 from lavenderstack.node.counters import Counters
 from lavenderstack.node.directory import Directory
 from lavenderstack.node.planned_stop import PlannedStop
-from lavenderstack.node.session import Services, Session
+from lavenderstack.node.session import Session
+from lavenderstack.node.session_services import Services
 
 READ = Statement(StatementKind.READ, "READ a")
 WRITE = Statement(StatementKind.WRITE, "WRITE a b", writes=True)
--- a/lavenderstack/platform/callers.py
+++ b/lavenderstack/platform/callers.py
@@ -17,7 +17,8 @@
 from lavenderstack.core.statement import Statement, StatementKind
 from lavenderstack.core.stop_phases import StopPhase
 from lavenderstack.node.planned_stop import STOPPING_DETAIL
-from lavenderstack.node.session import Services, Session, outdated_detail
+from lavenderstack.node.session import Session
+from lavenderstack.node.session_services import Services, outdated_detail
 from lavenderstack.platform import line_protocol
 from lavenderstack.platform.line_protocol import MessageType, ProtocolError
 
--- a/lavenderstack/platform/loader.py
+++ b/lavenderstack/platform/loader.py
@@ -20,7 +20,7 @@
 import structlog
 
 from lavenderstack.core import clock
-from lavenderstack.core.change_messages import ChangesReply, ChangesRequest, Entry
+from lavenderstack.core.change_messages import ChangesReply, ChangesRequest
 from lavenderstack.core.entry_compression import BadValue, compress
 from lavenderstack.core.messages import Failed, Message
 from lavenderstack.core.outcome import Reason
@@ -285,10 +285,7 @@
         if not self._listed:
             return Failed(run=False, reason=Reason.STALE_VIEW)
         await self._wait_for_changes(msg.after, msg.wait_s)
-        items, whole = self._recent.since(msg.after)
-        entries = [
-            Entry(item.key, item.rev, item.value, item.deleted) for item in items
-        ]
+        entries, whole = self._recent.entries_since(msg.after)
         compressed: dict[int, bytes] = {}
         if msg.compressed:
             entries, compressed = compress(entries)
@@ -310,11 +307,9 @@
         proved_before = proof.at
         try:
             async with asyncio.timeout(wait_s):
-                while (
-                    self._as_of <= after
-                    and proof.at <= proved_before
-                    and not self._stopping
-                ):
+                while self._as_of <= after and proof.at <= proved_before:
+                    if self._stopping:
+                        return
                     await self._updated.wait()
         except TimeoutError:
             # A reply without changes still proves that the asking node is up to date.
--- a/lavenderstack/platform/node.py
+++ b/lavenderstack/platform/node.py
@@ -33,7 +33,7 @@
 from lavenderstack.node.planned_stop import PlannedStop
 from lavenderstack.node.primary_positions import PrimaryPositions
 from lavenderstack.node.quota.admitter import Admitter
-from lavenderstack.node.session import Services
+from lavenderstack.node.session_services import Services
 from lavenderstack.node.stream_server import StreamServer
 from lavenderstack.node.streams import StreamLimits, StreamPool
 from lavenderstack.platform import store, targets
--- a/lavenderstack/platform/recent_changes.py
+++ b/lavenderstack/platform/recent_changes.py
@@ -3,6 +3,7 @@
 from collections import deque
 from collections.abc import Collection, Mapping
 
+from lavenderstack.core.change_messages import Entry
 from lavenderstack.platform.store import Item
 
 # Changes that are kept. A node that lacks older ones is sent all entries.
@@ -51,6 +52,14 @@
             return self._entries.values(), True
         return [item for item in self._recent if item.rev > after], False
 
+    def entries_since(self, after: int) -> tuple[list[Entry], bool]:
+        """Return the same as ``since``, as entries of a message."""
+        items, whole = self.since(after)
+        entries = [
+            Entry(item.key, item.rev, item.value, item.deleted) for item in items
+        ]
+        return entries, whole
+
     def is_listed(self, after: int) -> bool:
         """Return whether changes after a position were read in a listing.
 
