--- a/tests/stop_test.py
+++ b/tests/stop_test.py
@@ -114,6 +114,16 @@
             await stopping
             assert fleet.record.stops[-1].status == 0
 
+    async def test_it_ends_in_time_though_the_store_does_not_answer(self, tmp_path):
+        async with running(tmp_path, work_s=0.3) as fleet:
+            node = fleet.nodes["n1"]
+            client = await connected(fleet, node)
+            assert is_whole(await client.send("QUERY q1 BEGIN"))
+            assert is_whole(await client.send("QUERY q2 READ a"))
+            fleet.store.slow_s = 30.0
+            await fleet.stop(node)
+            assert fleet.record.stops[-1].status == 0
+
     async def test_a_caller_that_reads_late_gets_all_answers(self, tmp_path):
         async with running(tmp_path, work_s=0.001) as fleet:
             node = fleet.nodes["n1"]
