--- a/lavenderstack/node/planned_stop.py
+++ b/lavenderstack/node/planned_stop.py
@@ -8,7 +8,7 @@
 from lavenderstack.core.stop_phases import StopPhase, StopSchedule, stop_schedule
 from lavenderstack.core.work_messages import Work
 
-STOPPING_DETAIL = "the node is stopping"
+STOPPING_DETAIL = "the node is stopping, connect again"
 
 
 @dataclass(slots=True)
--- a/lavenderstack/node/session.py
+++ b/lavenderstack/node/session.py
@@ -291,8 +291,7 @@
         self, arrival: _Arrival, route: Route, tx: SessionTransaction | None
     ) -> Reply:
         """Run a single statement, or the first of a transaction."""
-        access = access_for(route, arrival.statement, tx)
-        call = self._call(arrival, route, access)
+        call = self._call(arrival, route, access_for(route, arrival.statement, tx))
         call.opens = transaction_start(route, tx)
         result = await self.services.dispatcher.run(call)
         reply = self._first_reply(result, call, tx)
--- a/lavenderstack/platform/loader.py
+++ b/lavenderstack/platform/loader.py
@@ -289,13 +289,11 @@
         compressed: dict[int, bytes] = {}
         if msg.compressed:
             entries, compressed = compress(entries)
-        now = clock.now()
-        age_s = self._directory.proof.age_s(now)
+        age_s = self._directory.proof.age_s(now := clock.now())
         listed = self._recent.is_listed(msg.after)
         held_s = now - received_at
-        return ChangesReply(
-            entries, self._as_of, whole, held_s, age_s, listed, compressed
-        )
+        as_of = self._as_of
+        return ChangesReply(entries, as_of, whole, held_s, age_s, listed, compressed)
 
     def stop_waiting(self) -> None:
         """Answer the nodes that wait for changes, now and from now on."""
