--- a/lavenderstack/core/log/events_statements.py
+++ b/lavenderstack/core/log/events_statements.py
@@ -61,6 +61,13 @@
         "the target refused to set a session's values or prepared statement; the "
         "connection is closed",
     ),
+    Event(
+        "executor: statement prepared",
+        LineKind.SUCCESS,
+        ("request", "target", "connection", "name", "shape", "shape_chars"),
+        "name and start of the shape that the target was sent for a session; "
+        "connection: its number among those of this node to the target",
+    ),
     Event(
         "executor: share of connections changed",
         LineKind.STATE,
--- a/lavenderstack/core/log/events_test.py
+++ b/lavenderstack/core/log/events_test.py
@@ -33,6 +33,7 @@
     "attempt_limits",
     "hold_requests",
     "active_connections",
+    "connection_setup",
     "allocated_connections",
     "open_transactions",
     "primary_positions",
--- a/lavenderstack/node/targets/connection_setup.py
+++ b/lavenderstack/node/targets/connection_setup.py
@@ -11,13 +11,20 @@
 import asyncio
 from collections.abc import Sequence
 
+import structlog
+
 from lavenderstack.core import statement
 from lavenderstack.core.reply import Reply
-from lavenderstack.core.statement import Statement, StatementKind
+from lavenderstack.core.statement import Prepared, Statement, StatementKind
 from lavenderstack.core.work_messages import Work
 from lavenderstack.node.backend import Command, ConnectionLost
 from lavenderstack.node.targets.target_connections import PooledConnection, SentSetup
 
+log = structlog.get_logger()
+
+# Characters of a name or shape that a log line has.
+MAX_LOGGED_CHARS = 60
+
 
 def send_prepared(
     work: Work, pooled: PooledConnection, commands: Sequence[Command]
@@ -33,10 +40,24 @@
         return pooled.conn.send(commands)
     setup, values, names = _setup(work, pooled)
     futs = pooled.conn.send([*setup, *commands])
+    if work.prepared is not None and names != pooled.prepared:
+        _log_prepared(work, pooled, work.prepared)
     pooled.setup = SentSetup(futs[: len(setup)], values, names)
     return futs[len(setup) :]
 
 
+def _log_prepared(work: Work, pooled: PooledConnection, prepared: Prepared) -> None:
+    log.info(
+        "executor: statement prepared",
+        request=work.request,
+        target=work.target,
+        connection=pooled.number,
+        name=prepared.shared_name[:MAX_LOGGED_CHARS],
+        shape=prepared.shape[:MAX_LOGGED_CHARS],
+        shape_chars=len(prepared.shape),
+    )
+
+
 def _is_prepared(work: Work, pooled: PooledConnection) -> bool:
     prepared = work.prepared
     known = prepared is None or prepared.shared_name in pooled.prepared
--- a/lavenderstack/node/targets/target_connections.py
+++ b/lavenderstack/node/targets/target_connections.py
@@ -101,7 +101,8 @@
     ``values`` and ``prepared`` are those that the target has confirmed, ``setup`` is
     what was sent to change them and isn't confirmed yet. ``used_at`` is the time of the
     last release and ``taken_at`` that since which it is in use, in seconds on the
-    clock. ``pinned`` tells that a transaction is open on it.
+    clock. ``pinned`` tells that a transaction is open on it. ``number`` tells the
+    connections of one pool apart in the log.
     """
 
     conn: Connection
@@ -112,6 +113,7 @@
     values: dict[str, str] = field(default_factory=dict)
     prepared: set[str] = field(default_factory=set)
     setup: SentSetup | None = None
+    number: int = 0
 
     @property
     def is_held(self) -> bool:
@@ -307,7 +309,13 @@
         self.opened[cause] += 1
         self.record_answer()
         now = clock.now()
-        pooled = PooledConnection(conn, organisation, used_at=now, taken_at=now)
+        pooled = PooledConnection(
+            conn,
+            organisation,
+            used_at=now,
+            taken_at=now,
+            number=self.opened.total(),
+        )
         self._open.add(pooled)
         return pooled
 
