--- a/standins/line_target.py
+++ b/standins/line_target.py
@@ -18,7 +18,8 @@
     """One target; ``executed`` lists ``(organisation, id, text)`` of each statement.
 
     It includes those that were refused; ``effects`` lists the id of each single write
-    or commit that changed the items.
+    or commit that changed the items. ``shapes`` has the id, the shape with its verb,
+    the item and the data of each execution of a prepared statement.
 
     ``drop_after`` counts down with each statement that has an id. The one that brings
     it to 0 runs, but its connection is closed without an answer; later statements
@@ -32,6 +33,7 @@
     items: dict[str, str] = field(default_factory=dict)
     executed: list = field(default_factory=list)
     effects: list[str] = field(default_factory=list)
+    shapes: list[tuple[str, str, str, str]] = field(default_factory=list)
     max_connections: int = 30
     open_connections: int = 0
     drop_after: int | None = None
@@ -118,7 +120,10 @@
             name, body = rest.split(" ", 1)
             if name not in self.prepared:
                 return ["ERROR NOSTMT unknown"]
-            verb, rest = self.prepared[name].split(" ")[0], body
+            item, _, data = body.partition(" ")
+            shape = self.prepared[name]
+            target.shapes.append((statement_id, shape, item, data))
+            verb, rest = shape.split(" ")[0], body
         target.executed.append((self.organisation, statement_id, text))
         receipt = f"DONE {target.name}.{len(target.executed)}"
         if verb == "READ":
