Prepared statements: the name on a target is a digest of the shape

What callers saw: a prepared statement ran in the shape of another session (PINNED), or with the rest of its shape as item and data (UNASKED).

Cause: the name was made of the shape's text, and a message separates its fields by blanks. A shape with a blank ended the name early: the target stored the rest under a name that may be another session's, and took the rest of the shape for the item of an execution.

Why this works: a digest of 20 bytes in hexadecimal has no separator, is bounded, and differs for different shapes.

--- a/lavenderstack/core/statement.py
+++ b/lavenderstack/core/statement.py
@@ -5,9 +5,12 @@
 """
 
 from enum import IntEnum
+from hashlib import blake2b
 
 import msgspec
 
+SHAPE_DIGEST_B = 20
+
 
 class StatementKind(IntEnum):
     """What a statement does; only the service itself sends kinds from ``RESET`` on."""
@@ -58,10 +61,14 @@
     def shared_name(self) -> str:
         """Return a name that is the same for all sessions that prepared the statement.
 
+        It is one field of a message whatever the shape has, and shorter than 50
+        characters.
+
         >>> Prepared(writes=True, shape="q2c").shared_name
-        'w_q2c'
+        'w_b5a24a3e4c336e3cac7366fda1f19f8e513a7c23'
         """
-        return f"{'w' if self.writes else 'r'}_{self.shape}"
+        digest = blake2b(self.shape.encode(), digest_size=SHAPE_DIGEST_B)
+        return f"{'w' if self.writes else 'r'}_{digest.hexdigest()}"
 
 
 ROLLBACK = Statement(StatementKind.ROLLBACK, "")
