Line protocol: the longest line may be split in its line end

What callers saw: a line of exactly 1 MiB was refused as too long, and the connection closed, if its CR arrived before its LF.

Cause: the CR counted as a part of the unfinished line.

Evidence: test_it_is_taken_when_it_is_split_in_its_line_end[1] failed with "line too long" before.

Why this works: a CR at the end of what has arrived may be half of a line end, and isn't counted until the next byte tells.

--- a/lavenderstack/platform/line_protocol.py
+++ b/lavenderstack/platform/line_protocol.py
@@ -54,7 +54,9 @@
         if self._partial:
             data = self._partial + data
         *complete, self._partial = data.split(LINE_END)
-        if any(len(line) > MAX_LINE_B for line in (*complete, self._partial)):
+        # The first half of the line end may have arrived alone.
+        begun_b = len(self._partial) - self._partial.endswith(LINE_END[:1])
+        if begun_b > MAX_LINE_B or any(len(line) > MAX_LINE_B for line in complete):
             raise ProtocolError("line too long")
         try:
             return [line.decode() for line in complete]
--- a/lavenderstack/platform/line_protocol_test.py
+++ b/lavenderstack/platform/line_protocol_test.py
@@ -169,3 +169,11 @@
     def test_a_line_of_the_greatest_length_is_taken(self):
         line = b"x" * line_protocol.MAX_LINE_B
         assert LineBuffer().feed(line + b"\r\n") == [line.decode()]
+
+    @pytest.mark.parametrize("first_b", [1, 2])
+    def test_it_is_taken_when_it_is_split_in_its_line_end(self, first_b):
+        data = b"x" * line_protocol.MAX_LINE_B + b"\r\n"
+        cut = len(data) - first_b
+        buffer = LineBuffer()
+        assert buffer.feed(data[:cut]) == []
+        assert len(buffer.feed(data[cut:])[0]) == line_protocol.MAX_LINE_B
