Callers: an empty or reserved request id is refused

What callers would see: "QUERY WRITE x y" succeeded, and the target ran the write under the id "-", which stands for the service's own statements.

Cause: an empty id was replaced by "-" in the message to the target, and the id "-" of a caller was sent on.

Why this works: the id is checked as the message is read.

--- a/lavenderstack/platform/callers.py
+++ b/lavenderstack/platform/callers.py
@@ -20,7 +20,7 @@
 from lavenderstack.node.session import Session
 from lavenderstack.node.session_services import Services, outdated_detail
 from lavenderstack.platform import line_protocol
-from lavenderstack.platform.line_protocol import MessageType, ProtocolError
+from lavenderstack.platform.line_protocol import MessageType, ProtocolError, Query
 
 log = structlog.get_logger()
 
@@ -48,8 +48,7 @@
         self._server = server
         self._buffer = line_protocol.LineBuffer()
         self._transport: asyncio.Transport | None = None
-        # Request ids and statements that wait; None stands for an invalid statement.
-        self._pending: deque[tuple[str, Statement | None]] = deque()
+        self._pending: deque[Query] = deque()
         self._received_b = 0
         self.session: Session | None = None
         self.busy = False
@@ -91,10 +90,9 @@
                 raise ProtocolError("no greeting")
             self._connect(rest)
         elif message_type == MessageType.QUERY:
-            request_id, _, text = rest.partition(" ")
             if len(self._pending) >= MAX_PENDING_STATEMENTS:
                 raise ProtocolError("too many statements at once")
-            self._pending.append((request_id, line_protocol.parse_statement(text)))
+            self._pending.append(line_protocol.parse_query(rest))
             self._start_next()
         elif message_type == MessageType.QUIT:
             self._transport.close()
@@ -139,18 +137,17 @@
         if self.busy or not self._pending:
             return
         self.busy = True
-        request_id, statement = self._pending.popleft()
-        task = asyncio.ensure_future(self._run_statement(request_id, statement))
+        query = self._pending.popleft()
+        task = asyncio.ensure_future(self._run_statement(query))
         self._server.running.add(task)
         task.add_done_callback(self._statement_done)
 
-    async def _run_statement(
-        self, request_id: str, statement: Statement | None
-    ) -> None:
+    async def _run_statement(self, query: Query) -> None:
+        request_id, statement = query.request, query.statement
         started_at = clock.now()
         was_proved = self._server.services.directory.proof.catalog_holds(started_at)
         if statement is None:
-            reply = Reply(reason=Reason.BAD_REQUEST, detail="not a statement")
+            reply = Reply(reason=Reason.BAD_REQUEST, detail=query.error)
             reply.state = self.session.state
         else:
             reply = await self._run_to_the_end(request_id, statement)
--- a/lavenderstack/platform/line_protocol.py
+++ b/lavenderstack/platform/line_protocol.py
@@ -5,6 +5,7 @@
 byte streams into messages, parses them and formats them; it opens no connection.
 """
 
+from dataclasses import dataclass
 from enum import StrEnum
 
 from lavenderstack.core.outcome import Reason
@@ -172,6 +173,34 @@
     return "".join(lines).encode()
 
 
+@dataclass(frozen=True, slots=True)
+class Query:
+    """A caller's statement with its request id; ``statement`` is None if invalid.
+
+    ``error`` tells what is wrong then.
+    """
+
+    request: str
+    statement: Statement | None
+    error: str = ""
+
+
+def parse_query(rest: str) -> Query:
+    """Return the request id and the statement of a ``QUERY`` message.
+
+    An empty id, or the one of the service itself, is refused: a target would be sent
+    the statement under an id that no caller has given it.
+
+    >>> parse_query("- READ x").error
+    'the request id is empty or -'
+    """
+    request, _, text = rest.partition(" ")
+    if request in ("", EMPTY_FIELD):
+        return Query(request, None, "the request id is empty or -")
+    statement = parse_statement(text)
+    return Query(request, statement, "" if statement else "not a statement")
+
+
 def parse_statement(text: str) -> Statement | None:
     """Return the statement in a caller's text, or None if it is invalid.
 
