Statements without a field that they need are refused

What callers would see: "EXEC s data" and "WRITE data" were sent on with an empty item, and a target that takes blanks together runs them on the item "data". "SET v" was answered DONE and sent as "SET v " with an empty value; if a target refuses that, each later statement of the session fails and costs a connection that others share.

Cause: only the whole of the arguments was checked for being empty.

Evidence: the three new cases failed before.

Why this works: each field that another one follows must have a character. An empty value ("SET v ") stays valid: the last field extends to the end of the line.

--- a/lavenderstack/platform/line_protocol.py
+++ b/lavenderstack/platform/line_protocol.py
@@ -212,12 +212,19 @@
     return parse(text, rest) if parse else None
 
 
+def _has_item(arguments: str) -> bool:
+    """Return whether the item isn't empty, which is followed by data or nothing."""
+    return bool(arguments.partition(" ")[0])
+
+
 def _parse_read(text: str, rest: str) -> Statement | None:
     return Statement(StatementKind.READ, text) if rest else None
 
 
 def _parse_write(text: str, rest: str) -> Statement | None:
-    return Statement(StatementKind.WRITE, text, writes=True) if rest else None
+    if not _has_item(rest):
+        return None
+    return Statement(StatementKind.WRITE, text, writes=True)
 
 
 def _parse_begin(text: str, rest: str) -> Statement | None:
@@ -235,8 +242,10 @@
 
 
 def _parse_set(text: str, rest: str) -> Statement | None:
-    name, _, value = rest.partition(" ")
-    return Statement(StatementKind.SET_VALUE, text, name, value) if name else None
+    name, blank, value = rest.partition(" ")
+    if not name or not blank:
+        return None
+    return Statement(StatementKind.SET_VALUE, text, name, value)
 
 
 def _parse_prepare(text: str, rest: str) -> Statement | None:
@@ -249,7 +258,9 @@
 
 def _parse_execute(text: str, rest: str) -> Statement | None:
     name, _, body = rest.partition(" ")
-    return Statement(StatementKind.EXECUTE, text, name, body) if name and body else None
+    if not name or not _has_item(body):
+        return None
+    return Statement(StatementKind.EXECUTE, text, name, body)
 
 
 def _parse_close(text: str, rest: str) -> Statement | None:
--- a/lavenderstack/platform/line_protocol_test.py
+++ b/lavenderstack/platform/line_protocol_test.py
@@ -55,6 +55,7 @@
             ("COMMIT", StatementKind.COMMIT),
             ("ROLLBACK", StatementKind.ROLLBACK),
             ("SET v 1 2", StatementKind.SET_VALUE),
+            ("SET v ", StatementKind.SET_VALUE),
             ("PREPARE s READ q", StatementKind.PREPARE),
             ("EXEC s a b", StatementKind.EXECUTE),
             ("CLOSE s", StatementKind.CLOSE_PREPARED),
@@ -75,6 +76,9 @@
             "PREPARE s",
             "EXEC s",
             "CLOSE",
+            "SET v",
+            "WRITE  data of no item",
+            "EXEC s  data of no item",
         ],
     )
     def test_invalid_statements_give_none(self, text):
