--- a/lavenderstack/platform/callers.py
+++ b/lavenderstack/platform/callers.py
@@ -19,8 +19,8 @@
 from lavenderstack.node.planned_stop import STOPPING_DETAIL
 from lavenderstack.node.session import Session
 from lavenderstack.node.session_services import Services, outdated_detail
-from lavenderstack.platform import line_protocol
-from lavenderstack.platform.line_protocol import MessageType, ProtocolError, Query
+from lavenderstack.platform import line_protocol, statement_texts
+from lavenderstack.platform.line_protocol import MessageType, ProtocolError
 
 log = structlog.get_logger()
 
@@ -48,7 +48,7 @@
         self._server = server
         self._buffer = line_protocol.LineBuffer()
         self._transport: asyncio.Transport | None = None
-        self._pending: deque[Query] = deque()
+        self._pending: deque[statement_texts.Query] = deque()
         self._received_b = 0
         self.session: Session | None = None
         self.busy = False
@@ -92,7 +92,7 @@
         elif message_type == MessageType.QUERY:
             if len(self._pending) >= MAX_PENDING_STATEMENTS:
                 raise ProtocolError("too many statements at once")
-            self._pending.append(line_protocol.parse_query(rest))
+            self._pending.append(statement_texts.parse_query(rest))
             self._start_next()
         elif message_type == MessageType.QUIT:
             self._transport.close()
@@ -142,7 +142,7 @@
         self._server.running.add(task)
         task.add_done_callback(self._statement_done)
 
-    async def _run_statement(self, query: Query) -> None:
+    async def _run_statement(self, query: statement_texts.Query) -> None:
         request_id, statement = query.request, query.statement
         started_at = clock.now()
         was_proved = self._server.services.directory.proof.catalog_holds(started_at)
--- a/lavenderstack/platform/prepared_statements_test.py
+++ b/lavenderstack/platform/prepared_statements_test.py
@@ -5,7 +5,7 @@
 
 from lavenderstack.core.position import START
 from lavenderstack.core.statement import Prepared, prepare
-from lavenderstack.platform import line_protocol
+from lavenderstack.platform import statement_texts
 from lavenderstack.platform.node_test import connect_when_known, run_node
 
 # Shapes that may be read as another one, or as one and the parts of a message after it.
@@ -31,7 +31,7 @@
     @given(writes=st.booleans(), shape=st.sampled_from(SHAPES) | LINE_TEXTS)
     def test_a_target_reads_the_name_and_the_shape_that_were_meant(self, writes, shape):
         prepared = Prepared(writes, shape)
-        text = line_protocol.format_statement(prepare(prepared), START)
+        text = statement_texts.format_statement(prepare(prepared), START)
         verb = "WRITE" if writes else "READ"
         meant = ["PREPARE", prepared.shared_name, f"{verb} {shape}"]
         assert text.split(" ", 2) == meant
--- a/lavenderstack/platform/targets.py
+++ b/lavenderstack/platform/targets.py
@@ -23,7 +23,7 @@
     ConnectionLost,
     ReplicationStatus,
 )
-from lavenderstack.platform import line_protocol
+from lavenderstack.platform import line_protocol, statement_texts
 from lavenderstack.platform.line_protocol import MessageType, ProtocolError
 
 log = structlog.get_logger()
@@ -69,7 +69,7 @@
             fut = self._loop.create_future()
             self._pending.append(_PendingReply(fut, Reply()))
             futs.append(fut)
-            text = line_protocol.format_statement(
+            text = statement_texts.format_statement(
                 command.statement, command.min_position
             )
             request = command.request or line_protocol.EMPTY_FIELD
