--- a/lavenderstack/core/statement.py
+++ b/lavenderstack/core/statement.py
@@ -98,6 +98,12 @@
     return Statement(StatementKind.PAUSE, "", body=str(term))
 
 
+def execute(prepared: Prepared, arguments: str) -> Statement:
+    """Return the statement that executes a prepared one under its shared name."""
+    name = prepared.shared_name
+    return Statement(StatementKind.EXECUTE, "", name, arguments, prepared.writes)
+
+
 def as_executed(statement: Statement, prepared: Prepared | None) -> Statement:
     """Return a statement as a write if what it executes, ``prepared``, is one."""
     executes = statement.kind is StatementKind.EXECUTE and prepared is not None
--- a/lavenderstack/node/session.py
+++ b/lavenderstack/node/session.py
@@ -208,6 +208,12 @@
         self.prepared[statement.name] = Prepared(statement.writes, statement.body)
         return Reply()
 
+    def refuse(self, detail: str) -> Reply:
+        """Answer a statement that can't be run with an error."""
+        reply = self._refused(Reason.BAD_REQUEST, detail)
+        reply.state = self.state
+        return reply
+
     def _refused(self, reason: Reason, detail: str) -> Reply:
         """Answer with an error, which also makes an open transaction fail."""
         if self._tx is not None:
--- a/lavenderstack/node/targets/connection_setup.py
+++ b/lavenderstack/node/targets/connection_setup.py
@@ -15,7 +15,7 @@
 
 from lavenderstack.core import statement
 from lavenderstack.core.reply import Reply
-from lavenderstack.core.statement import Prepared, Statement, StatementKind
+from lavenderstack.core.statement import Prepared, Statement
 from lavenderstack.core.work_messages import Work
 from lavenderstack.node.backend import Command, ConnectionLost
 from lavenderstack.node.targets.target_connections import PooledConnection, SentSetup
@@ -89,10 +89,4 @@
     """Return the statement as sent to the target, with the shared prepared name."""
     if work.prepared is None:
         return work.statement
-    return Statement(
-        StatementKind.EXECUTE,
-        "",
-        work.prepared.shared_name,
-        work.statement.body,
-        work.prepared.writes,
-    )
+    return statement.execute(work.prepared, work.statement.body)
--- a/lavenderstack/platform/odd_statements_test.py
+++ b/lavenderstack/platform/odd_statements_test.py
@@ -1,5 +1,6 @@
 """Tests of statements with odd texts, sent by callers to a real node process."""
 
+from lavenderstack.platform import line_protocol
 from lavenderstack.platform.node_test import connect_when_known, run_node
 
 
@@ -19,3 +20,32 @@
                 ]
             assert not node.targets[0].effects
             assert (await caller.query("WRITE x y"))[0].startswith("DONE i-1.")
+
+
+class TestLongestLines:
+    """A statement that a target can't be sent must cost no connection to it."""
+
+    def texts(self):
+        """Return texts of the longest lines, by whether they are valid."""
+        room = line_protocol.MAX_LINE_B - len("QUERY q1 \r\n")
+        return {
+            "SET v " + "x" * (room - 6): True,
+            "WRITE item " + "x" * (room - 11): True,
+            "READ " + "x" * (room - 5): False,
+            "PREPARE s WRITE " + "x" * (room - 16): False,
+            "EXEC w item " + "x" * (room - 12): False,
+            "WRITE item " + "x" * (room - 9): False,
+        }
+
+    async def test_what_targets_cannot_take_is_refused_and_the_rest_runs(
+        self, tmp_path
+    ):
+        async with run_node(tmp_path) as node:
+            for text, valid in self.texts().items():
+                caller = await connect_when_known(node, "CONNECT db2 k1")
+                await caller.query("PREPARE w WRITE q")
+                answer = await caller.query(text)
+                assert answer[0].startswith("DONE" if valid else "ERROR MALFORMED")
+                assert answer[-1].startswith("READY I")
+                assert (await caller.query("WRITE a b"))[0].startswith("DONE i-1.")
+            assert not node.targets[0].too_long
--- a/lavenderstack/platform/statement_texts.py
+++ b/lavenderstack/platform/statement_texts.py
@@ -8,7 +8,11 @@
 
 from lavenderstack.core.position import START, Position
 from lavenderstack.core.statement import Statement, StatementKind
-from lavenderstack.platform.line_protocol import EMPTY_FIELD, format_position
+from lavenderstack.platform.line_protocol import (
+    EMPTY_FIELD,
+    MessageType,
+    format_position,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -155,3 +159,12 @@
     if min_position == START:
         return text
     return f"SINCE {format_position(min_position)} {text}"
+
+
+def format_query(request: str, statement: Statement, min_position: Position) -> str:
+    """Return the message that sends a statement to a target.
+
+    ``request`` is empty for a statement that the service itself sends.
+    """
+    text = format_statement(statement, min_position)
+    return f"{MessageType.QUERY} {request or EMPTY_FIELD} {text}\r\n"
--- a/lavenderstack/platform/targets.py
+++ b/lavenderstack/platform/targets.py
@@ -69,11 +69,11 @@
             fut = self._loop.create_future()
             self._pending.append(_PendingReply(fut, Reply()))
             futs.append(fut)
-            text = statement_texts.format_statement(
-                command.statement, command.min_position
+            messages.append(
+                statement_texts.format_query(
+                    command.request, command.statement, command.min_position
+                )
             )
-            request = command.request or line_protocol.EMPTY_FIELD
-            messages.append(f"{MessageType.QUERY} {request} {text}\r\n")
         self._write("".join(messages))
         return futs
 
--- a/standins/line_target.py
+++ b/standins/line_target.py
@@ -12,6 +12,10 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
+# Of a line with its end; a target may count the end or not.
+MAX_LINE_B = 1024 * 1024
+LINE_END = b"\r\n"
+
 
 @dataclass
 class LineTarget:
@@ -19,7 +23,9 @@
 
     It includes those that were refused; ``effects`` lists the id of each single write
     or commit that changed the items. ``shapes`` has the id, the shape with its verb,
-    the item and the data of each execution of a prepared statement.
+    the item and the data of each execution of a prepared statement. ``values`` has the
+    id and the session values of each statement that isn't the service's own.
+    ``too_long`` counts the connections closed because of a line above ``MAX_LINE_B``.
 
     ``drop_after`` counts down with each statement that has an id. The one that brings
     it to 0 runs, but its connection is closed without an answer; later statements
@@ -34,6 +40,8 @@
     executed: list = field(default_factory=list)
     effects: list[str] = field(default_factory=list)
     shapes: list[tuple[str, str, str, str]] = field(default_factory=list)
+    values: list[tuple[str, dict[str, str]]] = field(default_factory=list)
+    too_long: int = 0
     max_connections: int = 30
     open_connections: int = 0
     drop_after: int | None = None
@@ -62,6 +70,7 @@
         self.transaction_state = "I"
         self.pending_writes: list[tuple[str, str]] = []
         self.prepared: dict[str, str] = {}
+        self.values: dict[str, str] = {}
 
     def connect(self, rest: str) -> list[str]:
         fields = rest.split(" ")
@@ -93,7 +102,12 @@
             case "ROLLBACK":
                 self.transaction_state, self.pending_writes = "I", []
                 return ["DONE -"]
-            case "SET" | "RESET":
+            case "SET":
+                name, value = rest.split(" ", 1)
+                self.values[name] = value
+                return ["DONE -"]
+            case "RESET":
+                self.values, self.prepared = {}, {}
                 return ["DONE -"]
             case "PREPARE":
                 name, statement = rest.split(" ", 1)
@@ -116,6 +130,7 @@
 
     def _run(self, statement_id: str, verb: str, rest: str, text: str) -> list[str]:
         target = self.target
+        target.values.append((statement_id, dict(self.values)))
         if verb == "EXEC":
             name, body = rest.split(" ", 1)
             if name not in self.prepared:
@@ -141,12 +156,26 @@
         return [receipt]
 
 
+async def _read_line(target: LineTarget, reader) -> str:
+    """Return the next line without its end; empty if there is none, or a longer one."""
+    try:
+        data = await reader.readuntil(LINE_END)
+    except asyncio.IncompleteReadError:
+        return ""
+    except asyncio.LimitOverrunError:
+        data = b""
+    if not data or len(data) > MAX_LINE_B:
+        target.too_long += 1
+        return ""
+    return data.decode().removesuffix(LINE_END.decode())
+
+
 async def _serve(target: LineTarget, reader, writer) -> None:
     conn = _Conn(target)
     target.open_connections += 1
     try:
-        while line := await reader.readline():
-            command, _, rest = line.decode().rstrip("\r\n").partition(" ")
+        while line := await _read_line(target, reader):
+            command, _, rest = line.partition(" ")
             if command == "CONNECT":
                 lines = conn.connect(rest)
             elif command == "QUERY":
@@ -177,7 +206,7 @@
         tasks.add(asyncio.current_task())
         await _serve(target, reader, writer)
 
-    server = await asyncio.start_server(accept, "127.0.0.1", 0)
+    server = await asyncio.start_server(accept, "127.0.0.1", 0, limit=MAX_LINE_B)
     try:
         yield server.sockets[0].getsockname()[1]
     finally:
