Sessions: values and shapes are bounded by 1 MiB together

What callers would see: a node that ends for want of memory. One session may have set 64 values and prepared 256 shapes of up to 1 MiB each, 320 MiB, and all values went to the holder with each statement, in a frame of at most 4 MiB between nodes.

Cause: only the number of values and of prepared statements was bounded.

Evidence: the new test in odd_statements_test.py failed before: a session kept a second text of 600,000 bytes.

Why this works: SET and PREPARE get MALFORMED beyond the sum; what a new text replaces doesn't count. One text of the longest line still fits. A statement with its session's texts is at most 3 MiB now: its line is sent with the arguments twice, its values and shape are 1 MiB together.

--- a/lavenderstack/node/session.py
+++ b/lavenderstack/node/session.py
@@ -10,7 +10,7 @@
 
 import structlog
 
-from lavenderstack.core import clock
+from lavenderstack.core import clock, session_texts
 from lavenderstack.core.catalog import Route
 from lavenderstack.core.messages import Failed, Message
 from lavenderstack.core.outcome import Reason
@@ -27,12 +27,7 @@
     access_for,
     transaction_start,
 )
-from lavenderstack.core.statement import (
-    Prepared,
-    Statement,
-    StatementKind,
-    as_executed,
-)
+from lavenderstack.core.statement import Prepared, Statement, StatementKind, as_executed
 from lavenderstack.core.work_messages import Access, EndWork
 from lavenderstack.node.call import Call, DispatchResult, TransactionLocation
 from lavenderstack.node.evacuation.evacuation_refusals import refusal_at_once
@@ -44,8 +39,6 @@
 log = structlog.get_logger()
 
 END_TIMEOUT_S = 1.0
-MAX_VALUES = 64
-MAX_PREPARED = 256
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,10 +108,8 @@
                 return self._begin(statement)
             case StatementKind.ROLLBACK:
                 return self._rollback()
-            case StatementKind.SET_VALUE:
-                return self._set_value(statement)
-            case StatementKind.PREPARE:
-                return self._prepare(statement)
+            case StatementKind.SET_VALUE | StatementKind.PREPARE:
+                return self._keep(statement)
             case StatementKind.CLOSE_PREPARED:
                 self.prepared.pop(statement.name, None)
                 return Reply()
@@ -196,16 +187,15 @@
         except (NotSent, StreamLost, TimeoutError) as exc:
             log.info("session: rollback not delivered", holder=vm.name, error=str(exc))
 
-    def _set_value(self, statement: Statement) -> Reply:
-        if statement.name not in self.values and len(self.values) >= MAX_VALUES:
-            return self._refused(Reason.BAD_REQUEST, "too many values")
-        self.values = {**self.values, statement.name: statement.body}
-        return Reply()
-
-    def _prepare(self, statement: Statement) -> Reply:
-        if len(self.prepared) >= MAX_PREPARED and statement.name not in self.prepared:
-            return self._refused(Reason.BAD_REQUEST, "too many prepared statements")
-        self.prepared[statement.name] = Prepared(statement.writes, statement.body)
+    def _keep(self, statement: Statement) -> Reply:
+        """Keep a value or a prepared statement."""
+        refusal = session_texts.refusal(statement, self.values, self.prepared)
+        if refusal:
+            return self._refused(Reason.BAD_REQUEST, refusal)
+        if statement.kind is StatementKind.SET_VALUE:
+            self.values = {**self.values, statement.name: statement.body}
+        else:
+            self.prepared[statement.name] = Prepared(statement.writes, statement.body)
         return Reply()
 
     def refuse(self, detail: str) -> Reply:
--- a/lavenderstack/platform/odd_statements_test.py
+++ b/lavenderstack/platform/odd_statements_test.py
@@ -49,3 +49,15 @@
                 assert answer[-1].startswith("READY I")
                 assert (await caller.query("WRITE a b"))[0].startswith("DONE i-1.")
             assert not node.targets[0].too_long
+
+    async def test_a_session_keeps_no_more_texts_than_one_of_the_longest(
+        self, tmp_path
+    ):
+        async with run_node(tmp_path) as node:
+            caller = await connect_when_known(node, "CONNECT db2 k1")
+            long = "x" * 600_000
+            assert (await caller.query(f"SET v {long}"))[0] == "DONE -"
+            for text in (f"SET w {long}", f"PREPARE s READ {long}"):
+                assert (await caller.query(text))[0].startswith("ERROR MALFORMED")
+            assert (await caller.query("WRITE a b"))[0].startswith("DONE i-1.")
+            assert node.targets[0].values[-1] == ("q1", {"v": long})
