Connections to targets: the prepared names on one are bounded

What callers would see: in time a node or a target that ends for want of memory. Each new shape of any session added a name to the record of a pooled connection and a shape to the target's, for as long as the connection lasts.

Cause: names were removed only by a RESET because of other values.

Evidence: test_names_on_a_connection_are_bounded failed before: no RESET in 513 shapes.

Why this works: the connection is reset before the name after the 256th. The values are set again in the same step, as after a RESET for other values.

--- a/lavenderstack/node/executor_connections_test.py
+++ b/lavenderstack/node/executor_connections_test.py
@@ -16,6 +16,7 @@
 )
 from lavenderstack.node.backend import ConnectionLost
 from lavenderstack.node.executor_fake import WRITE, ExecutorHarness
+from lavenderstack.node.targets.connection_setup import MAX_PREPARED_NAMES
 
 
 class TestConnectionSetup:
@@ -71,6 +72,20 @@
         assert isinstance(await harness.run(values=self.FIRST), WorkDone)
         assert harness.targets["t1"].executed[-1][-1] == self.FIRST
 
+    async def test_names_on_a_connection_are_bounded(self):
+        """Callers may prepare ever new shapes, and a connection may stay for days."""
+        harness = ExecutorHarness()
+        for number in range(2 * MAX_PREPARED_NAMES + 1):
+            answer = await harness.run(
+                self.EXECUTE,
+                access=Access.AGED_READ,
+                values=self.FIRST,
+                prepared=Prepared(False, str(number)),
+            )
+            assert isinstance(answer, WorkDone)
+        assert harness.targets["t1"].resets == 2
+        assert {run[-1]["v"] for run in harness.targets["t1"].executed} == {"first"}
+
 
 class TestProbes:
     """A connection may be used again only if no transaction is open on it."""
--- a/lavenderstack/node/targets/connection_setup.py
+++ b/lavenderstack/node/targets/connection_setup.py
@@ -24,6 +24,10 @@
 
 # Characters of a name or shape that a log line has.
 MAX_LOGGED_CHARS = 60
+# Names on one connection, after which it is reset. As many as a session may prepare;
+# without a bound, the names here and the shapes at the target would grow as long as the
+# connection is open.
+MAX_PREPARED_NAMES = 256
 
 
 def send_prepared(
@@ -70,7 +74,7 @@
     """Return what prepares the connection, and its values and names after that."""
     commands = []
     values, names = dict(pooled.values), set(pooled.prepared)
-    if any(work.values.get(name) != value for name, value in values.items()):
+    if _needs_reset(work, pooled):
         commands.append(Command(statement.RESET))
         values.clear()
         names.clear()
@@ -85,6 +89,15 @@
     return commands, values, names
 
 
+def _needs_reset(work: Work, pooled: PooledConnection) -> bool:
+    """Return whether a value of another session is set, or the names are too many."""
+    values, prepared = work.values, work.prepared
+    if any(values.get(name) != value for name, value in pooled.values.items()):
+        return True
+    full = len(pooled.prepared) >= MAX_PREPARED_NAMES
+    return full and prepared is not None and prepared.shared_name not in pooled.prepared
+
+
 def target_statement(work: Work) -> Statement:
     """Return the statement as sent to the target, with the shared prepared name."""
     if work.prepared is None:
