Error texts are one bounded line

What callers would see: an answer to nothing, after which a client closes its session, when the text of an error has a line end. Texts come from targets, exceptions and other nodes. One of 1 MiB went on whole, into frames and the log as well, and made a line of over 1 MiB with our code before it.

Cause: format_error took the text as it was.

Evidence: both tests of TestErrorTexts failed before.

Why this works: CR and LF become blanks, and 500 characters remain, already where a target's answer is read.

--- a/lavenderstack/platform/line_protocol.py
+++ b/lavenderstack/platform/line_protocol.py
@@ -13,6 +13,11 @@
 
 MAX_LINE_B = 1024 * 1024
 LINE_END = b"\r\n"
+# Of the text of an error. It also goes into messages between nodes and log lines.
+MAX_DETAIL_CHARS = 500
+# Replaced in the text of an error, each on its own for readers that take either as the
+# end of a line.
+_LINE_ENDS = str.maketrans("\r\n", "  ")
 # Stands for the request id of a statement that the service itself sends, and for the
 # receipt and position of an answer that came from no target.
 EMPTY_FIELD = "-"
@@ -146,13 +151,19 @@
 def parse_error(rest: str) -> tuple[Reason, str]:
     """Return the reason and the text of an ``ERROR`` message."""
     code, _, detail = rest.partition(" ")
+    detail = detail[:MAX_DETAIL_CHARS]
     return _REASONS.get(code, Reason.STATEMENT_FAILED), detail
 
 
 def format_error(reason: Reason, detail: str) -> str:
-    """Return the ``ERROR`` line of a reason."""
+    """Return the ``ERROR`` line of a reason.
+
+    ``detail`` may come from a target, another node or an exception. It can't end the
+    line.
+    """
     code = _CODES.get(reason, "UNKNOWN")
-    return f"{MessageType.ERROR} {code} {detail or reason.value}\r\n"
+    text = (detail or reason.value)[:MAX_DETAIL_CHARS]
+    return f"{MessageType.ERROR} {code} {text.translate(_LINE_ENDS)}\r\n"
 
 
 def format_ready(state: TxState, position: Position) -> str:
--- a/lavenderstack/platform/line_protocol_test.py
+++ b/lavenderstack/platform/line_protocol_test.py
@@ -125,3 +125,20 @@
         assert len(received) == 1
         # 3 s when each piece copied and searched all that had arrived before it.
         assert time.process_time() - started_s < 0.5
+
+
+class TestErrorTexts:
+    """The text of an error comes from targets, other nodes and exceptions."""
+
+    @given(st.text())
+    def test_it_is_one_line(self, detail):
+        line = line_protocol.format_error(Reason.CROWDED, detail).removesuffix("\r\n")
+        assert line.startswith("ERROR BUSY ")
+        assert not set(line) & set("\r\n")
+
+    def test_it_is_bounded(self):
+        long = "\U0001f600" * line_protocol.MAX_LINE_B
+        _, detail = line_protocol.parse_error(f"BUSY {long}")
+        assert len(detail) == line_protocol.MAX_DETAIL_CHARS
+        line = line_protocol.format_error(Reason.CROWDED, long)
+        assert len(line) < line_protocol.MAX_DETAIL_CHARS + 20
