Positions are decimal digits of at most 63 bits

What callers would see: no answer.

Cause: int() takes more than the protocol's numbers.

Why this works: a number has 1 to 18 ASCII digits, otherwise the answer isn't understood: the connection is closed and the outcome is unknown.

--- a/lavenderstack/platform/line_protocol.py
+++ b/lavenderstack/platform/line_protocol.py
@@ -23,6 +23,10 @@
 EMPTY_FIELD = "-"
 
 
+# Of a number, so that it has 63 bits at most: messages between nodes hold no more.
+_MAX_DIGITS = 18
+
+
 class MessageType(StrEnum):
     """The type of a message, its first word."""
 
@@ -87,10 +91,17 @@
     if text == EMPTY_FIELD:
         return START
     term, _, seq = text.partition(".")
-    try:
-        return Position(int(term), int(seq))
-    except ValueError as exc:
-        raise ProtocolError(f"not a position: {text[:40]}") from exc
+    return Position(parse_number(term), parse_number(seq))
+
+
+def parse_number(text: str) -> int:
+    """Return a number of decimal digits; raises ``ProtocolError``.
+
+    ``int`` would also take signs, blanks, underscores and other scripts' digits.
+    """
+    if text.isascii() and text.isdigit() and len(text) <= _MAX_DIGITS:
+        return int(text)
+    raise ProtocolError(f"not a number: {text[:40]}")
 
 
 def format_position(position: Position) -> str:
--- a/lavenderstack/platform/message_size.py
+++ b/lavenderstack/platform/message_size.py
@@ -19,7 +19,7 @@
 # of up to 100 characters. Spares common statements to be formatted twice.
 SHORT_CHARS = MAX_SENT_B // 4 - 200
 # Room for the position before a read, on whatever route and target it runs.
-_LONGEST_POSITION = Position(2**63 - 1, 2**63 - 1)
+_LONGEST_POSITION = Position(10**18 - 1, 10**18 - 1)
 
 
 def error(query: Query, prepared: Mapping[str, Prepared]) -> str:
--- a/lavenderstack/platform/message_size_test.py
+++ b/lavenderstack/platform/message_size_test.py
@@ -9,7 +9,7 @@
 
 PREPARED = {"w": Prepared(writes=True, shape="q"), "r": Prepared(False, "q")}
 NAME_B = len(PREPARED["w"].shared_name)
-SINCE_B = len(f"SINCE {2**63 - 1}.{2**63 - 1} ")
+SINCE_B = len(f"SINCE {10**18 - 1}.{10**18 - 1} ")
 
 
 def query(start, size_b):
--- a/lavenderstack/platform/targets.py
+++ b/lavenderstack/platform/targets.py
@@ -195,10 +195,10 @@
         received = line_protocol.parse_position(fields[_RECEIVED])
         return ReplicationStatus(
             fields[_ROLE] == _PRIMARY,
-            int(fields[_TERM]),
+            line_protocol.parse_number(fields[_TERM]),
             received,
-            int(fields[_PAUSED_TERM]),
+            line_protocol.parse_number(fields[_PAUSED_TERM]),
         )
-    except (ProtocolError, ValueError, IndexError) as exc:
+    except (ProtocolError, IndexError) as exc:
         log.warning("targets: status not understood", error=str(exc))
         return None
--- /dev/null
+++ b/lavenderstack/platform/targets_test.py
@@ -0,0 +1,65 @@
+"""Tests of odd answers of targets: each costs its connection and nothing else."""
+
+import asyncio
+
+import pytest
+
+from lavenderstack.core.position import Position
+from lavenderstack.core.statement import Statement, StatementKind
+from lavenderstack.node.backend import Command, ConnectionLost
+from lavenderstack.platform.targets import LineConnection
+
+READ = Statement(StatementKind.READ, "READ a")
+
+
+class _Transport:
+    def write(self, data):
+        pass
+
+    def abort(self):
+        pass
+
+
+async def ask(answer, statement=READ, request="q1"):
+    """Return the future of the answer to a statement, and the connection."""
+    conn = LineConnection()
+    conn.connection_made(_Transport())
+    conn.data_received(b"READY I -\r\n")
+    (fut,) = conn.send([Command(statement, request)])
+    conn.data_received(answer)
+    await asyncio.sleep(0)
+    return fut, conn
+
+
+class TestOddAnswers:
+    """What isn't understood must not be taken for a success."""
+
+    @pytest.mark.parametrize(
+        "answer",
+        [
+            b"DONE r\r\nREADY X 1.1\r\n",
+            b"DONE r\r\nREADY I 1.x\r\n",
+            b"DONE r\r\nREADY I 1.99999999999999999999\r\n",
+            b"DONE r\r\nREADY I -1.1\r\n",
+            b"DONE r\r\nREADY I 1.1_0\r\n",
+            "DONE r\r\nREADY I 1.٣\r\n".encode(),
+            b"DONE \xff\r\nREADY I 1.1\r\n",
+            b"HELLO\r\n",
+        ],
+    )
+    async def test_the_outcome_is_unknown_and_the_connection_closed(self, answer):
+        fut, conn = await ask(answer)
+        assert conn.closed
+        with pytest.raises(ConnectionLost):
+            await fut
+
+    async def test_control_characters_in_rows_are_kept(self):
+        row = "a\rb\nc\0\t\x85\u2028 "
+        fut, _ = await ask(f"ROW {row}\r\nDONE r\r\nREADY I 3.7\r\n".encode())
+        reply = await fut
+        assert (reply.rows, reply.receipt) == ([row], "r")
+        assert reply.position == Position(3, 7)
+
+    async def test_statements_of_the_service_need_no_receipt(self):
+        fut, _ = await ask(b"DONE -\r\nREADY I 1.1\r\n", request="")
+        assert (await fut).reason is None
