Targets: an answer without an end or a receipt is no success

What callers would see: "DONE -" for a write, with no proof that it ran. An answer that was cut off before its DONE, or whose DONE had no receipt, was taken for a success.

Cause: READY completed an answer whatever had come before it.

Evidence: six cases of targets_test.py failed before.

Why this works: READY completes an answer only after exactly one DONE or ERROR, and a caller's statement needs a receipt that isn't "-". Otherwise the connection is closed, and the statement ends with an unknown outcome.

--- a/lavenderstack/platform/targets.py
+++ b/lavenderstack/platform/targets.py
@@ -8,7 +8,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import structlog
 
@@ -28,11 +28,35 @@
 
 log = structlog.get_logger()
 
+_NO_RECEIPTS = ("", line_protocol.EMPTY_FIELD)
+
 
 @dataclass(slots=True)
 class _PendingReply:
+    """The answer to a statement, as far as it has arrived.
+
+    ``of_caller`` tells that it must carry a receipt; statements of the service itself
+    have none. ``ended`` tells that its DONE or ERROR has arrived.
+    """
+
     fut: asyncio.Future
-    reply: Reply
+    of_caller: bool
+    reply: Reply = field(default_factory=Reply)
+    ended: bool = False
+
+    def end(self) -> None:
+        """Record that DONE or ERROR has arrived; raises ``ProtocolError`` if twice."""
+        if self.ended:
+            raise ProtocolError("answer with two ends")
+        self.ended = True
+
+    def check(self) -> None:
+        """Raise ``ProtocolError`` if the answer is cut off or proves nothing."""
+        if not self.ended:
+            raise ProtocolError("answer without an end")
+        succeeded = self.reply.reason is None
+        if self.of_caller and succeeded and self.reply.receipt in _NO_RECEIPTS:
+            raise ProtocolError("answer without a receipt")
 
 
 class LineConnection(asyncio.Protocol):
@@ -67,7 +91,7 @@
         messages = []
         for command in commands:
             fut = self._loop.create_future()
-            self._pending.append(_PendingReply(fut, Reply()))
+            self._pending.append(_PendingReply(fut, bool(command.request)))
             futs.append(fut)
             messages.append(
                 statement_texts.format_query(
@@ -121,19 +145,23 @@
             return
         if not self._pending:
             raise ProtocolError("answer without a statement")
-        reply = self._pending[0].reply
+        pending = self._pending[0]
+        reply = pending.reply
         if message_type == MessageType.ROW:
             reply.rows.append(rest)
         elif message_type == MessageType.DONE:
+            pending.end()
             reply.receipt = rest
         elif message_type == MessageType.ERROR:
+            pending.end()
             reply.reason, reply.detail = line_protocol.parse_error(rest)
         elif message_type == MessageType.READY:
             reply.state, reply.position = line_protocol.parse_ready(rest)
+            pending.check()
             self.position = reply.position
-            fut = self._pending.popleft().fut
-            if not fut.done():
-                fut.set_result(reply)
+            self._pending.popleft()
+            if not pending.fut.done():
+                pending.fut.set_result(reply)
         else:
             raise ProtocolError(f"unknown message type {message_type[:20]}")
 
--- a/lavenderstack/platform/targets_test.py
+++ b/lavenderstack/platform/targets_test.py
@@ -37,6 +37,11 @@
     @pytest.mark.parametrize(
         "answer",
         [
+            b"READY I 1.1\r\n",
+            b"ROW a\r\nREADY I 1.1\r\n",
+            b"ROW a\r\nDONE\r\nREADY I 1.1\r\n",
+            b"ROW a\r\nDONE -\r\nREADY I 1.1\r\n",
+            b"DONE r\r\nDONE r\r\nREADY I 1.1\r\n",
             b"DONE r\r\nREADY X 1.1\r\n",
             b"DONE r\r\nREADY I 1.x\r\n",
             b"DONE r\r\nREADY I 1.99999999999999999999\r\n",
@@ -44,6 +49,7 @@
             b"DONE r\r\nREADY I 1.1_0\r\n",
             "DONE r\r\nREADY I 1.٣\r\n".encode(),
             b"DONE \xff\r\nREADY I 1.1\r\n",
+            b"DONE r\r\nDONE r\nREADY I 1.1\r\n",
             b"HELLO\r\n",
         ],
     )
