Callers: the length of what waits on a connection is bounded

What callers would see: a node that ends for want of memory. 64 statements of up to 1 MiB each might wait behind the one that runs, on each connection.

Cause: only their number was bounded.

Evidence: both cases of test_their_length_is_bounded failed before.

Why this works: ids and texts that wait have 4 Mi characters at most; beyond that the connection is refused like one with too many statements.

--- a/lavenderstack/platform/callers.py
+++ b/lavenderstack/platform/callers.py
@@ -29,6 +29,8 @@
 MAX_GREETING_B = 4096
 # Statements that may wait on one connection behind the one that runs.
 MAX_PENDING_STATEMENTS = 64
+# Of their ids and texts together. Without this bound they may have 64 MiB.
+MAX_PENDING_CHARS = 4 * 1024 * 1024
 TIMEOUT_CHECK_INTERVAL_S = 0.5
 CLOSE_POLL_INTERVAL_S = 0.01
 
@@ -90,9 +92,12 @@
                 raise ProtocolError("no greeting")
             self._connect(rest)
         elif message_type == MessageType.QUERY:
-            if len(self._pending) >= MAX_PENDING_STATEMENTS:
-                raise ProtocolError("too many statements at once")
             self._pending.append(statement_texts.parse_query(rest))
+            if (
+                len(self._pending) > MAX_PENDING_STATEMENTS
+                or sum(one.chars for one in self._pending) > MAX_PENDING_CHARS
+            ):
+                raise ProtocolError("too many statements at once")
             self._start_next()
         elif message_type == MessageType.QUIT:
             self._transport.close()
--- a/lavenderstack/platform/statement_texts.py
+++ b/lavenderstack/platform/statement_texts.py
@@ -26,6 +26,11 @@
     statement: Statement | None
     error: str = ""
 
+    @property
+    def chars(self) -> int:
+        """The length of the id and the text."""
+        return len(self.request) + (len(self.statement.text) if self.statement else 0)
+
 
 def parse_query(rest: str) -> Query:
     """Return the request id and the statement of a ``QUERY`` message.
