Targets: the rows of one answer are bounded

What callers would see: UNKNOWN for statements of other sessions. An answer of more than 4 MiB, of a few rows that other callers wrote, made a frame between nodes that the receiver doesn't take: it ends the stream with all that is on it. An answer without end would fill the memory of the holder.

Cause: each row is bounded by the line, their sum was not.

Evidence: both cases of test_rows_are_bounded_and_the_connection_stays failed before.

Why this works: beyond 3 MiB the rows are dropped, the statement fails as one that was run, and the connection stays. The frame limit is from node/framing.py; a broken stream was not provoked in a run.

--- a/lavenderstack/platform/targets.py
+++ b/lavenderstack/platform/targets.py
@@ -28,6 +28,11 @@
 
 log = structlog.get_logger()
 
+# Of the rows of one answer, so that it fits in a frame between nodes: one above 4 MiB
+# ends the stream with all statements on it.
+MAX_ROWS_B = 3 * 1024 * 1024
+# Counted for each row besides its text: the length before it in a frame.
+ROW_OVERHEAD_B = 5
 _NO_RECEIPTS = ("", line_protocol.EMPTY_FIELD)
 
 
@@ -43,6 +48,13 @@
     of_caller: bool
     reply: Reply = field(default_factory=Reply)
     ended: bool = False
+    rows_b: int = 0
+
+    def add_row(self, row: str) -> None:
+        """Keep a row unless the answer is too long by now."""
+        self.rows_b += len(row.encode()) + ROW_OVERHEAD_B
+        if self.rows_b <= MAX_ROWS_B:
+            self.reply.rows.append(row)
 
     def end(self) -> None:
         """Record that DONE or ERROR has arrived; raises ``ProtocolError`` if twice."""
@@ -51,12 +63,19 @@
         self.ended = True
 
     def check(self) -> None:
-        """Raise ``ProtocolError`` if the answer is cut off or proves nothing."""
+        """Check a complete answer; one with too many rows becomes a failure.
+
+        Raises ``ProtocolError`` if it was cut off or proves nothing.
+        """
         if not self.ended:
             raise ProtocolError("answer without an end")
-        succeeded = self.reply.reason is None
-        if self.of_caller and succeeded and self.reply.receipt in _NO_RECEIPTS:
+        reply = self.reply
+        if self.of_caller and reply.reason is None and reply.receipt in _NO_RECEIPTS:
             raise ProtocolError("answer without a receipt")
+        if self.rows_b > MAX_ROWS_B and reply.reason is None:
+            reply.rows = []
+            reply.reason = Reason.STATEMENT_FAILED
+            reply.detail = f"the rows of the answer have over {MAX_ROWS_B} bytes"
 
 
 class LineConnection(asyncio.Protocol):
@@ -148,7 +167,7 @@
         pending = self._pending[0]
         reply = pending.reply
         if message_type == MessageType.ROW:
-            reply.rows.append(rest)
+            pending.add_row(rest)
         elif message_type == MessageType.DONE:
             pending.end()
             reply.receipt = rest
--- a/lavenderstack/platform/targets_test.py
+++ b/lavenderstack/platform/targets_test.py
@@ -4,10 +4,11 @@
 
 import pytest
 
+from lavenderstack.core.outcome import Reason
 from lavenderstack.core.position import Position
 from lavenderstack.core.statement import Statement, StatementKind
 from lavenderstack.node.backend import Command, ConnectionLost
-from lavenderstack.platform.targets import LineConnection
+from lavenderstack.platform.targets import MAX_ROWS_B, ROW_OVERHEAD_B, LineConnection
 
 READ = Statement(StatementKind.READ, "READ a")
 
@@ -69,3 +70,31 @@
     async def test_statements_of_the_service_need_no_receipt(self):
         fut, _ = await ask(b"DONE -\r\nREADY I 1.1\r\n", request="")
         assert (await fut).reason is None
+
+
+class TestLongAnswers:
+    """An answer above the limit of a frame cuts the stream between two nodes."""
+
+    @pytest.mark.parametrize("row", ["x" * 1_000_000, ""])
+    async def test_rows_are_bounded_and_the_connection_stays(self, row):
+        line = f"ROW {row}\r\n".encode()
+        fitting = MAX_ROWS_B // (len(row) + ROW_OVERHEAD_B)
+        fut, conn = await ask(line * fitting + b"DONE r\r\nREADY I 1.1\r\n")
+        assert (await fut).rows == [row] * fitting
+        (fut,) = conn.send([Command(READ, "q2")])
+        conn.data_received(line * (fitting + 1) + b"DONE r\r\nREADY I 1.1\r\n")
+        reply = await fut
+        assert (reply.reason, reply.rows) == (Reason.STATEMENT_FAILED, [])
+        assert not conn.closed
+
+
+class TestGreeting:
+    """Only operators' names go into it."""
+
+    async def test_greeting_has_an_empty_field_for_no_organisation(self):
+        conn, sent = LineConnection(), []
+        transport = _Transport()
+        transport.write = sent.append
+        conn.connection_made(transport)
+        conn.send_greeting("g", "", "i-1")
+        assert sent == [b"CONNECT g  i-1\r\n"]
