Targets: a change whose answer has too many rows may have taken effect

What callers would see: FAILED for a write or a commit that the target kept.

Evidence: both cases of the new test failed before.

Why this works: a write or commit gets OUTCOME_UNKNOWN, a read FAILED.

--- a/lavenderstack/platform/targets.py
+++ b/lavenderstack/platform/targets.py
@@ -16,6 +16,7 @@
 from lavenderstack.core.outcome import Reason
 from lavenderstack.core.position import START, Position
 from lavenderstack.core.reply import Reply, TxState
+from lavenderstack.core.statement import StatementKind
 from lavenderstack.core.view import Target
 from lavenderstack.node.backend import (
     Command,
@@ -38,14 +39,14 @@
 
 @dataclass(slots=True)
 class _PendingReply:
-    """The answer to a statement, as far as it has arrived.
+    """The answer to a command, as far as it has arrived.
 
-    ``of_caller`` tells that it must carry a receipt; statements of the service itself
-    have none. ``ended`` tells that its DONE or ERROR has arrived.
+    A caller's statement needs a receipt, one of the service itself has none. ``ended``
+    tells that the DONE or ERROR has arrived.
     """
 
     fut: asyncio.Future
-    of_caller: bool
+    command: Command
     reply: Reply = field(default_factory=Reply)
     ended: bool = False
     rows_b: int = 0
@@ -70,11 +71,17 @@
         if not self.ended:
             raise ProtocolError("answer without an end")
         reply = self.reply
-        if self.of_caller and reply.reason is None and reply.receipt in _NO_RECEIPTS:
+        if reply.reason is not None:
+            return
+        if self.command.request and reply.receipt in _NO_RECEIPTS:
             raise ProtocolError("answer without a receipt")
-        if self.rows_b > MAX_ROWS_B and reply.reason is None:
+        if self.rows_b > MAX_ROWS_B:
+            statement = self.command.statement
+            changes = statement.writes or statement.kind is StatementKind.COMMIT
             reply.rows = []
-            reply.reason = Reason.STATEMENT_FAILED
+            reply.reason = (
+                Reason.OUTCOME_UNKNOWN if changes else Reason.STATEMENT_FAILED
+            )
             reply.detail = f"the rows of the answer have over {MAX_ROWS_B} bytes"
 
 
@@ -110,7 +117,7 @@
         messages = []
         for command in commands:
             fut = self._loop.create_future()
-            self._pending.append(_PendingReply(fut, bool(command.request)))
+            self._pending.append(_PendingReply(fut, command))
             futs.append(fut)
             messages.append(
                 statement_texts.format_query(
--- a/lavenderstack/platform/targets_test.py
+++ b/lavenderstack/platform/targets_test.py
@@ -87,6 +87,18 @@
         assert (reply.reason, reply.rows) == (Reason.STATEMENT_FAILED, [])
         assert not conn.closed
 
+    @pytest.mark.parametrize(
+        "statement",
+        [
+            Statement(StatementKind.WRITE, "WRITE a b", writes=True),
+            Statement(StatementKind.COMMIT, "COMMIT"),
+        ],
+    )
+    async def test_a_change_with_too_many_rows_may_have_taken_effect(self, statement):
+        rows = b"ROW \r\n" * (MAX_ROWS_B // ROW_OVERHEAD_B + 1)
+        fut, _ = await ask(rows + b"DONE r\r\nREADY I 1.1\r\n", statement)
+        assert (await fut).reason is Reason.OUTCOME_UNKNOWN
+
 
 class TestGreeting:
     """Only operators' names go into it."""
