--- a/lavenderstack/platform/line_protocol.py
+++ b/lavenderstack/platform/line_protocol.py
@@ -10,15 +10,23 @@
 from lavenderstack.core.outcome import Reason
 from lavenderstack.core.position import START, Position
 from lavenderstack.core.reply import Reply, TxState
-from lavenderstack.core.statement import Statement, StatementKind
 
 MAX_LINE_B = 1024 * 1024
 LINE_END = b"\r\n"
+# Of the text of an error. It also goes into messages between nodes and log lines.
+MAX_DETAIL_CHARS = 500
+# Replaced in the text of an error, each on its own for readers that take either as the
+# end of a line.
+_LINE_ENDS = str.maketrans("\r\n", "  ")
 # Stands for the request id of a statement that the service itself sends, and for the
 # receipt and position of an answer that came from no target.
 EMPTY_FIELD = "-"
 
 
+# Of a number, so that it has 63 bits at most: messages between nodes hold no more.
+_MAX_DIGITS = 18
+
+
 class MessageType(StrEnum):
     """The type of a message, its first word."""
 
@@ -44,17 +52,23 @@
     """
 
     def __init__(self) -> None:
-        self._partial = b""
+        self._partial = bytearray()
 
     def feed(self, data: bytes) -> list[str]:
         """Return the lines that ``data`` completes.
 
         Raises ``ProtocolError`` for a line that is too long or not UTF-8.
         """
-        if self._partial:
-            data = self._partial + data
-        *complete, self._partial = data.split(LINE_END)
-        if any(len(line) > MAX_LINE_B for line in (*complete, self._partial)):
+        # Searched from the last byte on, so that a long line that arrives in small
+        # pieces isn't searched once for each piece.
+        searched_b = max(0, len(self._partial) - 1)
+        self._partial += data
+        complete = []
+        if self._partial.find(LINE_END, searched_b) >= 0:
+            *complete, self._partial = self._partial.split(LINE_END)
+        # The first half of the line end may have arrived alone.
+        begun_b = len(self._partial) - self._partial.endswith(LINE_END[:1])
+        if begun_b > MAX_LINE_B or any(len(line) > MAX_LINE_B for line in complete):
             raise ProtocolError("line too long")
         try:
             return [line.decode() for line in complete]
@@ -77,10 +91,17 @@
     if text == EMPTY_FIELD:
         return START
     term, _, seq = text.partition(".")
-    try:
-        return Position(int(term), int(seq))
-    except ValueError as exc:
-        raise ProtocolError(f"not a position: {text[:40]}") from exc
+    return Position(parse_number(term), parse_number(seq))
+
+
+def parse_number(text: str) -> int:
+    """Return a number of decimal digits; raises ``ProtocolError``.
+
+    ``int`` would also take signs, blanks, underscores and other scripts' digits.
+    """
+    if text.isascii() and text.isdigit() and len(text) <= _MAX_DIGITS:
+        return int(text)
+    raise ProtocolError(f"not a number: {text[:40]}")
 
 
 def format_position(position: Position) -> str:
@@ -141,13 +162,19 @@
 def parse_error(rest: str) -> tuple[Reason, str]:
     """Return the reason and the text of an ``ERROR`` message."""
     code, _, detail = rest.partition(" ")
+    detail = detail[:MAX_DETAIL_CHARS]
     return _REASONS.get(code, Reason.STATEMENT_FAILED), detail
 
 
 def format_error(reason: Reason, detail: str) -> str:
-    """Return the ``ERROR`` line of a reason."""
+    """Return the ``ERROR`` line of a reason.
+
+    ``detail`` may come from a target, another node or an exception. It can't end the
+    line.
+    """
     code = _CODES.get(reason, "UNKNOWN")
-    return f"{MessageType.ERROR} {code} {detail or reason.value}\r\n"
+    text = (detail or reason.value)[:MAX_DETAIL_CHARS]
+    return f"{MessageType.ERROR} {code} {text.translate(_LINE_ENDS)}\r\n"
 
 
 def format_ready(state: TxState, position: Position) -> str:
@@ -164,110 +191,3 @@
         lines = [format_error(reply.reason, reply.detail)]
     lines.append(format_ready(reply.state, reply.position))
     return "".join(lines).encode()
-
-
-def parse_statement(text: str) -> Statement | None:
-    """Return the statement in a caller's text, or None if it is invalid.
-
-    >>> parse_statement("EXEC s1 1a4 xkq").body
-    '1a4 xkq'
-    """
-    verb, _, rest = text.partition(" ")
-    parse = _STATEMENT_PARSERS.get(verb)
-    return parse(text, rest) if parse else None
-
-
-def _parse_read(text: str, rest: str) -> Statement | None:
-    return Statement(StatementKind.READ, text) if rest else None
-
-
-def _parse_write(text: str, rest: str) -> Statement | None:
-    return Statement(StatementKind.WRITE, text, writes=True) if rest else None
-
-
-def _parse_begin(text: str, rest: str) -> Statement | None:
-    if rest not in ("", "READ"):
-        return None
-    return Statement(StatementKind.BEGIN, text, read_only=rest == "READ")
-
-
-def _parse_commit(text: str, rest: str) -> Statement | None:
-    return None if rest else Statement(StatementKind.COMMIT, text)
-
-
-def _parse_rollback(text: str, rest: str) -> Statement | None:
-    return None if rest else Statement(StatementKind.ROLLBACK, text)
-
-
-def _parse_set(text: str, rest: str) -> Statement | None:
-    name, _, value = rest.partition(" ")
-    return Statement(StatementKind.SET_VALUE, text, name, value) if name else None
-
-
-def _parse_prepare(text: str, rest: str) -> Statement | None:
-    name, _, definition = rest.partition(" ")
-    verb, _, shape = definition.partition(" ")
-    if not name or not shape or verb not in ("READ", "WRITE"):
-        return None
-    return Statement(StatementKind.PREPARE, text, name, shape, writes=verb == "WRITE")
-
-
-def _parse_execute(text: str, rest: str) -> Statement | None:
-    name, _, body = rest.partition(" ")
-    return Statement(StatementKind.EXECUTE, text, name, body) if name and body else None
-
-
-def _parse_close(text: str, rest: str) -> Statement | None:
-    return Statement(StatementKind.CLOSE_PREPARED, text, rest) if rest else None
-
-
-_STATEMENT_PARSERS = {
-    "READ": _parse_read,
-    "WRITE": _parse_write,
-    "BEGIN": _parse_begin,
-    "COMMIT": _parse_commit,
-    "ROLLBACK": _parse_rollback,
-    "SET": _parse_set,
-    "PREPARE": _parse_prepare,
-    "EXEC": _parse_execute,
-    "CLOSE": _parse_close,
-}
-
-
-# Texts of statements that the service itself sends to targets.
-_SERVICE_TEXTS = {
-    StatementKind.ROLLBACK: "ROLLBACK",
-    StatementKind.RESET: "RESET",
-    StatementKind.STATUS: "STATUS",
-    StatementKind.RESUME: "RESUME",
-}
-
-
-def _statement_text(statement: Statement) -> str:
-    match statement.kind:
-        case StatementKind.EXECUTE:
-            return f"EXEC {statement.name} {statement.body}"
-        case StatementKind.BEGIN:
-            return "BEGIN READ" if statement.read_only else "BEGIN"
-        case StatementKind.SET_VALUE:
-            return f"SET {statement.name} {statement.body}"
-        case StatementKind.PREPARE:
-            verb = "WRITE" if statement.writes else "READ"
-            return f"PREPARE {statement.name} {verb} {statement.body}"
-        case StatementKind.PAUSE:
-            return f"PAUSE {statement.body}"
-    return statement.text or _SERVICE_TEXTS[statement.kind]
-
-
-def format_statement(statement: Statement, min_position: Position) -> str:
-    """Return the text of a statement for a target.
-
-    ``min_position`` is the position that the target's log must have reached, for reads
-    and for the start of a transaction. A prepared statement is sent under the name in
-    ``statement``, not under the name that the caller gave it; a caller's read, write or
-    commit is sent unchanged.
-    """
-    text = _statement_text(statement)
-    if min_position == START:
-        return text
-    return f"SINCE {format_position(min_position)} {text}"
--- a/lavenderstack/platform/targets.py
+++ b/lavenderstack/platform/targets.py
@@ -8,7 +8,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import structlog
 
@@ -16,6 +16,7 @@
 from lavenderstack.core.outcome import Reason
 from lavenderstack.core.position import START, Position
 from lavenderstack.core.reply import Reply, TxState
+from lavenderstack.core.statement import StatementKind
 from lavenderstack.core.view import Target
 from lavenderstack.node.backend import (
     Command,
@@ -23,16 +24,65 @@
     ConnectionLost,
     ReplicationStatus,
 )
-from lavenderstack.platform import line_protocol
+from lavenderstack.platform import line_protocol, statement_texts
 from lavenderstack.platform.line_protocol import MessageType, ProtocolError
 
 log = structlog.get_logger()
 
+# Of the rows of one answer, so that it fits in a frame between nodes: one above 4 MiB
+# ends the stream with all statements on it.
+MAX_ROWS_B = 3 * 1024 * 1024
+# Counted for each row besides its text: the length before it in a frame.
+ROW_OVERHEAD_B = 5
+_NO_RECEIPTS = ("", line_protocol.EMPTY_FIELD)
+
 
 @dataclass(slots=True)
 class _PendingReply:
+    """The answer to a command, as far as it has arrived.
+
+    A caller's statement needs a receipt, one of the service itself has none. ``ended``
+    tells that the DONE or ERROR has arrived.
+    """
+
     fut: asyncio.Future
-    reply: Reply
+    command: Command
+    reply: Reply = field(default_factory=Reply)
+    ended: bool = False
+    rows_b: int = 0
+
+    def add_row(self, row: str) -> None:
+        """Keep a row unless the answer is too long by now."""
+        self.rows_b += len(row.encode()) + ROW_OVERHEAD_B
+        if self.rows_b <= MAX_ROWS_B:
+            self.reply.rows.append(row)
+
+    def end(self) -> None:
+        """Record that DONE or ERROR has arrived; raises ``ProtocolError`` if twice."""
+        if self.ended:
+            raise ProtocolError("answer with two ends")
+        self.ended = True
+
+    def check(self) -> None:
+        """Check a complete answer; one with too many rows becomes a failure.
+
+        Raises ``ProtocolError`` if it was cut off or proves nothing.
+        """
+        if not self.ended:
+            raise ProtocolError("answer without an end")
+        reply = self.reply
+        if reply.reason is not None:
+            return
+        if self.command.request and reply.receipt in _NO_RECEIPTS:
+            raise ProtocolError("answer without a receipt")
+        if self.rows_b > MAX_ROWS_B:
+            statement = self.command.statement
+            changes = statement.writes or statement.kind is StatementKind.COMMIT
+            reply.rows = []
+            reply.reason = (
+                Reason.OUTCOME_UNKNOWN if changes else Reason.STATEMENT_FAILED
+            )
+            reply.detail = f"the rows of the answer have over {MAX_ROWS_B} bytes"
 
 
 class LineConnection(asyncio.Protocol):
@@ -67,13 +117,13 @@
         messages = []
         for command in commands:
             fut = self._loop.create_future()
-            self._pending.append(_PendingReply(fut, Reply()))
+            self._pending.append(_PendingReply(fut, command))
             futs.append(fut)
-            text = line_protocol.format_statement(
-                command.statement, command.min_position
+            messages.append(
+                statement_texts.format_query(
+                    command.request, command.statement, command.min_position
+                )
             )
-            request = command.request or line_protocol.EMPTY_FIELD
-            messages.append(f"{MessageType.QUERY} {request} {text}\r\n")
         self._write("".join(messages))
         return futs
 
@@ -121,19 +171,23 @@
             return
         if not self._pending:
             raise ProtocolError("answer without a statement")
-        reply = self._pending[0].reply
+        pending = self._pending[0]
+        reply = pending.reply
         if message_type == MessageType.ROW:
-            reply.rows.append(rest)
+            pending.add_row(rest)
         elif message_type == MessageType.DONE:
+            pending.end()
             reply.receipt = rest
         elif message_type == MessageType.ERROR:
+            pending.end()
             reply.reason, reply.detail = line_protocol.parse_error(rest)
         elif message_type == MessageType.READY:
             reply.state, reply.position = line_protocol.parse_ready(rest)
+            pending.check()
             self.position = reply.position
-            fut = self._pending.popleft().fut
-            if not fut.done():
-                fut.set_result(reply)
+            self._pending.popleft()
+            if not pending.fut.done():
+                pending.fut.set_result(reply)
         else:
             raise ProtocolError(f"unknown message type {message_type[:20]}")
 
@@ -195,10 +249,10 @@
         received = line_protocol.parse_position(fields[_RECEIVED])
         return ReplicationStatus(
             fields[_ROLE] == _PRIMARY,
-            int(fields[_TERM]),
+            line_protocol.parse_number(fields[_TERM]),
             received,
-            int(fields[_PAUSED_TERM]),
+            line_protocol.parse_number(fields[_PAUSED_TERM]),
         )
-    except (ProtocolError, ValueError, IndexError) as exc:
+    except (ProtocolError, IndexError) as exc:
         log.warning("targets: status not understood", error=str(exc))
         return None
