Streams: a request too long for its receiver is refused, not sent

A node aborts the stream on which it gets a frame over 4 MiB, and the sender didn't check the size: a statement of a session with some values of up to 1 MiB each ended every request of every session on that stream as lost, so writes of others were answered UNKNOWN. A text that msgpack can't encode raised out of the call, which also left its future among those that the stream waits for.

The sender now encodes first and writes nothing that is too long or can't be encoded (InvalidRequest, a NotSent). A statement is measured before a holder is asked (core/message_size.py), so it is refused in the same way if this node is the holder: BAD_REQUEST, not run, no other node tried, no node suspected.

--- a/lavenderstack/node/attempts.py
+++ b/lavenderstack/node/attempts.py
@@ -10,6 +10,7 @@
 
 from lavenderstack.core import clock
 from lavenderstack.core.catalog import TargetState
+from lavenderstack.core.message_size import work_refusal
 from lavenderstack.core.messages import Failed, Message
 from lavenderstack.core.outcome import Reason
 from lavenderstack.core.position import START
@@ -30,7 +31,7 @@
 )
 from lavenderstack.node.peers import Peers
 from lavenderstack.node.read_choices import ReadChoices
-from lavenderstack.node.streams import NotSent, StreamLost
+from lavenderstack.node.streams import InvalidRequest, NotSent, StreamLost
 
 log = structlog.get_logger()
 
@@ -162,6 +163,9 @@
         )
 
     async def _send_work(self, vm, work: Work) -> Message:
+        refusal = work_refusal(work)
+        if refusal is not None:
+            return refusal
         if not self._directory.is_load_controlled(work.group):
             return await self._ask_holder(vm, work)
         work = self._read_choices.with_known_limit(work, vm.name)
@@ -174,6 +178,8 @@
         timeout_s = work.left_s + ANSWER_MARGIN_S
         try:
             return await self._peers.ask(vm, work, timeout_s)
+        except InvalidRequest as exc:
+            return Failed(run=False, reason=Reason.BAD_REQUEST, detail=str(exc))
         except NotSent as exc:
             return Failed(run=False, reason=Reason.UNREACHABLE, detail=str(exc))
         except StreamLost as exc:
--- a/lavenderstack/node/framing.py
+++ b/lavenderstack/node/framing.py
@@ -12,14 +12,28 @@
 
 from lavenderstack.border.traffic import TRAFFIC
 from lavenderstack.core import clock
+from lavenderstack.core.message_size import MAX_FRAME_B
 from lavenderstack.node import wire
 
-MAX_FRAME_B = 4 * 1024 * 1024
-
 log = structlog.get_logger()
 _LENGTH = struct.Struct(">I")
 
 
+class UnsendableFrame(Exception):
+    """The frame is too long or can't be encoded; nothing was written."""
+
+
+def encode(frame: wire.Frame) -> bytes:
+    """Return a frame with its length; raises ``UnsendableFrame``."""
+    try:
+        body = wire.encode(frame)
+    except (UnicodeEncodeError, OverflowError, RecursionError) as exc:
+        raise UnsendableFrame(f"can't be encoded: {str(exc)[:100]}") from exc
+    if len(body) > MAX_FRAME_B:
+        raise UnsendableFrame(f"{len(body)} bytes, at most {MAX_FRAME_B} can be sent")
+    return _LENGTH.pack(len(body)) + body
+
+
 class FramedProtocol(asyncio.Protocol):
     """Splits the byte stream into frames; subclasses handle each frame."""
 
@@ -75,7 +89,10 @@
         raise NotImplementedError
 
     def send(self, frame: wire.Frame) -> None:
-        """Write a frame; a closing transport discards it."""
-        body = wire.encode(frame)
-        TRAFFIC.nodes_sent_b += _LENGTH.size + len(body)
-        self.transport.write(_LENGTH.pack(len(body)) + body)
+        """Write a frame; a closing transport discards it.
+
+        Raises ``UnsendableFrame`` for one that the other node would not accept.
+        """
+        data = encode(frame)
+        TRAFFIC.nodes_sent_b += len(data)
+        self.transport.write(data)
--- a/lavenderstack/node/peers.py
+++ b/lavenderstack/node/peers.py
@@ -14,6 +14,7 @@
 from lavenderstack.core.messages import Message
 from lavenderstack.core.view import Target, View, Vm
 from lavenderstack.node.streams import (
+    InvalidRequest,
     NotSent,
     NotSupported,
     StillConnecting,
@@ -64,8 +65,9 @@
             self._members.suspect(vm.name, clock.now())
             exc.opening.add_done_callback(partial(self._finish_connecting, vm.name))
             raise
-        except NotSupported:
-            # The node runs; its build is another one.
+        except (NotSupported, InvalidRequest):
+            # Nothing is wrong with the node: its build is another one, or the request
+            # is too long for any node.
             raise
         except (NotSent, StreamLost):
             self._members.suspect(vm.name, clock.now())
--- a/lavenderstack/node/router.py
+++ b/lavenderstack/node/router.py
@@ -42,7 +42,7 @@
     no_primary,
     to_exception,
 )
-from lavenderstack.node.streams import NotSent, StreamLost
+from lavenderstack.node.streams import InvalidRequest, NotSent, StreamLost
 from lavenderstack.node.transactions import parse
 from lavenderstack.node.usable_primaries import UsablePrimaries
 
@@ -195,6 +195,8 @@
         for vm in self._peers.holders(target)[:3]:
             try:
                 return await self._peers.ask(vm, msg, left_s + REPLY_GRACE_S)
+            except InvalidRequest as exc:
+                return _invalid_request(exc)
             except NotSent:
                 continue
             except (StreamLost, TimeoutError):
@@ -347,6 +349,8 @@
             raise Refused(Reason.TRANSACTION_LOST, "the node that held it has left")
         try:
             return await self._peers.ask(vm, msg, left_s + REPLY_GRACE_S)
+        except InvalidRequest as exc:
+            return _invalid_request(exc)
         except NotSent as exc:
             raise Refused(
                 Reason.TRANSACTION_LOST, "the node that holds it does not answer"
@@ -359,6 +363,11 @@
             )
 
 
+def _invalid_request(exc: InvalidRequest) -> Failed:
+    """Return the refusal of a request that no node could receive."""
+    return Failed(run=False, reason=Reason.BAD_REQUEST, detail=str(exc))
+
+
 async def _pause(attempts: RequestAttempts, pause: float, deadline: float) -> None:
     """Wait ``pause`` seconds; raise the final outcome if the deadline is sooner."""
     if clock.now() + pause >= deadline:
--- a/lavenderstack/node/router_test.py
+++ b/lavenderstack/node/router_test.py
@@ -12,7 +12,7 @@
 from lavenderstack.node.evacuation.zone_evacuations_test import FakeEvacuations
 from lavenderstack.node.primaries import Primaries
 from lavenderstack.node.router import Router
-from lavenderstack.node.streams import NotSent, StreamLost
+from lavenderstack.node.streams import InvalidRequest, NotSent, StreamLost
 
 CALLER = Caller("lipa", "d")
 
@@ -119,6 +119,13 @@
         with pytest.raises(Unknown):
             await router.run(request(**WRITE))
 
+    async def test_request_that_no_node_can_receive_is_refused_at_once(self):
+        router, peers = make_router(InvalidRequest("too long"))
+        with pytest.raises(Refused) as caught:
+            await router.run(request())
+        assert caught.value.reason is Reason.BAD_REQUEST
+        assert len(peers.sent) == 1
+
     async def test_answer_advances_the_sessions_watermark(self):
         router, _ = make_router(done("a", "b"))
         answer = await router.run(
--- a/lavenderstack/node/streams.py
+++ b/lavenderstack/node/streams.py
@@ -23,7 +23,7 @@
 )
 from lavenderstack.core.targets.connect_timeout import ConnectTimeout
 from lavenderstack.node import wire
-from lavenderstack.node.framing import FramedProtocol
+from lavenderstack.node.framing import FramedProtocol, UnsendableFrame
 
 CONNECT_TIMEOUT_S = 1.0
 PING_AFTER_S = 0.5
@@ -66,6 +66,10 @@
     """The other node's build doesn't know the message and has run nothing."""
 
 
+class InvalidRequest(NotSent):
+    """The request is too long or can't be encoded, so no node could receive it."""
+
+
 class StreamLost(Exception):
     """The stream closed or stayed silent after the request had been sent."""
 
@@ -117,14 +121,20 @@
         return not self.closed and not self.closing
 
     def ask(self, body: Message) -> tuple[int, asyncio.Future]:
-        """Send a request; return its number and the future of its reply."""
+        """Send a request; return its number and the future of its reply.
+
+        Raises ``InvalidRequest`` if no node could receive it.
+        """
         self._next += 1
         self.used_at = clock.now()
         if not self.waiting:
             self.received_at = self.used_at
+        try:
+            self.send(wire.Frame(self._next, False, body))
+        except UnsendableFrame as exc:
+            raise InvalidRequest(str(exc)) from exc
         fut = asyncio.get_running_loop().create_future()
         self.waiting[self._next] = fut
-        self.send(wire.Frame(self._next, False, body))
         return self._next, fut
 
     def cancel(self, number: int) -> None:
@@ -217,10 +227,11 @@
     ) -> Message:
         """Send a request to the node at ``addr`` and return its reply.
 
-        Raises ``NotSent`` if the request was not sent, ``StillConnecting`` if that is
-        because connecting takes long, ``StreamLost`` if the stream failed later, and
-        ``TimeoutError`` after ``timeout_s`` seconds, connecting included. A call that
-        is cancelled or times out also cancels its handler at the other end.
+        Raises ``NotSent`` if the request was not sent, ``InvalidRequest`` if no node
+        could receive it, ``StillConnecting`` if connecting takes long, ``StreamLost``
+        if the stream failed later, and ``TimeoutError`` after ``timeout_s`` seconds,
+        connecting included. A call that is cancelled or times out also cancels its
+        handler at the other end.
         """
         deadline = clock.now() + timeout_s
         stream = await self._get_stream(addr, timeout_s)
