Answers between nodes: rows too long for a message fail only their statement

Nothing bounded the rows of an answer: five rows of a line's length made a frame over 4 MiB, at which the entry node aborted the stream, so that every request on it ended as lost, writes as UNKNOWN. A caller with such an item could repeat this at will. On the holder's own node the same answer was passed on.

The holder now decides (Executors.work), whichever node asked: rows of more than 4 MiB less 64 KiB are replaced by a failure. A read, and a statement of a transaction before its commit, is answered as failed and the transaction is rolled back, as its session may not know its name yet; a single write or a commit has an unknown outcome, since it has taken effect. Any other reply that can't be sent is replaced in the same way at the stream (unsendable_reply), with one log line.

--- a/lavenderstack/core/log/events_statements.py
+++ b/lavenderstack/core/log/events_statements.py
@@ -228,6 +228,12 @@
         ("message",),
         "answered as not supported",
     ),
+    Event(
+        "streams: reply not sendable",
+        LineKind.FAILURE,
+        ("message", "error"),
+        "too long or no text; answered as failed",
+    ),
     Event(
         "streams: message not supported",
         LineKind.STATE,
--- a/lavenderstack/node/backend_fake.py
+++ b/lavenderstack/node/backend_fake.py
@@ -34,7 +34,8 @@
     ``dead_connections`` of nodes that lost power count towards ``max_connections``.
 
     It fails statements of the kinds in ``refused``, outside of transactions too, and
-    while ``failing`` those of callers once they have run.
+    while ``failing`` those of callers once they have run. The others are answered with
+    ``rows``.
     ``executed`` lists its statements as ``(organisation, request, kind, values)``.
     """
 
@@ -52,6 +53,7 @@
     connect_s: float = 0.0
     refused: frozenset[StatementKind] = frozenset()
     failing: bool = False
+    rows: list[str] = field(default_factory=lambda: ["row"])
     executed: list = field(default_factory=list)
     orders: list = field(default_factory=list)
     connects: int = 0
@@ -236,7 +238,7 @@
             self._end_transaction()
             if not self._group.commit(target):
                 return None
-        return Reply(rows=["row"], receipt="receipt")
+        return Reply(rows=list(target.rows), receipt="receipt")
 
     def _end_transaction(self) -> None:
         self.state, self._needs_primary = TxState.NONE, False
--- a/lavenderstack/node/executors.py
+++ b/lavenderstack/node/executors.py
@@ -8,6 +8,7 @@
 from lavenderstack.core import clock
 from lavenderstack.core.catalog import TargetState
 from lavenderstack.core.failover.acknowledgement_hold import NO_HOLD
+from lavenderstack.core.message_size import answer_failure
 from lavenderstack.core.messages import Failed, Message
 from lavenderstack.core.outcome import Reason
 from lavenderstack.core.work_messages import (
@@ -16,6 +17,7 @@
     GroupPositionRequest,
     PrimaryPositionRequest,
     Work,
+    WorkDone,
     WorkEnded,
 )
 from lavenderstack.node.acknowledged_positions import AcknowledgedPositions
@@ -104,7 +106,7 @@
             return Failed(run=False, reason=Reason.UNREACHABLE, detail=detail)
         arrived_at = clock.now()
         with executor.expected(msg):
-            answer = await executor.run(msg)
+            answer = _bounded(executor, msg, await executor.run(msg))
         if isinstance(answer, Failed):
             executor.log_failure(msg, answer)
         return executor.load_reports.attach(msg, answer, arrived_at)
@@ -161,3 +163,18 @@
                 executor.sweep(now)
             self._close_retired()
             self.cold.forget_unused(set(self.target_executors), now)
+
+
+def _bounded(executor: TargetExecutor, work: Work, answer: Message) -> Message:
+    """Return an answer, or a failure instead if its rows are too long to pass on.
+
+    Its transaction is rolled back then, since the session takes it for failed and may
+    not know its name yet.
+    """
+    failed = answer_failure(work, answer) if isinstance(answer, WorkDone) else None
+    if failed is None:
+        return answer
+    tx = answer.tx or work.tx
+    if tx:
+        executor.transactions.end(EndWork(tx))
+    return failed
--- a/lavenderstack/node/message_size_test.py
+++ b/lavenderstack/node/message_size_test.py
@@ -11,6 +11,7 @@
 from lavenderstack.core import clock
 from lavenderstack.core.members import Members
 from lavenderstack.core.messages import Begin, Begun
+from lavenderstack.core.outcome import Reason
 from lavenderstack.core.view import View, Vm
 from lavenderstack.node.framing import MAX_FRAME_B
 from lavenderstack.node.peers import Peers
@@ -66,3 +67,25 @@
             with pytest.raises(InvalidRequest):
                 await peers.ask(vm, begin("x" * MAX_FRAME_B), 2.0)
             assert vm in members.live(View(vms={"n2": vm}), clock.now())
+
+
+class TestRepliesTooLong:
+    async def test_others_on_the_stream_are_answered(self):
+        async def handler(message):
+            await asyncio.sleep(0.2 if message.request == "slow" else 0)
+            return Begun("x" * MAX_FRAME_B if message.request == "r" else "t")
+
+        async with running_server(handler) as (pool, addr, _):
+            other = asyncio.ensure_future(pool.call(addr, begin("slow"), 2.0))
+            await asyncio.sleep(0.05)
+            answer = await pool.call(addr, BEGIN, 2.0)
+            assert (answer.run, answer.reason) == (True, Reason.OUTCOME_UNKNOWN)
+            assert await other == Begun("t")
+
+    async def test_reply_that_cannot_be_encoded_is_answered(self):
+        async def handler(message):
+            return Begun("\ud800")
+
+        async with running_server(handler) as (pool, addr, _):
+            answer = await pool.call(addr, BEGIN, 1.0)
+            assert (answer.run, answer.reason) == (True, Reason.OUTCOME_UNKNOWN)
--- a/lavenderstack/node/stream_server.py
+++ b/lavenderstack/node/stream_server.py
@@ -7,6 +7,7 @@
 
 import structlog
 
+from lavenderstack.core.message_size import unsendable_reply
 from lavenderstack.core.messages import (
     Cancel,
     Goodbye,
@@ -16,7 +17,7 @@
     Unsupported,
 )
 from lavenderstack.node import wire
-from lavenderstack.node.framing import FramedProtocol
+from lavenderstack.node.framing import FramedProtocol, UnsendableFrame
 
 log = structlog.get_logger()
 
@@ -74,7 +75,17 @@
             return
         reply = await handler(frame.body)
         if not self.transport.is_closing():
-            self.send(wire.Frame(frame.number, True, reply))
+            self._send_reply(frame, reply)
+
+    def _send_reply(self, request: wire.Frame, reply: Message) -> None:
+        """Send a reply, or why it can't be sent, so that only its request fails."""
+        try:
+            self.send(wire.Frame(request.number, True, reply))
+        except UnsendableFrame as exc:
+            name = type(reply).__name__
+            log.warning("streams: reply not sendable", message=name, error=str(exc))
+            failed = unsendable_reply(request.body, f"its reply was not sent: {exc}")
+            self.send(wire.Frame(request.number, True, failed))
 
 
 class StreamServer:
