Streams: a frame with an invalid text costs only its own request

msgspec raises UnicodeDecodeError for a text that isn't UTF-8 and RecursionError for one that is nested too deeply; neither is a MsgspecError. data_received raised, asyncio closed the stream ('Fatal error: protocol.data_received() call failed'), and every request on it ended as lost. A body of another type (a map, a text, nothing) closed it as well. The tag of an unknown message was formatted whatever it was, logged and sent back in full, up to 4 MiB.

The envelope of such a frame is now decoded without its body, so that the request is known and only it fails; of the body only the start of the tag is read. Bytes that are no frame still close the stream, after one line of bounded length.

--- a/lavenderstack/node/framing.py
+++ b/lavenderstack/node/framing.py
@@ -7,7 +7,6 @@
 import asyncio
 import struct
 
-import msgspec
 import structlog
 
 from lavenderstack.border.traffic import TRAFFIC
@@ -74,7 +73,7 @@
             log.info("streams: message not supported", message=exc.tag, reply=exc.reply)
             self.unknown_received(exc)
             return
-        except msgspec.MsgspecError as exc:
+        except wire.NotAFrame as exc:
             log.warning("streams: frame not understood", error=str(exc))
             self.transport.abort()
             return
--- a/lavenderstack/node/streams.py
+++ b/lavenderstack/node/streams.py
@@ -104,7 +104,8 @@
         fut = self.waiting.pop(frame.number, None)
         if fut is not None and not fut.done():
             if isinstance(frame.body, Unsupported):
-                fut.set_exception(NotSupported(frame.body.message))
+                tag = frame.body.message[: wire.MAX_TAG_CHARS]
+                fut.set_exception(NotSupported(tag))
             else:
                 fut.set_result(frame.body)
         if self.closing and not self.waiting:
--- a/lavenderstack/node/wire.py
+++ b/lavenderstack/node/wire.py
@@ -80,8 +80,23 @@
 encode = _encoder.encode
 
 
+# The start of an unknown tag that is logged and sent back.
+MAX_TAG_CHARS = 100
+MAX_ERROR_CHARS = 200
+# What decoding raises; a text that is not UTF-8 and a body that is nested too deeply
+# have errors of their own.
+_INVALID = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
+
+
+class NotAFrame(msgspec.DecodeError):
+    """The bytes are no frame, so that it isn't known to which request they belong."""
+
+
 class UnknownMessage(Exception):
-    """A frame whose message this build doesn't know; ``tag`` is the message's."""
+    """A frame whose message this build doesn't know or can't decode.
+
+    ``tag`` is the start of the message's tag, empty if that isn't a text.
+    """
 
     def __init__(self, number: int, reply: bool, tag: str) -> None:
         super().__init__(f"unknown message {tag!r}")
@@ -99,19 +114,34 @@
 
 
 _envelope_decoder = msgspec.msgpack.Decoder(_Envelope)
-_body_decoder = msgspec.msgpack.Decoder(list)
+_parts_decoder = msgspec.msgpack.Decoder(list[msgspec.Raw])
+_tag_decoder = msgspec.msgpack.Decoder(str)
+
+
+def _tag(body: msgspec.Raw) -> str:
+    """Return the start of a message's tag; nothing else of the message is decoded."""
+    try:
+        parts = _parts_decoder.decode(body)
+        return _tag_decoder.decode(parts[0])[:MAX_TAG_CHARS] if parts else ""
+    except _INVALID:
+        return ""
 
 
 def decode(data: bytes) -> Frame:
     """Decode a frame.
 
-    Raises ``UnknownMessage`` if its message is not understood, ``MsgspecError`` if it
+    Raises ``UnknownMessage`` if its message is not understood, ``NotAFrame`` if it
     isn't a frame at all.
     """
     try:
         return _decoder.decode(data)
-    except msgspec.ValidationError as exc:
+    except _INVALID as exc:
+        raise _explained(data, exc) from exc
+
+
+def _explained(data: bytes, cause: Exception) -> UnknownMessage | NotAFrame:
+    try:
         envelope = _envelope_decoder.decode(data)
-        body = _body_decoder.decode(envelope.body)
-        tag = str(body[0]) if body else ""
-        raise UnknownMessage(envelope.number, envelope.reply, tag) from exc
+    except _INVALID:
+        return NotAFrame(str(cause)[:MAX_ERROR_CHARS])
+    return UnknownMessage(envelope.number, envelope.reply, _tag(envelope.body))
