Failures from another build: a reason unknown here ends no session

Failed.reason is a text that the other node chooses. The session and the router convert it with Reason(...), which raises ValueError for a reason of a later build, and the time to come back with int(...), which raises for one that isn't finite: the caller's connection would end without an answer. The text was also a label of a metric.

Peers.ask now returns such a failure with the general reason of the same outcome, unknown if it may have run and else unreachable, which a caller may retry; the reason's start is kept in the detail. Before the change both cases of TestFailedForALaterReason failed with the reason 'later'.

--- a/lavenderstack/core/messages.py
+++ b/lavenderstack/core/messages.py
@@ -6,11 +6,12 @@
 refuse a request whose key was withdrawn while the request was queued.
 """
 
+import math
 from typing import Any
 
 import msgspec
 
-from lavenderstack.core.outcome import Refused
+from lavenderstack.core.outcome import Reason, Refused
 from lavenderstack.core.position import Position
 from lavenderstack.core.targets.target_load import TargetLoad
 
@@ -113,6 +114,32 @@
     load: TargetLoad | None = None
 
 
+_REASONS = frozenset(Reason)
+# The start of a reason that this build doesn't know, as it is told to a caller.
+MAX_REASON_CHARS = 40
+
+
+def understood(failed: Failed) -> Failed:
+    """Return a failure from another node with a reason and a time of this build.
+
+    A reason of a later build becomes the general one of the same outcome.
+
+    >>> understood(Failed(run=True, reason="later")).reason
+    <Reason.OUTCOME_UNKNOWN: 'outcome_unknown'>
+    """
+    retry_after_s = failed.retry_after_s
+    if retry_after_s is not None and not math.isfinite(retry_after_s):
+        failed = msgspec.structs.replace(failed, retry_after_s=None)
+    if failed.reason in _REASONS:
+        return failed
+    start = failed.reason[:MAX_REASON_CHARS]
+    return msgspec.structs.replace(
+        failed,
+        reason=Reason.OUTCOME_UNKNOWN if failed.run else Reason.UNREACHABLE,
+        detail=f"{start}: {failed.detail}" if failed.detail else start,
+    )
+
+
 def refusal_of(exc: Refused) -> Failed:
     """Return a refusal as a message: nothing has run."""
     return Failed(
--- a/lavenderstack/node/other_builds_test.py
+++ b/lavenderstack/node/other_builds_test.py
@@ -7,7 +7,9 @@
 import pytest
 
 from lavenderstack.core.members import Members
-from lavenderstack.core.messages import Begin, Begun, Ping, Pong
+from lavenderstack.core.messages import Begin, Begun, Failed, Ping, Pong
+from lavenderstack.core.outcome import Reason
+from lavenderstack.core.session_reply import autocommit_reason, retry_detail
 from lavenderstack.core.view import View, Vm
 from lavenderstack.node import framing, wire
 from lavenderstack.node.peers import Peers
@@ -88,6 +90,29 @@
             assert pool._streams[addr] is stream
 
 
+class TestFailedForALaterReason:
+    """Converting the reason raised, and ended the session of the caller."""
+
+    @pytest.mark.parametrize(
+        ("run", "reason"),
+        [(True, Reason.OUTCOME_UNKNOWN), (False, Reason.UNREACHABLE)],
+    )
+    async def test_the_reason_is_one_of_this_build(self, run, reason):
+        async def handler(message):
+            return Failed(
+                run=run, reason="later", detail="why", retry_after_s=float("nan")
+            )
+
+        async with running_server({Begin: handler}) as (pool, addr):
+            vms = {"n2": Vm("n2", "z1", *addr)}
+            peers = Peers("n1", lambda: View(vms=vms), pool, Members("n1"))
+            answer = await peers.call("n2", BEGIN, 5.0)
+            assert (answer.run, answer.reason) == (run, reason)
+            assert answer.detail == "later: why"
+            assert autocommit_reason(answer, wrote=True) is reason
+            assert retry_detail(answer) == "later: why"
+
+
 class TestDecode:
     def test_a_later_field_is_passed_over(self):
         data = msgspec.msgpack.encode([1, True, ["pong", "later", 5]])
--- a/lavenderstack/node/peers.py
+++ b/lavenderstack/node/peers.py
@@ -11,7 +11,7 @@
 
 from lavenderstack.core import clock
 from lavenderstack.core.members import Members
-from lavenderstack.core.messages import Message
+from lavenderstack.core.messages import Failed, Message, understood
 from lavenderstack.core.view import Target, View, Vm
 from lavenderstack.node.streams import (
     InvalidRequest,
@@ -60,7 +60,7 @@
         if vm.name == self.name:
             return await self._handlers[type(msg)](msg)
         try:
-            return await self.pool.call((vm.host, vm.port), msg, timeout_s)
+            answer = await self.pool.call((vm.host, vm.port), msg, timeout_s)
         except StillConnecting as exc:
             self._members.suspect(vm.name, clock.now())
             exc.opening.add_done_callback(partial(self._finish_connecting, vm.name))
@@ -72,6 +72,7 @@
         except (NotSent, StreamLost):
             self._members.suspect(vm.name, clock.now())
             raise
+        return understood(answer) if isinstance(answer, Failed) else answer
 
     def _finish_connecting(self, name: str, opening: asyncio.Task) -> None:
         """Trust a node whose connection opened later than usual."""
