Transactions over HTTP: a ~ in a name no longer leads to another location

A transaction's name joined group, target and holder with '~' and was split at each '~': with one in a group's or target's name every statement of its transactions was refused as 'not the name of a transaction', and the entry took the start of the name for the group whose watermark a commit advances, so the session's next read could miss the commit.

Names with a '~' are now quoted, and a '~' in front tells. A name without one is composed as before, so nodes of earlier builds find these transactions and the other way round; they refuse a quoted name as they refused every such name before.

--- a/lavenderstack/node/entry.py
+++ b/lavenderstack/node/entry.py
@@ -26,6 +26,7 @@
 from lavenderstack.core.view import Group, View
 from lavenderstack.node.metrics import Metrics
 from lavenderstack.node.router import Router
+from lavenderstack.node.transactions import parse
 
 REFRESH_TIMEOUT_S = 0.5
 SLOW_REQUEST_S = 2.0
@@ -187,7 +188,7 @@
 
     async def _end(self, request: CallerRequest, commit: bool) -> Done:
         caller = await self._authenticate(request.key)
-        group = request.transaction.partition("~")[0]
+        group = parse(request.transaction).group
         session = self._with_free_space(self._decode_session(request, caller), group)
         deadline = clock.now() + request.body.deadline_s
         running = self._router.end(
--- a/lavenderstack/node/entry_test.py
+++ b/lavenderstack/node/entry_test.py
@@ -14,6 +14,7 @@
 from lavenderstack.core.view import Group, Key, View
 from lavenderstack.node.entry import Entry
 from lavenderstack.node.metrics import Metrics
+from lavenderstack.node.transactions import TransactionName
 
 SECRET = b"secret"
 WATERMARK = Watermark(Position(1, 7), ("a",))
@@ -64,6 +65,9 @@
         self.requests.append(req)
         return Answer("r", WATERMARK)
 
+    async def end(self, request_id, caller, transaction, commit, deadline, key):
+        return WATERMARK
+
 
 def make_entry():
     relay, router = FakeRelay(), FakeRouter()
@@ -159,6 +163,17 @@
         assert bool(router.requests[0].idempotency_key) == bool(idempotency_key)
 
 
+class TestTransactions:
+    @pytest.mark.parametrize("group", ["g", "g~h"])
+    async def test_a_commit_advances_the_session_of_its_group(self, group):
+        """The start of the name was taken for the group, also with a ``~`` in it."""
+        entry, _, _ = make_entry()
+        name = TransactionName(group, "a", "n1").generate_name()
+        done = await entry.commit(replace(caller_request(), transaction=name))
+        decoded = token.decode(done.session, [SECRET], "lipa")
+        assert list(decoded.watermarks) == [group]
+
+
 class TestOpenStatements:
     @pytest.mark.parametrize(
         "call",
--- a/lavenderstack/node/transactions.py
+++ b/lavenderstack/node/transactions.py
@@ -8,7 +8,8 @@
 import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import astuple, dataclass, field
+from urllib.parse import quote, unquote
 
 from lavenderstack.border.target import TargetConn
 from lavenderstack.core import clock
@@ -20,6 +21,7 @@
 MAX_RECORDED_COMMITS = 10_000
 # A name has the group, the target, the holder and a random part.
 NAME_FIELDS = 4
+_SEPARATOR = "~"
 
 
 @dataclass(slots=True)
@@ -42,16 +44,25 @@
     holder: str
 
     def generate_name(self) -> str:
-        """Return a fresh name that can't be guessed."""
-        return "~".join([self.group, self.target, self.holder, unique_id()])
+        """Return a fresh name that can't be guessed.
+
+        Names with a ``~`` are quoted, which a ``~`` in front tells. The usual ones
+        aren't, since nodes of earlier builds have to find their transactions too.
+        """
+        names = astuple(self)
+        if any(_SEPARATOR in name for name in names):
+            # ``quote`` leaves the separator itself as it is.
+            names = ["", *(quote(n, "").replace(_SEPARATOR, "%7E") for n in names)]
+        return _SEPARATOR.join([*names, unique_id()])
 
 
 def parse(name: str) -> TransactionName:
     """Return the location in a transaction's name; raise ``Refused`` if malformed."""
-    parts = name.split("~")
+    is_quoted = name.startswith(_SEPARATOR)
+    parts = name.removeprefix(_SEPARATOR).split(_SEPARATOR)
     if len(parts) != NAME_FIELDS or not all(parts):
         raise Refused(Reason.BAD_REQUEST, "not the name of a transaction")
-    return TransactionName(*parts[:3])
+    return TransactionName(*(map(unquote, parts[:3]) if is_quoted else parts[:3]))
 
 
 class Transactions:
