Transactions: EndWork finds the transaction of a node with a / in its name

The name of a transaction is node/target/id, and its holder took what follows the first '/' for the target. A node's name is any text of its settings: with a '/' in it no rollback that a session asked for was found, so each such transaction kept its connection and its locks until it had been idle for too long. The holder now removes its own name from the start. The names themselves are unchanged.

Before the change the tests with the nodes n/1 and / failed in node/transaction_names_test.py.

--- a/lavenderstack/node/executors.py
+++ b/lavenderstack/node/executors.py
@@ -113,7 +113,7 @@
 
     async def end(self, msg: EndWork) -> Message:
         """Handle ``EndWork``: roll back an open transaction."""
-        _, _, rest = msg.tx.partition("/")
+        rest = msg.tx.removeprefix(f"{self.directory.name}/")
         executor = self.target_executors.get(rest.rpartition("/")[0])
         return executor.transactions.end(msg) if executor else WorkEnded()
 
--- a/lavenderstack/node/transaction_names_test.py
+++ b/lavenderstack/node/transaction_names_test.py
@@ -3,6 +3,8 @@
 import pytest
 
 from lavenderstack.core.outcome import Refused
+from lavenderstack.core.work_messages import EndWork, TransactionStart
+from lavenderstack.node.executor_fake import READ, ExecutorHarness
 from lavenderstack.node.transactions import TransactionName, parse
 
 ODD = ["g~a", "~", "~~~", "%7E", "g%7Ea", "g a", "g\0", "ü\u2028", "g\r\n", "/"]
@@ -29,3 +31,16 @@
     def test_malformed_names_are_refused(self, name):
         with pytest.raises(Refused):
             parse(name)
+
+
+class TestNamesOfExecutors:
+    @pytest.mark.parametrize("node", ["n/1", "/", "n1", "n~#"])
+    async def test_end_finds_the_target_whatever_the_nodes_name(self, node):
+        """Else the transaction kept its connection until it was idle for too long."""
+        harness = ExecutorHarness()
+        harness.directory.name = node
+        harness.restart_node()
+        opened = await harness.run(READ, opens=TransactionStart.READ_WRITE)
+        assert opened.tx.startswith(f"{node}/t1/")
+        await harness.executors.end(EndWork(opened.tx))
+        assert harness.executors.open_transactions == 0
