Process names: a node with a # in its name is found by its processes

A process is named node#random; the owner of a reserve and the node of which the quota coordinator recalls a share were read up to the first '#'. For a node whose name has one, the coordinator was never found by the reserve's owner, and with a node of that shorter name beside it that one was asked instead. The name is now read up to the last '#', which the random part can't have. Records and messages are unchanged.

--- a/lavenderstack/core/catalog.py
+++ b/lavenderstack/core/catalog.py
@@ -11,6 +11,7 @@
 from enum import StrEnum
 
 from lavenderstack.core.failover.replica_set import TargetRun
+from lavenderstack.core.unique_id import node_of
 from lavenderstack.core.view import Plan, Target
 
 DEFAULT_TX_IDLE_S = 3.0
@@ -118,7 +119,7 @@
     @property
     def node(self) -> str:
         """The node's name; ``owner`` is one of its processes, ``name#process``."""
-        return self.owner.partition("#")[0]
+        return node_of(self.owner)
 
 
 @dataclass(frozen=True, slots=True)
--- a/lavenderstack/core/unique_id.py
+++ b/lavenderstack/core/unique_id.py
@@ -15,3 +15,14 @@
 def unique_id() -> str:
     """Return a new identifier of 16 hexadecimal digits."""
     return secrets.token_hex(UNIQUE_ID_BYTES)
+
+
+def node_of(process: str) -> str:
+    """Return the node of a process that is named ``node#random part``.
+
+    The random part has no ``#``, the node's name may have one.
+
+    >>> node_of("n#1#5f3a")
+    'n#1'
+    """
+    return process.rsplit("#", 1)[0]
--- a/lavenderstack/node/quota/quota_coordinator.py
+++ b/lavenderstack/node/quota/quota_coordinator.py
@@ -32,6 +32,7 @@
     SharesReply,
     SharesRequest,
 )
+from lavenderstack.core.unique_id import node_of
 from lavenderstack.core.view import View
 from lavenderstack.node.peers import CallVm
 from lavenderstack.node.streams import NotSent, StreamLost
@@ -216,8 +217,8 @@
 
     async def _recall_from(self, process: str, organisation: str) -> None:
         try:
-            vm = process.partition("#")[0]
-            reply = await self._call(vm, RecallRequest(organisation), RECALL_WAIT_S)
+            message = RecallRequest(organisation)
+            reply = await self._call(node_of(process), message, RECALL_WAIT_S)
         except (NotSent, StreamLost, TimeoutError):
             return
         now = self._now()
