Relay: pages that don't advance are not asked for without end

A node that fetches all entries goes on while a page says that others follow, after the key of the page's last entry. A page without entries, or one that ends where the page before ended, was asked for again and again, and its entries were kept each time: the follower never asked another node and grew until it was ended. Our own pages always advance; another build or a damaged copy need not. The follower now logs it, applies nothing and asks the next candidate.

--- a/lavenderstack/node/relay_links.py
+++ b/lavenderstack/node/relay_links.py
@@ -149,7 +149,8 @@
     """Fetch all entries of a store, page by page; return whether they were applied.
 
     Pages may have different revisions; together they are complete up to the lowest.
-    Nothing is applied if the other node has restarted and has no entries yet. Raises
+    Nothing is applied if the other node has restarted and has no entries yet, or if a
+    page doesn't go beyond the one before. Raises
     ``StoreChanged`` if a page is of another store than the report that led here, since
     neither its entries nor that report's proof may count for the other.
     """
@@ -165,6 +166,10 @@
         entries += page.entries
         revisions.append(page.revision)
         more = page.more
-        after = page.entries[-1].key if page.entries else after
+        last = page.entries[-1].key if page.entries else after
+        if more and last <= after:
+            log.warning("relay: pages do not advance", holder=addr[0], after=after)
+            return False
+        after = last
     relay.apply_listing(entries, min(revisions), store_id)
     return True
--- a/lavenderstack/node/relay_links_test.py
+++ b/lavenderstack/node/relay_links_test.py
@@ -5,6 +5,7 @@
 from functools import partial
 
 import msgspec
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from structlog.testing import capture_logs
@@ -99,6 +100,31 @@
         assert not lines
 
 
+class StuckNode(OtherNode):
+    """A node whose pages don't advance though it says that others follow."""
+
+    def __init__(self, entries):
+        super().__init__()
+        self.entries = entries
+
+    async def call(self, addr, body, timeout_s):
+        self.pages += 1
+        assert self.pages < 50, "asked for pages without end"
+        page = relay_handlers.build_page(self.relay, "")
+        entries = page.entries[: self.entries]
+        return msgspec.structs.replace(page, entries=entries, more=True)
+
+
+class TestPagesThatDoNotAdvance:
+    @pytest.mark.parametrize("entries", [0, 1, 3])
+    async def test_nothing_is_applied_and_another_node_is_asked(self, entries):
+        other = StuckNode(entries)
+        relay = new_relay(other)
+        assert not await apply_report(relay, full_report("1", 3))
+        assert other.pages <= 2
+        assert not relay.snapshot.entries
+
+
 PAGE_AND_CHANGE = st.tuples(
     st.integers(0, len(KEYS)), st.sampled_from(KEYS), st.sampled_from([VALUE, None])
 )
