Entry: idempotency keys of two organisations can't be equal

The key of a write is organisation:request id, and both may have a ':': the request x:r of the organisation lipa had the key of the request r of lipa:x. The group would have answered the second as a repeat, so its caller was told of a write that wasn't made. A ':' in an organisation's name is now replaced by '/', which the documents don't allow in one. Keys of other organisations are unchanged, so repeats are detected across builds.

--- a/lavenderstack/node/entry.py
+++ b/lavenderstack/node/entry.py
@@ -236,7 +236,13 @@
 
 
 def _scoped_key(caller: Caller, request_id: str) -> str:
-    return f"{caller.organisation}:{request_id}"
+    """Return a request id that no other organisation's can equal.
+
+    The organisation ends at the first ``:``. One in its name is replaced by a ``/``,
+    which no name has; other names give the same keys as in earlier builds, so that a
+    repeat is detected across them.
+    """
+    return f"{caller.organisation.replace(':', '/')}:{request_id}"
 
 
 def _idempotency_key(body: StatementBody, caller: Caller, request_id: str) -> str:
--- a/lavenderstack/node/entry_test.py
+++ b/lavenderstack/node/entry_test.py
@@ -163,6 +163,23 @@
         assert bool(router.requests[0].idempotency_key) == bool(idempotency_key)
 
 
+class TestIdempotencyKeys:
+    async def test_no_request_id_gives_the_key_of_another_organisation(self):
+        """A write was taken for one that another organisation had made before."""
+        entry, relay, router = make_entry()
+        names = ("lipa", "lipa:x", "lipa::x", "lipa:x:")
+        relay.view = replace(
+            view(*map(key_of, names)),
+            groups={"g": Group("g", (), frozenset(names))},
+        )
+        for name in names:
+            for request_id in ("r", "x:r", ":x:r", ":r", "x::r", "/x:r"):
+                request = caller_request(f"{name}-key", write=True, idempotent=False)
+                await entry.statement(replace(request, request_id=request_id))
+        keys = [request.idempotency_key for request in router.requests]
+        assert len(set(keys)) == len(keys) == 24
+
+
 class TestTransactions:
     @pytest.mark.parametrize("group", ["g", "g~h"])
     async def test_a_commit_advances_the_session_of_its_group(self, group):
