Changes kept for other nodes: bounded in bytes, and complete after a listing

A node kept its last 500 changes whatever their size: quick versions of a catalog of 1 MiB would have filled its memory of 300 MB, and a follower that was behind would have been sent a message of any size. Up to 16 MiB of values are kept now; a follower that lacks older changes is sent all entries, as it was beyond 500 changes.

After a listing of several pages the changes made meanwhile were added without a look at the 500: the first were dropped, and followers were told that they had them all. They are recorded like any other change now.

--- a/lavenderstack/platform/recent_changes.py
+++ b/lavenderstack/platform/recent_changes.py
@@ -6,8 +6,11 @@
 from lavenderstack.core.change_messages import Entry
 from lavenderstack.platform.store import Item
 
-# Changes that are kept. A node that lacks older ones is sent all entries.
+# Kept changes and bytes of their values. Versions of a large catalog may come in quick
+# succession, and five hundred of 1 MiB would not fit into a node's memory. A node that
+# lacks older changes is sent all entries.
 MAX_RECENT_CHANGES = 500
+MAX_RECENT_B = 16 * 1024 * 1024
 
 
 class RecentChanges:
@@ -15,7 +18,8 @@
 
     def __init__(self, entries: Mapping[str, Item]) -> None:
         self._entries = entries
-        self._recent: deque[Item] = deque(maxlen=MAX_RECENT_CHANGES)
+        self._recent: deque[Item] = deque()
+        self._size_b = 0
         # ``_recent`` has all changes after this position.
         self._complete_after = 0
         # The changes up to this position come from a listing of several pages.
@@ -23,9 +27,14 @@
 
     def record(self, item: Item) -> None:
         """Add a change."""
-        if len(self._recent) == MAX_RECENT_CHANGES:
-            self._complete_after = max(self._complete_after, self._recent[0].rev)
         self._recent.append(item)
+        self._size_b += len(item.value)
+        while len(self._recent) > MAX_RECENT_CHANGES or (
+            self._size_b > MAX_RECENT_B and len(self._recent) > 1
+        ):
+            dropped = self._recent.popleft()
+            self._size_b -= len(dropped.value)
+            self._complete_after = max(self._complete_after, dropped.rev)
 
     def begin_after_listing(self, as_of: int) -> None:
         """Start anew after a listing whose first page was of the position ``as_of``.
@@ -35,9 +44,12 @@
         them as known, so they are added here.
         """
         self._recent.clear()
-        self._recent.extend(item for item in self._entries.values() if item.rev > as_of)
+        self._size_b = 0
         self._complete_after = as_of
-        self._listed_to = max((item.rev for item in self._recent), default=as_of)
+        later = [item for item in self._entries.values() if item.rev > as_of]
+        for item in sorted(later, key=lambda item: item.rev):
+            self.record(item)
+        self._listed_to = max((item.rev for item in later), default=as_of)
 
     def received_listed(self, as_of: int) -> None:
         """Record that changes up to ``as_of`` came from another node's listing."""
