Failures: the detail that a holder gives is one short line

Failed.detail is a text of a target or of another node and ends the ERROR line to the caller unchanged. With a line end in it the caller would read two messages, and a target's error of nearly 1 MiB made a line longer than the protocol has, since 'retry after' is added. Peers.ask now returns the first 1,000 characters of a detail, with blanks for control characters, whether the holder is this node or another one.

Before the change the 24 cases of TestDetailsOfFailures failed.

--- a/lavenderstack/core/messages.py
+++ b/lavenderstack/core/messages.py
@@ -119,10 +119,23 @@
 MAX_REASON_CHARS = 40
 
 
+# A detail is the end of a line to the caller, which has a longest length.
+MAX_DETAIL_CHARS = 1000
+
+
+def _one_line(text: str, max_chars: int) -> str:
+    """Return the start of a text without line ends and other control characters."""
+    text = text[:max_chars]
+    if text.isprintable():
+        return text
+    return "".join(char if char.isprintable() else " " for char in text)
+
+
 def understood(failed: Failed) -> Failed:
-    """Return a failure from another node with a reason and a time of this build.
+    """Return a failure of a holder with a reason and a time of this build.
 
-    A reason of a later build becomes the general one of the same outcome.
+    A reason of a later build becomes the general one of the same outcome. The detail,
+    which may be a text of a target, becomes one short line.
 
     >>> understood(Failed(run=True, reason="later")).reason
     <Reason.OUTCOME_UNKNOWN: 'outcome_unknown'>
@@ -130,9 +143,12 @@
     retry_after_s = failed.retry_after_s
     if retry_after_s is not None and not math.isfinite(retry_after_s):
         failed = msgspec.structs.replace(failed, retry_after_s=None)
+    detail = _one_line(failed.detail, MAX_DETAIL_CHARS)
+    if detail != failed.detail:
+        failed = msgspec.structs.replace(failed, detail=detail)
     if failed.reason in _REASONS:
         return failed
-    start = failed.reason[:MAX_REASON_CHARS]
+    start = _one_line(failed.reason, MAX_REASON_CHARS)
     return msgspec.structs.replace(
         failed,
         reason=Reason.OUTCOME_UNKNOWN if failed.run else Reason.UNREACHABLE,
--- a/lavenderstack/node/other_builds_test.py
+++ b/lavenderstack/node/other_builds_test.py
@@ -7,7 +7,7 @@
 import pytest
 
 from lavenderstack.core.members import Members
-from lavenderstack.core.messages import Begin, Begun, Failed, Ping, Pong
+from lavenderstack.core.messages import Begin, Begun, Failed, Ping, Pong, understood
 from lavenderstack.core.outcome import Reason
 from lavenderstack.core.session_reply import autocommit_reason, retry_detail
 from lavenderstack.core.view import View, Vm
@@ -113,6 +113,35 @@
             assert retry_detail(answer) == "later: why"
 
 
+class TestDetailsOfFailures:
+    """The detail becomes the end of one line to the caller, of 1 MiB at most."""
+
+    @pytest.mark.parametrize("name", ["n1", "n2"])
+    @pytest.mark.parametrize("odd", ["\r\nDONE 1", "\n", "\r", "\0", "\x85", "\u2028"])
+    @pytest.mark.parametrize("field", ["reason", "detail"])
+    async def test_it_is_one_short_line_from_this_node_and_others(
+        self, name, odd, field
+    ):
+        text = f"why{odd}READY I -" + "x" * 2_000_000
+        fields = {"reason": Reason.CROWDED, "detail": ""} | {field: text}
+
+        async def handler(message):
+            return Failed(run=False, **fields)
+
+        async with running_server({Begin: handler}) as (pool, addr):
+            vms = {name: Vm(name, "z1", *addr)}
+            peers = Peers("n1", lambda: View(vms=vms), pool, Members("n1"))
+            peers.set_handlers({Begin: handler})
+            answer = await peers.call(name, BEGIN, 5.0)
+            assert answer.detail.startswith("why")
+            assert answer.detail.isprintable()
+            assert len(answer.detail) <= 1200
+
+    async def test_a_usual_detail_is_unchanged(self):
+        failed = Failed(run=True, reason=Reason.STATEMENT_FAILED, detail="für 3 'x' no")
+        assert understood(failed) is failed
+
+
 class TestDecode:
     def test_a_later_field_is_passed_over(self):
         data = msgspec.msgpack.encode([1, True, ["pong", "later", 5]])
--- a/lavenderstack/node/peers.py
+++ b/lavenderstack/node/peers.py
@@ -58,9 +58,14 @@
         stream failed after that, or ``TimeoutError`` after ``timeout_s`` seconds.
         """
         if vm.name == self.name:
-            return await self._handlers[type(msg)](msg)
+            answer = await self._handlers[type(msg)](msg)
+        else:
+            answer = await self._ask_other(vm, msg, timeout_s)
+        return understood(answer) if isinstance(answer, Failed) else answer
+
+    async def _ask_other(self, vm: Vm, msg: Message, timeout_s: float) -> Message:
         try:
-            answer = await self.pool.call((vm.host, vm.port), msg, timeout_s)
+            return await self.pool.call((vm.host, vm.port), msg, timeout_s)
         except StillConnecting as exc:
             self._members.suspect(vm.name, clock.now())
             exc.opening.add_done_callback(partial(self._finish_connecting, vm.name))
@@ -72,7 +77,6 @@
         except (NotSent, StreamLost):
             self._members.suspect(vm.name, clock.now())
             raise
-        return understood(answer) if isinstance(answer, Failed) else answer
 
     def _finish_connecting(self, name: str, opening: asyncio.Task) -> None:
         """Trust a node whose connection opened later than usual."""
