--- a/lavenderstack/node/relay_links_test.py
+++ b/lavenderstack/node/relay_links_test.py
@@ -13,7 +13,7 @@
 from lavenderstack.border.store_fake import FakeStore
 from lavenderstack.core.entry import Change
 from lavenderstack.core.relay_messages import ChangesReport, PageRequest
-from lavenderstack.node import relay_handlers, relay_links
+from lavenderstack.node import framing, relay_handlers, relay_links, wire
 from lavenderstack.node.relay_state import RelayState
 
 ADDR = ("other", 1)
@@ -100,6 +100,23 @@
         assert not lines
 
 
+class TestLargeEntries:
+    def test_each_is_reached_in_frames_that_can_be_sent(self):
+        """Guards against a follower that stalls at an entry longer than a page."""
+        relay = new_relay(None)
+        large = b"x" * 1_500_000
+        changes = [Change(f"lavenderstack/x/{i}", large, 2 + i) for i in range(5)]
+        relay.apply_changes(changes, 6, "1")
+        assert relay_handlers.build_report(relay, 1, SENT_AT).changes is None
+        after, keys = "", []
+        while after != changes[-1].key:
+            page = relay_handlers.build_page(relay, after)
+            framing.encode(wire.Frame(1, True, page))
+            keys += [entry.key for entry in page.entries]
+            after = keys[-1]
+        assert keys == [change.key for change in changes]
+
+
 class StuckNode(OtherNode):
     """A node whose pages don't advance though it says that others follow."""
 
