--- a/lavenderstack/node/entry.py
+++ b/lavenderstack/node/entry.py
@@ -26,6 +26,7 @@
 from lavenderstack.core.view import Group, View
 from lavenderstack.node.metrics import Metrics
 from lavenderstack.node.router import Router
+from lavenderstack.node.transactions import parse
 
 REFRESH_TIMEOUT_S = 0.5
 SLOW_REQUEST_S = 2.0
@@ -187,7 +188,7 @@
 
     async def _end(self, request: CallerRequest, commit: bool) -> Done:
         caller = await self._authenticate(request.key)
-        group = request.transaction.partition("~")[0]
+        group = parse(request.transaction).group
         session = self._with_free_space(self._decode_session(request, caller), group)
         deadline = clock.now() + request.body.deadline_s
         running = self._router.end(
@@ -235,7 +236,13 @@
 
 
 def _scoped_key(caller: Caller, request_id: str) -> str:
-    return f"{caller.organisation}:{request_id}"
+    """Return a request id that no other organisation's can equal.
+
+    The organisation ends at the first ``:``. One in its name is replaced by a ``/``,
+    which no name has; other names give the same keys as in earlier builds, so that a
+    repeat is detected across them.
+    """
+    return f"{caller.organisation.replace(':', '/')}:{request_id}"
 
 
 def _idempotency_key(body: StatementBody, caller: Caller, request_id: str) -> str:
--- a/lavenderstack/node/entry_test.py
+++ b/lavenderstack/node/entry_test.py
@@ -14,6 +14,7 @@
 from lavenderstack.core.view import Group, Key, View
 from lavenderstack.node.entry import Entry
 from lavenderstack.node.metrics import Metrics
+from lavenderstack.node.transactions import TransactionName
 
 SECRET = b"secret"
 WATERMARK = Watermark(Position(1, 7), ("a",))
@@ -64,6 +65,9 @@
         self.requests.append(req)
         return Answer("r", WATERMARK)
 
+    async def end(self, request_id, caller, transaction, commit, deadline, key):
+        return WATERMARK
+
 
 def make_entry():
     relay, router = FakeRelay(), FakeRouter()
@@ -159,6 +163,34 @@
         assert bool(router.requests[0].idempotency_key) == bool(idempotency_key)
 
 
+class TestIdempotencyKeys:
+    async def test_no_request_id_gives_the_key_of_another_organisation(self):
+        """A write was taken for one that another organisation had made before."""
+        entry, relay, router = make_entry()
+        names = ("lipa", "lipa:x", "lipa::x", "lipa:x:")
+        relay.view = replace(
+            view(*map(key_of, names)),
+            groups={"g": Group("g", (), frozenset(names))},
+        )
+        for name in names:
+            for request_id in ("r", "x:r", ":x:r", ":r", "x::r", "/x:r"):
+                request = caller_request(f"{name}-key", write=True, idempotent=False)
+                await entry.statement(replace(request, request_id=request_id))
+        keys = [request.idempotency_key for request in router.requests]
+        assert len(set(keys)) == len(keys) == 24
+
+
+class TestTransactions:
+    @pytest.mark.parametrize("group", ["g", "g~h"])
+    async def test_a_commit_advances_the_session_of_its_group(self, group):
+        """The start of the name was taken for the group, also with a ``~`` in it."""
+        entry, _, _ = make_entry()
+        name = TransactionName(group, "a", "n1").generate_name()
+        done = await entry.commit(replace(caller_request(), transaction=name))
+        decoded = token.decode(done.session, [SECRET], "lipa")
+        assert list(decoded.watermarks) == [group]
+
+
 class TestOpenStatements:
     @pytest.mark.parametrize(
         "call",
--- a/lavenderstack/node/peers.py
+++ b/lavenderstack/node/peers.py
@@ -11,9 +11,10 @@
 
 from lavenderstack.core import clock
 from lavenderstack.core.members import Members
-from lavenderstack.core.messages import Message
+from lavenderstack.core.messages import Failed, Message, understood
 from lavenderstack.core.view import Target, View, Vm
 from lavenderstack.node.streams import (
+    InvalidRequest,
     NotSent,
     NotSupported,
     StillConnecting,
@@ -57,15 +58,21 @@
         stream failed after that, or ``TimeoutError`` after ``timeout_s`` seconds.
         """
         if vm.name == self.name:
-            return await self._handlers[type(msg)](msg)
+            answer = await self._handlers[type(msg)](msg)
+        else:
+            answer = await self._ask_other(vm, msg, timeout_s)
+        return understood(answer) if isinstance(answer, Failed) else answer
+
+    async def _ask_other(self, vm: Vm, msg: Message, timeout_s: float) -> Message:
         try:
             return await self.pool.call((vm.host, vm.port), msg, timeout_s)
         except StillConnecting as exc:
             self._members.suspect(vm.name, clock.now())
             exc.opening.add_done_callback(partial(self._finish_connecting, vm.name))
             raise
-        except NotSupported:
-            # The node runs; its build is another one.
+        except (NotSupported, InvalidRequest):
+            # Nothing is wrong with the node: its build is another one, or the request
+            # is too long for any node.
             raise
         except (NotSent, StreamLost):
             self._members.suspect(vm.name, clock.now())
