Catalog: a tenant whose name can't be sent isn't in force

What callers and operators saw or would see: a tenant called "org i-1" ran as the tenant "org", and one with a line end in its name made targets run a statement that no caller sent.

Cause: the name goes into the greeting of a connection, whose fields are separated by blanks. Names that targets report were checked, those of the operators' configuration weren't.

Evidence: before, unusable_names_test failed. On a node process the tenant "org i-1" was served as org, and the name with "QUERY f1 WRITE stolen 1" in it wrote the item.

Why this works: one rule in core/names.py says which name is one field, for target reports and the catalog alike. Keys of a tenant that breaks it have no owner, so its callers get NOAUTH and holders refuse what older nodes forward. The version and all other entries are in force. A log line once a version and check-config (name-not-usable) report the places.

--- a/lavenderstack/core/catalog.py
+++ b/lavenderstack/core/catalog.py
@@ -63,7 +63,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Catalog:
-    """One version of the operators' lists; ``keys`` maps a key digest to its owner."""
+    """One version of the operators' lists; ``keys`` maps a key digest to its owner.
+
+    ``left_out`` are the places of entries that aren't in force, as they can't be used.
+    """
 
     version: int = 0
     routes: Mapping[str, Route] = field(default_factory=dict)
@@ -71,6 +74,7 @@
     plans: Mapping[str, Plan] = field(default_factory=dict)
     keys: Mapping[str, str] = field(default_factory=dict)
     tx_idle_s: float = DEFAULT_TX_IDLE_S
+    left_out: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/lavenderstack/core/config/config_check.py
+++ b/lavenderstack/core/config/config_check.py
@@ -23,6 +23,7 @@
     shown_name,
     warning,
 )
+from lavenderstack.core.names import MAX_NAME_CHARS
 
 # A statement holds a slot for 1 ms at least, on any database.
 MAX_STATEMENTS_PER_SLOT_S = 1000
@@ -32,6 +33,7 @@
     """Return what is wrong with a configuration, in the order of the checks."""
     checks = (
         _check_version,
+        _check_names,
         _check_duplicates,
         _check_limits,
         _check_organisations,
@@ -47,6 +49,15 @@
         yield error("version-not-positive", cfg.root.field("version"), text)
 
 
+def _check_names(cfg: DeclaredConfig) -> Iterator[Finding]:
+    for place in cfg.unusable_names:
+        text = (
+            f"The name must have 1 to {MAX_NAME_CHARS} characters and no blanks or "
+            "control characters, since targets are told it; nothing is run for it."
+        )
+        yield error("name-not-usable", place, text)
+
+
 def _check_duplicates(cfg: DeclaredConfig) -> Iterator[Finding]:
     """Find entries of a list that a later one of the same name replaces."""
     for kind, entries in (
--- a/lavenderstack/core/log/events_process.py
+++ b/lavenderstack/core/log/events_process.py
@@ -143,6 +143,13 @@
         ("error",),
         "the previous version stays in force",
     ),
+    Event(
+        "loader: entries of the catalog not in force",
+        LineKind.STATE,
+        ("version", "count", "places"),
+        "names that can't be sent to a target; no statement is run for these tenants "
+        "and services, all others are served",
+    ),
     Event(
         "documents: report names no usable target",
         LineKind.STATE,
--- a/lavenderstack/platform/declared.py
+++ b/lavenderstack/platform/declared.py
@@ -29,6 +29,7 @@
     MS_PER_S,
     convert_config,
     parse_config,
+    unusable_places,
 )
 
 _LISTS = ("routes", "services", "tenants")
@@ -101,10 +102,18 @@
         tx_idle_s=cfg.limits.tx_idle_ms / MS_PER_S,
         tx_idle_place=_ROOT.child("limits").child("tx_idle_ms"),
         own_plans=True,
+        unusable_names=tuple(map(_place_of, unusable_places(cfg))),
     )
     return declared, []
 
 
+def _place_of(path: tuple[str | int, ...]) -> Place:
+    place = _ROOT
+    for part in path:
+        place = place.child(part)
+    return place
+
+
 def _at(name: str, index: int) -> Place:
     return _ROOT.child(name).child(index)
 
--- a/lavenderstack/platform/directory_writer.py
+++ b/lavenderstack/platform/directory_writer.py
@@ -9,6 +9,7 @@
 
 import structlog
 
+from lavenderstack.core.catalog import Catalog
 from lavenderstack.core.store_era import StoreEra
 from lavenderstack.core.view import Target
 from lavenderstack.node.directory import Directory
@@ -29,6 +30,21 @@
 MEMBER_REMOVAL_DELAY_S = 0.2
 
 
+# The operators see which entries; more of them say nothing more.
+MAX_LOGGED_PLACES = 10
+
+
+def _log_left_out(catalog: Catalog) -> None:
+    """Log the entries of a new catalog that aren't in force, once a version."""
+    if catalog.left_out:
+        log.error(
+            "loader: entries of the catalog not in force",
+            version=catalog.version,
+            count=len(catalog.left_out),
+            places=catalog.left_out[:MAX_LOGGED_PLACES],
+        )
+
+
 class DirectoryWriter:
     """Writes entries into a directory.
 
@@ -64,6 +80,7 @@
         if key == documents.CATALOG_KEY:
             catalog = documents.decode_catalog(data)
             if catalog is not None and directory.update_catalog(catalog):
+                _log_left_out(catalog)
                 self._update_target_limits()
         elif key.startswith(TARGETS_PREFIX):
             self._put_target(item, decode_report(key, data))
--- a/lavenderstack/platform/documents.py
+++ b/lavenderstack/platform/documents.py
@@ -6,6 +6,7 @@
 ``platform/records.py``.
 """
 
+from collections.abc import Iterator
 from typing import Any, Literal
 
 import msgspec
@@ -18,6 +19,7 @@
     GroupLimits,
     Route,
 )
+from lavenderstack.core.names import is_usable_name
 from lavenderstack.core.view import DEFAULT_PRIORITY, Plan
 from lavenderstack.platform.callers import digest_of
 from lavenderstack.platform.decoding import DECODE_ERRORS, MS_PER_S
@@ -96,20 +98,38 @@
     except DECODE_ERRORS as exc:
         log.warning("documents: catalog not understood", error=repr(exc)[:200])
         return None
+    tenants = [tenant for tenant in cfg.tenants if is_usable_name(tenant.name)]
     return Catalog(
         version=cfg.version,
         routes={route.host: _convert_route(route) for route in cfg.routes},
         groups={service.name: _convert_service(service) for service in cfg.services},
-        plans={tenant.name: _convert_tenant(tenant) for tenant in cfg.tenants},
+        plans={tenant.name: _convert_tenant(tenant) for tenant in tenants},
         keys={
-            digest_of(key): tenant.name
-            for tenant in cfg.tenants
-            for key in tenant.api_keys
+            digest_of(key): tenant.name for tenant in tenants for key in tenant.api_keys
         },
         tx_idle_s=cfg.limits.tx_idle_ms / MS_PER_S,
+        left_out=tuple(_shown(path) for path in unusable_places(cfg)),
     )
 
 
+def _shown(path: tuple[str | int, ...]) -> str:
+    """Return a path as text, without a text of the document."""
+    parts = [f"[{part}]" if isinstance(part, int) else f".{part}" for part in path]
+    return "".join(parts)[1:]
+
+
+def unusable_places(cfg: _Config) -> Iterator[tuple[str | int, ...]]:
+    """Yield the paths of names that can't be a field of a message.
+
+    No statement is run for such a tenant or service. Targets can't report such a
+    service, so its routes needn't be left out.
+    """
+    for field in ("tenants", "services"):
+        for index, entry in enumerate(getattr(cfg, field)):
+            if not is_usable_name(entry.name):
+                yield field, index, "name"
+
+
 def _convert_service(service: _Service) -> GroupLimits:
     return GroupLimits(
         connections=service.max_conns,
--- a/lavenderstack/platform/target_reports.py
+++ b/lavenderstack/platform/target_reports.py
@@ -6,7 +6,6 @@
 isn't accepted either. Fields that aren't known here are passed over.
 """
 
-import re
 from typing import Annotated, Literal
 
 import msgspec
@@ -15,6 +14,7 @@
 
 from lavenderstack.border.address import parse_address
 from lavenderstack.core.failover.replica_set import TargetRun
+from lavenderstack.core.names import NAME_PATTERN, is_usable_name
 from lavenderstack.core.view import Target
 from lavenderstack.platform.decoding import DECODE_ERRORS, MS_PER_S, TARGETS_PREFIX
 
@@ -25,7 +25,6 @@
 MAX_COLD_MS = 86_400_000.0
 # The largest whole number that every reader of JSON keeps exactly.
 MAX_EXACT = 2**53 - 1
-NAME_PATTERN = r"\A[^\s\x00-\x1f\x7f]{1,200}\Z"
 
 _Name = Annotated[str, Meta(pattern=NAME_PATTERN)]
 
@@ -69,7 +68,7 @@
     try:
         server = msgspec.json.decode(value, type=_Server)
         name = key.removeprefix(TARGETS_PREFIX)
-        if not re.match(NAME_PATTERN, name):
+        if not is_usable_name(name):
             raise ValueError("a name that can't be sent")
         host, port = parse_address(server.addr)
     except DECODE_ERRORS as exc:
--- /dev/null
+++ b/lavenderstack/platform/unusable_names_test.py
@@ -0,0 +1,94 @@
+"""Tests of names in the operators' configuration that can't be sent to a target."""
+
+import json
+
+import pytest
+
+from lavenderstack.core.config.config_check import check
+from lavenderstack.platform import documents
+from lavenderstack.platform.callers import digest_of
+from lavenderstack.platform.declared import translate
+from lavenderstack.platform.documents_test import CONFIG
+from lavenderstack.platform.node_test import config, connect_when_known, run_node
+
+TENANT = CONFIG["tenants"][0]
+UNUSABLE = [
+    *("", " ", "org i-9", "org\r\nQUERY f1 WRITE a 1", "a\nb", "a\0b", "a\x7fb"),
+    *("a\tb", "a\u2028b", "x" * 201),
+]
+USABLE = ["org", "š" * 200, "a/b", "a#b%20{c}", '"', "-", "Org"]
+
+
+def catalog_of(**fields):
+    return documents.decode_catalog(json.dumps(CONFIG | fields).encode())
+
+
+class TestTenant:
+    @pytest.mark.parametrize("name", UNUSABLE)
+    def test_its_keys_are_not_in_force_and_those_of_others_are(self, name):
+        """Its name would end its field of a greeting, or begin a message."""
+        odd = TENANT | {"name": name, "api_keys": ["k2"]}
+        catalog = catalog_of(tenants=[odd, TENANT])
+        assert catalog.keys == {digest_of("k1"): "org"}
+        assert set(catalog.plans) == {"org"}
+
+    @pytest.mark.parametrize("name", USABLE)
+    def test_any_other_name_is_taken_unchanged(self, name):
+        catalog = catalog_of(tenants=[TENANT | {"name": name}])
+        assert catalog.keys == {digest_of("k1"): name}
+        assert catalog.left_out == ()
+
+    async def test_a_node_sends_nothing_for_it_and_serves_the_others(self, tmp_path):
+        odd = TENANT | {"name": "org\r\nQUERY f1 WRITE stolen 1", "api_keys": ["k2"]}
+        blank = TENANT | {"name": "org i-1", "api_keys": ["k3"]}
+        async with run_node(tmp_path) as node:
+            await connect_when_known(node, "CONNECT db1 k1")
+            tenants = [TENANT, odd, blank, TENANT | {"name": "t4", "api_keys": ["k4"]}]
+            node.store.put("op/config", config(version=8, tenants=tenants))
+            await connect_when_known(node, "CONNECT db1 k4")
+            for key in ("k2", "k3"):
+                caller = await node.caller(f"CONNECT db1 {key}")
+                assert caller.greeting == ["ERROR NOAUTH the key is not in force"]
+            caller = await node.caller("CONNECT db1 k1")
+            assert (await caller.query("WRITE a 1"))[0].startswith("DONE i-1.")
+            executed = [one for target in node.targets for one in target.executed]
+            assert not [one for one in executed if "stolen" in str(one)]
+            status, log = await node.stop()
+        assert status == 0
+        (line,) = [one for one in log.splitlines() if "catalog not in force" in one]
+        assert "tenants[1]" in line and "tenants[2]" in line
+
+
+class TestService:
+    @pytest.mark.parametrize("name", UNUSABLE)
+    def test_it_is_reported_and_the_version_is_in_force(self, name):
+        """No target can report such a service, so its name is never sent."""
+        odd = CONFIG["routes"][0] | {"host": "db9", "service": name}
+        services = [*CONFIG["services"], {"name": name, "max_conns": 1}]
+        catalog = catalog_of(routes=[odd, *CONFIG["routes"]], services=services)
+        assert set(catalog.routes) == {"db1", "db9"}
+        assert catalog.left_out == ("services[1].name",)
+
+    async def test_its_callers_are_told_that_nothing_was_run(self, tmp_path):
+        odd = CONFIG["routes"][0] | {"host": "db9", "service": "g 1"}
+        fields = json.loads(config(version=8))
+        fields["routes"].append(odd)
+        async with run_node(tmp_path) as node:
+            node.store.put("op/config", json.dumps(fields).encode())
+            caller = await connect_when_known(node, "CONNECT db9 k1")
+            for text in ("READ a", "WRITE a 1"):
+                assert (await caller.query(text))[0] == "ERROR READONLY no_primary"
+            assert not any(target.executed for target in node.targets)
+
+
+class TestCheckConfig:
+    @pytest.mark.parametrize("name", UNUSABLE)
+    def test_it_names_the_entries(self, name):
+        tenants = [TENANT, TENANT | {"name": name, "api_keys": ["k2"]}]
+        services = [{"name": name, "max_conns": 1}, *CONFIG["services"]]
+        document = CONFIG | {"tenants": tenants, "services": services}
+        cfg, errors = translate(document, json.dumps(document).encode())
+        # With errors it could not be compared with a version that corrects it.
+        assert errors == []
+        places = [f.place.text for f in check(cfg) if f.code == "name-not-usable"]
+        assert places == ["tenants[1].name", "services[0].name"]
