Records of groups: a long name doesn't keep its group without an owner

What operators would see: the primary of a group whose name has more than 190 bytes (100 letters with accents are 200) is never replaced, and every node tries to claim the group again and again.

Cause: the name was part of the keys ls/duties/NAME and ls/replicas/NAME, and the store refuses keys of more than 200 bytes.

Evidence: record_keys_test failed with "kv-txn: 400". The store's stand-in took any key; it refuses long ones now.

Why this works: where a key would be too long a digest stands for the name, and the record has the name, which readers check against the key. All other keys and records are as before, byte for byte, so builds run side by side.

--- a/lavenderstack/platform/directory_writer.py
+++ b/lavenderstack/platform/directory_writer.py
@@ -15,6 +15,7 @@
 from lavenderstack.node.directory import Directory
 from lavenderstack.platform import documents, records
 from lavenderstack.platform.decoding import TARGETS_PREFIX
+from lavenderstack.platform.record_keys import group_of
 from lavenderstack.platform.store import Item
 from lavenderstack.platform.target_reports import TargetReport, decode_report
 
@@ -64,6 +65,8 @@
         self._entries = entries
         self._revisions = revisions
         self._reports: dict[str, TargetReport] = {}
+        # The groups of the records whose keys don't have their names.
+        self._groups: dict[str, str] = {}
 
     def put(self, item: Item, data: bytes) -> None:
         """Write an entry with its decoded value.
@@ -98,17 +101,40 @@
             if reserve is not None:
                 directory.put_reserve(reserve)
         elif key.startswith(records.OWNERSHIP_PREFIX):
-            ownership = records.decode_ownership(key, data, item.rev)
-            if ownership is not None:
-                group = key.removeprefix(records.OWNERSHIP_PREFIX)
-                directory.put_ownership(group, ownership)
+            self._put_ownership(item, data)
         elif key.startswith(records.REPLICAS_PREFIX):
-            replicas = records.decode_replica_set(key, data)
-            group = key.removeprefix(records.REPLICAS_PREFIX)
-            if replicas is None:
-                directory.drop_replica_set(group, item.rev)
-            else:
-                directory.put_replica_set(group, replicas, item.rev)
+            self._put_replica_set(item, data)
+
+    def _put_ownership(self, item: Item, data: bytes) -> None:
+        group = self._group_of(records.OWNERSHIP_PREFIX, item.key, data)
+        ownership = records.decode_ownership(item.key, data, item.rev)
+        if group is not None and ownership is not None:
+            self._directory.put_ownership(group, ownership)
+
+    def _put_replica_set(self, item: Item, data: bytes) -> None:
+        group = self._group_of(records.REPLICAS_PREFIX, item.key, data)
+        replicas = records.decode_replica_set(item.key, data)
+        if group is None:
+            return
+        if replicas is None:
+            self._directory.drop_replica_set(group, item.rev)
+        else:
+            self._directory.put_replica_set(group, replicas, item.rev)
+
+    def _group_of(self, prefix: str, key: str, data: bytes) -> str | None:
+        """Return the group of a record, and keep it for the record's removal.
+
+        A record that doesn't tell its group any more is of the one that it told.
+        """
+        group = group_of(prefix, key, data)
+        if group is None:
+            return self._groups.get(key)
+        if prefix + group != key:
+            self._groups[key] = group
+        return group
+
+    def _removed_group(self, prefix: str, key: str) -> str:
+        return self._groups.pop(key, key.removeprefix(prefix))
 
     def _put_target(self, item: Item, report: TargetReport | None) -> None:
         name = item.key.removeprefix(TARGETS_PREFIX)
@@ -159,9 +185,9 @@
             loop = asyncio.get_running_loop()
             loop.call_later(MEMBER_REMOVAL_DELAY_S, self._member_removed, key, item.rev)
         elif key.startswith(records.OWNERSHIP_PREFIX):
-            directory.drop_ownership(key.removeprefix(records.OWNERSHIP_PREFIX))
+            directory.drop_ownership(self._removed_group(records.OWNERSHIP_PREFIX, key))
         elif key.startswith(records.REPLICAS_PREFIX):
-            group = key.removeprefix(records.REPLICAS_PREFIX)
+            group = self._removed_group(records.REPLICAS_PREFIX, key)
             directory.drop_replica_set(group, item.rev)
         elif (zone := documents.evacuated_zone(key)) is not None:
             directory.drop_evacuation(zone, item.rev)
--- a/lavenderstack/platform/records.py
+++ b/lavenderstack/platform/records.py
@@ -20,6 +20,7 @@
 from lavenderstack.core.store_position import era_of
 from lavenderstack.core.view import Vm
 from lavenderstack.platform.decoding import DECODE_ERRORS
+from lavenderstack.platform.record_keys import has_digest, key_of
 
 log = structlog.get_logger()
 
@@ -31,6 +32,16 @@
 ERA_KEY = SERVICE_PREFIX + "era"
 
 
+def ownership_key(group: str) -> str:
+    """Return the key of the record of a group's owner."""
+    return key_of(OWNERSHIP_PREFIX, group)
+
+
+def replicas_key(group: str) -> str:
+    """Return the key of the record of a group's replica set."""
+    return key_of(REPLICAS_PREFIX, group)
+
+
 class _Node(msgspec.Struct):
     zone: str
     host: str
@@ -47,6 +58,8 @@
 class _Ownership(msgspec.Struct):
     node: str
     era: int | None = None
+    # Only where the key has no room for it.
+    group: str | msgspec.UnsetType = msgspec.UNSET
 
 
 class _Written(msgspec.Struct):
@@ -168,9 +181,10 @@
     return Reserve(record.owner, record.tokens if is_current else {}, rev)
 
 
-def encode_ownership(node: str, era: int) -> bytes:
+def encode_ownership(node: str, era: int, group: str = "") -> bytes:
     """Return the record of a group's owner in the format of the store."""
-    return msgspec.json.encode(_Ownership(node, era))
+    named = group if has_digest(OWNERSHIP_PREFIX, group) else msgspec.UNSET
+    return msgspec.json.encode(_Ownership(node, era, named))
 
 
 def decode_ownership(key: str, value: bytes, rev: int) -> RecordedOwnership | None:
@@ -194,12 +208,15 @@
     replicas: list[tuple[str, int]]
     as_of: int = 0
     era: int | None = None
+    # Only where the key has no room for it.
+    group: str | msgspec.UnsetType = msgspec.UNSET
 
 
-def encode_replica_set(replicas: ReplicaSet, era: int) -> bytes:
+def encode_replica_set(replicas: ReplicaSet, era: int, group: str = "") -> bytes:
     """Return the record of a group's replica set in the format of the store."""
     runs = [(run.name, run.started_ms) for run in sorted(replicas.replicas)]
-    record = _ReplicaSet(replicas.primary, runs, replicas.as_of, era)
+    named = group if has_digest(REPLICAS_PREFIX, group) else msgspec.UNSET
+    record = _ReplicaSet(replicas.primary, runs, replicas.as_of, era, named)
     return msgspec.json.encode(record)
 
 
--- a/lavenderstack/platform/registration.py
+++ b/lavenderstack/platform/registration.py
@@ -187,7 +187,7 @@
         if not self._store.era.number:
             # The store was never restored.
             return None
-        key = records.OWNERSHIP_PREFIX + group
+        key = records.ownership_key(group)
         try:
             item = await self._store.get(key)
             void = item is not None and records.is_void(key, item.data, item.rev)
@@ -213,9 +213,9 @@
         number = self._store.era.number
         if number is None or self._lease_is_of_older_era():
             raise ClaimLost("no lease")
-        key = records.REPLICAS_PREFIX + group
-        put = Put(key, records.encode_replica_set(replicas, number))
-        owned = Condition(records.OWNERSHIP_PREFIX + group, epoch)
+        key = records.replicas_key(group)
+        put = Put(key, records.encode_replica_set(replicas, number, group))
+        owned = Condition(records.ownership_key(group), epoch)
         try:
             invalid_at = 0 if revision else await self._invalid_record(key)
             unchanged = Condition(key, revision or invalid_at)
@@ -239,7 +239,7 @@
 
     async def release(self, group: str, epoch: int) -> None:
         """Release the claim, so that another node may claim the group."""
-        key = records.OWNERSHIP_PREFIX + group
+        key = records.ownership_key(group)
         try:
             await self._store.change([Condition(key, epoch)], deletes=[key])
         except (Conflict, StoreFailed, LeaseEnded) as exc:
@@ -250,9 +250,9 @@
     async def _write_claim(self, group: str, expected_rev: int) -> None:
         if not self._lease or self._lease_is_of_older_era():
             raise ClaimLost("no lease")
-        key, era = records.OWNERSHIP_PREFIX + group, self._store.era
+        key, era = records.ownership_key(group), self._store.era
         number = era.number
-        data = records.encode_ownership(self.identity, number)
+        data = records.encode_ownership(self.identity, number, group)
         puts = [Put(key, data, self._lease)]
         if not era.settled:
             # Nodes that start later need not wait for owners of the older era.
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -16,6 +16,7 @@
 from standins.web_app import serving_app
 
 DEFAULT_PAGE_SIZE = 50
+MAX_KEY_B = 200
 
 
 @dataclass
@@ -167,6 +168,8 @@
         self.change_times.append(asyncio.get_running_loop().time())
         await self._apply_fault()
         body = await req.json()
+        if any(len(put["key"].encode()) > MAX_KEY_B for put in body["puts"]):
+            raise web.HTTPBadRequest
         for condition in body["precondition"]:
             found = self.items.get(condition["key"])
             if (found["rev"] if found else 0) != condition["rev"]:
