Catalog: an empty key is nobody's key

What callers and operators saw or would see: if a tenant lists an empty key, every caller that sends no key runs as that tenant, on all routes.

Cause: a caller without a key was looked up by the digest of the empty text, and the catalog had that digest for the tenant.

Evidence: before, unusable_names_test failed: "CONNECT db1" was answered with READY on a route that isn't public.

Why this works: the catalog leaves empty keys out and reports them with the names that can't be used; check-config has the new code empty-key.

--- a/lavenderstack/core/config/config_check.py
+++ b/lavenderstack/core/config/config_check.py
@@ -163,6 +163,9 @@
 
 
 def _check_keys(cfg: DeclaredConfig) -> Iterator[Finding]:
+    for place in cfg.empty_keys:
+        text = "The key is empty, as for all callers that send none; nodes ignore it."
+        yield error("empty-key", place, text)
     last = {key.digest: key for key in cfg.keys or ()}
     customers = {organisation.name for organisation in cfg.organisations or ()}
     for key in cfg.keys or ():
--- a/lavenderstack/core/config/config_check_test.py
+++ b/lavenderstack/core/config/config_check_test.py
@@ -59,6 +59,7 @@
 FAULTS = {
     "version-not-positive": replace(ROUTED, version=0),
     "name-not-usable": replace(ROUTED, unusable_names=(ROOT,)),
+    "empty-key": replace(ROUTED, empty_keys=(ROOT,)),
     "duplicate-name": replace(ROUTED, routes=(replace(ROUTE), ROUTE)),
     "rate-not-positive": limited(rate=0.0),
     "rate-too-high": limited(rate=5001.0),
--- a/lavenderstack/core/config/declared_config.py
+++ b/lavenderstack/core/config/declared_config.py
@@ -181,7 +181,8 @@
     that single lists were read with. ``routes`` is None where groups are addressed by
     their names. ``withdrawal_is_final`` tells that a withdrawn key can't be granted
     again, ``own_plans`` that each organisation has its own plan, under its own name.
-    ``unusable_names`` are the places of names for which nodes run nothing.
+    ``unusable_names`` are the places of names for which nodes run nothing, and
+    ``empty_keys`` those of empty keys.
     """
 
     root: Place = Place()
@@ -197,6 +198,7 @@
     withdrawal_is_final: bool = False
     own_plans: bool = False
     unusable_names: tuple[Place, ...] = ()
+    empty_keys: tuple[Place, ...] = ()
 
     def customers_of(self, plan: str) -> list[str]:
         """Return the organisations that have a plan."""
--- a/lavenderstack/core/log/events_process.py
+++ b/lavenderstack/core/log/events_process.py
@@ -147,8 +147,8 @@
         "loader: entries of the catalog not in force",
         LineKind.STATE,
         ("version", "count", "places"),
-        "names that can't be sent to a target; no statement is run for these tenants "
-        "and services, all others are served",
+        "names that can't be sent to a target, for which no statement is run, and "
+        "empty keys; all others are served",
     ),
     Event(
         "documents: report names no usable target",
--- a/lavenderstack/platform/declared.py
+++ b/lavenderstack/platform/declared.py
@@ -27,9 +27,11 @@
 from lavenderstack.platform.documents import (
     CONSISTENCIES,
     MS_PER_S,
+    Path,
     convert_config,
+    empty_keys,
     parse_config,
-    unusable_places,
+    unusable_names,
 )
 
 _LISTS = ("routes", "services", "tenants")
@@ -96,18 +98,20 @@
             DeclaredKey(digest_of(key), t.name, place.child("api_keys").child(index))
             for t, place in tenants
             for index, key in enumerate(t.api_keys)
+            if key
         ),
         groups=tuple(_declare_groups(cfg.services)),
         routes=routes,
         tx_idle_s=cfg.limits.tx_idle_ms / MS_PER_S,
         tx_idle_place=_ROOT.child("limits").child("tx_idle_ms"),
         own_plans=True,
-        unusable_names=tuple(map(_place_of, unusable_places(cfg))),
+        unusable_names=tuple(map(_place_of, unusable_names(cfg))),
+        empty_keys=tuple(map(_place_of, empty_keys(cfg))),
     )
     return declared, []
 
 
-def _place_of(path: tuple[str | int, ...]) -> Place:
+def _place_of(path: Path) -> Place:
     place = _ROOT
     for part in path:
         place = place.child(part)
--- a/lavenderstack/platform/documents.py
+++ b/lavenderstack/platform/documents.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Iterator
+from itertools import chain
 from typing import Any, Literal
 
 import msgspec
@@ -31,6 +32,9 @@
 
 DEFAULT_TIMEOUT_MS = 1000.0
 
+# Where an entry stands in the operators' document.
+Path = tuple[str | int, ...]
+
 
 class _Route(msgspec.Struct):
     # The platform's "host" is the name of a database, not of a machine.
@@ -105,20 +109,25 @@
         groups={service.name: _convert_service(service) for service in cfg.services},
         plans={tenant.name: _convert_tenant(tenant) for tenant in tenants},
         keys={
-            digest_of(key): tenant.name for tenant in tenants for key in tenant.api_keys
+            digest_of(key): tenant.name
+            for tenant in tenants
+            for key in tenant.api_keys
+            if key
         },
         tx_idle_s=cfg.limits.tx_idle_ms / MS_PER_S,
-        left_out=tuple(_shown(path) for path in unusable_places(cfg)),
+        left_out=tuple(
+            _shown(path) for path in chain(unusable_names(cfg), empty_keys(cfg))
+        ),
     )
 
 
-def _shown(path: tuple[str | int, ...]) -> str:
+def _shown(path: Path) -> str:
     """Return a path as text, without a text of the document."""
     parts = [f"[{part}]" if isinstance(part, int) else f".{part}" for part in path]
     return "".join(parts)[1:]
 
 
-def unusable_places(cfg: _Config) -> Iterator[tuple[str | int, ...]]:
+def unusable_names(cfg: _Config) -> Iterator[Path]:
     """Yield the paths of names that can't be a field of a message.
 
     No statement is run for such a tenant or service. Targets can't report such a
@@ -163,6 +172,14 @@
     )
 
 
+def empty_keys(cfg: _Config) -> Iterator[Path]:
+    """Yield the paths of empty keys, which all callers without a key would have."""
+    for index, tenant in enumerate(cfg.tenants):
+        for number, key in enumerate(tenant.api_keys):
+            if not key:
+                yield "tenants", index, "api_keys", number
+
+
 def evacuated_zone(key: str) -> str | None:
     """Return the zone that an entry evacuates, whatever its value is, or None."""
     if not key.startswith(EVACUATIONS_PREFIX):
--- a/lavenderstack/platform/unusable_names_test.py
+++ b/lavenderstack/platform/unusable_names_test.py
@@ -58,6 +58,44 @@
         (line,) = [one for one in log.splitlines() if "catalog not in force" in one]
         assert "tenants[1]" in line and "tenants[2]" in line
 
+    async def test_an_open_session_runs_nothing_more_for_it(self, tmp_path):
+        async with run_node(tmp_path) as node:
+            caller = await connect_when_known(node, "CONNECT db1 k1")
+            other = TENANT | {"name": "t4", "api_keys": ["k4"]}
+            odd = TENANT | {"name": "org i-1"}
+            node.store.put("op/config", config(version=8, tenants=[odd, other]))
+            await connect_when_known(node, "CONNECT db1 k4")
+            reply = await caller.query("WRITE a 1")
+            assert reply[0].startswith("ERROR NOAUTH")
+            assert not any(target.executed for target in node.targets)
+
+
+class TestEmptyKey:
+    """It would make a tenant of all callers that send no key."""
+
+    FIELDS = {"tenants": [TENANT | {"api_keys": ["", "k1"]}]}
+
+    def test_it_is_not_in_force_and_the_others_of_its_tenant_are(self):
+        catalog = catalog_of(**self.FIELDS)
+        assert catalog.keys == {digest_of("k1"): "org"}
+        assert catalog.left_out == ("tenants[0].api_keys[0]",)
+
+    async def test_a_caller_without_a_key_is_refused(self, tmp_path):
+        async with run_node(tmp_path) as node:
+            tenants = [*self.FIELDS["tenants"], TENANT | {"api_keys": ["k4"]}]
+            node.store.put("op/config", config(version=8, tenants=tenants))
+            await connect_when_known(node, "CONNECT db1 k4")
+            for line in ("CONNECT db1", "CONNECT db1 "):
+                caller = await node.caller(line)
+                assert caller.greeting == ["ERROR NOAUTH the key is not in force"]
+
+    def test_check_config_names_it(self):
+        document = CONFIG | self.FIELDS
+        cfg, _ = translate(document, json.dumps(document).encode())
+        (finding,) = check(cfg)
+        assert finding.code == "empty-key"
+        assert finding.place.text == "tenants[0].api_keys[0]"
+
 
 class TestService:
     @pytest.mark.parametrize("name", UNUSABLE)
