Orders: a node's name that a header can't have is escaped

What operators would see: a node whose name has a letter outside ASCII or a control character replaces no primary of the groups that it owns ("replacer: check failed" again and again), and keeps the groups.

Cause: the name is the value of the header Lavenderstack-Holder. The HTTP library takes ASCII text without control characters, and raised an error that isn't one of a failed call.

Evidence: orders_test failed for seven names before, with UnicodeEncodeError, LocalProtocolError, a blank lost at the end, and a refused header.

Why this works: such a name is percent-encoded; any other is sent unchanged.

--- a/lavenderstack/platform/orders.py
+++ b/lavenderstack/platform/orders.py
@@ -1,5 +1,7 @@
 """The platform's call that makes a target the primary of its group."""
 
+from urllib.parse import quote
+
 import msgspec
 
 from lavenderstack.border.http import HttpClient, HttpFailed
@@ -11,6 +13,17 @@
 FENCE_HEADER = "Lavenderstack-Fence-Token"
 
 
+def _header_text(name: str) -> str:
+    """Return a node's name for a header, escaped if a header can't have it.
+
+    >>> _header_text("front-1"), _header_text("š")
+    ('front-1', '%C5%A1')
+    """
+    if name.isascii() and name.isprintable() and name == name.strip():
+        return name
+    return quote(name, safe="")
+
+
 class PlatformOrders:
     """Implements ``node.backend.Orders``."""
 
@@ -23,7 +36,7 @@
         Raises ``OrderRefused`` if a later epoch was used or the target is not running,
         ``OrderUnanswered`` if the platform did not confirm the order.
         """
-        headers = {HOLDER_HEADER: node, FENCE_HEADER: str(epoch)}
+        headers = {HOLDER_HEADER: _header_text(node), FENCE_HEADER: str(epoch)}
         # The platform calls a group a service and a target's name its id.
         body = msgspec.json.encode({"service": group, "id": target})
         try:
