Settings: every text that the platform fills in is taken unchanged

What operators would see: a node whose zone or name, or a zone of the region table, has a character above U+FFFF runs under a name that can't be written in UTF-8; with a control character above U+007E or a Unicode line separator it doesn't start ("not YAML").

Cause: the template fills in JSON texts and the file is read as YAML. YAML takes escaped halves of a character as two characters, and takes some characters that JSON allows for line ends, or forbids them.

Quotes, colons, braces, line ends and texts that look like other values were taken unchanged before, too.

Why this works: such characters are escaped within quoted texts before the file is read, and halves are joined after it. Half a character alone is a mistake. The file is read as UTF-8 whatever the locale is.

--- a/lavenderstack/platform/settings.py
+++ b/lavenderstack/platform/settings.py
@@ -5,8 +5,9 @@
 """
 
 import os
+import re
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Any
 
 import msgspec
 import yaml
@@ -17,6 +18,10 @@
 
 PATH_VARIABLE = "LAVENDERSTACK_CONFIG"
 
+_JSON_TEXT = re.compile(r'"(?:[^"\\\r\n]|\\.)*"')
+# JSON texts may have these as they are; for YAML they are line ends, or forbidden.
+_NOT_YAML = re.compile("[\x7f-\x9f\u2028\u2029\ufffe\uffff]")
+
 Name = Annotated[str, Meta(min_length=1)]
 Port = Annotated[int, Meta(ge=0, le=65535)]
 
@@ -102,12 +107,35 @@
     return found
 
 
+def _escape(match: re.Match) -> str:
+    return _NOT_YAML.sub(lambda char: f"\\u{ord(char[0]):04x}", match[0])
+
+
+def _join_surrogates(value: Any) -> Any:
+    """Return plain values with characters that were escaped as two halves made whole.
+
+    Raises ``ValueError`` for a half alone, which can't be sent or logged.
+    """
+    if isinstance(value, str):
+        return value.encode("utf-16-le", "surrogatepass").decode("utf-16-le")
+    if isinstance(value, dict):
+        return {_join_surrogates(k): _join_surrogates(v) for k, v in value.items()}
+    if isinstance(value, list):
+        return [_join_surrogates(one) for one in value]
+    return value
+
+
 def parse(text: str) -> Settings:
-    """Return the settings in a YAML text; raises ``SettingsError``."""
+    """Return the settings in a YAML text; raises ``SettingsError``.
+
+    The platform writes texts as JSON, which YAML takes but for some characters.
+    """
     try:
-        raw = yaml.safe_load(text)
+        raw = _join_surrogates(yaml.safe_load(_JSON_TEXT.sub(_escape, text)))
     except yaml.YAMLError as exc:
         raise SettingsError([f"not YAML: {exc}"]) from exc
+    except ValueError as exc:
+        raise SettingsError([f"a value that can't be read: {exc}"]) from exc
     if not isinstance(raw, dict):
         raise SettingsError(["expected a mapping from setting name to value"])
     mistakes = _field_mistakes(raw)
@@ -135,6 +163,6 @@
 def load(path: Path) -> Settings:
     """Read a settings file; raises ``SettingsError``."""
     try:
-        return parse(path.read_text())
+        return parse(path.read_text("utf-8"))
     except (OSError, UnicodeDecodeError) as exc:
         raise SettingsError([f"{path}: {exc}"]) from exc
