Store: an evacuation whose zone isn't valid Unicode holds nothing back

What callers and operators would see: after an operator writes such a key ("op/evacuate/\ud800"), no node takes any change of the store any more, and a node that starts is never ready.

Cause: an item that can't be decoded refuses its whole page unless it is one of the targets', since it might be the catalog.

Evidence: odd_entries_test failed; the loader logged "loader: store lost" with "unexpected end of escaped utf-16 surrogate pair" again and again.

Why this works: zones that targets or the settings name are valid Unicode, so an evacuation under such a key concerns none and is left out with a log line. Any other unreadable item still proves nothing.

--- a/lavenderstack/core/log/events_process.py
+++ b/lavenderstack/core/log/events_process.py
@@ -135,7 +135,8 @@
         "store: entry not readable",
         LineKind.STATE,
         ("key", "error"),
-        "an entry among those of the targets; ignored",
+        "an entry among those of the targets, or the evacuation of a zone that can't "
+        "be; ignored",
     ),
     Event(
         "documents: catalog not understood",
--- a/lavenderstack/platform/documents.py
+++ b/lavenderstack/platform/documents.py
@@ -23,12 +23,11 @@
 from lavenderstack.core.names import is_usable_name
 from lavenderstack.core.view import DEFAULT_PRIORITY, Plan
 from lavenderstack.platform.callers import digest_of
-from lavenderstack.platform.decoding import DECODE_ERRORS, MS_PER_S
+from lavenderstack.platform.decoding import DECODE_ERRORS, EVACUATIONS_PREFIX, MS_PER_S
 
 log = structlog.get_logger()
 
 CATALOG_KEY = "op/config"
-EVACUATIONS_PREFIX = "op/evacuate/"
 
 DEFAULT_TIMEOUT_MS = 1000.0
 
--- a/lavenderstack/platform/odd_entries_test.py
+++ b/lavenderstack/platform/odd_entries_test.py
@@ -163,6 +163,21 @@
             kv.put("servers/i-3", report())
             await wait_until(lambda: "i-3" in directory.targets)
 
+    async def test_an_evacuation_of_a_zone_that_cannot_be_is_passed_over(self):
+        """No node took any change any more, and those that started never served."""
+        kv = MetadataStore(page_size=2)
+        kv.put("op/config", config())
+        kv.put("op/evacuate/\ud800", b"{}")
+        kv.put("op/evacuate/z2", b"{}")
+        kv.put("servers/i-1", report())
+        async with run_loader(kv) as directory:
+            await wait_until(lambda: directory.proof.holds(clock.now()))
+            assert set(directory.targets) == {"i-1"}
+            assert set(directory.evacuations) == {"z2"}
+            kv.put("op/evacuate/a\udfff", b"{}")
+            kv.put("servers/i-2", report())
+            await wait_until(lambda: "i-2" in directory.targets)
+
     async def test_one_that_may_be_the_catalog_proves_nothing(self):
         kv = MetadataStore()
         kv.put("op/config", config())
--- a/lavenderstack/platform/store.py
+++ b/lavenderstack/platform/store.py
@@ -25,7 +25,11 @@
 from lavenderstack.core import clock
 from lavenderstack.core.store_era import EraNews, StoreEra
 from lavenderstack.core.store_position import era_of, revision_of, store_position
-from lavenderstack.platform.decoding import DECODE_ERRORS, TARGETS_PREFIX
+from lavenderstack.platform.decoding import (
+    DECODE_ERRORS,
+    EVACUATIONS_PREFIX,
+    TARGETS_PREFIX,
+)
 
 log = structlog.get_logger()
 
@@ -293,7 +297,8 @@
     """Decode an answer of type ``kind`` with its items in ``field``.
 
     One that can't be read doesn't hold back the others if it is among those of the
-    targets, where others write. Raises ``StoreFailed`` if more can't be read.
+    targets, where others write, or evacuates a zone that can't be one. Raises
+    ``StoreFailed`` if more can't be read.
     """
     try:
         return msgspec.json.decode(body, type=kind)
@@ -316,13 +321,23 @@
         msgspec.json.decode(json.dumps(raw), type=Item)
     except DECODE_ERRORS:
         key = raw.get("key") if isinstance(raw, dict) else None
-        if not isinstance(key, str) or not key.startswith(TARGETS_PREFIX):
+        if not isinstance(key, str) or not _may_be_left_out(key):
             raise
         log.warning("store: entry not readable", key=ascii(key)[:200], error=error)
         return False
     return True
 
 
+def _may_be_left_out(key: str) -> bool:
+    """Return whether an unreadable item names no target to use and no known zone.
+
+    Names of zones are valid Unicode, whoever reports them.
+    """
+    if key.startswith(EVACUATIONS_PREFIX):
+        return any("\ud800" <= char <= "\udfff" for char in key)
+    return key.startswith(TARGETS_PREFIX)
+
+
 @asynccontextmanager
 async def open_store(addr: str) -> AsyncIterator[Store]:
     """Open a client of the store; it is closed at the end of the block."""
