Store: a test of pages and watches that go on after odd keys

Blanks, line ends, a percent sign, plus, and, number sign, keys of 200 bytes and keys that differ only in Unicode normalisation.

--- a/lavenderstack/platform/odd_entries_test.py
+++ b/lavenderstack/platform/odd_entries_test.py
@@ -145,6 +145,42 @@
             await self.end(node)
 
 
+class TestOddKeys:
+    """Each page begins after a key of others, which stands in a URL."""
+
+    NAMES = [
+        *(
+            "a%2Fb",
+            "a+b",
+            "a&after=z",
+            "a#b",
+            "a=b",
+            "a/b",
+            "?",
+            "%",
+            "\u00e9",
+            "e\u0301",
+        ),
+        *("x" * 192, "\u0161" * 96),
+    ]
+
+    async def test_pages_and_watches_go_on_after_them(self):
+        kv = MetadataStore(page_size=1)
+        kv.put("op/config", config())
+        for name in ["", "a b", "a\u2028", "a\r\n", "\0", *self.NAMES]:
+            kv.put(f"servers/{name}", report())
+            kv.put(f"op/evacuate/{name}"[:200], b"{}")
+        async with run_loader(kv) as directory:
+            await wait_until(lambda: directory.proof.holds(clock.now()))
+            assert set(directory.targets) == set(self.NAMES)
+            assert set(directory.evacuations) >= {"a%2Fb", "a+b", "a\r\n"}
+            kv.delete("servers/a%2Fb")
+            kv.put("servers/a/c", report())
+            await wait_until(lambda: "a/c" in directory.targets)
+            assert "a%2Fb" not in directory.targets
+            assert "a/b" in directory.targets
+
+
 class TestUnreadableItem:
     """An item of the store's answer that can't be read must not hold back others."""
 
