Quota: the coordinator is found if its node's name has a #

What operators would see: with such a name the node that is first in ring order is taken for the coordinator instead of the one that has the record, so a node that starts can replace it, and the successor knows only the reserved tokens.

Cause: a process is called NAME#PROCESS, and the node was the text up to the first #. The name, which the settings give, may have one too.

The effect on requests was read from Admitter.coordinator's order, not run.

Why this works: the process id is hexadecimal, so the last # is the separator. The loader's test for own claims uses the same function; a name that is the start of another one's made it read the store's history for nothing.

--- a/lavenderstack/core/catalog.py
+++ b/lavenderstack/core/catalog.py
@@ -108,6 +108,16 @@
         return TargetRun(self.target.name, self.started_ms)
 
 
+def node_of(process: str) -> str:
+    """Return the node of a process, ``name#process``; a name may have a ``#`` itself.
+
+    >>> node_of("n1#12ab")
+    'n1'
+    """
+    name, mark, process_id = process.rpartition("#")
+    return name if mark else process_id
+
+
 @dataclass(frozen=True, slots=True)
 class Reserve:
     """Tokens by organisation that the quota coordinator ``owner`` does not hand out.
@@ -122,7 +132,7 @@
     @property
     def node(self) -> str:
         """The node's name; ``owner`` is one of its processes, ``name#process``."""
-        return self.owner.partition("#")[0]
+        return node_of(self.owner)
 
 
 @dataclass(frozen=True, slots=True)
--- a/lavenderstack/platform/loader.py
+++ b/lavenderstack/platform/loader.py
@@ -20,6 +20,7 @@
 import structlog
 
 from lavenderstack.core import clock
+from lavenderstack.core.catalog import node_of
 from lavenderstack.core.change_messages import ChangesReply, ChangesRequest
 from lavenderstack.core.entry_compression import BadValue, compress
 from lavenderstack.core.messages import Failed, Message
@@ -139,9 +140,8 @@
 
     def _owns_a_group(self) -> bool:
         """Return whether a claim of this node is in force; only owners need history."""
-        prefix = self._directory.name + "#"
-        claims = self._directory.ownerships.values()
-        return self._listed and any(one.node.startswith(prefix) for one in claims)
+        name, claims = self._directory.name, self._directory.ownerships.values()
+        return self._listed and any(node_of(one.node) == name for one in claims)
 
     def _needs_watch_after_listing(self) -> bool:
         """Return whether the store must prove the view now rather than another node.
