Store: an era that can't be one is a failed call

What operators would see: with a header Store-Era of thousands of digits the loader ends, again and again; after one answer with a huge number every later answer counts as one of an older era, until the process is restarted.

Cause: any run of digits was taken as a number. Python refuses to convert more than 4,300 digits, with an error that isn't a failed call.

Why this works: positions have 63 bits, 23 of them for the era (core/store_position.py). A larger one is refused before it is kept.

--- a/lavenderstack/platform/store.py
+++ b/lavenderstack/platform/store.py
@@ -24,7 +24,12 @@
 from lavenderstack.border.http import HttpClient, HttpFailed, HttpResponse
 from lavenderstack.core import clock
 from lavenderstack.core.store_era import EraNews, StoreEra
-from lavenderstack.core.store_position import era_of, revision_of, store_position
+from lavenderstack.core.store_position import (
+    REVISION_BITS,
+    era_of,
+    revision_of,
+    store_position,
+)
 from lavenderstack.platform.decoding import (
     DECODE_ERRORS,
     EVACUATIONS_PREFIX,
@@ -37,6 +42,10 @@
 # A store that doesn't send the header was never restored.
 ERA_HEADER = "store-era"
 NO_ERA = "0"
+# A position of a later era has more than 63 bits and can't be sent to other nodes.
+MAX_ERA = (1 << (63 - REVISION_BITS)) - 1
+# Far more digits can't be converted.
+MAX_ERA_DIGITS = 20
 TOO_MANY_CALLS = 429
 
 
@@ -154,8 +163,8 @@
         is of an older era than the latest one.
         """
         text = response.headers.get(ERA_HEADER, NO_ERA)
-        if not text.isdecimal():
-            raise StoreFailed(f"the store's era {text!r} is no number")
+        if not text.isdecimal() or len(text) > MAX_ERA_DIGITS or int(text) > MAX_ERA:
+            raise StoreFailed(f"the store's era {text[:40]!r} is no number")
         number = int(text)
         news = self.era.observe(number, clock.now())
         if news is EraNews.OLDER:
