--- a/lavenderstack/core/catalog.py
+++ b/lavenderstack/core/catalog.py
@@ -64,7 +64,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Catalog:
-    """One version of the operators' lists; ``keys`` maps a key digest to its owner."""
+    """One version of the operators' lists; ``keys`` maps a key digest to its owner.
+
+    ``left_out`` are the places of entries that aren't in force, as they can't be used.
+    """
 
     version: int = 0
     routes: Mapping[str, Route] = field(default_factory=dict)
@@ -72,6 +75,7 @@
     plans: Mapping[str, Plan] = field(default_factory=dict)
     keys: Mapping[str, str] = field(default_factory=dict)
     tx_idle_s: float = DEFAULT_TX_IDLE_S
+    left_out: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,6 +109,16 @@
         return TargetRun(self.target.name, self.started_ms)
 
 
+def node_of(process: str) -> str:
+    """Return the node of a process, ``name#process``; a name may have a ``#`` itself.
+
+    >>> node_of("n1#12ab")
+    'n1'
+    """
+    name, mark, process_id = process.rpartition("#")
+    return name if mark else process_id
+
+
 @dataclass(frozen=True, slots=True)
 class Reserve:
     """Tokens by organisation that the quota coordinator ``owner`` does not hand out.
--- a/lavenderstack/core/log/events_process.py
+++ b/lavenderstack/core/log/events_process.py
@@ -135,7 +135,8 @@
         "store: entry not readable",
         LineKind.STATE,
         ("key", "error"),
-        "an entry among those of the targets; ignored",
+        "an entry among those of the targets, or the evacuation of a zone that can't "
+        "be; ignored",
     ),
     Event(
         "documents: catalog not understood",
@@ -143,6 +144,13 @@
         ("error",),
         "the previous version stays in force",
     ),
+    Event(
+        "loader: entries of the catalog not in force",
+        LineKind.STATE,
+        ("version", "count", "places"),
+        "names that can't be sent to a target, for which no statement is run, and "
+        "empty keys; all others are served",
+    ),
     Event(
         "documents: report names no usable target",
         LineKind.STATE,
--- a/lavenderstack/platform/documents.py
+++ b/lavenderstack/platform/documents.py
@@ -6,6 +6,8 @@
 ``platform/records.py``.
 """
 
+from collections.abc import Iterator
+from itertools import chain
 from typing import Any, Literal
 
 import msgspec
@@ -18,17 +20,20 @@
     GroupLimits,
     Route,
 )
+from lavenderstack.core.names import is_usable_name
 from lavenderstack.core.view import DEFAULT_PRIORITY, Plan
 from lavenderstack.platform.callers import digest_of
-from lavenderstack.platform.decoding import DECODE_ERRORS, MS_PER_S
+from lavenderstack.platform.decoding import DECODE_ERRORS, EVACUATIONS_PREFIX, MS_PER_S
 
 log = structlog.get_logger()
 
 CATALOG_KEY = "op/config"
-EVACUATIONS_PREFIX = "op/evacuate/"
 
 DEFAULT_TIMEOUT_MS = 1000.0
 
+# Where an entry stands in the operators' document.
+Path = tuple[str | int, ...]
+
 
 class _Route(msgspec.Struct):
     # The platform's "host" is the name of a database, not of a machine.
@@ -96,20 +101,43 @@
     except DECODE_ERRORS as exc:
         log.warning("documents: catalog not understood", error=repr(exc)[:200])
         return None
+    tenants = [tenant for tenant in cfg.tenants if is_usable_name(tenant.name)]
     return Catalog(
         version=cfg.version,
         routes={route.host: _convert_route(route) for route in cfg.routes},
         groups={service.name: _convert_service(service) for service in cfg.services},
-        plans={tenant.name: _convert_tenant(tenant) for tenant in cfg.tenants},
+        plans={tenant.name: _convert_tenant(tenant) for tenant in tenants},
         keys={
             digest_of(key): tenant.name
-            for tenant in cfg.tenants
+            for tenant in tenants
             for key in tenant.api_keys
+            if key
         },
         tx_idle_s=cfg.limits.tx_idle_ms / MS_PER_S,
+        left_out=tuple(
+            _shown(path) for path in chain(unusable_names(cfg), empty_keys(cfg))
+        ),
     )
 
 
+def _shown(path: Path) -> str:
+    """Return a path as text, without a text of the document."""
+    parts = [f"[{part}]" if isinstance(part, int) else f".{part}" for part in path]
+    return "".join(parts)[1:]
+
+
+def unusable_names(cfg: _Config) -> Iterator[Path]:
+    """Yield the paths of names that can't be a field of a message.
+
+    No statement is run for such a tenant or service. Targets can't report such a
+    service, so its routes needn't be left out.
+    """
+    for field in ("tenants", "services"):
+        for index, entry in enumerate(getattr(cfg, field)):
+            if not is_usable_name(entry.name):
+                yield field, index, "name"
+
+
 def _convert_service(service: _Service) -> GroupLimits:
     return GroupLimits(
         connections=service.max_conns,
@@ -143,6 +171,14 @@
     )
 
 
+def empty_keys(cfg: _Config) -> Iterator[Path]:
+    """Yield the paths of empty keys, which all callers without a key would have."""
+    for index, tenant in enumerate(cfg.tenants):
+        for number, key in enumerate(tenant.api_keys):
+            if not key:
+                yield "tenants", index, "api_keys", number
+
+
 def evacuated_zone(key: str) -> str | None:
     """Return the zone that an entry evacuates, whatever its value is, or None."""
     if not key.startswith(EVACUATIONS_PREFIX):
--- a/lavenderstack/platform/store.py
+++ b/lavenderstack/platform/store.py
@@ -24,8 +24,17 @@
 from lavenderstack.border.http import HttpClient, HttpFailed, HttpResponse
 from lavenderstack.core import clock
 from lavenderstack.core.store_era import EraNews, StoreEra
-from lavenderstack.core.store_position import era_of, revision_of, store_position
-from lavenderstack.platform.decoding import DECODE_ERRORS, TARGETS_PREFIX
+from lavenderstack.core.store_position import (
+    REVISION_BITS,
+    era_of,
+    revision_of,
+    store_position,
+)
+from lavenderstack.platform.decoding import (
+    DECODE_ERRORS,
+    EVACUATIONS_PREFIX,
+    TARGETS_PREFIX,
+)
 
 log = structlog.get_logger()
 
@@ -33,6 +42,10 @@
 # A store that doesn't send the header was never restored.
 ERA_HEADER = "store-era"
 NO_ERA = "0"
+# A position of a later era has more than 63 bits and can't be sent to other nodes.
+MAX_ERA = (1 << (63 - REVISION_BITS)) - 1
+# Far more digits can't be converted.
+MAX_ERA_DIGITS = 20
 TOO_MANY_CALLS = 429
 
 
@@ -150,8 +163,8 @@
         is of an older era than the latest one.
         """
         text = response.headers.get(ERA_HEADER, NO_ERA)
-        if not text.isdecimal():
-            raise StoreFailed(f"the store's era {text!r} is no number")
+        if not text.isdecimal() or len(text) > MAX_ERA_DIGITS or int(text) > MAX_ERA:
+            raise StoreFailed(f"the store's era {text[:40]!r} is no number")
         number = int(text)
         news = self.era.observe(number, clock.now())
         if news is EraNews.OLDER:
@@ -293,7 +306,8 @@
     """Decode an answer of type ``kind`` with its items in ``field``.
 
     One that can't be read doesn't hold back the others if it is among those of the
-    targets, where others write. Raises ``StoreFailed`` if more can't be read.
+    targets, where others write, or evacuates a zone that can't be one. Raises
+    ``StoreFailed`` if more can't be read.
     """
     try:
         return msgspec.json.decode(body, type=kind)
@@ -316,13 +330,23 @@
         msgspec.json.decode(json.dumps(raw), type=Item)
     except DECODE_ERRORS:
         key = raw.get("key") if isinstance(raw, dict) else None
-        if not isinstance(key, str) or not key.startswith(TARGETS_PREFIX):
+        if not isinstance(key, str) or not _may_be_left_out(key):
             raise
         log.warning("store: entry not readable", key=ascii(key)[:200], error=error)
         return False
     return True
 
 
+def _may_be_left_out(key: str) -> bool:
+    """Return whether an unreadable item names no target to use and no known zone.
+
+    Names of zones are valid Unicode, whoever reports them.
+    """
+    if key.startswith(EVACUATIONS_PREFIX):
+        return any("\ud800" <= char <= "\udfff" for char in key)
+    return key.startswith(TARGETS_PREFIX)
+
+
 @asynccontextmanager
 async def open_store(addr: str) -> AsyncIterator[Store]:
     """Open a client of the store; it is closed at the end of the block."""
