--- a/lavenderstack/node/entry.py
+++ b/lavenderstack/node/entry.py
@@ -235,7 +235,14 @@
 
 
 def _scoped_key(caller: Caller, request_id: str) -> str:
-    return f"{caller.organisation}:{request_id}"
+    """Return a key that no other organisation and request id have.
+
+    Targets remember keys, and builds that run side by side have to form the same ones.
+    So only an organisation with a colon has another separator: a slash, which no
+    request id contains. The last slash then ends the organisation.
+    """
+    separator = "/" if ":" in caller.organisation else ":"
+    return f"{caller.organisation}{separator}{request_id}"
 
 
 def _idempotency_key(body: StatementBody, caller: Caller, request_id: str) -> str:
--- a/lavenderstack/node/entry_test.py
+++ b/lavenderstack/node/entry_test.py
@@ -179,3 +179,24 @@
         entry, _, router = make_entry()
         await entry.open_statement(caller_request(statement="prices"))
         assert router.requests[0].caller.organisation == ""
+
+
+class TestIdempotencyKeys:
+    @staticmethod
+    async def key_for(organisation, request_id):
+        entry, relay, router = make_entry()
+        allowed = Group("g", (), frozenset({organisation}))
+        relay.view = replace(view(key_of(organisation)), groups={"g": allowed})
+        body = StatementBody(statement="s", write=True, idempotent=False)
+        call = CallerRequest(request_id, f"{organisation}-key", "", body, "g")
+        await entry.statement(call)
+        return router.requests[0].idempotency_key
+
+    async def test_a_write_is_not_taken_for_a_repeat_of_another_organisations(self):
+        pairs = [("a:b", "c"), ("a", "b:c"), ("a:b", "c:d"), ("a", "b:c:d")]
+        pairs += [("a:b:c", "d"), ("a:", "b"), ("a", ":b"), ("a/b", "c"), ("a/b:", "c")]
+        keys = [await self.key_for(*pair) for pair in pairs]
+        assert len(set(keys)) == len(pairs)
+
+    async def test_an_ordinary_key_is_the_same_in_builds_that_run_side_by_side(self):
+        assert await self.key_for("lipa", "r:1") == "lipa:r:1"
