--- a/lavenderstack/border/logs.py
+++ b/lavenderstack/border/logs.py
@@ -13,6 +13,7 @@
 
 from lavenderstack.border.log_writer import LogWriter
 from lavenderstack.core import clock
+from lavenderstack.core.log.bounded_fields import bounded_fields
 from lavenderstack.core.log.events import LineKind
 from lavenderstack.core.log.log_rate_limit import LogRateLimiter
 
@@ -33,6 +34,10 @@
         return fields
 
 
+def _bound_fields(_: Any, __: str, fields: dict) -> dict:
+    return bounded_fields(fields)
+
+
 def _configure(level: str, node: str, processors: list, factory: Any) -> None:
     structlog.configure(
         processors=[
@@ -41,6 +46,7 @@
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             structlog.processors.format_exc_info,
+            _bound_fields,
             structlog.processors.JSONRenderer(),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(
--- a/lavenderstack/core/log/explanation.py
+++ b/lavenderstack/core/log/explanation.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from lavenderstack.core.log.bounded_fields import bounded
 from lavenderstack.core.log.events import EVENTS, LineKind
 
 # Older state changes rarely explain a request, even if they still apply.
@@ -97,10 +98,14 @@
 
 
 def explain(request: str, lines: Iterable[LogLine]) -> Explanation:
-    """Explain a request; ``cause`` is empty if no line shows it."""
+    """Explain a request; ``cause`` is empty if no line shows it.
+
+    Lines have a long id in its cut form, those of earlier builds as it was sent.
+    """
     ordered = sorted(lines, key=lambda line: line.at)
-    request_lines = [line for line in ordered if line.fields.get("request") == request]
-    explanation = Explanation(request, request_lines)
+    ids = (request, bounded(request))
+    request_lines = [line for line in ordered if line.fields.get("request") in ids]
+    explanation = Explanation(bounded(request), request_lines)
     if not request_lines:
         return explanation
     names = _names_in(request_lines)
--- a/lavenderstack/tools/explain_test.py
+++ b/lavenderstack/tools/explain_test.py
@@ -1,5 +1,8 @@
 """Tests of the command that explains the outcome of a request."""
 
+import json
+
+from lavenderstack.core.log.bounded_fields import bounded
 from lavenderstack.tools import explain
 
 LINE = (
@@ -27,3 +30,14 @@
     def test_a_missing_file(self, tmp_path, capsys):
         assert explain.run(["r1", str(tmp_path / "none")]) == explain.EXIT_UNREADABLE
         assert "can't be read" in capsys.readouterr().err
+
+    def test_a_request_whose_id_was_cut_is_found_by_either_form(self, tmp_path, capsys):
+        request = "q" * 1024 * 1024
+        other = request + "q"
+        path = tmp_path / "n1.log"
+        fields = json.loads(LINE) | {"request": bounded(request)}
+        path.write_text(json.dumps(fields))
+        for form in (request, bounded(request)):
+            assert explain.run([form, str(path)]) == 0
+            assert len(capsys.readouterr().out) < 10_000
+        assert explain.run([other, str(path)]) == explain.EXIT_NO_CAUSE
