--- a/lavenderstack/node/metrics.py
+++ b/lavenderstack/node/metrics.py
@@ -13,11 +13,14 @@
 from hdrh.histogram import HdrHistogram
 from statsd import StatsClient
 
+from lavenderstack.core.metric_names import name_part, organisation_label
+
 MIN_LATENCY_US = 1
 MAX_LATENCY_US = 60_000_000
 SIGNIFICANT_FIGURES = 2
 FLUSH_INTERVAL_S = 10.0
 PREFIX = "lavenderstack"
+EVERYONE_LABEL = "everyone"
 PERCENTILES = (50.0, 90.0, 99.0, 99.9)
 
 log = structlog.get_logger()
@@ -42,6 +45,10 @@
     outcomes: dict[str, int]
 
 
+def _prefix(series: Series | Summary) -> str:
+    return f"{name_part(series.organisation)}.{series.kind}"
+
+
 def _histogram() -> HdrHistogram:
     return HdrHistogram(MIN_LATENCY_US, MAX_LATENCY_US, SIGNIFICANT_FIGURES)
 
@@ -58,7 +65,8 @@
         self, organisation: str, kind: str, outcome: str, elapsed_s: float
     ) -> None:
         """Count one request and its latency in seconds."""
-        series = Series(organisation or "everyone", kind)
+        name = organisation_label(organisation, {EVERYONE_LABEL}) or EVERYONE_LABEL
+        series = Series(name, kind)
         histogram = self.histograms.get(series)
         if histogram is None:
             histogram = self.histograms[series] = _histogram()
@@ -84,9 +92,9 @@
             for (series, outcome), count in self.outcomes.items():
                 added = count - self._sent[series, outcome]
                 if added:
-                    pipe.incr(f"{series.organisation}.{series.kind}.{outcome}", added)
+                    pipe.incr(f"{_prefix(series)}.{outcome}", added)
             for summary in self.summaries():
-                name = f"{summary.organisation}.{summary.kind}.p99_ms"
+                name = f"{_prefix(summary)}.p99_ms"
                 pipe.gauge(name, summary.percentiles_ms["p99"])
         self._sent = Counter(self.outcomes)
 
