--- a/lavenderstack/node/counters.py
+++ b/lavenderstack/node/counters.py
@@ -12,6 +12,8 @@
     generate_latest,
 )
 
+from lavenderstack.core.metric_names import organisation_label
+
 MAX_LABELLED_ORGANISATIONS = 100
 OTHERS_LABEL = "others"
 EVERYONE_LABEL = "everyone"
@@ -102,12 +104,13 @@
     def _organisation_label(self, organisation: str) -> str:
         if not organisation:
             return EVERYONE_LABEL
+        label = organisation_label(organisation, {EVERYONE_LABEL, OTHERS_LABEL})
         if organisation in self._organisations:
-            return organisation
+            return label
         if len(self._organisations) >= MAX_LABELLED_ORGANISATIONS:
             return OTHERS_LABEL
         self._organisations.add(organisation)
-        return organisation
+        return label
 
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
