--- a/lavenderstack/core/keys.py
+++ b/lavenderstack/core/keys.py
@@ -12,8 +12,12 @@
 
 
 def digest_of(key: str) -> str:
-    """Return the digest of a key: SHA-256 in hex."""
-    return sha256(key.encode()).hexdigest()
+    """Return the digest of a key: SHA-256 in hex.
+
+    A caller may send bytes that aren't UTF-8, which a header's text holds as lone
+    surrogates; no known key has this digest.
+    """
+    return sha256(key.encode(errors="surrogatepass")).hexdigest()
 
 
 def generate() -> str:
--- a/lavenderstack/node/entry_test.py
+++ b/lavenderstack/node/entry_test.py
@@ -86,6 +86,8 @@
         [
             (caller_request(key=""), Reason.NO_KEY),
             (caller_request(key="unknown"), Reason.KEY_REFUSED),
+            (caller_request(key="\udcff"), Reason.KEY_REFUSED),
+            (caller_request(session="\udcff"), Reason.BAD_TOKEN),
             (caller_request(group="h"), Reason.NOT_ALLOWED),
             (caller_request(group="nowhere"), Reason.UNKNOWN_GROUP),
             (caller_request(session="forged"), Reason.BAD_TOKEN),
