--- a/lavenderstack/border/callers.py
+++ b/lavenderstack/border/callers.py
@@ -25,7 +25,13 @@
 from typing import Annotated, Any, Protocol
 
 from aiohttp import web
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    ConfigDict,
+    Field,
+    ValidationError,
+)
 
 from lavenderstack.border import answers
 from lavenderstack.border.settings import Callers
@@ -36,9 +42,27 @@
 REQUEST_ID_HEADER = "Request-Id"
 _REQUEST_ID = re.compile(r"[A-Za-z0-9_.:-]{1,64}")
 
+# The integers that messages between nodes and to targets can have.
+MIN_INTEGER = -(2**63)
+MAX_INTEGER = 2**64 - 1
+
 Seconds = Annotated[float, Field(gt=0, le=MAX_DEADLINE_S)]
 
 
+def _checked_args(args: list[Any]) -> list[Any]:
+    """Return the arguments; raises ``ValueError`` for one that can't be sent on."""
+    waiting = [args]
+    while waiting:
+        value = waiting.pop()
+        if isinstance(value, list):
+            waiting += value
+        elif isinstance(value, dict):
+            waiting += value.values()
+        elif isinstance(value, int) and not MIN_INTEGER <= value <= MAX_INTEGER:
+            raise ValueError("an integer has more than 64 bits")
+    return args
+
+
 class Body(BaseModel):
     """Base class of request bodies; unknown fields are refused."""
 
@@ -49,7 +73,7 @@
     """One statement; ``max_age_s`` and ``deadline_s`` are in seconds."""
 
     statement: Annotated[str, Field(min_length=1, max_length=10_000)]
-    args: list[Any] = []
+    args: Annotated[list[Any], AfterValidator(_checked_args)] = []
     write: bool = False
     idempotent: bool = True
     fresh: bool = False
--- a/lavenderstack/border/callers_test.py
+++ b/lavenderstack/border/callers_test.py
@@ -86,6 +86,9 @@
             (b'{"statement": "s", "deadline_s": 99}', "deadline_s"),
             (b'{"statement": "s", "max_age_s": -1}', "max_age_s"),
             (b'{"statement": "s", "write": "yes"}', "write"),
+            (b'{"statement": "s", "args": [%d]}' % 2**64, "args: Value error"),
+            (b'{"statement": "s", "args": [[{"a": %d}]]}' % -(2**63 + 1), "64 bits"),
+            (b'{"statement": "s", "args": ["\\ud800"]}', "Invalid JSON"),
             (b'{"statement": "' + b"x" * 2000 + b'"}', "longer than 1000 bytes"),
         ],
     )
@@ -96,6 +99,12 @@
             assert expected in answer["detail"]
             assert not service.requests
 
+    async def test_integers_of_64_bits_reach_the_service(self):
+        async with running_service() as (service, http, _):
+            args = [2**64 - 1, -(2**63), {"a": [2**63]}, True, 0.5]
+            await post(http, json=BODY | {"args": args})
+            assert service.requests[0].body.args == args
+
     async def test_an_invalid_request_id_is_refused(self):
         async with running_service() as (_, http, _):
             resp, _ = await post(http, json=BODY, headers={"Request-Id": "a b"})
