--- a/lavenderstack/border/target.py
+++ b/lavenderstack/border/target.py
@@ -143,16 +143,26 @@
         if self._transport is not None:
             self._transport.abort()
 
+    @staticmethod
+    def _pack(message: list) -> bytes:
+        """Encode a message before anything of the connection is changed for it."""
+        try:
+            return msgpack.packb(message)
+        except (OverflowError, ValueError, TypeError) as exc:
+            raise TargetRefused(
+                TargetErrorCode.STATEMENT_FAILED, "an argument can't be sent"
+            ) from exc
+
     async def _call(self, method: str, params: list, timeout_s: float) -> Any:
         if self.broken:
             raise TargetUnreachable("connection is closed")
         if self._fut is not None:
             raise RuntimeError("a connection carries one call at a time")
+        request = self._pack([_REQUEST, self._call_id + 1, method, params])
         self._call_id += 1
         loop = asyncio.get_running_loop()
         self._fut = loop.create_future()
         timer = loop.call_later(timeout_s, self._time_out, self._fut)
-        request = msgpack.packb([_REQUEST, self._call_id, method, params])
         TRAFFIC.targets_sent_b += len(request)
         self._transport.write(request)
         try:
--- a/lavenderstack/border/target_refusals_test.py
+++ b/lavenderstack/border/target_refusals_test.py
@@ -6,7 +6,7 @@
 import pytest
 
 from lavenderstack.border import target_test
-from lavenderstack.border.target import TargetErrorCode
+from lavenderstack.border.target import TargetErrorCode, TargetRefused
 from lavenderstack.border.target_test import (
     NAMES,
     TIMEOUT_S,
@@ -168,3 +168,20 @@
         assert (await expect_refusal(call(conn))).code == code
         assert await conn.state(TIMEOUT_S) == status_before
         assert not conn.broken
+
+
+class TestArguments:
+    @pytest.mark.parametrize(
+        "value",
+        [2**64, -(2**63) - 1, 10**400, "\ud800"],
+        ids=["above 64 bits", "below 64 bits", "400 digits", "surrogate"],
+    )
+    async def test_one_that_can_not_be_sent_leaves_the_connection_usable(self, value):
+        async with target_test.process_group() as started:
+            conn = await started.connect(0)
+            with pytest.raises(TargetRefused) as caught:
+                await conn.run("get", ["t", value], TIMEOUT_S)
+            assert caught.value.code == TargetErrorCode.STATEMENT_FAILED
+            assert not conn.broken
+            assert (await conn.state(TIMEOUT_S)).term == 0
+            conn.close()
