--- a/lavenderstack/border/admin.py
+++ b/lavenderstack/border/admin.py
@@ -57,7 +57,7 @@
 log = structlog.get_logger()
 
 CountInForce = Callable[[int], Awaitable[Mapping[str, Any]]]
-_DIGEST = re.compile(r"^[0-9a-f]{64}$")
+_DIGEST = re.compile(r"[0-9a-f]{64}")
 _NAME = TypeAdapter(documents.Name)
 
 
@@ -123,7 +123,7 @@
 
 def _digest(req: web.Request) -> str:
     digest = req.match_info["digest"]
-    if not _DIGEST.match(digest):
+    if not _DIGEST.fullmatch(digest):
         raise invalid("expected the digest of a key, 64 hex digits")
     return digest
 
--- /dev/null
+++ b/lavenderstack/border/admin_requests_test.py
@@ -0,0 +1,51 @@
+"""Tests that texts of an operator's request can't become another record or a fault."""
+
+import asyncio
+
+import pytest
+
+from lavenderstack.border.admin_test import GOLD, call, running_api
+from lavenderstack.core import keys
+
+DIGEST = keys.digest_of("lipa-key")
+KEY = b"Authorization: Bearer anna-key"
+
+
+async def put_raw(port, headers, body=b"{}"):
+    """Send a request with header bytes that no client library sends."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    lines = [
+        b"PUT /v1/plans HTTP/1.1",
+        b"Host: x",
+        b'If-Match: "0"',
+        b"Content-Length: %d" % len(body),
+        *headers,
+    ]
+    writer.write(b"\r\n".join([*lines, b"", body]))
+    status = int((await reader.readline()).split()[1])
+    writer.close()
+    return status
+
+
+class TestNames:
+    @pytest.mark.parametrize(
+        ("path", "body"),
+        [
+            (f"/v1/keys/{DIGEST}%0A", {"organisation": "lipa"}),
+            (f"/v1/keys/{DIGEST}", {"organisation": "a\nb"}),
+            ("/v1/groups/a%2Fb", {"targets": []}),
+            ("/v1/evacuations/a%0Ab", {}),
+            ("/v1/evacuations/..%2Fkeys", {}),
+        ],
+        ids=["digest", "organisation", "group", "zone", "folder"],
+    )
+    async def test_one_that_would_be_another_key_is_refused(self, path, body):
+        async with running_api() as (client, store, _):
+            status, _ = await call(client, "PUT", path, body, If_Match="0")
+            assert status == 400
+            assert not store.memory.entries
+
+    async def test_a_key_of_no_utf_8_belongs_to_no_operator(self):
+        async with running_api() as (client, _, __):
+            header = b"Authorization: Bearer \xff"
+            assert await put_raw(client.port, [header]) == 401
