--- a/lavenderstack/border/admin.py
+++ b/lavenderstack/border/admin.py
@@ -38,6 +38,7 @@
     change_id_from,
     if_match,
     log_change,
+    parse_revision,
     read_body,
     with_revision,
 )
@@ -256,10 +257,9 @@
     async def revision(self, req: web.Request) -> web.Response:
         """Return the number of nodes, by zone, on which a revision is in force."""
         text = req.query.get("at", str(self._relay.view.revision))
-        if not text.isdecimal():
-            raise invalid("at: expected a revision")
-        result = await self._count_in_force(int(text))
-        return web.json_response({"at": int(text), "zones": result})
+        at = parse_revision(text, "at: expected a revision")
+        result = await self._count_in_force(at)
+        return web.json_response({"at": at, "zones": result})
 
 
 def _name(req: web.Request) -> str:
--- a/lavenderstack/border/admin_requests.py
+++ b/lavenderstack/border/admin_requests.py
@@ -11,6 +11,7 @@
 from lavenderstack.core.entry import Change
 
 LOGGED_DIGEST_CHARS = 12  # logs never contain a whole digest
+MAX_REVISION = 2**63 - 1  # the store's revisions are signed integers of 64 bits
 OPERATOR = web.RequestKey("operator", str)
 
 log = structlog.get_logger()
@@ -21,9 +22,20 @@
     text = req.headers.get("If-Match", "").strip().strip('"')
     if not text:
         raise Problem(428, "no_revision")
-    if not text.isdecimal():
-        raise invalid("If-Match: expected the revision that was read")
-    return int(text)
+    return parse_revision(text, "If-Match: expected the revision that was read")
+
+
+def parse_revision(text: str, mistake: str) -> int:
+    """Return a revision; raises ``Problem`` with the mistake if no entry can have it.
+
+    The length is checked first, since ``int`` refuses more than 4,300 digits.
+    """
+    if not (text.isdecimal() and len(text) <= len(str(MAX_REVISION))):
+        raise invalid(mistake)
+    revision = int(text)
+    if revision > MAX_REVISION:
+        raise invalid(mistake)
+    return revision
 
 
 def change_id_from(req: web.Request) -> str:
--- a/lavenderstack/border/admin_requests_test.py
+++ b/lavenderstack/border/admin_requests_test.py
@@ -49,3 +49,17 @@
         async with running_api() as (client, _, __):
             header = b"Authorization: Bearer \xff"
             assert await put_raw(client.port, [header]) == 401
+
+
+class TestRevision:
+    @pytest.mark.parametrize("text", ["9" * 5000, str(2**63), "-1", "x"])
+    async def test_one_that_no_entry_can_have_is_refused(self, text):
+        async with running_api() as (client, store, _):
+            for method, path in (
+                ("GET", f"/v1/revision?at={text}"),
+                ("PUT", "/v1/plans"),
+                ("PUT", "/v1/evacuations/z"),
+            ):
+                status, _ = await call(client, method, path, GOLD, If_Match=text)
+                assert status == 400
+            assert not store.memory.entries
