--- a/lavenderstack/border/admin_requests.py
+++ b/lavenderstack/border/admin_requests.py
@@ -10,6 +10,7 @@
 from lavenderstack.border.changes import Accepted, Outcome, Stored
 from lavenderstack.core.entry import Change
 
+MAX_CHANGE_ID_CHARS = 200
 LOGGED_DIGEST_CHARS = 12  # logs never contain a whole digest
 MAX_REVISION = 2**63 - 1  # the store's revisions are signed integers of 64 bits
 OPERATOR = web.RequestKey("operator", str)
@@ -39,8 +40,15 @@
 
 
 def change_id_from(req: web.Request) -> str:
-    """Return the id of the change, a new one if the caller sent none."""
-    return req.headers.get("Change-Id") or uuid.uuid4().hex
+    """Return the id of the change, a new one if the caller sent none.
+
+    It is stored in the entry, which nodes reject if a text in it isn't Unicode.
+    Raises ``Problem``.
+    """
+    change_id = req.headers.get("Change-Id") or uuid.uuid4().hex
+    if not (change_id.isprintable() and len(change_id) <= MAX_CHANGE_ID_CHARS):
+        raise invalid(f"Change-Id: expected up to {MAX_CHANGE_ID_CHARS} characters")
+    return change_id
 
 
 async def read_body(req: web.Request) -> dict:
--- a/lavenderstack/border/admin_requests_test.py
+++ b/lavenderstack/border/admin_requests_test.py
@@ -63,3 +63,20 @@
                 status, _ = await call(client, method, path, GOLD, If_Match=text)
                 assert status == 400
             assert not store.memory.entries
+
+
+class TestChangeId:
+    @pytest.mark.parametrize(
+        "text", [b"\xff", b"a\tb", b"x" * 201], ids=["no UTF-8", "tab", "long"]
+    )
+    async def test_one_that_the_entry_could_not_hold_is_refused(self, text):
+        async with running_api() as (client, store, _):
+            assert await put_raw(client.port, [KEY, b"Change-Id: " + text]) == 400
+            assert not store.memory.entries
+
+    @pytest.mark.parametrize("text", ["7", "a b", "\u00e9"])
+    async def test_an_ordinary_one_is_accepted(self, text):
+        async with running_api() as (client, _, relay):
+            header = b"Change-Id: " + text.encode()
+            assert await put_raw(client.port, [KEY, header]) == 200
+            assert not relay.snapshot.rejected
