--- a/lavenderstack/border/admin_requests.py
+++ b/lavenderstack/border/admin_requests.py
@@ -55,7 +55,8 @@
     """Return the JSON object in the body; raises ``Problem`` if there is none."""
     try:
         body = await req.json()
-    except ValueError as exc:
+    except (ValueError, LookupError, RecursionError) as exc:
+        # LookupError: an unknown charset; RecursionError: too many nested lists.
         raise invalid("the body is not JSON") from exc
     if not isinstance(body, dict):
         raise invalid("the body is not an object")
--- a/lavenderstack/border/admin_requests_test.py
+++ b/lavenderstack/border/admin_requests_test.py
@@ -80,3 +80,21 @@
             header = b"Change-Id: " + text.encode()
             assert await put_raw(client.port, [KEY, header]) == 200
             assert not relay.snapshot.rejected
+
+
+class TestBody:
+    @pytest.mark.parametrize(
+        ("body", "content_type"),
+        [
+            (b"[" * 200_000, b"application/json"),
+            (b"\xff", b"application/json"),
+            (b"{}", b"application/json; charset=none"),
+            (b'{"\\ud800": 1}', b"application/json"),
+        ],
+        ids=["deep", "no UTF-8", "charset", "surrogate"],
+    )
+    async def test_one_that_can_not_be_read_is_refused(self, body, content_type):
+        async with running_api() as (client, store, _):
+            headers = [KEY, b"Content-Type: " + content_type]
+            assert await put_raw(client.port, headers, body) == 400
+            assert not store.memory.entries
