--- a/lavenderstack/core/config/declared_config.py
+++ b/lavenderstack/core/config/declared_config.py
@@ -15,6 +15,7 @@
 from typing import TypeVar
 
 from lavenderstack.core.catalog import Consistency
+from lavenderstack.core.printable import printable
 
 # Enough to tell keys apart, too little to look one up; logs show as many.
 SHOWN_DIGEST_CHARS = 12
@@ -233,9 +234,7 @@
     """
     if len(name) > MAX_SHOWN_CHARS:
         name = name[:MAX_SHOWN_CHARS] + "..."
-    if name.isprintable():
-        return name
-    return "".join(c if c.isprintable() else ascii(c)[1:-1] for c in name)
+    return printable(name)
 
 
 def shown_names(names: Iterable[str]) -> str:
--- a/lavenderstack/core/log/explanation.py
+++ b/lavenderstack/core/log/explanation.py
@@ -83,7 +83,7 @@
         found.add(line.node)
         for name in ("target", "holder"):
             value = line.fields.get(name)
-            if value:
+            if value and isinstance(value, str):
                 found.add(value)
     return found
 
@@ -131,7 +131,7 @@
     """
     for line in reversed(request_lines):
         reason = line.fields.get("reason")
-        if reason in CAUSES:
+        if isinstance(reason, str) and reason in CAUSES:
             detail = re.sub(r"\s+", " ", str(line.fields.get("detail", "")))
             suffix = f" ({detail})" if detail else ""
             return f"{reason}: {CAUSES[reason]}{suffix}"
--- a/lavenderstack/tools/measures.py
+++ b/lavenderstack/tools/measures.py
@@ -17,6 +17,7 @@
 from docopt import docopt
 
 from lavenderstack.core.log.service_measures import Measures, measure
+from lavenderstack.core.printable import printable
 from lavenderstack.tools.explain import EXIT_UNREADABLE, read_lines
 
 
@@ -36,7 +37,7 @@
         f"refused over the rate: {measures.over_rate} of {measures.requests} requests, "
         f"{measures.fallback_refusals} of these without the quota coordinator"
     )
-    return "\n".join(lines)
+    return "\n".join(map(printable, lines))
 
 
 def run(argv: list[str]) -> int:
--- a/lavenderstack/tools/measures_test.py
+++ b/lavenderstack/tools/measures_test.py
@@ -38,3 +38,14 @@
     def test_a_missing_file_is_an_error(self, tmp_path, capsys):
         assert measures.run([str(tmp_path / "none")]) == measures.EXIT_UNREADABLE
         assert "can't be read" in capsys.readouterr().err
+
+    def test_control_characters_of_names_are_escaped(self, tmp_path, capsys):
+        served = {"event": "callers: request done", "organisation": "a\x1b[2J\nb"}
+        served |= {"access": "read", "freshness": "\u2028", "role": "replica"}
+        path = write(tmp_path / "n1.log", *[served] * 9)
+        path = write(tmp_path / "n2.log", *[served] * 9), path
+        paths = [*path, path[0]]
+        assert measures.run(paths) == 0
+        out = capsys.readouterr().out
+        assert all(line.isprintable() for line in out.split("\n"))
+        assert "a\\x1b[2J\\nb" in out
