--- a/lavenderstack/border/store.py
+++ b/lavenderstack/border/store.py
@@ -24,6 +24,7 @@
 READ_TIMEOUT_S = 1.0
 SWAP_TIMEOUT_S = 5.0
 LIST_TIMEOUT_S = 10.0  # a listing can be large
+NOT_UTF_8 = " (not UTF-8)"  # names have no blanks
 MAX_LINE_B = 64 * 1024 * 1024  # bounds the memory for one answer of a watch
 
 
@@ -142,9 +143,23 @@
     return base64.b64decode(text)
 
 
+def _key_text(raw: bytes) -> str:
+    """Return a key as text; one of another writer may not be UTF-8.
+
+    Such a key has an entry too, since entries are counted. Its text is one that no
+    name in this product's keys contains, and differs for different keys.
+    """
+    try:
+        return raw.decode()
+    except UnicodeDecodeError:
+        escaped = raw.replace(b"\\", b"\\\\").decode(errors="backslashreplace")
+        return escaped + NOT_UTF_8
+
+
 def _parse_entry(kv: dict) -> Change:
     value = _decode(kv.get("value", ""))
-    return Change(_decode(kv["key"]).decode(), value, int(kv.get("mod_revision", 0)))
+    key = _key_text(_decode(kv["key"]))
+    return Change(key, value, int(kv.get("mod_revision", 0)))
 
 
 def _parse_event(event: dict) -> Change:
