--- a/lavenderstack/core/token.py
+++ b/lavenderstack/core/token.py
@@ -27,6 +27,10 @@
 
 MAX_GROUPS = 64
 MAX_TOKEN_B = 16 * 1024
+# Servers and clients of HTTP, aiohttp for one, take header fields of up to 8190 bytes.
+MAX_SENT_CHARS = 8000
+# No watermark of a group is longer than one with this position and no holders.
+_MAX_POSITION = Position(2**63 - 1, 2**63 - 1)
 TAG_B = 16
 _PURPOSE = b"lavenderstack session 1\0"
 
@@ -125,6 +129,46 @@
     return hmac.digest(secret, _PURPOSE + body, "sha256")[:TAG_B]
 
 
+def _encode_body(session: Session) -> bytes:
+    watermarks = {
+        group: (watermark.position, watermark.holders)
+        for group, watermark in session.watermarks.items()
+    }
+    return _encoder.encode(_TokenBody(session.organisation, watermarks))
+
+
+def _can_be_sent(session: Session) -> bool:
+    """Return whether the session's token is not too long for a header field."""
+    return (len(_encode_body(session)) + TAG_B) * 4 <= MAX_SENT_CHARS * 3
+
+
+def _without_holders(session: Session) -> Session:
+    kept = {
+        group: Watermark(watermark.position)
+        for group, watermark in session.watermarks.items()
+    }
+    return replace(session, watermarks=kept)
+
+
+def has_space(session: Session, group: str) -> bool:
+    """Return whether a token can hold any watermark of the group as well.
+
+    Its holders don't count, since ``shortened`` drops them.
+    """
+    if group not in session.watermarks and len(session.watermarks) >= MAX_GROUPS:
+        return False
+    later_session = with_watermark(session, group, Watermark(_MAX_POSITION))
+    return _can_be_sent(_without_holders(later_session))
+
+
+def shortened(session: Session) -> Session:
+    """Return the session, without holders if its token could not be sent with them.
+
+    Holders only save a query of positions.
+    """
+    return session if _can_be_sent(session) else _without_holders(session)
+
+
 def encode(session: Session, secrets: Sequence[bytes]) -> str:
     """Return the session's token, signed with the first secret.
 
@@ -132,11 +176,7 @@
     """
     if len(session.watermarks) > MAX_GROUPS:
         raise TooManyGroups(f"more than {MAX_GROUPS} groups in one session")
-    watermarks = {
-        group: (watermark.position, watermark.holders)
-        for group, watermark in session.watermarks.items()
-    }
-    body = _encoder.encode(_TokenBody(session.organisation, watermarks))
+    body = _encode_body(session)
     return urlsafe_b64encode(body + _tag(body, secrets[0])).rstrip(b"=").decode()
 
 
--- a/lavenderstack/node/entry.py
+++ b/lavenderstack/node/entry.py
@@ -109,7 +109,7 @@
     def _updated_token(
         self, session: token.Session, group: str, watermark: Watermark
     ) -> str:
-        updated = token.with_watermark(session, group, watermark)
+        updated = token.shortened(token.with_watermark(session, group, watermark))
         return token.encode(updated, [self._token_secret()])
 
     def _with_free_space(self, session: token.Session, group: str) -> token.Session:
@@ -118,11 +118,11 @@
         Refuses before the request runs: without the new watermark in the token, later
         reads of the session might miss this request's write.
         """
-        if group in session.watermarks or len(session.watermarks) < token.MAX_GROUPS:
+        if token.has_space(session, group):
             return session
         reached = self._router.reached_by_all(session.watermarks)
         kept = token.without_passed(session, reached)
-        if len(kept.watermarks) >= token.MAX_GROUPS:
+        if not token.has_space(kept, group):
             raise Refused(Reason.BAD_TOKEN, "too many groups; begin a new session")
         return kept
 
--- a/lavenderstack/node/entry_test.py
+++ b/lavenderstack/node/entry_test.py
@@ -16,6 +16,7 @@
 from lavenderstack.node.metrics import Metrics
 
 SECRET = b"secret"
+MAX_HEADER_B = 8190  # of a field of a request that aiohttp accepts
 WATERMARK = Watermark(Position(1, 7), ("a",))
 GROUPS = {
     "g": Group("g", (), frozenset({"lipa"}), frozenset({"prices"})),
@@ -202,3 +203,34 @@
 
     async def test_an_ordinary_key_is_the_same_in_builds_that_run_side_by_side(self):
         assert await self.key_for("lipa", "r:1") == "lipa:r:1"
+
+
+class TestLengthOfTokens:
+    """A token that is given can be sent back in a header field, whatever the names."""
+
+    @staticmethod
+    async def use_groups(groups):
+        """Run a statement in each group in one session; return the last token."""
+        entry, relay, _ = make_entry()
+        organisations = frozenset({"lipa"})
+        by_name = {name: Group(name, (), organisations) for name in groups}
+        relay.view = replace(relay.view, groups=by_name)
+        text = ""
+        for name in groups:
+            call = caller_request(group=name, session=text)
+            text = (await entry.statement(call)).session
+            assert len(text) <= MAX_HEADER_B
+        return text
+
+    async def test_long_names_of_targets_are_left_out(self, monkeypatch):
+        names = tuple(f"{number:0200}" for number in range(50))
+        monkeypatch.setattr(f"{__name__}.WATERMARK", Watermark(Position(1, 7), names))
+        text = await self.use_groups([f"group-{number}" for number in range(64)])
+        found = token.decode(text, [SECRET], "lipa")
+        assert len(found.watermarks) == 64
+        assert found.min_position("group-0") == Position(1, 7)
+
+    async def test_a_session_of_too_many_long_names_is_refused_before_it_runs(self):
+        with pytest.raises(Refused) as caught:
+            await self.use_groups([f"{number:0200}" for number in range(64)])
+        assert caught.value.reason == Reason.BAD_TOKEN
