--- a/lavenderstack/border/admin.py
+++ b/lavenderstack/border/admin.py
@@ -114,7 +114,10 @@
         scheme, _, key = req.headers.get("Authorization", "").partition(" ")
         name = keys.owner_of(key.strip(), operators)
         if scheme.lower() != "bearer" or name is None:
-            log.warning("admin: unknown operator key", path=req.path, peer=req.remote)
+            resource = req.match_info.route.resource
+            # Without the names in the path: one may be a key or its whole digest.
+            path = resource.canonical if resource else ""
+            log.warning("admin: unknown operator key", path=path, peer=req.remote)
             raise Problem(401, "no_operator")
         req[OPERATOR] = name
         return await handler(req)
--- a/lavenderstack/border/admin_requests_test.py
+++ b/lavenderstack/border/admin_requests_test.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from structlog.testing import capture_logs
 
 from lavenderstack.border.admin_test import GOLD, call, running_api
 from lavenderstack.core import keys
@@ -98,3 +99,19 @@
             headers = [KEY, b"Content-Type: " + content_type]
             assert await put_raw(client.port, headers, body) == 400
             assert not store.memory.entries
+
+
+class TestLog:
+    @pytest.mark.parametrize("what", [DIGEST, "a-key-in-place-of-its-digest"])
+    async def test_a_refused_request_shows_no_digest_and_no_key(self, what):
+        async with running_api() as (client, _, __):
+            with capture_logs() as lines:
+                path = f"/v1/keys/{what}/withdraw"
+                status, _ = await call(client, "POST", path, {}, operator="eve")
+                await call(client, "POST", f"/none/{what}", {}, operator="eve")
+            assert status == 401
+            assert [line["path"] for line in lines] == [
+                "/v1/keys/{digest}/withdraw",
+                "",
+            ]
+            assert what not in repr(lines)
