--- a/lavenderstack/border/listener.py
+++ b/lavenderstack/border/listener.py
@@ -12,6 +12,8 @@
 
 from aiohttp import web
 
+from lavenderstack.border.http_log import server_logger
+
 KEEPALIVE_S = 75.0  # how long an idle connection stays open
 
 
@@ -69,6 +71,7 @@
     runner = web.AppRunner(
         app,
         access_log=None,
+        logger=server_logger(),
         keepalive_timeout=KEEPALIVE_S,
         shutdown_timeout=shutdown_timeout_s,
     )
