--- a/lavenderstack/border/callers.py
+++ b/lavenderstack/border/callers.py
@@ -38,6 +38,7 @@
 from lavenderstack.core.outcome import Reason, Refused, Unknown
 from lavenderstack.core.request import DEFAULT_DEADLINE_S, MAX_DEADLINE_S
 
+MAX_DETAIL_CHARS = 500  # of the errors in a body; about ten of them
 SESSION_HEADER = "Session-Token"
 REQUEST_ID_HEADER = "Request-Id"
 _REQUEST_ID = re.compile(r"[A-Za-z0-9_.:-]{1,64}")
@@ -164,9 +165,13 @@
 
 
 def _describe_errors(exc: ValidationError) -> str:
-    """Return all errors with their fields, without the values that were sent."""
+    """Return the errors with their fields, without the values that were sent.
+
+    The names and number of fields are the caller's, so the text is cut.
+    """
     errors = exc.errors(include_url=False, include_input=False)
-    return "; ".join(f"{'.'.join(map(str, e['loc']))}: {e['msg']}" for e in errors)
+    text = "; ".join(f"{'.'.join(map(str, e['loc']))}: {e['msg']}" for e in errors)
+    return text if len(text) <= MAX_DETAIL_CHARS else text[:MAX_DETAIL_CHARS] + "..."
 
 
 def _handler(
--- a/lavenderstack/border/callers_test.py
+++ b/lavenderstack/border/callers_test.py
@@ -99,6 +99,15 @@
             assert expected in answer["detail"]
             assert not service.requests
 
+    @pytest.mark.parametrize(
+        "fields", [{"x" * 900: 1}, dict.fromkeys("abcdefghijklmnopqrstuvwxyz", 1)]
+    )
+    async def test_the_error_is_not_longer_than_what_was_sent(self, fields):
+        async with running_service() as (_, http, __):
+            _, answer = await post(http, json=fields)
+            assert answer["detail"].startswith("statement: Field required; ")
+            assert len(answer["detail"]) <= 503
+
     async def test_integers_of_64_bits_reach_the_service(self):
         async with running_service() as (service, http, _):
             args = [2**64 - 1, -(2**63), {"a": [2**63]}, True, 0.5]
