--- a/lavenderstack/node/entry.py
+++ b/lavenderstack/node/entry.py
@@ -24,6 +24,7 @@
 )
 from lavenderstack.core.token import Watermark
 from lavenderstack.core.view import Group, View
+from lavenderstack.node import transactions
 from lavenderstack.node.metrics import Metrics
 from lavenderstack.node.router import Router
 
@@ -187,7 +188,7 @@
 
     async def _end(self, request: CallerRequest, commit: bool) -> Done:
         caller = await self._authenticate(request.key)
-        group = request.transaction.partition("~")[0]
+        group = transactions.parse(request.transaction).group
         session = self._with_free_space(self._decode_session(request, caller), group)
         deadline = clock.now() + request.body.deadline_s
         running = self._router.end(
--- a/lavenderstack/node/entry_test.py
+++ b/lavenderstack/node/entry_test.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from lavenderstack.border.callers import CallerRequest, StatementBody
+from lavenderstack.border.callers import CallerRequest, StatementBody, TransactionBody
 from lavenderstack.core import token
 from lavenderstack.core.keys import digest_of
 from lavenderstack.core.outcome import Reason, Refused
@@ -14,6 +14,7 @@
 from lavenderstack.core.view import Group, Key, View
 from lavenderstack.node.entry import Entry
 from lavenderstack.node.metrics import Metrics
+from lavenderstack.node.transactions import TransactionName
 
 SECRET = b"secret"
 MAX_HEADER_B = 8190  # of a field of a request that aiohttp accepts
@@ -65,6 +66,10 @@
         self.requests.append(req)
         return Answer("r", WATERMARK)
 
+    async def end(self, *args):
+        self.requests.append(args)
+        return WATERMARK
+
 
 def make_entry():
     relay, router = FakeRelay(), FakeRouter()
@@ -234,3 +239,25 @@
         with pytest.raises(Refused) as caught:
             await self.use_groups([f"{number:0200}" for number in range(64)])
         assert caught.value.reason == Reason.BAD_TOKEN
+
+
+class TestTransactionNames:
+    @staticmethod
+    def commit_of(name):
+        body = TransactionBody()
+        return CallerRequest("r1", "lipa-key", "", body, transaction=name)
+
+    async def test_the_watermark_of_a_commit_is_that_of_its_group(self):
+        entry, _, _ = make_entry()
+        name = TransactionName("g", "a", "n1").generate_name()
+        answer = await entry.commit(self.commit_of(name))
+        found = token.decode(answer.session, [SECRET], "lipa")
+        assert found.watermarks == {"g": WATERMARK}
+
+    @pytest.mark.parametrize("name", ["g", "g~a~n1", "~a~n1~x", "x" * 8000, "\0"])
+    async def test_another_text_is_refused_before_it_is_sent_on(self, name):
+        entry, _, router = make_entry()
+        with pytest.raises(Refused) as caught:
+            await entry.commit(self.commit_of(name))
+        assert caught.value.reason == Reason.BAD_REQUEST
+        assert not router.requests
