--- a/lavenderstack/border/admin.py
+++ b/lavenderstack/border/admin.py
@@ -38,6 +38,7 @@
     change_id_from,
     if_match,
     log_change,
+    parse_revision,
     read_body,
     with_revision,
 )
@@ -57,7 +58,7 @@
 log = structlog.get_logger()
 
 CountInForce = Callable[[int], Awaitable[Mapping[str, Any]]]
-_DIGEST = re.compile(r"^[0-9a-f]{64}$")
+_DIGEST = re.compile(r"[0-9a-f]{64}")
 _NAME = TypeAdapter(documents.Name)
 
 
@@ -113,7 +114,10 @@
         scheme, _, key = req.headers.get("Authorization", "").partition(" ")
         name = keys.owner_of(key.strip(), operators)
         if scheme.lower() != "bearer" or name is None:
-            log.warning("admin: unknown operator key", path=req.path, peer=req.remote)
+            resource = req.match_info.route.resource
+            # Without the names in the path: one may be a key or its whole digest.
+            path = resource.canonical if resource else ""
+            log.warning("admin: unknown operator key", path=path, peer=req.remote)
             raise Problem(401, "no_operator")
         req[OPERATOR] = name
         return await handler(req)
@@ -123,7 +127,7 @@
 
 def _digest(req: web.Request) -> str:
     digest = req.match_info["digest"]
-    if not _DIGEST.match(digest):
+    if not _DIGEST.fullmatch(digest):
         raise invalid("expected the digest of a key, 64 hex digits")
     return digest
 
@@ -256,10 +260,9 @@
     async def revision(self, req: web.Request) -> web.Response:
         """Return the number of nodes, by zone, on which a revision is in force."""
         text = req.query.get("at", str(self._relay.view.revision))
-        if not text.isdecimal():
-            raise invalid("at: expected a revision")
-        result = await self._count_in_force(int(text))
-        return web.json_response({"at": int(text), "zones": result})
+        at = parse_revision(text, "at: expected a revision")
+        result = await self._count_in_force(at)
+        return web.json_response({"at": at, "zones": result})
 
 
 def _name(req: web.Request) -> str:
--- a/lavenderstack/border/admin_requests.py
+++ b/lavenderstack/border/admin_requests.py
@@ -10,7 +10,9 @@
 from lavenderstack.border.changes import Accepted, Outcome, Stored
 from lavenderstack.core.entry import Change
 
+MAX_CHANGE_ID_CHARS = 200
 LOGGED_DIGEST_CHARS = 12  # logs never contain a whole digest
+MAX_REVISION = 2**63 - 1  # the store's revisions are signed integers of 64 bits
 OPERATOR = web.RequestKey("operator", str)
 
 log = structlog.get_logger()
@@ -21,21 +23,40 @@
     text = req.headers.get("If-Match", "").strip().strip('"')
     if not text:
         raise Problem(428, "no_revision")
-    if not text.isdecimal():
-        raise invalid("If-Match: expected the revision that was read")
-    return int(text)
+    return parse_revision(text, "If-Match: expected the revision that was read")
+
+
+def parse_revision(text: str, mistake: str) -> int:
+    """Return a revision; raises ``Problem`` with the mistake if no entry can have it.
+
+    The length is checked first, since ``int`` refuses more than 4,300 digits.
+    """
+    if not (text.isdecimal() and len(text) <= len(str(MAX_REVISION))):
+        raise invalid(mistake)
+    revision = int(text)
+    if revision > MAX_REVISION:
+        raise invalid(mistake)
+    return revision
 
 
 def change_id_from(req: web.Request) -> str:
-    """Return the id of the change, a new one if the caller sent none."""
-    return req.headers.get("Change-Id") or uuid.uuid4().hex
+    """Return the id of the change, a new one if the caller sent none.
+
+    It is stored in the entry, which nodes reject if a text in it isn't Unicode.
+    Raises ``Problem``.
+    """
+    change_id = req.headers.get("Change-Id") or uuid.uuid4().hex
+    if not (change_id.isprintable() and len(change_id) <= MAX_CHANGE_ID_CHARS):
+        raise invalid(f"Change-Id: expected up to {MAX_CHANGE_ID_CHARS} characters")
+    return change_id
 
 
 async def read_body(req: web.Request) -> dict:
     """Return the JSON object in the body; raises ``Problem`` if there is none."""
     try:
         body = await req.json()
-    except ValueError as exc:
+    except (ValueError, LookupError, RecursionError) as exc:
+        # LookupError: an unknown charset; RecursionError: too many nested lists.
         raise invalid("the body is not JSON") from exc
     if not isinstance(body, dict):
         raise invalid("the body is not an object")
--- a/lavenderstack/border/callers.py
+++ b/lavenderstack/border/callers.py
@@ -25,20 +25,45 @@
 from typing import Annotated, Any, Protocol
 
 from aiohttp import web
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    ConfigDict,
+    Field,
+    ValidationError,
+)
 
 from lavenderstack.border import answers
 from lavenderstack.border.settings import Callers
 from lavenderstack.core.outcome import Reason, Refused, Unknown
 from lavenderstack.core.request import DEFAULT_DEADLINE_S, MAX_DEADLINE_S
 
+MAX_DETAIL_CHARS = 500  # of the errors in a body; about ten of them
 SESSION_HEADER = "Session-Token"
 REQUEST_ID_HEADER = "Request-Id"
 _REQUEST_ID = re.compile(r"[A-Za-z0-9_.:-]{1,64}")
 
+# The integers that messages between nodes and to targets can have.
+MIN_INTEGER = -(2**63)
+MAX_INTEGER = 2**64 - 1
+
 Seconds = Annotated[float, Field(gt=0, le=MAX_DEADLINE_S)]
 
 
+def _checked_args(args: list[Any]) -> list[Any]:
+    """Return the arguments; raises ``ValueError`` for one that can't be sent on."""
+    waiting = [args]
+    while waiting:
+        value = waiting.pop()
+        if isinstance(value, list):
+            waiting += value
+        elif isinstance(value, dict):
+            waiting += value.values()
+        elif isinstance(value, int) and not MIN_INTEGER <= value <= MAX_INTEGER:
+            raise ValueError("an integer has more than 64 bits")
+    return args
+
+
 class Body(BaseModel):
     """Base class of request bodies; unknown fields are refused."""
 
@@ -49,7 +74,7 @@
     """One statement; ``max_age_s`` and ``deadline_s`` are in seconds."""
 
     statement: Annotated[str, Field(min_length=1, max_length=10_000)]
-    args: list[Any] = []
+    args: Annotated[list[Any], AfterValidator(_checked_args)] = []
     write: bool = False
     idempotent: bool = True
     fresh: bool = False
@@ -140,9 +165,13 @@
 
 
 def _describe_errors(exc: ValidationError) -> str:
-    """Return all errors with their fields, without the values that were sent."""
+    """Return the errors with their fields, without the values that were sent.
+
+    The names and number of fields are the caller's, so the text is cut.
+    """
     errors = exc.errors(include_url=False, include_input=False)
-    return "; ".join(f"{'.'.join(map(str, e['loc']))}: {e['msg']}" for e in errors)
+    text = "; ".join(f"{'.'.join(map(str, e['loc']))}: {e['msg']}" for e in errors)
+    return text if len(text) <= MAX_DETAIL_CHARS else text[:MAX_DETAIL_CHARS] + "..."
 
 
 def _handler(
--- a/lavenderstack/core/catalog.py
+++ b/lavenderstack/core/catalog.py
@@ -109,16 +109,6 @@
         return TargetRun(self.target.name, self.started_ms)
 
 
-def node_of(process: str) -> str:
-    """Return the node of a process, ``name#process``; a name may have a ``#`` itself.
-
-    >>> node_of("n1#12ab")
-    'n1'
-    """
-    name, mark, process_id = process.rpartition("#")
-    return name if mark else process_id
-
-
 @dataclass(frozen=True, slots=True)
 class Reserve:
     """Tokens by organisation that the quota coordinator ``owner`` does not hand out.
--- a/lavenderstack/core/log/explanation.py
+++ b/lavenderstack/core/log/explanation.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from lavenderstack.core.log.bounded_fields import bounded
 from lavenderstack.core.log.events import EVENTS, LineKind
 
 # Older state changes rarely explain a request, even if they still apply.
@@ -82,7 +83,7 @@
         found.add(line.node)
         for name in ("target", "holder"):
             value = line.fields.get(name)
-            if value:
+            if value and isinstance(value, str):
                 found.add(value)
     return found
 
@@ -97,10 +98,14 @@
 
 
 def explain(request: str, lines: Iterable[LogLine]) -> Explanation:
-    """Explain a request; ``cause`` is empty if no line shows it."""
+    """Explain a request; ``cause`` is empty if no line shows it.
+
+    Lines have a long id in its cut form, those of earlier builds as it was sent.
+    """
     ordered = sorted(lines, key=lambda line: line.at)
-    request_lines = [line for line in ordered if line.fields.get("request") == request]
-    explanation = Explanation(request, request_lines)
+    ids = (request, bounded(request))
+    request_lines = [line for line in ordered if line.fields.get("request") in ids]
+    explanation = Explanation(bounded(request), request_lines)
     if not request_lines:
         return explanation
     names = _names_in(request_lines)
@@ -126,7 +131,7 @@
     """
     for line in reversed(request_lines):
         reason = line.fields.get("reason")
-        if reason in CAUSES:
+        if isinstance(reason, str) and reason in CAUSES:
             detail = re.sub(r"\s+", " ", str(line.fields.get("detail", "")))
             suffix = f" ({detail})" if detail else ""
             return f"{reason}: {CAUSES[reason]}{suffix}"
--- a/lavenderstack/node/entry.py
+++ b/lavenderstack/node/entry.py
@@ -24,9 +24,9 @@
 )
 from lavenderstack.core.token import Watermark
 from lavenderstack.core.view import Group, View
+from lavenderstack.node import transactions
 from lavenderstack.node.metrics import Metrics
 from lavenderstack.node.router import Router
-from lavenderstack.node.transactions import parse
 
 REFRESH_TIMEOUT_S = 0.5
 SLOW_REQUEST_S = 2.0
@@ -110,7 +110,7 @@
     def _updated_token(
         self, session: token.Session, group: str, watermark: Watermark
     ) -> str:
-        updated = token.with_watermark(session, group, watermark)
+        updated = token.shortened(token.with_watermark(session, group, watermark))
         return token.encode(updated, [self._token_secret()])
 
     def _with_free_space(self, session: token.Session, group: str) -> token.Session:
@@ -119,11 +119,11 @@
         Refuses before the request runs: without the new watermark in the token, later
         reads of the session might miss this request's write.
         """
-        if group in session.watermarks or len(session.watermarks) < token.MAX_GROUPS:
+        if token.has_space(session, group):
             return session
         reached = self._router.reached_by_all(session.watermarks)
         kept = token.without_passed(session, reached)
-        if len(kept.watermarks) >= token.MAX_GROUPS:
+        if not token.has_space(kept, group):
             raise Refused(Reason.BAD_TOKEN, "too many groups; begin a new session")
         return kept
 
@@ -188,7 +188,7 @@
 
     async def _end(self, request: CallerRequest, commit: bool) -> Done:
         caller = await self._authenticate(request.key)
-        group = parse(request.transaction).group
+        group = transactions.parse(request.transaction).group
         session = self._with_free_space(self._decode_session(request, caller), group)
         deadline = clock.now() + request.body.deadline_s
         running = self._router.end(
@@ -236,13 +236,14 @@
 
 
 def _scoped_key(caller: Caller, request_id: str) -> str:
-    """Return a request id that no other organisation's can equal.
+    """Return a key that no other organisation and request id have.
 
-    The organisation ends at the first ``:``. One in its name is replaced by a ``/``,
-    which no name has; other names give the same keys as in earlier builds, so that a
-    repeat is detected across them.
+    Targets remember keys, and builds that run side by side have to form the same ones.
+    So only an organisation with a colon has another separator: a slash, which no
+    request id contains. The last slash then ends the organisation.
     """
-    return f"{caller.organisation.replace(':', '/')}:{request_id}"
+    separator = "/" if ":" in caller.organisation else ":"
+    return f"{caller.organisation}{separator}{request_id}"
 
 
 def _idempotency_key(body: StatementBody, caller: Caller, request_id: str) -> str:
--- a/lavenderstack/platform/loader.py
+++ b/lavenderstack/platform/loader.py
@@ -20,7 +20,6 @@
 import structlog
 
 from lavenderstack.core import clock
-from lavenderstack.core.catalog import node_of
 from lavenderstack.core.change_messages import ChangesReply, ChangesRequest
 from lavenderstack.core.entry_compression import BadValue, compress
 from lavenderstack.core.messages import Failed, Message
@@ -32,6 +31,7 @@
     upstream_nodes,
 )
 from lavenderstack.core.store_position import era_of, format_position
+from lavenderstack.core.unique_id import node_of
 from lavenderstack.core.view import Vm
 from lavenderstack.node.directory import Directory
 from lavenderstack.node.peers import Peers
