Stand-in of a target: record what a statement really was, lines end at CR LF

Lines were split at a lone LF, above 64 KiB the stand-in failed, and any unknown verb was run.

Change: a run has its text as received, the shape found under its name, the values of its connection and the number of its transaction; texts above 300 characters as a digest, which bounds the memory. SET, RESET and PREPARE are applied, other texts are refused as MALFORMED. Messages above 1 MiB are noted and close the connection. The callers of a soak read lines the same way.

--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -9,6 +9,7 @@
 import random
 from contextlib import suppress
 from dataclasses import dataclass, field
+from typing import ClassVar
 
 from bench.soak_fleet import Fleet, Node
 from bench.soak_record import (
@@ -19,9 +20,12 @@
     Freshness,
     IdleCut,
     Request,
+    Sent,
 )
 from lavenderstack.core import clock
+from standins.long_text import condensed
 from standins.sockets import HOST
+from standins.target_session import READ_LIMIT_B, read_line
 
 GREETING_LIMIT_S = 2.0
 # A caller waits this much longer than the time limit of its request.
@@ -56,21 +60,32 @@
     number: int = field(default_factory=lambda: next(_sessions))
     state: str = "I"
 
-    async def ask(self, operation: str, began_at: float, text: str) -> Request:
-        """Send a statement and wait for its answer; record both."""
+    async def ask(
+        self,
+        operation: str,
+        began_at: float,
+        text: str,
+        name: str = "",
+        sent: Sent | None = None,
+    ) -> Request:
+        """Send a statement and wait for its answer; record both.
+
+        ``name`` is the request's id, made of the operation unless given.
+        """
         requests = self.fleet.record.requests
         request = Request(
-            name=f"{operation}.{len(requests)}",
+            name=name or f"{operation}.{len(requests)}",
             operation=operation,
             session=self.number,
             node=self.node,
             key=self.key,
             organisation=self.organisation,
             database=self.database,
-            text=text,
+            text=condensed(text),
             began_at=began_at,
             sent_at=clock.now(),
             in_transaction=self.state == "T",
+            sent=sent,
         )
         requests.append(request)
         try:
@@ -89,10 +104,10 @@
 
     async def _read_answer(self, request: Request) -> None:
         outcome = ""
-        while data := await self.reader.readline():
-            kind, _, rest = data.decode().rstrip("\r\n").partition(" ")
+        while data := await read_line(self.reader):
+            kind, _, rest = data.decode().partition(" ")
             if kind == "ROW":
-                request.row = rest
+                request.row = condensed(rest)
             elif kind == "DONE":
                 outcome, request.receipt = DONE, rest
             elif kind == "ERROR":
@@ -107,11 +122,14 @@
         """Wait; raise ``SessionEnded`` if the node closes the connection meanwhile."""
         try:
             async with asyncio.timeout(pause_s):
-                data = await self.reader.readline()
+                data = await read_line(self.reader)
         except TimeoutError:
             return
         except ConnectionError:
             data = b""
+        if data and not data.startswith(b"ERROR"):
+            line = data[:80].decode(errors="replace")
+            self.fleet.record.stray.append(f"session {self.number}: {line}")
         if not data and self.state == "T":
             cut = IdleCut(clock.now(), self.node, began_at)
             self.fleet.record.idle_cuts.append(cut)
@@ -126,6 +144,7 @@
     organisation: str
     rng: random.Random
     pause_s: float
+    session_type: ClassVar[type[Session]] = Session
 
     async def run(self) -> None:
         """Call until cancelled."""
@@ -145,8 +164,10 @@
         node = self.rng.choice(self.fleet.in_rotation())
         identity, key = node.identity, self._choose_key()
         database = self.rng.choice(list(self.fleet.operator.databases.values()))
-        reader, writer = await asyncio.open_connection(HOST, node.callers_port)
-        session = Session(
+        reader, writer = await asyncio.open_connection(
+            HOST, node.callers_port, limit=READ_LIMIT_B
+        )
+        session = self.session_type(
             self.fleet, identity, key, self.organisation, database, reader, writer
         )
         try:
@@ -166,7 +187,7 @@
         line = f"CONNECT {session.database.name} {session.key}\r\n"
         async with asyncio.timeout(GREETING_LIMIT_S):
             session.writer.write(line.encode())
-            answer = (await session.reader.readline()).decode()
+            answer = (await read_line(session.reader)).decode()
         if answer.startswith("ERROR NOAUTH"):
             self._record_refusal(session, sent_at)
         return answer.startswith("READY")
--- a/bench/soak_record.py
+++ b/bench/soak_record.py
@@ -45,13 +45,28 @@
     max_age_s: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """A statement as its caller sent it, and what the session had; see ``Seen``.
+
+    ``shape`` is empty unless the statement executes what the session has prepared.
+    ``line_b`` is the length of the line.
+    """
+
+    text: str
+    shape: str
+    values: tuple[tuple[str, str], ...]
+    line_b: int
+
+
 @dataclass(slots=True)
 class Request:
     """One statement that a caller sent on an open session.
 
     ``operation`` is shared by the statements of a transaction, ``began_at`` is when
     the first of them was sent. ``node`` is the process that took it, with the number
-    of its start. ``receipt`` and ``row`` are those of the answer.
+    of its start. ``receipt`` and ``row`` are those of the answer. ``sent`` has what a
+    target must find, from callers that choose their texts freely.
     """
 
     name: str
@@ -69,10 +84,13 @@
     outcome: str = ""
     receipt: str = ""
     row: str = ""
+    sent: Sent | None = None
 
     @property
     def verb(self) -> str:
-        """The first word of the statement."""
+        """The first word of the statement, or of the shape that it executes."""
+        if self.sent is not None and self.sent.shape:
+            return self.sent.shape.split(" ", 1)[0]
         return self.text.split(" ", 1)[0]
 
     @property
@@ -162,6 +180,7 @@
     runs: list[Run]
     commits: list[Commit]
     promotions: list[Promotion]
+    too_long: list[str] = field(default_factory=list)
 
 
 def view_of(group: "LineGroup | GroupView") -> GroupView:
@@ -173,6 +192,7 @@
         list(group.runs),
         list(group.commits),
         list(group.promotions),
+        list(group.too_long),
     )
 
 
@@ -180,13 +200,15 @@
 class Record:
     """All that was seen; ``stalls`` are those of the observing process.
 
-    ``zones`` maps targets to their zones.
+    ``zones`` maps targets to their zones. ``stray`` has messages that callers got while
+    no request was outstanding.
     """
 
     plans: dict[str, Plan] = field(default_factory=dict)
     groups: dict[str, LineGroup | GroupView] = field(default_factory=dict)
     requests: list[Request] = field(default_factory=list)
     idle_cuts: list[IdleCut] = field(default_factory=list)
+    stray: list[str] = field(default_factory=list)
     granted: dict[str, KeyChange] = field(default_factory=dict)
     withdrawn: dict[str, KeyChange] = field(default_factory=dict)
     disturbances: list[Disturbance] = field(default_factory=list)
@@ -206,6 +228,7 @@
                 replace(one) if one.ended_at is None else one for one in self.requests
             ],
             idle_cuts=list(self.idle_cuts),
+            stray=list(self.stray),
             granted=dict(self.granted),
             withdrawn=dict(self.withdrawn),
             disturbances=[replace(one) for one in self.disturbances],
--- a/standins/line_group.py
+++ b/standins/line_group.py
@@ -15,6 +15,7 @@
 from typing import NamedTuple
 
 from lavenderstack.core import clock
+from standins.target_session import Seen
 
 SYNC_TIMEOUT_S = 10.0
 MAX_CONNECTIONS = 40
@@ -63,7 +64,7 @@
     """A statement that a target ran.
 
     ``end`` is the end of the log that it ran on. ``led`` tells whether the target was
-    the primary according to the orders.
+    the primary according to the orders. ``seen`` has its text, shape and values.
     """
 
     at: float
@@ -75,6 +76,7 @@
     led: bool
     receipt: str
     row: str = ""
+    seen: Seen | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -160,7 +162,8 @@
     """The targets of a group and the record of what they ran.
 
     ``work_s`` has the shortest and the longest time that a statement takes.
-    ``leader`` is the primary by order, ``term`` its term. ``changed`` is called with a
+    ``leader`` is the primary by order, ``term`` its term. ``too_long`` has the start of
+    each message that was longer than the protocol allows. ``changed`` is called with a
     target whose role changed, which then reports itself.
     """
 
@@ -174,6 +177,7 @@
     runs: list[Run] = field(default_factory=list)
     commits: list[Commit] = field(default_factory=list)
     promotions: list[Promotion] = field(default_factory=list)
+    too_long: list[str] = field(default_factory=list)
     changed: Callable[[GroupTarget], None] = lambda target: None
     _moved: asyncio.Event = field(default_factory=asyncio.Event)
 
--- a/standins/line_server.py
+++ b/standins/line_server.py
@@ -13,6 +13,15 @@
     LogPosition,
     Run,
 )
+from standins.long_text import condensed
+from standins.target_session import (
+    MAX_MESSAGE_B,
+    READ_LIMIT_B,
+    REFUSED,
+    Seen,
+    TargetSession,
+    read_line,
+)
 
 _receipts = itertools.count(1)
 _NO_ANSWER = "closed"
@@ -28,7 +37,7 @@
         self.plain = False
         self.term = 0
         self.writes: list[tuple[str, str]] = []
-        self.prepared: dict[str, str] = {}
+        self.session = TargetSession()
 
     def connect(self, rest: str) -> list[str]:
         fields = rest.split(" ")
@@ -63,20 +72,21 @@
             return ["ERROR MALFORMED transaction failed"]
         match verb:
             case "BEGIN":
+                if self.state != "I" or rest not in ("", "READ"):
+                    return REFUSED
                 if not rest and not target.leads:
                     return [f"ERROR READONLY {target.name}"]
                 self.state, self.writes = "T", []
+                self.session.transactions += 1
                 self.plain, self.term = not rest, target.term
                 return ["DONE -"]
-            case "SET" | "RESET":
-                if verb == "RESET":
-                    self.prepared.clear()
-                return ["DONE -"]
-            case "PREPARE":
-                name, statement = rest.split(" ", 1)
-                self.prepared[name] = statement
-                return ["DONE -"]
-        return await self._run(request, verb, rest)
+            case "SET" | "RESET" | "PREPARE":
+                return self.session.apply(verb, rest) or REFUSED
+            case "READ" | "WRITE" | "EXEC" if rest:
+                return await self._run(request, verb, rest, text)
+            case "COMMIT" if not rest and self.state == "T":
+                return await self._run(request, verb, rest, text)
+        return REFUSED
 
     def _replication(self, verb: str, rest: str) -> list[str]:
         target = self.target
@@ -90,13 +100,14 @@
             self.group.changed(target)
         return [target.status_row(), "DONE -"]
 
-    async def _run(self, request: str, verb: str, rest: str) -> list[str]:
-        target = self.target
+    async def _run(self, request: str, verb: str, rest: str, text: str) -> list[str]:
+        target, shape = self.target, ""
         if verb == "EXEC":
-            name, rest = rest.split(" ", 1)
-            if name not in self.prepared:
+            name, _, rest = rest.partition(" ")
+            if name not in self.session.prepared:
                 return ["ERROR NOSTMT unknown"]
-            verb = self.prepared[name].split(" ")[0]
+            shape = self.session.prepared[name]
+            verb = shape.split(" ")[0]
         await asyncio.sleep(self.group.rng.uniform(*self.group.work_s))
         if not target.up:
             return [_NO_ANSWER]
@@ -108,11 +119,12 @@
             return [f"ERROR READONLY {target.name}"]
         receipt = f"{target.name}.{next(_receipts)}"
         row = f"{target.items.get(rest, 'nothing')}" if verb == "READ" else ""
-        self._record(request, verb, receipt, row)
+        seen = self.session.seen(text, shape, in_tx)
+        self._record(request, verb, receipt, row, seen)
         if verb == "READ":
             return [f"ROW {row}", f"DONE {receipt}"]
         if verb == "WRITE":
-            item, value = rest.split(" ", 1)
+            item, _, value = rest.partition(" ")
             self.writes.append((item, value))
             if in_tx:
                 return [f"DONE {receipt}"]
@@ -121,7 +133,9 @@
             return [f"DONE {receipt}"]
         return ["ERROR TIMEOUT not replicated"] if target.up else [_NO_ANSWER]
 
-    def _record(self, request: str, verb: str, receipt: str, row: str) -> None:
+    def _record(
+        self, request: str, verb: str, receipt: str, row: str, seen: Seen
+    ) -> None:
         target, group = self.target, self.group
         led = target.name == group.leader
         run = Run(
@@ -133,7 +147,8 @@
             target.end,
             led,
             receipt,
-            row,
+            condensed(row),
+            seen,
         )
         group.runs.append(run)
 
@@ -142,8 +157,12 @@
     conn = _Conn(group, target)
     target.connections += 1
     try:
-        while target.up and (line := await reader.readline()):
-            command, _, rest = line.decode().rstrip("\r\n").partition(" ")
+        while target.up and (line := await read_line(reader)):
+            if len(line) > MAX_MESSAGE_B:
+                start = line[:100].decode(errors="replace")
+                group.too_long.append(f"{len(line)} bytes to {target.name}: {start}")
+                return
+            command, _, rest = line.decode().partition(" ")
             if command == "CONNECT":
                 lines = conn.connect(rest)
             elif command == "QUERY":
@@ -157,6 +176,8 @@
                 return
     except (ConnectionError, asyncio.CancelledError):
         pass
+    except asyncio.LimitOverrunError:
+        group.too_long.append(f"over {READ_LIMIT_B} bytes to {target.name}")
     finally:
         target.connections -= 1
         writer.close()
@@ -188,7 +209,7 @@
 
     target.on_down, target.on_dark = break_connections, open_now
     follower = asyncio.ensure_future(group.follow(target))
-    server = await asyncio.start_server(accept, "127.0.0.1", 0)
+    server = await asyncio.start_server(accept, "127.0.0.1", 0, limit=READ_LIMIT_B)
     try:
         yield server.sockets[0].getsockname()[1]
     finally:
