bench stops: options, report and end in functions that another command can use

Cause: `bench texts` plays the same stops with other callers and another check. Change: `prepare`, `report_of`, `conclude`; `play` takes what makes a caller and returns the record. No logic is changed.

--- a/bench/stops.py
+++ b/bench/stops.py
@@ -26,7 +26,7 @@
 import signal
 import sys
 import tempfile
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
 from pathlib import Path
@@ -49,6 +49,8 @@
 # Seconds between the stops of a series, which overlap, and before a node's next start.
 STOP_GAP_S, RESTART_S = (0.0, 3.0), (0.0, 1.0)
 
+MakeCaller = Callable[[Fleet, random.Random, float], Caller]
+
 
 @dataclass(frozen=True)
 class Options:
@@ -97,8 +99,14 @@
         yield
 
 
-async def play(options: Options, folder: Path) -> tuple[list[str], Record]:
-    """Play one run; return what was violated and what was seen."""
+def _make_caller(fleet: Fleet, rng: random.Random, pause_s: float) -> Caller:
+    return Caller(fleet, "wide", rng, pause_s)
+
+
+async def play(
+    options: Options, folder: Path, make_caller: MakeCaller = _make_caller
+) -> Record:
+    """Play one run; return what was seen."""
     rng = random.Random(options.seed)
     async with (
         run_fleet(
@@ -113,7 +121,7 @@
             node.callers_port = node.own_port
         pauses_s = [PAUSES_S[i % len(PAUSES_S)] for i in range(options.callers)]
         callers = [
-            Caller(fleet, "wide", random.Random(rng.random()), pause_s)
+            make_caller(fleet, random.Random(rng.random()), pause_s)
             for pause_s in pauses_s
         ]
         calling = [asyncio.ensure_future(caller.run()) for caller in callers]
@@ -125,10 +133,11 @@
             for task in calling:
                 task.cancel()
             await asyncio.gather(*calling, return_exceptions=True)
-    return soak_checks.violations(fleet.record), fleet.record
+    return fleet.record
 
 
-def _report(record: Record, violations: list[str]) -> dict:
+def report_of(record: Record, violations: list[str]) -> dict:
+    """Return the report of a run."""
     return {
         "violations": violations,
         "outcomes": record.outcomes(),
@@ -140,16 +149,16 @@
     }
 
 
-def main(argv: list[str]) -> int:
-    """Run the command; return the exit status, 1 if a check was violated."""
-    args = docopt(__doc__, argv)
-    folder = Path(args["--folder"] or tempfile.mkdtemp(prefix="stops-"))
+def prepare(args: dict[str, str], prefix: str) -> tuple[Options, Path]:
+    """Return the options and the folder of a run; check out the build to run."""
+    folder = Path(args["--folder"] or tempfile.mkdtemp(prefix=prefix))
     source = ROOT
     if args["--from"]:
         source = folder / "source"
         source.mkdir(parents=True, exist_ok=True)
         check_out(args["--from"], source)
     folder.mkdir(parents=True, exist_ok=True)
+    logging.basicConfig(filename=folder / "standins.log")
     options = Options(
         seed=int(args["--seed"]),
         seconds=float(args["--seconds"]),
@@ -159,14 +168,25 @@
         busy=int(args["--busy"]),
         source=source,
     )
-    logging.basicConfig(filename=folder / "standins.log")
-    violations, record = asyncio.run(play(options, folder))
-    report = _report(record, violations)
+    return options, folder
+
+
+def conclude(report: dict, options: Options, folder: Path) -> int:
+    """Write and print a report; return the exit status, 1 if a check was violated."""
     (folder / "report.json").write_text(json.dumps(report, indent=1) + "\n")
+    violations = report["violations"]
     print(
-        f"seed {options.seed}: {len(record.stops)} stops, {report['outcomes']}, "
+        f"seed {options.seed}: {len(report['stops'])} stops, {report['outcomes']}, "
         f"violations: {len(violations)}, logs in {folder}"
     )
     for violation in violations[:20]:
         print(f"VIOLATED {violation}")
     return 1 if violations else 0
+
+
+def main(argv: list[str]) -> int:
+    """Run the command; return the exit status, 1 if a check was violated."""
+    options, folder = prepare(docopt(__doc__, argv), "stops-")
+    record = asyncio.run(play(options, folder))
+    report = report_of(record, soak_checks.violations(record))
+    return conclude(report, options, folder)
