--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -7,10 +7,12 @@
   bench upgrade [OPTIONS...]
   bench promotions [OPTIONS...]
   bench stops [OPTIONS...]
+  bench texts [OPTIONS...]
 
 ``bench soak --help`` lists the options of the fault soak, ``bench upgrade --help``
 those of an upgrade from another build, ``bench promotions --help`` those of promotions
-at random moments, ``bench stops --help`` those of planned stops that overlap.
+at random moments, ``bench stops --help`` those of planned stops that overlap,
+``bench texts --help`` those of callers that choose their texts freely.
 
 Options:
   --json FILE  Write the results as JSON.
@@ -79,6 +81,10 @@
         from bench import stops
 
         return stops.main(words)
+    if words[:1] == ["texts"]:
+        from bench import texts
+
+        return texts.main(words)
     args = docopt(__doc__, argv)
     if args["--list"]:
         print("\n".join(BENCHMARKS))
