bench texts: an idle session that its node closes without a stop is a violation

Cause: the end of a session outside of a transaction was not recorded, so a node that closes the sessions of others because of one caller's text passed. Change: the record has such ends, and the check `lost_sessions` judges them.

--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -130,9 +130,11 @@
         if data and not data.startswith(b"ERROR"):
             line = data[:80].decode(errors="replace")
             self.fleet.record.stray.append(f"session {self.number}: {line}")
-        if not data and self.state == "T":
+        if not data:
             cut = IdleCut(clock.now(), self.node, began_at)
-            self.fleet.record.idle_cuts.append(cut)
+            record = self.fleet.record
+            ends = record.idle_cuts if self.state == "T" else record.idle_closes
+            ends.append(cut)
         raise SessionEnded
 
 
--- a/bench/soak_record.py
+++ b/bench/soak_record.py
@@ -200,14 +200,16 @@
 class Record:
     """All that was seen; ``stalls`` are those of the observing process.
 
-    ``zones`` maps targets to their zones. ``stray`` has messages that callers got while
-    no request was outstanding.
+    ``zones`` maps targets to their zones. ``idle_closes`` are ends of sessions outside
+    of a transaction, while no request was sent. ``stray`` has messages that callers got
+    while no request was outstanding.
     """
 
     plans: dict[str, Plan] = field(default_factory=dict)
     groups: dict[str, LineGroup | GroupView] = field(default_factory=dict)
     requests: list[Request] = field(default_factory=list)
     idle_cuts: list[IdleCut] = field(default_factory=list)
+    idle_closes: list[IdleCut] = field(default_factory=list)
     stray: list[str] = field(default_factory=list)
     granted: dict[str, KeyChange] = field(default_factory=dict)
     withdrawn: dict[str, KeyChange] = field(default_factory=dict)
@@ -228,6 +230,7 @@
                 replace(one) if one.ended_at is None else one for one in self.requests
             ],
             idle_cuts=list(self.idle_cuts),
+            idle_closes=list(self.idle_closes),
             stray=list(self.stray),
             granted=dict(self.granted),
             withdrawn=dict(self.withdrawn),
--- a/bench/texts_checks.py
+++ b/bench/texts_checks.py
@@ -150,9 +150,9 @@
                 yield _lost(request)
         elif request.outcome in _UNANSWERED and not _meets_stop(record, request):
             yield _lost(request)
-    for cut in record.idle_cuts:
+    for cut in (*record.idle_cuts, *record.idle_closes):
         if cut.at < starts[cut.node]:
-            yield f"LOST a transaction was cut through {cut.node}"
+            yield f"LOST an idle session was closed by {cut.node}"
 
 
 def _meets_stop(record: Record, request: Request) -> bool:
--- a/bench/texts_checks_test.py
+++ b/bench/texts_checks_test.py
@@ -232,9 +232,10 @@
         play.send("8", "READ a", outcome=outcome)
         assert play.rules() == {"LOST"}
 
-    def test_a_transaction_is_cut_without_a_stop(self):
+    @pytest.mark.parametrize("ends", ["idle_cuts", "idle_closes"])
+    def test_an_idle_session_is_closed_without_a_stop(self, ends):
         play = good()
-        play.record.idle_cuts.append(IdleCut(2.0, "n1#1", 1.0))
+        getattr(play.record, ends).append(IdleCut(2.0, "n1#1", 1.0))
         assert play.rules() == {"LOST"}
 
     def test_a_connection_that_ends_with_its_node_is_left_to_the_other_checks(self):
