--- a/lavenderstack/platform/unusable_names_test.py
+++ b/lavenderstack/platform/unusable_names_test.py
@@ -58,6 +58,19 @@
         (line,) = [one for one in log.splitlines() if "catalog not in force" in one]
         assert "tenants[1]" in line and "tenants[2]" in line
 
+    async def test_on_a_public_route_its_callers_are_those_without_a_key(
+        self, tmp_path
+    ):
+        fields = json.loads(config(version=8, tenants=[TENANT | {"name": "org i-9"}]))
+        fields["routes"].append(fields["routes"][0] | {"host": "db4", "public": True})
+        async with run_node(tmp_path) as node:
+            node.store.put("op/config", json.dumps(fields).encode())
+            for line in ("CONNECT db4 k1", "CONNECT db4"):
+                caller = await connect_when_known(node, line)
+                assert (await caller.query("WRITE a 1"))[0].startswith("DONE")
+            executed = {one[0] for target in node.targets for one in target.executed}
+            assert executed == {""}
+
     async def test_an_open_session_runs_nothing_more_for_it(self, tmp_path):
         async with run_node(tmp_path) as node:
             caller = await connect_when_known(node, "CONNECT db1 k1")
