--- a/lavenderstack/core/catalog.py
+++ b/lavenderstack/core/catalog.py
@@ -117,8 +117,12 @@
 
     @property
     def node(self) -> str:
-        """The node's name; ``owner`` is one of its processes, ``name#process``."""
-        return self.owner.partition("#")[0]
+        """The node's name; ``owner`` is one of its processes, ``name#process``.
+
+        The name may have a ``#``, the part for the process has none.
+        """
+        node, mark, _ = self.owner.rpartition("#")
+        return node if mark else self.owner
 
 
 @dataclass(frozen=True, slots=True)
--- a/lavenderstack/node/quota/quota_coordinator.py
+++ b/lavenderstack/node/quota/quota_coordinator.py
@@ -216,7 +216,7 @@
 
     async def _recall_from(self, process: str, organisation: str) -> None:
         try:
-            vm = process.partition("#")[0]
+            vm = process.rpartition("#")[0]
             reply = await self._call(vm, RecallRequest(organisation), RECALL_WAIT_S)
         except (NotSent, StreamLost, TimeoutError):
             return
