Statements: an item that begins with a blank is sent on again

For a read the item is the last field and may begin with one; whether it is depends on the shape, which the parser doesn't know.

--- a/lavenderstack/platform/statement_texts.py
+++ b/lavenderstack/platform/statement_texts.py
@@ -59,19 +59,12 @@
     return parse(text, rest) if parse else None
 
 
-def _has_item(arguments: str) -> bool:
-    """Return whether the item isn't empty, which is followed by data or nothing."""
-    return bool(arguments.partition(" ")[0])
-
-
 def _parse_read(text: str, rest: str) -> Statement | None:
     return Statement(StatementKind.READ, text) if rest else None
 
 
 def _parse_write(text: str, rest: str) -> Statement | None:
-    if not _has_item(rest):
-        return None
-    return Statement(StatementKind.WRITE, text, writes=True)
+    return Statement(StatementKind.WRITE, text, writes=True) if rest else None
 
 
 def _parse_begin(text: str, rest: str) -> Statement | None:
@@ -105,9 +98,7 @@
 
 def _parse_execute(text: str, rest: str) -> Statement | None:
     name, _, body = rest.partition(" ")
-    if not name or not _has_item(body):
-        return None
-    return Statement(StatementKind.EXECUTE, text, name, body)
+    return Statement(StatementKind.EXECUTE, text, name, body) if name and body else None
 
 
 def _parse_close(text: str, rest: str) -> Statement | None:
