--- a/lavenderstack/platform/targets.py
+++ b/lavenderstack/platform/targets.py
@@ -13,6 +13,7 @@
 import structlog
 
 from lavenderstack.border.traffic import TRAFFIC
+from lavenderstack.core.message_size import MAX_TEXTS_B, text_size_b
 from lavenderstack.core.outcome import Reason
 from lavenderstack.core.position import START, Position
 from lavenderstack.core.reply import Reply, TxState
@@ -29,11 +30,6 @@
 
 log = structlog.get_logger()
 
-# Of the rows of one answer, so that it fits in a frame between nodes: one above 4 MiB
-# ends the stream with all statements on it.
-MAX_ROWS_B = 3 * 1024 * 1024
-# Counted for each row besides its text: the length before it in a frame.
-ROW_OVERHEAD_B = 5
 _NO_RECEIPTS = ("", line_protocol.EMPTY_FIELD)
 
 
@@ -52,9 +48,9 @@
     rows_b: int = 0
 
     def add_row(self, row: str) -> None:
-        """Keep a row unless the answer is too long by now."""
-        self.rows_b += len(row.encode()) + ROW_OVERHEAD_B
-        if self.rows_b <= MAX_ROWS_B:
+        """Keep a row unless the answer is too long for a message between nodes."""
+        self.rows_b += text_size_b(row)
+        if self.rows_b <= MAX_TEXTS_B:
             self.reply.rows.append(row)
 
     def end(self) -> None:
@@ -75,14 +71,14 @@
             return
         if self.command.request and reply.receipt in _NO_RECEIPTS:
             raise ProtocolError("answer without a receipt")
-        if self.rows_b > MAX_ROWS_B:
+        if self.rows_b > MAX_TEXTS_B:
             statement = self.command.statement
             changes = statement.writes or statement.kind is StatementKind.COMMIT
             reply.rows = []
             reply.reason = (
                 Reason.OUTCOME_UNKNOWN if changes else Reason.STATEMENT_FAILED
             )
-            reply.detail = f"the rows of the answer have over {MAX_ROWS_B} bytes"
+            reply.detail = f"the rows of the answer have over {MAX_TEXTS_B} bytes"
 
 
 class LineConnection(asyncio.Protocol):
