Targets: a name of several fields is never sent in a greeting

The names of tenants are checked where the configuration is read. Work may still come from a node of an earlier build that has such a tenant, while this node's catalog is older than the sender's: the target would take the first word for the tenant. Nine cases were red.

--- a/lavenderstack/platform/targets.py
+++ b/lavenderstack/platform/targets.py
@@ -14,6 +14,7 @@
 
 from lavenderstack.border.traffic import TRAFFIC
 from lavenderstack.core.message_size import MAX_TEXTS_B, text_size_b
+from lavenderstack.core.names import is_usable_name
 from lavenderstack.core.outcome import Reason
 from lavenderstack.core.position import START, Position
 from lavenderstack.core.reply import Reply, TxState
@@ -99,7 +100,15 @@
         self._transport = transport  # type: ignore[assignment]
 
     def send_greeting(self, group: str, organisation: str, target: str) -> None:
-        """Send the greeting, which names the group, the organisation and the target."""
+        """Send the greeting, which names the group, the organisation and the target.
+
+        ``organisation`` is empty on a public route. Raises ``ConnectFailed`` if a name
+        would be read as several fields. Names are checked where they enter, but work
+        may come from a node whose build doesn't check them.
+        """
+        names = [group, target, *([organisation] if organisation else [])]
+        if not all(map(is_usable_name, names)):
+            raise ConnectFailed(Reason.BAD_REQUEST, "a name that can't be sent")
         self._write(f"{MessageType.CONNECT} {group} {organisation} {target}\r\n")
 
     def send(self, commands: Sequence[Command]) -> list["asyncio.Future[Reply]"]:
--- a/lavenderstack/platform/targets_test.py
+++ b/lavenderstack/platform/targets_test.py
@@ -8,7 +8,7 @@
 from lavenderstack.core.outcome import Reason
 from lavenderstack.core.position import Position
 from lavenderstack.core.statement import Statement, StatementKind
-from lavenderstack.node.backend import Command, ConnectionLost
+from lavenderstack.node.backend import Command, ConnectFailed, ConnectionLost
 from lavenderstack.platform.targets import LineConnection
 
 READ = Statement(StatementKind.READ, "READ a")
@@ -111,3 +111,18 @@
         conn.connection_made(transport)
         conn.send_greeting("g", "", "i-1")
         assert sent == [b"CONNECT g  i-1\r\n"]
+
+
+class TestNamesInTheGreeting:
+    """A name with a blank is another organisation or target to the target."""
+
+    @pytest.mark.parametrize("odd", ["a b", "a\r\nQUERY - WRITE x 1", "a\tb"])
+    @pytest.mark.parametrize("place", [0, 1, 2])
+    async def test_a_name_of_several_fields_is_never_sent(self, odd, place):
+        conn = LineConnection()
+        conn.connection_made(_Transport())
+        names = ["g", "org", "i-1"]
+        names[place] = odd
+        with pytest.raises(ConnectFailed) as caught:
+            conn.send_greeting(*names)
+        assert caught.value.reason is Reason.BAD_REQUEST
