Process names: made where all names of other processes' things are made

Claims, registrations, the quota's processes, request ids and keys of repeats each made a random part of their own, the first two of 32 bits. core/unique_id.py makes them now, with 64 bits, and says where plain numbers are enough.

--- a/lavenderstack/border/callers.py
+++ b/lavenderstack/border/callers.py
@@ -19,7 +19,6 @@
 
 import asyncio
 import re
-import secrets
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Annotated, Any, Protocol
@@ -37,6 +36,7 @@
 from lavenderstack.border.settings import Callers
 from lavenderstack.core.outcome import Reason, Refused, Unknown
 from lavenderstack.core.request import DEFAULT_DEADLINE_S, MAX_DEADLINE_S
+from lavenderstack.core.unique_id import unique_id
 
 MAX_DETAIL_CHARS = 500  # of the errors in a body; about ten of them
 SESSION_HEADER = "Session-Token"
@@ -136,7 +136,7 @@
 def _request_id(req: web.Request) -> str:
     request_id = req.headers.get(REQUEST_ID_HEADER)
     if request_id is None:
-        return secrets.token_hex(8)
+        return unique_id()
     if not _REQUEST_ID.fullmatch(request_id):
         detail = f"{REQUEST_ID_HEADER} takes 1 to 64 of A-Z a-z 0-9 _ . : -"
         raise Refused(Reason.BAD_REQUEST, detail)
--- a/lavenderstack/core/process_names_test.py
+++ b/lavenderstack/core/process_names_test.py
@@ -3,7 +3,7 @@
 import pytest
 
 from lavenderstack.core.catalog import Reserve
-from lavenderstack.core.unique_id import node_of
+from lavenderstack.core.unique_id import node_of, process_name
 
 
 class TestNodeOf:
@@ -16,3 +16,11 @@
     @pytest.mark.parametrize("odd", ["", "n1"])
     def test_a_name_without_a_random_part_is_a_node(self, odd):
         assert node_of(odd) == odd
+
+
+class TestProcessName:
+    def test_a_restarted_process_has_another_name_on_the_same_node(self):
+        """A message for a process that has ended was taken by its successor."""
+        names = {process_name("n#1") for _ in range(1000)}
+        assert len(names) == 1000
+        assert {node_of(name) for name in names} == {"n#1"}
--- a/lavenderstack/core/unique_id.py
+++ b/lavenderstack/core/unique_id.py
@@ -3,7 +3,8 @@
 A message that names something of another process (a transaction, a connection, a
 process itself) may reach it late: after that process was restarted, under another
 owner, or when the thing that it names has long been replaced. A number that counts from
-1 in each process would then name something else.
+1 in each process would then name something else. Numbers are used only within what has
+such a name: draws within a process, requests within a stream, holds within an epoch.
 """
 
 import secrets
@@ -17,6 +18,11 @@
     return secrets.token_hex(UNIQUE_ID_BYTES)
 
 
+def process_name(node: str) -> str:
+    """Return the name of a process of a node, which no other process has."""
+    return f"{node}#{unique_id()}"
+
+
 def node_of(process: str) -> str:
     """Return the node of a process that is named ``node#random part``.
 
--- a/lavenderstack/node/entry.py
+++ b/lavenderstack/node/entry.py
@@ -4,7 +4,6 @@
 the new token. The caller's API key is not passed beyond this module, only its digest.
 """
 
-import secrets
 from collections.abc import Awaitable
 from typing import Protocol
 
@@ -23,6 +22,7 @@
     Request,
 )
 from lavenderstack.core.token import Watermark
+from lavenderstack.core.unique_id import unique_id
 from lavenderstack.core.view import Group, View
 from lavenderstack.node import transactions
 from lavenderstack.node.metrics import Metrics
@@ -256,7 +256,7 @@
     if not body.write:
         return ""
     if body.idempotent:
-        return _scoped_key(caller, "~" + secrets.token_hex(8))
+        return _scoped_key(caller, f"~{unique_id()}")
     return _scoped_key(caller, request_id)
 
 
--- a/lavenderstack/node/quota/admission.py
+++ b/lavenderstack/node/quota/admission.py
@@ -10,7 +10,6 @@
 import random
 from collections import defaultdict
 from collections.abc import Awaitable, Callable, Mapping
-from uuid import uuid4
 
 import structlog
 
@@ -29,6 +28,7 @@
     SharesReply,
     SharesRequest,
 )
+from lavenderstack.core.unique_id import process_name
 from lavenderstack.core.view import View
 from lavenderstack.node.peers import CallVm
 from lavenderstack.node.streams import NotSent, StreamLost
@@ -58,7 +58,7 @@
         call: CallVm,
         now: Callable[[], float] = clock.now,
     ):
-        self.process = f"{vm}#{uuid4().hex[:8]}"
+        self.process = process_name(vm)
         self.queues: dict[str, AdmissionQueue] = {}
         self._view = view
         self._call = call
--- a/lavenderstack/platform/registration.py
+++ b/lavenderstack/platform/registration.py
@@ -11,7 +11,6 @@
 
 import asyncio
 import random
-import secrets
 from collections.abc import Mapping
 from dataclasses import replace
 
@@ -20,6 +19,7 @@
 from lavenderstack.core import clock
 from lavenderstack.core.failover.replica_set import ReplicaSet
 from lavenderstack.core.store_era import CLAIM_HOLD_S
+from lavenderstack.core.unique_id import process_name
 from lavenderstack.core.view import Vm
 from lavenderstack.node.backend import ClaimLost
 from lavenderstack.platform import records
@@ -51,7 +51,7 @@
     """Implements ``Claims`` and ``ReserveStore`` of ``node.backend``."""
 
     def __init__(self, store: Store, vm: Vm) -> None:
-        self.identity = f"{vm.name}#{secrets.token_hex(4)}"
+        self.identity = process_name(vm.name)
         self._store = store
         self._vm = vm
         self._lease = 0
