check-config: a listing of keys is one only if it has nothing else

What operators see: {"keys": {"keys": {}, DIGEST: ...}} was read as what 'keys list' prints, and the entries beside it were passed over.

--- a/lavenderstack/border/declared.py
+++ b/lavenderstack/border/declared.py
@@ -119,7 +119,7 @@
             # That of the groups is the revision of a node's whole view.
             reader.revisions[name] = entries["revision"]
         entries, place = entries["entries"], place.child("entries")
-    if name == "keys" and isinstance(entries, dict) and "keys" in entries:
+    if name == "keys" and _is_key_listing(entries):
         entries, place = entries["keys"], place.child("keys")
     if isinstance(entries, dict) or (name == "keys" and isinstance(entries, list)):
         yield from read(reader, entries, place)
@@ -127,6 +127,13 @@
         reader.add_error(place, "Expected entries by name.")
 
 
+def _is_key_listing(entries: Any) -> bool:
+    """Return whether keys are as ``admin keys list`` prints them, not by digest."""
+    if not isinstance(entries, dict) or not isinstance(entries.get("keys"), list):
+        return False
+    return entries.keys() <= {"keys", "revision"}
+
+
 def is_wrapped(entries: Any) -> bool:
     """Return whether a list is shown with the revision that it was read at."""
     if not isinstance(entries, dict) or not isinstance(entries.get("entries"), dict):
--- a/lavenderstack/border/declared_test.py
+++ b/lavenderstack/border/declared_test.py
@@ -80,6 +80,14 @@
     )
 
 
+def keys_by_digest(entries):
+    """Return keys as they are stored, also from what ``admin keys list`` prints."""
+    rows = entries.get("keys") if entries.keys() <= {"keys", "revision"} else None
+    if not isinstance(rows, list):
+        return entries
+    return {row.get("digest") if isinstance(row, dict) else "": row for row in rows}
+
+
 def refused_by_nodes(document):
     """Return the lists that a node's parser refuses when they are stored."""
     stored = {
@@ -90,6 +98,7 @@
         entries = document[name]
         if not isinstance(entries, dict):
             return None
+        entries = keys_by_digest(entries) if name == "keys" else entries
         for entry, value in entries.items():
             stored[f"lavenderstack/{name}/{entry}", name] = value
     refused = set()
@@ -109,6 +118,8 @@
             (["groups", "g", "targets"], [], "groups.g.targets"),
             (["groups"], {"a b": LISTS["groups"]["g"]}, "groups.a b"),
             (["keys"], {"aa": {"organisation": "o1"}}, "keys[0]"),
+            (["keys"], {"keys": {"organisation": "o1"}}, "keys[0]"),
+            (["keys"], {"keys": [{"digest": "aa"}]}, "keys.keys[0]"),
             (["plans"], None, "plans"),
         ],
     )
@@ -137,6 +148,15 @@
 
 
 class TestAnyDocument:
+    def test_a_listing_of_no_keys_is_taken(self):
+        assert errors_of(LISTS | {"keys": {"keys": []}}) == set()
+        assert refused_by_nodes(LISTS | {"keys": {"keys": []}}) == set()
+
+    def test_keys_beside_a_listing_are_not_passed_over(self):
+        keys = {"keys": [], DIGEST: {"organisation": 5}}
+        assert errors_of(LISTS | {"keys": keys})
+        assert refused_by_nodes(LISTS | {"keys": keys}) == {"keys"}
+
     @settings(max_examples=400, derandomize=True, deadline=None)
     @given(altered(LISTS), altered(LISTS))
     def test_no_document_raises_and_valid_ones_are_taken(self, first, second):
