--- a/lavenderstack/platform/targets.py
+++ b/lavenderstack/platform/targets.py
@@ -49,7 +49,12 @@
     rows_b: int = 0
 
     def add_row(self, row: str) -> None:
-        """Keep a row unless the answer is too long for a message between nodes."""
+        """Keep a row unless the answer is too long for a message between nodes.
+
+        Raises ``ProtocolError`` for a row after DONE or ERROR.
+        """
+        if self.ended:
+            raise ProtocolError("row after the end of an answer")
         self.rows_b += text_size_b(row)
         if self.rows_b <= MAX_TEXTS_B:
             self.reply.rows.append(row)
--- a/lavenderstack/platform/targets_test.py
+++ b/lavenderstack/platform/targets_test.py
@@ -44,6 +44,8 @@
             b"ROW a\r\nDONE\r\nREADY I 1.1\r\n",
             b"ROW a\r\nDONE -\r\nREADY I 1.1\r\n",
             b"DONE r\r\nDONE r\r\nREADY I 1.1\r\n",
+            b"ROW a\r\nDONE r\r\nROW b\r\nREADY I 1.1\r\n",
+            b"ERROR FAILED x\r\nROW b\r\nREADY I 1.1\r\n",
             b"DONE r\r\nREADY X 1.1\r\n",
             b"DONE r\r\nREADY I 1.x\r\n",
             b"DONE r\r\nREADY I 1.99999999999999999999\r\n",
