Tenants whose names can't be sent: the key stays in force, work is refused

The rule was also wider than the protocol: names with tabs, no-break spaces or over 200 characters, served by the build in production, were refused too.

Now the key counts, each statement is refused at once as not run with the cause, and only names that are empty or have a blank or a line end are concerned.

--- a/lavenderstack/core/catalog.py
+++ b/lavenderstack/core/catalog.py
@@ -66,7 +66,7 @@
 class Catalog:
     """One version of the operators' lists; ``keys`` maps a key digest to its owner.
 
-    ``left_out`` are the places of entries that aren't in force, as they can't be used.
+    ``unusable`` are the places of names and keys for which nothing is run.
     """
 
     version: int = 0
@@ -75,7 +75,7 @@
     plans: Mapping[str, Plan] = field(default_factory=dict)
     keys: Mapping[str, str] = field(default_factory=dict)
     tx_idle_s: float = DEFAULT_TX_IDLE_S
-    left_out: tuple[str, ...] = ()
+    unusable: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/lavenderstack/core/config/config_check.py
+++ b/lavenderstack/core/config/config_check.py
@@ -52,8 +52,9 @@
 def _check_names(cfg: DeclaredConfig) -> Iterator[Finding]:
     for place in cfg.unusable_names:
         text = (
-            f"The name must have 1 to {MAX_NAME_CHARS} characters and no blanks or "
-            "control characters, since targets are told it; nothing is run for it."
+            "The name can't be sent to targets: it is empty or has a blank or line "
+            "end. Targets can't report a service with other blanks or control "
+            f"characters or over {MAX_NAME_CHARS} characters. Nothing is run for it."
         )
         yield error("name-not-usable", place, text)
 
--- a/lavenderstack/core/log/events_process.py
+++ b/lavenderstack/core/log/events_process.py
@@ -145,7 +145,7 @@
         "the previous version stays in force",
     ),
     Event(
-        "loader: entries of the catalog not in force",
+        "loader: entries of the catalog not usable",
         LineKind.STATE,
         ("version", "count", "places"),
         "names that can't be sent to a target, for which no statement is run, and "
--- a/lavenderstack/node/session.py
+++ b/lavenderstack/node/session.py
@@ -13,6 +13,7 @@
 from lavenderstack.core import clock, session_texts
 from lavenderstack.core.catalog import Route
 from lavenderstack.core.messages import Failed, Message
+from lavenderstack.core.names import is_one_field
 from lavenderstack.core.outcome import Reason
 from lavenderstack.core.position import START, Position
 from lavenderstack.core.reply import Reply, TxState
@@ -39,6 +40,7 @@
 log = structlog.get_logger()
 
 END_TIMEOUT_S = 1.0
+UNUSABLE_NAME_DETAIL = "the organisation's name can't be sent to a database"
 
 
 @dataclass(frozen=True, slots=True)
@@ -221,6 +223,8 @@
         refusal = self._key_refusal(route)
         if refusal is not None:
             return self._refused(*refusal)
+        if self.organisation and not is_one_field(self.organisation):
+            return self._refused(Reason.UNREACHABLE, UNUSABLE_NAME_DETAIL)
         tx = self._tx
         if tx is not None and tx.name:
             return await self._run_in_transaction(arrival, route, tx)
--- a/lavenderstack/platform/directory_writer.py
+++ b/lavenderstack/platform/directory_writer.py
@@ -35,14 +35,14 @@
 MAX_LOGGED_PLACES = 10
 
 
-def _log_left_out(catalog: Catalog) -> None:
-    """Log the entries of a new catalog that aren't in force, once a version."""
-    if catalog.left_out:
+def _log_unusable(catalog: Catalog) -> None:
+    """Log the entries of a new catalog that can't be used, once a version."""
+    if catalog.unusable:
         log.error(
-            "loader: entries of the catalog not in force",
+            "loader: entries of the catalog not usable",
             version=catalog.version,
-            count=len(catalog.left_out),
-            places=catalog.left_out[:MAX_LOGGED_PLACES],
+            count=len(catalog.unusable),
+            places=catalog.unusable[:MAX_LOGGED_PLACES],
         )
 
 
@@ -83,7 +83,7 @@
         if key == documents.CATALOG_KEY:
             catalog = documents.decode_catalog(data)
             if catalog is not None and directory.update_catalog(catalog):
-                _log_left_out(catalog)
+                _log_unusable(catalog)
                 self._update_target_limits()
         elif key.startswith(TARGETS_PREFIX):
             self._put_target(item, decode_report(key, data))
--- a/lavenderstack/platform/documents.py
+++ b/lavenderstack/platform/documents.py
@@ -20,7 +20,7 @@
     GroupLimits,
     Route,
 )
-from lavenderstack.core.names import is_usable_name
+from lavenderstack.core.names import is_one_field, is_usable_name
 from lavenderstack.core.view import DEFAULT_PRIORITY, Plan
 from lavenderstack.platform.callers import digest_of
 from lavenderstack.platform.decoding import DECODE_ERRORS, EVACUATIONS_PREFIX, MS_PER_S
@@ -101,20 +101,19 @@
     except DECODE_ERRORS as exc:
         log.warning("documents: catalog not understood", error=repr(exc)[:200])
         return None
-    tenants = [tenant for tenant in cfg.tenants if is_usable_name(tenant.name)]
     return Catalog(
         version=cfg.version,
         routes={route.host: _convert_route(route) for route in cfg.routes},
         groups={service.name: _convert_service(service) for service in cfg.services},
-        plans={tenant.name: _convert_tenant(tenant) for tenant in tenants},
+        plans={tenant.name: _convert_tenant(tenant) for tenant in cfg.tenants},
         keys={
             digest_of(key): tenant.name
-            for tenant in tenants
+            for tenant in cfg.tenants
             for key in tenant.api_keys
             if key
         },
         tx_idle_s=cfg.limits.tx_idle_ms / MS_PER_S,
-        left_out=tuple(
+        unusable=tuple(
             _shown(path) for path in chain(unusable_names(cfg), empty_keys(cfg))
         ),
     )
@@ -129,12 +128,13 @@
 def unusable_names(cfg: _Config) -> Iterator[Path]:
     """Yield the paths of names that can't be a field of a message.
 
-    No statement is run for such a tenant or service. Targets can't report such a
-    service, so its routes needn't be left out.
+    No statement is run for such a tenant or service: a session of the tenant is
+    refused, and targets can't report such a service.
     """
-    for field in ("tenants", "services"):
+    rules = {"tenants": is_one_field, "services": is_usable_name}
+    for field, is_valid in rules.items():
         for index, entry in enumerate(getattr(cfg, field)):
-            if not is_usable_name(entry.name):
+            if not is_valid(entry.name):
                 yield field, index, "name"
 
 
--- a/lavenderstack/platform/targets.py
+++ b/lavenderstack/platform/targets.py
@@ -14,7 +14,7 @@
 
 from lavenderstack.border.traffic import TRAFFIC
 from lavenderstack.core.message_size import MAX_TEXTS_B, text_size_b
-from lavenderstack.core.names import is_usable_name
+from lavenderstack.core.names import is_one_field
 from lavenderstack.core.outcome import Reason
 from lavenderstack.core.position import START, Position
 from lavenderstack.core.reply import Reply, TxState
@@ -108,13 +108,15 @@
         """Send the greeting, which names the group, the organisation and the target.
 
         ``organisation`` is empty on a public route. Raises ``ConnectFailed`` if a name
-        would be read as several fields. Names are checked where they enter, but work
-        may come from a node whose build doesn't check them.
+        would be read as several fields. A session with such a name is refused, but
+        work may come from a node whose build doesn't check names.
         """
         names = [group, target, *([organisation] if organisation else [])]
-        if not all(map(is_usable_name, names)):
+        line = f"{MessageType.CONNECT} {group} {organisation} {target}\r\n"
+        is_too_long = len(line.encode()) > line_protocol.MAX_LINE_B
+        if is_too_long or not all(map(is_one_field, names)):
             raise ConnectFailed(Reason.BAD_REQUEST, "a name that can't be sent")
-        self._write(f"{MessageType.CONNECT} {group} {organisation} {target}\r\n")
+        self._write(line)
 
     def send(self, commands: Sequence[Command]) -> list["asyncio.Future[Reply]"]:
         """Send statements in order and return the futures of their answers.
