Answers: the receipt is bounded, one outcome for too many rows, room for the time to come back

A longer receipt is no answer of a target, nothing that a transaction changed is kept before its commit, and details have 400 characters.

--- a/lavenderstack/core/messages.py
+++ b/lavenderstack/core/messages.py
@@ -119,8 +119,9 @@
 MAX_REASON_CHARS = 40
 
 
-# A detail is the end of a line to the caller, which has a longest length.
-MAX_DETAIL_CHARS = 1000
+# A detail is the end of a line to the caller, which has a longest length. The time to
+# come back is added to it.
+MAX_DETAIL_CHARS = 400
 
 
 def _one_line(text: str, max_chars: int) -> str:
--- a/lavenderstack/platform/targets.py
+++ b/lavenderstack/platform/targets.py
@@ -31,6 +31,8 @@
 
 log = structlog.get_logger()
 
+# Goes into messages between nodes beside the rows, whose size is counted.
+MAX_RECEIPT_CHARS = 1000
 _NO_RECEIPTS = ("", line_protocol.EMPTY_FIELD)
 
 
@@ -59,6 +61,13 @@
         if self.rows_b <= MAX_TEXTS_B:
             self.reply.rows.append(row)
 
+    def done(self, receipt: str) -> None:
+        """Record the DONE; raises ``ProtocolError`` if it can't be one."""
+        if len(receipt) > MAX_RECEIPT_CHARS:
+            raise ProtocolError("receipt too long")
+        self.end()
+        self.reply.receipt = receipt
+
     def end(self) -> None:
         """Record that DONE or ERROR has arrived; raises ``ProtocolError`` if twice."""
         if self.ended:
@@ -79,7 +88,10 @@
             raise ProtocolError("answer without a receipt")
         if self.rows_b > MAX_TEXTS_B:
             statement = self.command.statement
-            changes = statement.writes or statement.kind is StatementKind.COMMIT
+            # What a transaction changed isn't kept before its commit.
+            changes = statement.kind is StatementKind.COMMIT or (
+                statement.writes and reply.state is TxState.NONE
+            )
             reply.rows = []
             reply.reason = (
                 Reason.OUTCOME_UNKNOWN if changes else Reason.STATEMENT_FAILED
@@ -188,8 +200,7 @@
         if message_type == MessageType.ROW:
             pending.add_row(rest)
         elif message_type == MessageType.DONE:
-            pending.end()
-            reply.receipt = rest
+            pending.done(rest)
         elif message_type == MessageType.ERROR:
             pending.end()
             reply.reason, reply.detail = line_protocol.parse_error(rest)
--- a/lavenderstack/platform/targets_test.py
+++ b/lavenderstack/platform/targets_test.py
@@ -9,7 +9,8 @@
 from lavenderstack.core.position import Position
 from lavenderstack.core.statement import Statement, StatementKind
 from lavenderstack.node.backend import Command, ConnectFailed, ConnectionLost
-from lavenderstack.platform.targets import LineConnection
+from lavenderstack.platform.line_protocol import MAX_LINE_B
+from lavenderstack.platform.targets import MAX_RECEIPT_CHARS, LineConnection
 
 READ = Statement(StatementKind.READ, "READ a")
 
@@ -102,6 +103,19 @@
         fut, _ = await ask(rows + b"DONE r\r\nREADY I 1.1\r\n", statement)
         assert (await fut).reason is Reason.OUTCOME_UNKNOWN
 
+    async def test_a_write_in_a_transaction_with_too_many_rows_has_failed(self):
+        rows = b"ROW \r\n" * (MAX_TEXTS_B // TEXT_HEADER_B + 1)
+        write = Statement(StatementKind.WRITE, "WRITE a b", writes=True)
+        fut, _ = await ask(rows + b"DONE r\r\nREADY T 1.1\r\n", write)
+        assert (await fut).reason is Reason.STATEMENT_FAILED
+
+    async def test_a_receipt_is_bounded(self):
+        fitting = b"DONE " + b"x" * MAX_RECEIPT_CHARS
+        fut, conn = await ask(fitting + b"\r\nREADY I 1.1\r\n")
+        assert (await fut).receipt == "x" * MAX_RECEIPT_CHARS and not conn.closed
+        _, conn = await ask(fitting + b"x\r\nREADY I 1.1\r\n")
+        assert conn.closed
+
 
 class TestGreeting:
     """Only operators' names go into it."""
@@ -128,3 +142,9 @@
         with pytest.raises(ConnectFailed) as caught:
             conn.send_greeting(*names)
         assert caught.value.reason is Reason.BAD_REQUEST
+
+    async def test_a_name_longer_than_a_message_is_never_sent(self):
+        conn = LineConnection()
+        conn.connection_made(_Transport())
+        with pytest.raises(ConnectFailed):
+            conn.send_greeting("g", "x" * MAX_LINE_B, "i-1")
