--- a/bench/texts_test.py
+++ b/bench/texts_test.py
@@ -95,3 +95,14 @@
             requests = [await all_[0].ask("w", at, text, "q") for text in texts_sent]
             assert fleet.record.groups["g1"].too_long == []
             assert requests[-1].outcome == "MALFORMED"
+
+
+class TestEmptyIds:
+    """A caller's statement must not run under the id of the service's own."""
+
+    async def test_an_empty_id_is_refused_or_kept(self, tmp_path):
+        async with run_fleet(tmp_path, 1, 1, 1) as fleet, sessions_of(fleet, 1) as all_:
+            all_[0].writer.write(b"QUERY  WRITE a b\r\n")
+            answer = await read_line(all_[0].reader)
+            ran = [run.request for run in fleet.groups["g1"].runs]
+            assert ran == ([""] if answer.startswith(b"DONE") else [])
