Read again: no two modules or constants of one name

platform/message_size.py is statement_size.py, and the bound of a session's texts MAX_KEPT_B, since core/message_size.py has MAX_TEXTS_B of messages between nodes. No behaviour changes.

--- a/lavenderstack/core/session_texts.py
+++ b/lavenderstack/core/session_texts.py
@@ -14,7 +14,7 @@
 MAX_PREPARED = 256
 # Of the names, values and shapes of a session together, in bytes. One of the longest
 # line of a caller still fits.
-MAX_TEXTS_B = 1024 * 1024
+MAX_KEPT_B = 1024 * 1024
 
 
 def refusal(
@@ -30,8 +30,8 @@
     replaced = texts if sets_value else shapes
     replaced[:] = [one for one in replaced if one[0] != statement.name]
     kept_b = sum(_size_b(*one) for one in (*texts, *shapes))
-    if kept_b + _size_b(statement.name, statement.body) > MAX_TEXTS_B:
-        return f"the session's values and shapes have over {MAX_TEXTS_B} bytes"
+    if kept_b + _size_b(statement.name, statement.body) > MAX_KEPT_B:
+        return f"the session's values and shapes have over {MAX_KEPT_B} bytes"
     return ""
 
 
--- a/lavenderstack/platform/callers.py
+++ b/lavenderstack/platform/callers.py
@@ -19,7 +19,7 @@
 from lavenderstack.node.planned_stop import STOPPING_DETAIL
 from lavenderstack.node.session import Session
 from lavenderstack.node.session_services import Services, outdated_detail
-from lavenderstack.platform import line_protocol, message_size, statement_texts
+from lavenderstack.platform import line_protocol, statement_size, statement_texts
 from lavenderstack.platform.line_protocol import MessageType, ProtocolError
 
 log = structlog.get_logger()
@@ -154,7 +154,7 @@
         if statement is None:
             reply = Reply(reason=Reason.BAD_REQUEST, detail=query.error)
             reply.state = self.session.state
-        elif error := message_size.error(query, self.session.prepared):
+        elif error := statement_size.error(query, self.session.prepared):
             reply = self.session.refuse(error)
         else:
             reply = await self._run_to_the_end(request_id, statement)
--- a/lavenderstack/platform/composed_texts_test.py
+++ b/lavenderstack/platform/composed_texts_test.py
@@ -10,7 +10,7 @@
 from lavenderstack.core import statement as statements
 from lavenderstack.core.position import START, Position
 from lavenderstack.core.statement import Prepared, StatementKind
-from lavenderstack.platform import message_size
+from lavenderstack.platform import statement_size
 from lavenderstack.platform.line_protocol import LineBuffer
 from lavenderstack.platform.statement_texts import format_query, parse_query
 
@@ -85,4 +85,4 @@
     @given(LINES)
     def test_short_statements_are_never_too_long(self, line):
         query = parse_query(line)
-        assert query.statement is None or not message_size.error(query, {})
+        assert query.statement is None or not statement_size.error(query, {})
--- a/lavenderstack/platform/message_size_test.py
+++ b/lavenderstack/platform/statement_size_test.py
@@ -3,8 +3,8 @@
 import pytest
 
 from lavenderstack.core.statement import Prepared
-from lavenderstack.platform import message_size
-from lavenderstack.platform.message_size import MAX_SENT_B
+from lavenderstack.platform import statement_size
+from lavenderstack.platform.statement_size import MAX_SENT_B
 from lavenderstack.platform.statement_texts import parse_query
 
 PREPARED = {"w": Prepared(writes=True, shape="q"), "r": Prepared(False, "q")}
@@ -35,13 +35,13 @@
     def test_what_is_added_counts(self, start, added_b):
         longest = query(start, MAX_SENT_B - added_b)
         longer = query(start, MAX_SENT_B - added_b + 1)
-        assert message_size.error(longest, PREPARED) == ""
-        assert "1 bytes too long" in message_size.error(longer, PREPARED)
+        assert statement_size.error(longest, PREPARED) == ""
+        assert "1 bytes too long" in statement_size.error(longer, PREPARED)
 
     @pytest.mark.parametrize("start", ["WRITE a ", "READ ", "EXEC w item "])
     def test_bytes_count_and_not_characters(self, start):
         text = start + "\U0001f600" * (MAX_SENT_B // 4)
-        assert message_size.error(parse_query(f"q1 {text}"), PREPARED)
+        assert statement_size.error(parse_query(f"q1 {text}"), PREPARED)
 
     def test_long_request_id_counts(self):
-        assert message_size.error(parse_query("i" * MAX_SENT_B + " COMMIT"), PREPARED)
+        assert statement_size.error(parse_query("i" * MAX_SENT_B + " COMMIT"), PREPARED)
