Stops: a process that has ended its work ends at once

Cause: the node's log says "node: ended", status 0, at 5.80 s after the stop began, and the process was still there at 6.01 s. What was left of its time, 0.2 s, went to the end of the interpreter, which frees every object. Measured between that line and the exit, load 11: 50 to 111 ms in 8 stops.

Change: the service's commands end the process once the output is flushed.

--- a/lavenderstack/__main__.py
+++ b/lavenderstack/__main__.py
@@ -31,8 +31,10 @@
   --help           Show this text.
 """
 
+import os
 import sys
 from pathlib import Path
+from typing import NoReturn
 
 from lavenderstack import __version__
 
@@ -120,5 +122,18 @@
     return _check(args["FILE"])
 
 
+def _end_process(status: int) -> NoReturn:
+    """End the process at once, without freeing all objects one after the other.
+
+    A node has answered all that it read and has little of its time to stop left.
+    """
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(status)
+
+
 if __name__ == "__main__":
-    sys.exit(main())
+    exit_status = main()
+    if sys.argv[1:2] in (["serve"], ["node"]):
+        _end_process(exit_status)
+    sys.exit(exit_status)
