--- a/lavenderstack/core/log/events_groups.py
+++ b/lavenderstack/core/log/events_groups.py
@@ -180,6 +180,12 @@
         ("group",),
         "another node acts",
     ),
+    Event(
+        "replacer: order sent",
+        LineKind.STATE,
+        ("group", "target", "epoch"),
+        "the platform is asked to promote the target; this line has no answer yet",
+    ),
     Event(
         "replacer: order refused",
         LineKind.STATE,
--- a/lavenderstack/node/failover/promoter.py
+++ b/lavenderstack/node/failover/promoter.py
@@ -112,6 +112,7 @@
     ) -> OrderOutcome:
         """Send an order until it is answered, a few times."""
         self._used_epochs[group] = claim.epoch
+        log.info("replacer: order sent", group=group, target=target, epoch=claim.epoch)
         outcome = OrderOutcome.NOT_TAKEN
         for _ in range(MAX_ORDER_TRIES):
             if not self.lease_holds():
