--- a/bench/promotions.py
+++ b/bench/promotions.py
@@ -34,7 +34,7 @@
 from lavenderstack.core.view import Vm
 from lavenderstack.core.work_messages import GroupPosition
 from lavenderstack.node.backend_fake import FakeTarget
-from lavenderstack.node.failover import replacer, replica_sets, successor_choice
+from lavenderstack.node.failover import order_settlement, replica_sets, successor_choice
 from lavenderstack.node.failover.replacer_fake import ReplacerHarness
 
 NODES = ("n1", "n2", "n3", "n4")
@@ -234,8 +234,8 @@
     names = (
         (replica_sets, "BLOCKED_RETRY_S"),
         (replica_sets, "PROOF_RETRY_S"),
-        (replacer, "RELEASE_RETRY_S"),
-        (replacer, "EFFECT_LIMIT_S"),
+        (order_settlement, "RELEASE_RETRY_S"),
+        (order_settlement, "EFFECT_LIMIT_S"),
         (successor_choice, "CATCH_UP_TIMEOUT_S"),
     )
     before = [getattr(module, name) for module, name in names]
--- a/lavenderstack/core/failover/acknowledgement_hold.py
+++ b/lavenderstack/core/failover/acknowledgement_hold.py
@@ -101,6 +101,16 @@
         held = self._holds.get(group)
         return held is not None and held.final
 
+    def in_force(self, group: str, now: float) -> HoldNumber:
+        """Return the number of a group's hold that awaits a decision, or ``NO_HOLD``.
+
+        Its owner may have sent an order that is still under way.
+        """
+        held = self._holds.get(group)
+        if held is None or held.final or now > held.until:
+            return NO_HOLD
+        return held.number
+
     def excludes(self, group: str, position: Position, now: float) -> bool:
         """Return whether a commit of a group may not be acknowledged now."""
         held = self._holds.get(group)
--- a/lavenderstack/core/log/events_groups.py
+++ b/lavenderstack/core/log/events_groups.py
@@ -143,6 +143,12 @@
         ("group", "nodes"),
         "these nodes hold back acknowledgements until the hold's time limit",
     ),
+    Event(
+        "replacer: order of a former owner",
+        LineKind.STATE,
+        ("group", "paused", "held"),
+        "its order may still be carried out; the primary is ordered again first",
+    ),
     Event(
         "replacer: replicas stay paused",
         LineKind.STATE,
--- a/lavenderstack/core/log/events_test.py
+++ b/lavenderstack/core/log/events_test.py
@@ -39,6 +39,7 @@
     "primary_positions",
     "promoter",
     "replacer",
+    "order_settlement",
     "receipt_reports",
     "replica_sets",
     "group_positions",
--- a/lavenderstack/core/work_messages.py
+++ b/lavenderstack/core/work_messages.py
@@ -137,13 +137,15 @@
 
     The node started ``uptime_s`` seconds ago. ``run`` identifies its process, as in its
     registration; it is empty if the process doesn't know it. ``holds`` confirms the
-    hold that was asked for.
+    hold that was asked for. ``held`` is the number of the hold that is in force, unless
+    a replica has taken over since.
     """
 
     position: Position
     uptime_s: float
     run: str = ""
     holds: bool = False
+    held: HoldNumber = NO_HOLD
 
 
 class LeadTaken(Message, tag="lead_taken"):
--- a/lavenderstack/node/acknowledged_positions.py
+++ b/lavenderstack/node/acknowledged_positions.py
@@ -107,6 +107,10 @@
             self._wake(group)
         return held
 
+    def hold_in_force(self, group: str) -> HoldNumber:
+        """Return the number of the group's hold that isn't final, or ``NO_HOLD``."""
+        return self._holds.in_force(group, clock.now())
+
     def release(self, group: str, number: HoldNumber) -> None:
         """End the holds of a group up to this number."""
         self._holds.release(group, number)
--- a/lavenderstack/node/executors.py
+++ b/lavenderstack/node/executors.py
@@ -135,7 +135,13 @@
         else:
             acknowledged.tell(group, msg.term)
         uptime_s = clock.now() - acknowledged.started_at
-        return GroupPosition(acknowledged.highest(group), uptime_s, self.run_id, holds)
+        return GroupPosition(
+            acknowledged.highest(group),
+            uptime_s,
+            self.run_id,
+            holds,
+            acknowledged.hold_in_force(group),
+        )
 
     @property
     def open_transactions(self) -> int:
--- a/lavenderstack/node/failover/group_positions.py
+++ b/lavenderstack/node/failover/group_positions.py
@@ -71,6 +71,8 @@
         self._directory = directory
         self._peers = peers
         self._last_answers: dict[str, _LastAnswer] = {}
+        # The groups whose holds concern every term.
+        self._every_term: set[str] = set()
         self._holds = HoldRequests(directory, peers, identity)
 
     def record_answer(
@@ -121,10 +123,38 @@
         names = self._holds.nodes_that_may_acknowledge()
         return await self._hold(group, primary, names, PROBE_TIMEOUT_S)
 
+    def set_every_term(self, group: str, needed: bool) -> None:
+        """Set whether holds of a group concern all terms, not just the primary's.
+
+        Needed while an order may make a target the primary that another order then
+        replaces: what is committed in between may be lost.
+        """
+        (self._every_term.add if needed else self._every_term.discard)(group)
+
+    def holds(self, group: str) -> bool:
+        """Return whether this node has asked for a hold that hasn't ended."""
+        return self._holds.term(group) > 0
+
+    def holds_every_term(self, group: str) -> bool:
+        """Return whether nodes hold back commits of every term."""
+        return self._holds.term(group) == ANY_TERM
+
+    async def hold_below(self, group: str, term: int) -> None:
+        """Hold back what was committed before a term, and nothing else any more."""
+        names = self._holds.nodes_seen_lately()
+        await self._holds.hold(group, term - 1, names, PROBE_TIMEOUT_S)
+
+    async def held_before(self, group: str, epoch: int) -> bool:
+        """Return whether a node holds for an owner before the one with this epoch."""
+        names = self._holds.nodes_seen_lately()
+        msg = GroupPositionRequest(group)
+        told = await self._holds.ask(names, msg, OBJECTION_TIMEOUT_S)
+        return told.held_before(epoch)
+
     async def _hold(
         self, group: str, primary: str, names: frozenset[str], timeout_s: float
     ) -> HeldEnd:
-        term = self._term(self._last_answer(group, primary))
+        term = self._term(group, self._last_answer(group, primary))
         told = await self._holds.hold(group, term, names, timeout_s)
         return HeldEnd(told.highest, told.hold_back(names), self._is_isolated(told))
 
@@ -159,10 +189,9 @@
         """Let the nodes acknowledge commits again, as nobody takes over."""
         self._holds.release(group)
 
-    def promoted(self, group: str) -> None:
-        """End the holds that concern the primary which has taken over as well."""
-        if self._holds.term(group) == ANY_TERM:
-            self._holds.release(group)
+    def taken_over(self, group: str) -> None:
+        """Leave holds to their end: all nodes were told which replica took over."""
+        self._holds.forget(group)
 
     def observe_nodes(self) -> None:
         """Notice which nodes are registered now."""
@@ -175,9 +204,9 @@
             return None
         return last
 
-    def _term(self, last: _LastAnswer | None) -> int:
+    def _term(self, group: str, last: _LastAnswer | None) -> int:
         known = last.position.term if last else 0
-        return known or ANY_TERM
+        return known if known and group not in self._every_term else ANY_TERM
 
     async def acknowledged_end(self, group: str, primary: str) -> AcknowledgedEnd:
         """Return the highest position that may have been acknowledged, if it is known.
@@ -190,7 +219,9 @@
         asked_at = clock.now()
         lately = self._holds.nodes_seen_lately()
         names = sorted(lately.union(last.nodes if last else ()))
-        told = await self._holds.hold(group, self._term(last), names, PROBE_TIMEOUT_S)
+        told = await self._holds.hold(
+            group, self._term(group, last), names, PROBE_TIMEOUT_S
+        )
         if not told.hold_back(lately):
             silent = [name for name in lately if not told.hold_back([name])]
             return AcknowledgedEnd(untold=tuple(sorted(silent)))
--- a/lavenderstack/node/failover/hold_requests.py
+++ b/lavenderstack/node/failover/hold_requests.py
@@ -12,7 +12,7 @@
 import structlog
 
 from lavenderstack.core import clock
-from lavenderstack.core.failover.acknowledgement_hold import HoldNumber
+from lavenderstack.core.failover.acknowledgement_hold import NO_HOLD, HoldNumber
 from lavenderstack.core.position import START, Position
 from lavenderstack.core.work_messages import GroupPosition, GroupPositionRequest
 from lavenderstack.node.directory import Directory
@@ -60,6 +60,11 @@
         """Return the nodes that gave an answer."""
         return {name for name, one in self.answers.items() if one is not None}
 
+    def held_before(self, epoch: int) -> bool:
+        """Return whether a node holds for an owner with an earlier epoch."""
+        held = [one.held for one in self.answers.values() if one is not None]
+        return any(number != NO_HOLD and number[0] < epoch for number in held)
+
     def hold_back(self, nodes: Iterable[str]) -> bool:
         """Return whether all these nodes hold back acknowledgements."""
         found = (self.answers.get(name) for name in nodes)
@@ -156,6 +161,10 @@
         asked = self._asked.get(group)
         return asked.term if asked is not None else 0
 
+    def forget(self, group: str) -> None:
+        """Leave a hold to its end, since a replica has taken over."""
+        self._asked.pop(group, None)
+
     def _epoch(self, group: str) -> int:
         """Return the epoch of this node's claim, 0 if it has none any more.
 
--- a/lavenderstack/node/failover/promoter.py
+++ b/lavenderstack/node/failover/promoter.py
@@ -12,6 +12,7 @@
 
 from lavenderstack.core import clock
 from lavenderstack.core.catalog import RecordedOwnership
+from lavenderstack.core.failover.pending_orders import PendingOrders
 from lavenderstack.core.view import Vm
 from lavenderstack.core.work_messages import LeadTaken, PrimaryPosition
 from lavenderstack.node.backend import (
@@ -72,7 +73,9 @@
         """Return whether enough of this node's lease is left for an order."""
         return clock.now() <= self._claims.valid_until() - MIN_LEASE_LEFT_S
 
-    async def promote(self, group: str, target: str) -> OrderOutcome:
+    async def promote(
+        self, group: str, target: str, pending: PendingOrders
+    ) -> OrderOutcome:
         """Order a promotion under an unused epoch, and wait until it has taken effect.
 
         Returns what is known of the order.
@@ -80,24 +83,31 @@
         claim = await self._claim_with_unused_epoch(group)
         if claim is None:
             return OrderOutcome.NOT_TAKEN
-        outcome = await self._order(group, target, claim)
-        if outcome is OrderOutcome.TAKEN:
-            await self._wait_for_primary(group, target)
-            await self._acquire_unused_epoch(group, claim)
+        outcome, _ = await self._order(group, target, claim, pending)
+        if outcome is OrderOutcome.TAKEN and await self._has_effect(group, target):
+            pending.took_effect()
         return outcome
 
-    async def raise_fence(self, group: str, primary: str) -> bool:
+    async def renew_used_epoch(self, group: str) -> None:
+        """Prepare the next order of a group, so that it needn't wait for an epoch."""
+        await self._claim_with_unused_epoch(group)
+
+    async def raise_fence(
+        self, group: str, primary: str, pending: PendingOrders, effect_limit_s: float
+    ) -> None:
         """Order the present primary again, so that no earlier order takes effect.
 
         That changes nothing, but the platform refuses all earlier epochs from then on.
+        Orders that it has carried out take effect within ``effect_limit_s``.
         """
         claim = await self._claim_with_unused_epoch(group)
         if claim is None:
-            return False
-        taken = await self._order(group, primary, claim) is OrderOutcome.TAKEN
-        if taken:
+            return
+        outcome, calls = await self._order(group, primary, claim, pending)
+        if outcome is OrderOutcome.TAKEN:
+            over_at = clock.now() + effect_limit_s
+            pending.fenced(claim.epoch, over_at, repeated=calls > 1)
             log.info("replacer: fence raised", group=group, epoch=claim.epoch)
-        return taken
 
     async def _claim_with_unused_epoch(self, group: str) -> RecordedOwnership | None:
         claim = self._directory.ownerships.get(group)
@@ -108,45 +118,52 @@
         return claim
 
     async def _order(
-        self, group: str, target: str, claim: RecordedOwnership
-    ) -> OrderOutcome:
-        """Send an order until it is answered, a few times."""
+        self,
+        group: str,
+        target: str,
+        claim: RecordedOwnership,
+        pending: PendingOrders,
+    ) -> tuple[OrderOutcome, int]:
+        """Send an order until it is answered, a few times.
+
+        Returns what is known of it, and how many calls were sent.
+        """
         self._used_epochs[group] = claim.epoch
         log.info("replacer: order sent", group=group, target=target, epoch=claim.epoch)
-        outcome = OrderOutcome.NOT_TAKEN
-        for _ in range(MAX_ORDER_TRIES):
+        outcome, calls = OrderOutcome.NOT_TAKEN, 0
+        while calls < MAX_ORDER_TRIES:
             if not self.lease_holds():
                 log.warning("replacer: lease too old to act", group=group)
-                return outcome
-            try:
-                await self._orders.promote(
-                    group, target, self._directory.name, claim.epoch
-                )
-            except OrderRefused as exc:
-                self._counters.orders.labels("refused").inc()
-                log.warning(
-                    "replacer: order refused",
-                    group=group,
-                    target=target,
-                    epoch=claim.epoch,
-                    error=str(exc),
-                )
-                return outcome
-            except OrderUnanswered as exc:
-                self._counters.orders.labels("unanswered").inc()
-                log.info(
-                    "replacer: order unanswered",
-                    group=group,
-                    target=target,
-                    epoch=claim.epoch,
-                    error=str(exc),
-                )
-                outcome = OrderOutcome.UNKNOWN
-                await asyncio.sleep(ORDER_RETRY_S)
-                continue
-            self._counters.orders.labels("taken").inc()
-            return OrderOutcome.TAKEN
-        return outcome
+                break
+            calls += 1
+            pending.sent(target, claim.epoch)
+            answer = await self._call(group, target, claim.epoch)
+            if answer is OrderOutcome.TAKEN:
+                return answer, calls
+            if answer is OrderOutcome.NOT_TAKEN:
+                if calls == 1:
+                    pending.refused(claim.epoch)
+                break
+            outcome = answer
+            pending.unanswered(claim.epoch)
+            await asyncio.sleep(ORDER_RETRY_S)
+        return outcome, calls
+
+    async def _call(self, group: str, target: str, epoch: int) -> OrderOutcome:
+        """Send an order once, and return what its answer tells."""
+        fields = {"group": group, "target": target, "epoch": epoch}
+        try:
+            await self._orders.promote(group, target, self._directory.name, epoch)
+        except OrderRefused as exc:
+            self._counters.orders.labels("refused").inc()
+            log.warning("replacer: order refused", **fields, error=str(exc))
+            return OrderOutcome.NOT_TAKEN
+        except OrderUnanswered as exc:
+            self._counters.orders.labels("unanswered").inc()
+            log.info("replacer: order unanswered", **fields, error=str(exc))
+            return OrderOutcome.UNKNOWN
+        self._counters.orders.labels("taken").inc()
+        return OrderOutcome.TAKEN
 
     async def _acquire_unused_epoch(
         self, group: str, claim: RecordedOwnership
@@ -166,19 +183,15 @@
             await self._directory.wait_for_change(0.1)
         return None
 
-    async def _wait_for_primary(self, group: str, target: str) -> None:
-        """Wait until the chosen target is the primary, and notify all nodes at once.
-
-        That also ends the wait of commits that are held back at a node.
-        """
+    async def _has_effect(self, group: str, target: str) -> bool:
+        """Wait until the chosen target is the primary; return False if it isn't."""
         until = clock.now() + PROMOTION_TIMEOUT_S
         while clock.now() < until:
             state = self._directory.targets.get(target)
             primary = self._directory.primary(group)
             if primary is not None and primary.target.name == target:
                 log.info("replacer: primary replaced", group=group, target=target)
-                await self._broadcast(LeadTaken(group, target))
-                return
+                return True
             if state is not None and isinstance(
                 await self._probe.ask(state), PrimaryPosition
             ):
@@ -188,10 +201,15 @@
         log.warning(
             "replacer: chosen target is not the primary", group=group, target=target
         )
+        return False
 
-    async def _broadcast(self, notice: LeadTaken) -> None:
-        """Notify all nodes; one that misses it reads the target's own report."""
-        vms = self._directory.view.vms.values()
+    async def announce(self, group: str, primary: str) -> None:
+        """Tell all nodes which target has taken the lead.
+
+        That ends the wait of commits that are held back at a node. One that misses it
+        reads the target's own report.
+        """
+        notice, vms = LeadTaken(group, primary), self._directory.view.vms.values()
         await asyncio.gather(*(self._notify(vm, notice) for vm in vms))
 
     async def _notify(self, vm: Vm, notice: LeadTaken) -> None:
--- a/lavenderstack/node/failover/promoter_test.py
+++ b/lavenderstack/node/failover/promoter_test.py
@@ -4,7 +4,7 @@
 
 from lavenderstack.core.statement import StatementKind
 from lavenderstack.node.backend import OrderRefused, OrderUnanswered
-from lavenderstack.node.failover import replacer
+from lavenderstack.node.failover import order_settlement
 from lavenderstack.node.failover.replacer_fake import ReplacerHarness
 
 
@@ -57,8 +57,8 @@
         The replicas were resumed at once, and commits acknowledged that the replica
         lacks which leads some hundred ms later.
         """
-        monkeypatch.setattr(replacer, "EFFECT_LIMIT_S", 0.2)
-        monkeypatch.setattr(replacer, "RELEASE_RETRY_S", 0.0)
+        monkeypatch.setattr(order_settlement, "EFFECT_LIMIT_S", 0.2)
+        monkeypatch.setattr(order_settlement, "RELEASE_RETRY_S", 0.0)
         harness, order = await self.send_unanswered()
         if former_owner:
             harness.replacer._groups.clear()
@@ -71,8 +71,8 @@
         assert harness.group.incomplete == []
 
     async def test_it_has_no_effect_once_the_replicas_are_resumed(self, monkeypatch):
-        monkeypatch.setattr(replacer, "EFFECT_LIMIT_S", 0.0)
-        monkeypatch.setattr(replacer, "RELEASE_RETRY_S", 0.0)
+        monkeypatch.setattr(order_settlement, "EFFECT_LIMIT_S", 0.0)
+        monkeypatch.setattr(order_settlement, "RELEASE_RETRY_S", 0.0)
         harness, order = await self.send_unanswered()
         harness.primary_answers = True
         await harness.check(2)
@@ -85,8 +85,8 @@
 class TestPause:
     async def test_a_new_owner_resumes_what_a_former_one_left_paused(self, monkeypatch):
         """Writes would stay without an answer as long as replicas are paused."""
-        monkeypatch.setattr(replacer, "EFFECT_LIMIT_S", 0.0)
-        monkeypatch.setattr(replacer, "RELEASE_RETRY_S", 0.0)
+        monkeypatch.setattr(order_settlement, "EFFECT_LIMIT_S", 0.0)
+        monkeypatch.setattr(order_settlement, "RELEASE_RETRY_S", 0.0)
         harness = ReplacerHarness()
         harness.targets["t2"].paused, harness.targets["t2"].paused_term = True, 2
         await harness.check(3)
@@ -96,8 +96,8 @@
 
     async def lose_the_answer_to_resume(self, harness, monkeypatch):
         """Let the owner find an obstacle, and t3 get no RESUME after it."""
-        monkeypatch.setattr(replacer, "EFFECT_LIMIT_S", 0.0)
-        monkeypatch.setattr(replacer, "RELEASE_RETRY_S", 0.0)
+        monkeypatch.setattr(order_settlement, "EFFECT_LIMIT_S", 0.0)
+        monkeypatch.setattr(order_settlement, "RELEASE_RETRY_S", 0.0)
         await harness.check(2)
         harness.targets["t2"].silent = True
         harness.primary_answers = False
@@ -148,8 +148,8 @@
         assert harness.targets["t3"].paused
 
     async def test_replicas_are_resumed_once_the_lease_is_renewed(self, monkeypatch):
-        monkeypatch.setattr(replacer, "EFFECT_LIMIT_S", 0.0)
-        monkeypatch.setattr(replacer, "RELEASE_RETRY_S", 0.0)
+        monkeypatch.setattr(order_settlement, "EFFECT_LIMIT_S", 0.0)
+        monkeypatch.setattr(order_settlement, "RELEASE_RETRY_S", 0.0)
         harness = ReplacerHarness()
         await self.freeze_after_the_pause(harness)
         harness.claims.valid_s = 3.0
--- a/lavenderstack/node/failover/replacer.py
+++ b/lavenderstack/node/failover/replacer.py
@@ -11,13 +11,15 @@
 
 import structlog
 
-from lavenderstack.core import clock, statement
+from lavenderstack.core import clock
 from lavenderstack.core.catalog import TargetState
 from lavenderstack.core.failover.isolation import Isolation
+from lavenderstack.core.failover.pending_orders import Traces
 from lavenderstack.core.failover.replacement import (
     Obstacle,
     ReplicaState,
 )
+from lavenderstack.core.messages import Failed
 from lavenderstack.core.work_messages import PrimaryPosition
 from lavenderstack.node.backend import Backend, Claims, Orders
 from lavenderstack.node.counters import Counters
@@ -25,6 +27,7 @@
 from lavenderstack.node.failover.followers import Followers
 from lavenderstack.node.failover.group_claims import GroupClaims
 from lavenderstack.node.failover.group_positions import GroupPositions
+from lavenderstack.node.failover.order_settlement import OrderSettlement, OrderStatus
 from lavenderstack.node.failover.planned_failover import PlannedFailover
 from lavenderstack.node.failover.primary_probe import PrimaryProbe
 from lavenderstack.node.failover.promoter import OrderOutcome, Promoter
@@ -41,10 +44,6 @@
 # How long a primary may have no connection free. The connections of nodes that lost
 # power count at a target for 3 s.
 MAX_FULL_S = 4.0
-# How often it is tried to resume replicas that an earlier attempt may have paused.
-RELEASE_RETRY_S = 1.0
-# The longest time from an order being carried out to its effect.
-EFFECT_LIMIT_S = 2.0
 # The node acts only if its view was proved current within this time.
 MAX_VIEW_AGE_S = 2.5
 
@@ -53,24 +52,14 @@
 class _GroupStatus:
     """State of this node's supervision of one group.
 
-    ``misses`` counts checks in a row without a known primary. ``may_be_paused`` tells
-    that an earlier attempt, also of a former owner, may have left replicas paused,
-    ``order_pending`` that an order of this node may still be carried out. The other
-    fields are in seconds on the clock: the first of the latest checks in a row at which
-    the primary had no connection free, the last accepted order, and the last try to
-    resume replicas. With ``fenced`` the fence was raised under the present primary, and
-    orders carried out before may take effect until ``fenced_until``. ``isolation``
-    tells how long other nodes haven't answered.
+    ``misses`` counts checks in a row without a known primary, ``full_since`` is the
+    first of the latest ones in a row at which it had no connection free, in seconds on
+    the clock. ``isolation`` tells how long other nodes haven't answered.
     """
 
+    orders: OrderStatus = field(default_factory=OrderStatus)
     misses: int = 0
     full_since: float | None = None
-    acted_at: float = 0.0
-    may_be_paused: bool = True
-    order_pending: bool = False
-    released_at: float = float("-inf")
-    fenced: bool = False
-    fenced_until: float = float("-inf")
     isolation: Isolation = field(default_factory=Isolation)
 
 
@@ -105,6 +94,9 @@
             directory, self._probe, self._replicas, self._positions, self._sets
         )
         self._reports = ReceiptReports(self._replicas, self._positions)
+        self._settlement = OrderSettlement(
+            directory, self._replicas, self._positions, self._reports, self._promoter
+        )
         self._groups: dict[str, _GroupStatus] = defaultdict(_GroupStatus)
         self.stopping = False
 
@@ -134,14 +126,16 @@
         self._positions.observe_nodes()
         claim = await self._group_claims.own(group)
         if claim is None:
-            status.may_be_paused = True
-            status.order_pending = status.fenced = False
+            status.orders.end_ownership()
+            await self._reports.stop(group)
             return
+        status.orders.first_epoch = status.orders.first_epoch or claim.epoch
         if not self._may_act():
             return
         primary = self._directory.primary(group)
         if primary is None:
             status.misses += 1
+            await self._settlement.seek_traces(group, status.orders, None)
             if status.misses >= MAX_UNKNOWN_CHECKS:
                 await self._replace_lost(group, status, None)
             return
@@ -149,20 +143,19 @@
             await self._replace_leaving(group, status, primary)
             return
         asked_at = clock.now()
-        answer = await self._probe.ask(primary)
+        answer = await self._ask_primary(group, status, primary)
         if isinstance(answer, PrimaryPosition):
             status.misses, status.full_since = 0, None
             self._replicas.record_term(group, answer.position[0])
             self._positions.record_answer(primary, answer, asked_at)
             self._sets.primary_answered(group)
-            if status.may_be_paused:
-                await self._release_paused(group, status, primary)
+            await self._settlement.settle(status.orders, primary)
             if self._planned.is_due(group, primary):
                 await self._replace_leaving(group, status, primary)
                 return
             if self._directory.is_replicated(group):
                 self._sets.maintain(primary, claim, self._followers(group, primary))
-            await self._group_claims.hand_over(primary, claim, status.acted_at)
+            await self._group_claims.hand_over(primary, claim, status.orders.acted_at)
             return
         if answer is not None and self._may_stay_full(status):
             log.info("replacer: primary full", group=group, target=primary.target.name)
@@ -170,6 +163,16 @@
         log.info("replacer: primary silent", group=group, target=primary.target.name)
         await self._replace_lost(group, status, primary)
 
+    async def _ask_primary(
+        self, group: str, status: _GroupStatus, primary: TargetState
+    ) -> PrimaryPosition | Failed | None:
+        """Ask the primary for its position, and seek traces of a former owner."""
+        answer, _ = await asyncio.gather(
+            self._probe.ask(primary),
+            self._settlement.seek_traces(group, status.orders, primary),
+        )
+        return answer
+
     def _may_stay_full(self, status: _GroupStatus) -> bool:
         """Return whether to wait for a primary that refuses new connections.
 
@@ -190,6 +193,9 @@
         self, group: str, status: _GroupStatus, lost: TargetState | None
     ) -> None:
         """Promote a replica in place of a lost primary, if one may take over."""
+        pending = status.orders.pending
+        await self._reports.stop(group)
+        self._positions.set_every_term(group, pending.endanger(""))
         choice = await self._choice.in_place_of_lost(group, lost, self._may_act)
         await self._act_on(group, status, choice)
         isolated = choice.chosen is Obstacle.ISOLATED
@@ -200,6 +206,15 @@
         self, group: str, status: _GroupStatus, primary: TargetState
     ) -> None:
         """Promote a replica in place of one that leaves or whose zone is evacuated."""
+        pending, name = status.orders.pending, primary.target.name
+        unsettled = pending.traces is not Traces.NONE
+        if (
+            unsettled
+            and self._directory.is_replicated(group)
+            and not await self._settle_leaving(group, status, primary)
+        ):
+            return
+        self._positions.set_every_term(group, pending.endanger(name))
         choice = await self._choice.in_place_of_leaving(primary)
         successor = choice.chosen.name if choice.serving else ""
         state = self._directory.targets.get(successor)
@@ -209,14 +224,27 @@
         async with self._reports.running(state):
             await self._act_on(group, status, choice)
 
+    async def _settle_leaving(
+        self, group: str, status: _GroupStatus, primary: TargetState
+    ) -> bool:
+        """Return whether a primary that leaves may be replaced as planned.
+
+        One that is silent is replaced as a lost one.
+        """
+        if await self._ask_primary(group, status, primary) is None:
+            await self._replace_lost(group, status, primary)
+            return False
+        await self._settlement.settle(status.orders, primary)
+        return status.orders.pending.traces is Traces.NONE
+
     async def _act_on(self, group: str, status: _GroupStatus, choice: Choice) -> None:
         """Promote the chosen replica, or resume those that were paused for a choice."""
         if isinstance(choice.chosen, ReplicaState):
             await self._promote(group, status, choice.chosen.name, choice.paused)
         elif choice.paused:
-            await self._resume(group, status, choice.paused)
+            await self._settlement.resume(group, status.orders, choice.paused)
         else:
-            self._release(group, status)
+            self._settlement.release(group, status.orders)
 
     async def _promote(
         self, group: str, status: _GroupStatus, target: str, paused: list[TargetState]
@@ -226,71 +254,17 @@
         ``paused`` are resumed if the order is certain not to be carried out. Otherwise
         they must not receive what the target may lack when it becomes the primary.
         """
-        status.fenced = False
-        outcome = await self._promoter.promote(group, target)
+        orders = status.orders
+        outcome = await self._promoter.promote(group, target, orders.pending)
+        if outcome is not OrderOutcome.NOT_TAKEN:
+            orders.acted_at = clock.now()
         if outcome is OrderOutcome.TAKEN:
-            status.acted_at = clock.now()
-            status.misses, status.order_pending = 0, False
-            status.may_be_paused = True
-            self._positions.promoted(group)
-            return
-        if outcome is OrderOutcome.UNKNOWN:
-            status.order_pending = True
-        await self._resume(group, status, paused)
-
-    async def _resume(
-        self, group: str, status: _GroupStatus, followers: list[TargetState]
-    ) -> None:
-        """Resume replicas, unless an order is pending or the next owner may act.
-
-        One that isn't known to receive again is resumed later, if it is still paused.
-        """
-        self._release(group, status)
-        status.may_be_paused = True
-        if status.order_pending:
-            log.warning("replacer: replicas stay paused", group=group)
-        elif self._promoter.lease_holds():
-            status.may_be_paused = not await self._replicas.resume(group, followers)
-        else:
-            log.warning("replacer: lease too old to act", group=group)
-
-    def _release(self, group: str, status: _GroupStatus) -> None:
-        """Let the nodes acknowledge commits again, unless an order is pending."""
-        if not status.order_pending:
-            self._positions.release(group)
-
-    async def _release_paused(
-        self, group: str, status: _GroupStatus, primary: TargetState
-    ) -> None:
-        """Resume replicas that an earlier attempt left paused under this primary.
-
-        An order of that attempt may still be under way. It must not take effect once
-        the replicas receive again: no earlier order is carried out any more once the
-        fence is raised, and one that was carried out just before has taken effect or
-        never will ``EFFECT_LIMIT_S`` later.
-        """
-        now = clock.now()
-        if now < status.fenced_until or now - status.released_at < RELEASE_RETRY_S:
+            status.misses, orders.may_be_paused = 0, True
+            await self._settlement.end_holds_below(group, target)
+            await self._promoter.renew_used_epoch(group)
             return
-        status.released_at = now
-        followers = self._followers(group, primary)
-        states = await self._replicas.send(followers, statement.STATUS)
-        paused = [
-            follower
-            for follower, state in zip(followers, states, strict=True)
-            if state.paused
-        ]
-        if not paused and not status.order_pending:
-            status.may_be_paused = any(state.received is None for state in states)
-        elif not status.fenced:
-            status.fenced = await self._promoter.raise_fence(group, primary.target.name)
-            status.fenced_until = clock.now() + EFFECT_LIMIT_S
-        else:
-            # Another owner's order must not follow this one closely.
-            status.acted_at = now
-            status.fenced = status.order_pending = False
-            await self._resume(group, status, paused)
-            status.may_be_paused |= any(state.received is None for state in states)
+        await self._settlement.resume(group, orders, paused)
 
-    def _followers(self, group: str, primary: TargetState) -> list[TargetState]:
-        return self._directory.followers(group, primary.target.name)
+    def _followers(self, group: str, primary: TargetState | None) -> list[TargetState]:
+        name = primary.target.name if primary else ""
+        return self._directory.followers(group, name)
--- a/lavenderstack/node/failover/replacer_fake.py
+++ b/lavenderstack/node/failover/replacer_fake.py
@@ -4,11 +4,13 @@
 that it gives for them.
 """
 
+import asyncio
+
 import msgspec
 
 from lavenderstack.core import clock
 from lavenderstack.core.catalog import Catalog, GroupLimits, RecordedOwnership
-from lavenderstack.core.failover.acknowledgement_hold import NO_HOLD
+from lavenderstack.core.failover.acknowledgement_hold import NO_HOLD, HoldNumber
 from lavenderstack.core.failover.replica_set import ReplicaSet, TargetRun
 from lavenderstack.core.members import Members
 from lavenderstack.core.messages import Failed
@@ -28,6 +30,7 @@
 from lavenderstack.node.backend_fake import FakeBackend, FakeGroup, FakeTarget
 from lavenderstack.node.counters import Counters
 from lavenderstack.node.directory import Directory
+from lavenderstack.node.failover import receipt_reports
 from lavenderstack.node.failover.replacer import Replacer
 from lavenderstack.node.peers import Peers
 from lavenderstack.node.streams import StreamLost, StreamPool
@@ -108,8 +111,12 @@
         self.observed = {
             name: GroupPosition(START, uptime_s=60.0) for name in ("n1", "n2")
         }
-        # How far the nodes acknowledge commits that hold back the others.
+        # How far the nodes acknowledge commits that hold back the others, and the term
+        # up to which they do.
         self.holding: dict[str, Position] = {}
+        self.held_terms: dict[str, int] = {}
+        # The numbers of holds that a former owner left at nodes.
+        self.former_holds: dict[str, HoldNumber] = {}
         # The new primaries that were announced to each node.
         self.announced: list[tuple[str, str]] = []
         self.primary_answers = True
@@ -147,11 +154,21 @@
         """Commit a write that a node acknowledges to its caller, unless it holds."""
         primary, acknowledged = self.targets[self.primary], self.group.acknowledged
         self.group.commit(primary)
-        if primary.position > self.holding.get(node, primary.position):
+        held = primary.term <= self.held_terms.get(node, 0)
+        if held and primary.position > self.holding.get(node, primary.position):
             self.group.acknowledged = acknowledged
             return
         self.observed[node] = GroupPosition(primary.position, uptime_s=60.0)
 
+    def acknowledge_released(self):
+        """Acknowledge what waits at the nodes and isn't held back any more."""
+        primary = self.targets[self.primary]
+        for node, held in self.holding.items():
+            if held.term == primary.term and node in self.observed:
+                position = min(held, primary.position)
+                self.group.acknowledged = max(self.group.acknowledged, position[1])
+                self.observed[node] = GroupPosition(position, uptime_s=60.0)
+
     def act_before_promotion(self, act):
         """Call ``act`` when an order is under way and has not taken effect yet."""
         promote = self.group.promote
@@ -208,12 +225,16 @@
         answer = self.observed[node]
         if msg.release:
             self.holding.pop(node, None)
+            self.held_terms.pop(node, None)
         elif msg.hold != NO_HOLD:
             told = answer.position if isinstance(answer, GroupPosition) else START
             self.holding[node] = max(told, msg.received)
+            self.held_terms[node] = msg.term
+            self.former_holds.pop(node, None)
         if not isinstance(answer, GroupPosition) or node not in self.holding:
             return answer
-        return msgspec.structs.replace(answer, holds=True)
+        held = self.former_holds.get(node, NO_HOLD)
+        return msgspec.structs.replace(answer, holds=True, held=held)
 
     async def check(self, times=1):
         """Let the owner check the group."""
@@ -221,6 +242,10 @@
             await self.replacer._check_group("g")
             await self.replacer._sets.settled()
 
+    async def settle_reports(self):
+        """Wait until what the targets have received is reported."""
+        await asyncio.sleep(3 * receipt_reports.REPORT_INTERVAL_S)
+
     @property
     def primary(self):
         """The name of the present primary."""
--- /dev/null
+++ b/lavenderstack/node/failover/unanswered_orders_test.py
@@ -0,0 +1,146 @@
+"""Tests of orders without an answer, of this owner and of former ones."""
+
+import pytest
+
+from lavenderstack.core.failover.acknowledgement_hold import HoldNumber
+from lavenderstack.node.backend import OrderRefused, OrderUnanswered
+from lavenderstack.node.backend_fake import FakeTarget
+from lavenderstack.node.failover import order_settlement
+from lavenderstack.node.failover.replacer_fake import ReplacerHarness
+
+FORMER_EPOCH = 10
+
+
+class SilentPlatform:
+    """Gives no answer to orders; ``sent`` are those it may carry out later.
+
+    Meanwhile callers commit through all nodes, which acknowledge what isn't held back.
+    """
+
+    def __init__(self, harness):
+        self.sent = []
+        self._harness = harness
+        harness.replacer._promoter._orders = self
+
+    async def promote(self, *order):
+        """Take an order without an answer."""
+        self.sent.append(order)
+        commit(self._harness)
+        await self._harness.settle_reports()
+        self._harness.acknowledge_released()
+        raise OrderUnanswered("lost")
+
+    def answer(self):
+        """Let the platform answer from now on."""
+        self._harness.replacer._promoter._orders = self._harness.group
+
+
+@pytest.fixture(autouse=True)
+def without_pauses(monkeypatch):
+    """Let the owner try again at each check, and send each order twice."""
+    monkeypatch.setattr(order_settlement, "RELEASE_RETRY_S", 0.0)
+    monkeypatch.setattr(order_settlement, "EFFECT_LIMIT_S", 0.0)
+    monkeypatch.setattr("lavenderstack.node.failover.promoter.ORDER_RETRY_S", 0.01)
+    monkeypatch.setattr("lavenderstack.node.failover.promoter.MAX_ORDER_TRIES", 2)
+
+
+def join(harness, name):
+    """Start a replica that has what the primary has."""
+    primary = harness.targets[harness.primary]
+    harness.targets[name] = FakeTarget(name, term=primary.term)
+    harness.targets[name].received = primary.received
+    harness.put_target(name)
+
+
+def commit(harness):
+    """Commit through each node."""
+    for node in harness.observed:
+        harness.commit_through(node)
+
+
+class TestOrderOfAFormerOwner:
+    """Found by the review: the next owner let commits through that it would lose."""
+
+    async def leaving(self, held=False):
+        """Let the former owner have died with an order sent: t3 in place of t1.
+
+        With ``held`` only the nodes' holds tell of it.
+        """
+        harness = ReplacerHarness()
+        commit(harness)
+        if held:
+            for node, one in harness.observed.items():
+                harness.holding[node], harness.held_terms[node] = one.position, 1
+                harness.former_holds[node] = HoldNumber(FORMER_EPOCH, 1)
+        else:
+            harness.targets["t2"].paused, harness.targets["t2"].paused_term = True, 2
+        harness.put_target("t1", leaving=True)
+        join(harness, "t4")
+        harness.put_target("t3", leaving=True)
+        platform = SilentPlatform(harness)
+        return harness, platform, ("g", "t3", "n2", FORMER_EPOCH)
+
+    @pytest.mark.parametrize("held", [False, True])
+    async def test_nothing_is_acknowledged_that_it_would_lose(self, held):
+        harness, _, order = await self.leaving(held)
+        for _ in range(3):
+            await harness.check()
+            commit(harness)
+        await harness.group.promote(*order)
+        assert harness.group.incomplete == []
+
+    async def test_nothing_is_acknowledged_that_the_present_owners_would_lose(self):
+        """Guards against commits of the one that led between the two orders."""
+        harness, platform, order = await self.leaving()
+        await harness.check(2)
+        await harness.group.promote(*order)
+        for name in ("t1", "t2", "t4"):
+            harness.targets[name].deaf = name != "t2"
+        commit(harness)
+        for late in platform.sent:
+            await harness.group.promote(*late)
+        assert harness.group.incomplete == []
+
+    async def test_the_primary_is_replaced_once_the_platform_answers(self):
+        harness, platform, order = await self.leaving()
+        await harness.check(2)
+        platform.answer()
+        await harness.check(2)
+        harness.put_target("t1", leaving=True)
+        await harness.check(2)
+        assert harness.primary in ("t2", "t4")
+        with pytest.raises(OrderRefused):
+            await harness.group.promote(*order)
+        commit(harness)
+        assert harness.group.acknowledged == harness.targets[harness.primary].received
+        assert harness.group.incomplete == []
+
+    async def test_a_primary_that_is_lost_then_is_replaced(self):
+        harness, platform, _ = await self.leaving()
+        await harness.check(2)
+        harness.primary_answers = False
+        platform.answer()
+        await harness.check(2)
+        assert harness.primary != "t1"
+        assert harness.group.incomplete == []
+
+    async def test_a_group_without_traces_is_served_without_a_fence(self):
+        """Guards against a search that holds back or orders something."""
+        harness = ReplacerHarness()
+        await harness.check(3)
+        assert harness.group.epochs == []
+        assert harness.holding == {}
+
+    async def test_a_lost_primary_gets_one_order_only(self):
+        """Nodes hold back every term until it leads, and nothing of its own after."""
+        harness, _, order = await self.leaving()
+        harness.replacer._promoter._orders = harness.group
+        harness.primary_answers = False
+        await harness.check(2)
+        assert harness.primary != "t1"
+        harness.primary_answers = True
+        await harness.check()
+        with pytest.raises(OrderRefused):
+            await harness.group.promote(*order)
+        commit(harness)
+        assert harness.group.acknowledged == harness.targets[harness.primary].received
