--- a/lavenderstack/core/failover/pending_orders.py
+++ b/lavenderstack/core/failover/pending_orders.py
@@ -24,6 +24,7 @@
 =================  ==================================================================
 """
 
+from collections.abc import Collection
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
@@ -141,3 +142,14 @@
         Whoever orders another target must expect that both orders are carried out.
         """
         return self.may_undo(primary) or self.traces is Traces.NOT_SOUGHT
+
+    def successor(self, primary: str, candidates: Collection[str]) -> str | None:
+        """Return the candidate that an own order names already, None if none does.
+
+        A planned change may go on with this one: it has every acknowledged commit.
+        """
+        others = self.others(primary)
+        if self.traces is not Traces.NONE or len(others) != 1:
+            return None
+        (target,) = others
+        return target if target in candidates else None
--- a/lavenderstack/core/failover/pending_orders_test.py
+++ b/lavenderstack/core/failover/pending_orders_test.py
@@ -79,3 +79,21 @@
         orders = owner(Traces.FOUND, e11="t2", e12="t3")
         orders.took_effect()
         assert not orders.endanger("t3")
+
+
+class TestSuccessor:
+    """Guards against a second choice while the first may still take the lead."""
+
+    @pytest.mark.parametrize(
+        ("orders", "successor"),
+        [
+            (owner(), None),
+            (owner(e11="t2"), "t2"),
+            (owner(e11="t2", e12="t1"), "t2"),
+            (owner(e11="t4"), None),
+            (owner(e11="t2", e12="t3"), None),
+            (owner(Traces.FOUND, e11="t2"), None),
+        ],
+    )
+    def test_only_the_one_that_is_ordered_may_take_over(self, orders, successor):
+        assert orders.successor("t1", {"t2", "t3"}) == successor
--- a/lavenderstack/core/failover/replacement.py
+++ b/lavenderstack/core/failover/replacement.py
@@ -16,7 +16,7 @@
 ``core/failover/replica_set.py``.
 """
 
-from collections.abc import Sequence
+from collections.abc import Container, Sequence
 from dataclasses import dataclass
 from enum import Enum, auto
 
@@ -66,10 +66,13 @@
     ISOLATED = auto()
 
 
-def most_advanced(replicas: Sequence[ReplicaState]) -> ReplicaState | None:
+def most_advanced(
+    replicas: Sequence[ReplicaState], ordered: Container[str] = ()
+) -> ReplicaState | None:
     """Return the replica that received most.
 
-    Of equals, one is taken that is not in an evacuated zone and is not leaving.
+    Of equals, one is taken that is not in an evacuated zone, that an order names which
+    may still be carried out (``ordered``), and that is not leaving.
 
     >>> most_advanced([ReplicaState("a", False, Position(1, 2)),
     ...                ReplicaState("b", False, Position(1, 3))]).name
@@ -81,6 +84,7 @@
         key=lambda replica: (
             replica.received,
             not replica.evacuated,
+            replica.name in ordered,
             not replica.leaving,
             replica.name,
         ),
@@ -89,16 +93,17 @@
 
 
 def choose_successor(
-    replicas: Sequence[ReplicaState], replicated: bool
+    replicas: Sequence[ReplicaState], replicated: bool, ordered: Container[str] = ()
 ) -> ReplicaState | Obstacle:
     """Return the replica that takes over from a failed primary, or why none may.
 
     ``replicas`` are all replicas of the group, paused. If ``replicated`` is False,
-    commits are acknowledged by the primary alone and any replica may take over.
+    commits are acknowledged by the primary alone and any replica may take over. For
+    ``ordered`` see ``most_advanced``.
     """
     if any(replica.leads for replica in replicas):
         return Obstacle.LED
-    chosen = most_advanced(replicas)
+    chosen = most_advanced(replicas, ordered)
     if chosen is None:
         return Obstacle.NO_REPLICA
     if replicated and not all(replica.paused for replica in replicas):
--- a/lavenderstack/node/failover/order_settlement.py
+++ b/lavenderstack/node/failover/order_settlement.py
@@ -162,13 +162,16 @@
         """Order the present primary again, so that earlier orders end.
 
         Until then one of them may make another target the primary for a while, so
-        commits of every term are held back.
+        commits of every term are held back. Those are let through that the targets of
+        all orders have; nothing is, if a former owner's may be among them.
         """
         pending = orders.pending
         group, name = primary.group, primary.target.name
         self._positions.set_every_term(group, pending.endanger(name))
         await self._positions.hold(group, name)
-        await self._reports.start(group, [])
+        states = [self._directory.targets.get(one) for one in pending.others(name)]
+        known = pending.traces is Traces.NONE and None not in states
+        await self._reports.start(group, states if known else [])
         orders.acted_at = clock.now()
         await self._promoter.raise_fence(group, name, pending, EFFECT_LIMIT_S)
 
--- a/lavenderstack/node/failover/promoter.py
+++ b/lavenderstack/node/failover/promoter.py
@@ -132,7 +132,7 @@
         log.info("replacer: order sent", group=group, target=target, epoch=claim.epoch)
         outcome, calls = OrderOutcome.NOT_TAKEN, 0
         while calls < MAX_ORDER_TRIES:
-            if not self.lease_holds():
+            if not self._may_order(group, claim):
                 log.warning("replacer: lease too old to act", group=group)
                 break
             calls += 1
@@ -149,6 +149,14 @@
             await asyncio.sleep(ORDER_RETRY_S)
         return outcome, calls
 
+    def _may_order(self, group: str, claim: RecordedOwnership) -> bool:
+        """Return whether this node still owns a group under a claim.
+
+        A lease that holds may be a later one, and the claim have ended with the former.
+        """
+        current = self._directory.ownerships.get(group)
+        return self.lease_holds() and current == claim
+
     async def _call(self, group: str, target: str, epoch: int) -> OrderOutcome:
         """Send an order once, and return what its answer tells."""
         fields = {"group": group, "target": target, "epoch": epoch}
--- a/lavenderstack/node/failover/replacer.py
+++ b/lavenderstack/node/failover/replacer.py
@@ -14,7 +14,6 @@
 from lavenderstack.core import clock
 from lavenderstack.core.catalog import TargetState
 from lavenderstack.core.failover.isolation import Isolation
-from lavenderstack.core.failover.pending_orders import Traces
 from lavenderstack.core.failover.replacement import (
     Obstacle,
     ReplicaState,
@@ -155,7 +154,9 @@
                 return
             if self._directory.is_replicated(group):
                 self._sets.maintain(primary, claim, self._followers(group, primary))
-            await self._group_claims.hand_over(primary, claim, status.orders.acted_at)
+            orders = status.orders
+            if not orders.pending.may_undo(primary.target.name):
+                await self._group_claims.hand_over(primary, claim, orders.acted_at)
             return
         if answer is not None and self._may_stay_full(status):
             log.info("replacer: primary full", group=group, target=primary.target.name)
@@ -196,7 +197,9 @@
         pending = status.orders.pending
         await self._reports.stop(group)
         self._positions.set_every_term(group, pending.endanger(""))
-        choice = await self._choice.in_place_of_lost(group, lost, self._may_act)
+        choice = await self._choice.in_place_of_lost(
+            group, lost, self._may_act, ordered=pending.others("")
+        )
         await self._act_on(group, status, choice)
         isolated = choice.chosen is Obstacle.ISOLATED
         if status.isolation.observe(isolated, clock.now()):
@@ -207,15 +210,15 @@
     ) -> None:
         """Promote a replica in place of one that leaves or whose zone is evacuated."""
         pending, name = status.orders.pending, primary.target.name
-        unsettled = pending.traces is not Traces.NONE
-        if (
-            unsettled
-            and self._directory.is_replicated(group)
-            and not await self._settle_leaving(group, status, primary)
-        ):
-            return
+        ordered = None
+        if self._directory.is_replicated(group) and pending.endanger(name):
+            ordered = pending.successor(name, self._staying(group, primary))
+            if ordered is None and not await self._settle_leaving(
+                group, status, primary
+            ):
+                return
         self._positions.set_every_term(group, pending.endanger(name))
-        choice = await self._choice.in_place_of_leaving(primary)
+        choice = await self._choice.in_place_of_leaving(primary, ordered)
         successor = choice.chosen.name if choice.serving else ""
         state = self._directory.targets.get(successor)
         if state is None:
@@ -224,6 +227,14 @@
         async with self._reports.running(state):
             await self._act_on(group, status, choice)
 
+    def _staying(self, group: str, primary: TargetState) -> set[str]:
+        """Return the replicas that may take over from one that leaves."""
+        return {
+            one.target.name
+            for one in self._followers(group, primary)
+            if not one.leaving and not self._directory.is_evacuated(one.target.zone)
+        }
+
     async def _settle_leaving(
         self, group: str, status: _GroupStatus, primary: TargetState
     ) -> bool:
@@ -235,7 +246,7 @@
             await self._replace_lost(group, status, primary)
             return False
         await self._settlement.settle(status.orders, primary)
-        return status.orders.pending.traces is Traces.NONE
+        return not status.orders.pending.endanger(primary.target.name)
 
     async def _act_on(self, group: str, status: _GroupStatus, choice: Choice) -> None:
         """Promote the chosen replica, or resume those that were paused for a choice."""
--- a/lavenderstack/node/failover/successor_choice.py
+++ b/lavenderstack/node/failover/successor_choice.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Container, Sequence
 from dataclasses import dataclass, field
 
 import structlog
@@ -67,11 +67,16 @@
         self._sets = sets
 
     async def in_place_of_lost(
-        self, group: str, lost: TargetState | None, may_act: Callable[[], bool]
+        self,
+        group: str,
+        lost: TargetState | None,
+        may_act: Callable[[], bool],
+        ordered: Container[str] = (),
     ) -> Choice:
         """Choose the replica with the longest log in place of a lost primary.
 
-        The replicas are paused first, if ``may_act`` still allows that then.
+        The replicas are paused first, if ``may_act`` still allows that then. Of equals,
+        one is taken that is ``ordered`` already.
         """
         name = lost.target.name if lost else ""
         replicated = self._directory.is_replicated(group)
@@ -89,7 +94,7 @@
             end = HeldEnd(required, everywhere=True)
             followers = self._followers(group, lost)
             states = await self._replicas.pause(group, followers)
-        chosen = choose_successor(states, replicated)
+        chosen = choose_successor(states, replicated, ordered)
         if replicated and self._has_joined(group, lost, followers):
             chosen = Obstacle.SILENT_REPLICA
         if isinstance(chosen, ReplicaState):
@@ -135,9 +140,13 @@
             return None
         return commit_obstacle(chosen, end.position, unregistered, end.everywhere)
 
-    async def in_place_of_leaving(self, primary: TargetState) -> Choice:
+    async def in_place_of_leaving(
+        self, primary: TargetState, ordered: str | None = None
+    ) -> Choice:
         """Choose a replica in place of one that leaves or whose zone is evacuated.
 
+        Only the ``ordered`` one may be chosen, if there is one.
+
         The other replicas are paused, and the candidate catches up with them. Then all
         nodes hold back acknowledgements beyond what the candidate has received, since
         another replica may join at any time until it has taken over.
@@ -146,7 +155,10 @@
         followers = self._followers(group, primary)
         staying = [one for one in followers if not one.leaving]
         states = await self._replicas.send(staying, statement.STATUS)
-        candidate = most_advanced([one for one in states if not one.evacuated])
+        eligible = [
+            one for one in states if not one.evacuated and ordered in (None, one.name)
+        ]
+        candidate = most_advanced(eligible)
         if candidate is None:
             log.info("replacer: no replica to take over yet", group=group)
             return Choice(None)
--- a/lavenderstack/node/failover/unanswered_orders_test.py
+++ b/lavenderstack/node/failover/unanswered_orders_test.py
@@ -144,3 +144,82 @@
             await harness.group.promote(*order)
         commit(harness)
         assert harness.group.acknowledged == harness.targets[harness.primary].received
+
+
+class TestOwnOrder:
+    """Found by the review: another replica was chosen while an order was pending."""
+
+    async def pending(self):
+        """Let t1 leave; the order that replaces it has no answer."""
+        harness = ReplacerHarness()
+        await harness.check(2)
+        commit(harness)
+        platform = SilentPlatform(harness)
+        harness.put_target("t1", leaving=True)
+        await harness.check()
+        order = platform.sent[0]
+        return harness, platform, order
+
+    async def test_nothing_is_acknowledged_that_it_would_lose(self):
+        harness, _, order = await self.pending()
+        join(harness, "t4")
+        harness.put_target(order[1], leaving=True)
+        for _ in range(3):
+            await harness.check()
+            commit(harness)
+        await harness.group.promote(*order)
+        assert harness.group.incomplete == []
+
+    async def test_commits_that_its_target_has_are_acknowledged(self):
+        """The platform may be silent for seconds, and the primary serves on."""
+        harness, _, order = await self.pending()
+        harness.put_target(order[1], leaving=True)
+        await harness.check()
+        before = harness.group.acknowledged
+        await harness.check()
+        assert harness.group.acknowledged > before
+        assert harness.targets[order[1]].received >= harness.group.acknowledged
+
+    async def test_the_one_that_it_names_is_ordered_again(self):
+        """A second choice while the first may lead would need a fence and a wait."""
+        harness, platform, order = await self.pending()
+        join(harness, "t4")
+        platform.answer()
+        await harness.check()
+        assert harness.primary == order[1]
+
+    async def test_a_later_order_loses_nothing_of_the_one_that_led(self):
+        harness, platform, order = await self.pending()
+        harness.put_target(order[1], leaving=True)
+        await harness.check()
+        await harness.group.promote(*order)
+        for name in harness.targets:
+            harness.targets[name].deaf = name != "t2"
+        commit(harness)
+        for late in platform.sent:
+            if late[3] >= order[3] and late[1] != order[1]:
+                await harness.group.promote(*late)
+        assert harness.group.incomplete == []
+
+    async def test_the_group_is_not_handed_over_while_it_is_pending(self):
+        """The next owner would have to wait until it is over."""
+        harness, _, _ = await self.pending()
+        harness.put_target("t1")
+        harness.directory.zone = "z1"
+        harness.replacer._groups["g"].orders.acted_at = 0.0
+        await harness.check()
+        assert harness.claims.released == []
+
+    async def test_it_is_not_sent_again_once_the_claim_has_ended(self):
+        """Guards against an order under a new lease with the claim of the former."""
+        harness, platform, _ = await self.pending()
+        before = len(platform.sent)
+        promote = platform.promote
+
+        async def promote_and_lose_the_claim(*order):
+            harness.directory.drop_ownership("g")
+            await promote(*order)
+
+        platform.promote = promote_and_lose_the_claim
+        await harness.check()
+        assert len(platform.sent) == before + 1
