--- a/lavenderstack/node/executor_connections_test.py
+++ b/lavenderstack/node/executor_connections_test.py
@@ -72,6 +72,79 @@
         assert isinstance(await harness.run(values=self.FIRST), WorkDone)
         assert harness.targets["t1"].executed[-1][-1] == self.FIRST
 
+    async def run_after_another_session(self, harness, refused, access):
+        """Run a statement with other values than the connection has."""
+        await harness.run(WRITE, values=self.FIRST)
+        target = harness.targets["t1"]
+        target.refused = frozenset({refused})
+        executed = len(target.executed)
+        answer = await harness.run(
+            self.EXECUTE, access=access, values=self.SECOND, prepared=self.SHAPE
+        )
+        return answer, target.executed[executed:]
+
+    SETUP = (StatementKind.RESET, StatementKind.SET_VALUE, StatementKind.PREPARE)
+
+    @pytest.mark.parametrize("access", [Access.WRITE, Access.AGED_READ])
+    @pytest.mark.parametrize("refused", SETUP)
+    async def test_nothing_runs_on_a_connection_that_is_not_prepared(
+        self, refused, access
+    ):
+        """Found by the review: a write was sent together with RESET and SET.
+
+        The target refused these, and the write ran with another session's values.
+        """
+        harness = ExecutorHarness()
+        answer, executed = await self.run_after_another_session(
+            harness, refused, access
+        )
+        assert isinstance(answer, WorkDone) or not answer.run
+        assert [one[-1] for one in executed if one[-1] != self.SECOND] == []
+
+    @pytest.mark.parametrize("refused", SETUP)
+    async def test_nothing_runs_in_a_transaction_that_is_not_prepared(self, refused):
+        """Guards against a value that is set within a transaction and refused."""
+        harness = ExecutorHarness()
+        opens = TransactionStart.READ_WRITE
+        opened = await harness.run(WRITE, opens=opens, values=self.FIRST)
+        target = harness.targets["t1"]
+        executed = len(target.executed)
+        target.refused = frozenset({refused})
+        answer = await harness.run(
+            self.EXECUTE, tx=opened.tx, values=self.SECOND, prepared=self.SHAPE
+        )
+        assert (answer.run, answer.reason) == (False, Reason.TRANSACTION_LOST)
+        assert target.executed[executed:] == []
+
+    async def test_a_statement_is_not_sent_once_its_transaction_was_ended(self):
+        """Guards against one that is sent after the wait for what prepares it."""
+        harness = ExecutorHarness()
+        opens = TransactionStart.READ_WRITE
+        opened = await harness.run(WRITE, opens=opens, values=self.FIRST)
+        running = asyncio.ensure_future(
+            harness.run(WRITE, tx=opened.tx, values=self.SECOND)
+        )
+        await asyncio.sleep(0)
+        await harness.executors.end(EndWork(opened.tx))
+        answer = await running
+        assert not answer.run
+        assert len(harness.targets["t1"].executed) == 1
+
+    async def test_a_prepared_connection_gets_the_statement_at_once(self):
+        """Guards against a mend that asks something before each statement."""
+        harness = ExecutorHarness()
+        await harness.run(WRITE, values=self.FIRST)
+        conn = harness.executors.for_target("t1").connections._idle[0].conn
+        sent, send = [], conn.send
+
+        def record(commands):
+            sent.append([one.statement.kind for one in commands])
+            return send(commands)
+
+        conn.send = record
+        await harness.run(WRITE, values=self.FIRST)
+        assert sent == [[WRITE.kind]]
+
     async def test_names_on_a_connection_are_bounded(self):
         """Callers may prepare ever new shapes, and a connection may stay for days."""
         harness = ExecutorHarness()
--- a/lavenderstack/node/open_transactions.py
+++ b/lavenderstack/node/open_transactions.py
@@ -19,6 +19,7 @@
 from lavenderstack.node.acknowledged_positions import AcknowledgedPositions
 from lavenderstack.node.backend import Command, ConnectionLost
 from lavenderstack.node.targets.active_connections import (
+    NOT_RUN_REASONS,
     ActiveConnections,
     acknowledged_result,
     failure,
@@ -108,14 +109,18 @@
     async def _run_in_slot(self, work: Work, tx: _Transaction) -> Message:
         pooled = tx.pooled
         command = Command(target_statement(work), work.request)
+        deadline = clock.now() + work.left_s
+        error = await self._active.prepare(work, pooled, deadline)
+        if error is not None:
+            return self._not_run(work, pooled, error.reason, error.detail)
+        if work.tx not in self._open:
+            detail = "its session ended it meanwhile"
+            return self._not_run(work, pooled, Reason.TRANSACTION_LOST, detail)
         sent_at = clock.now()
         try:
             (fut,) = send_prepared(work, pooled, [command])
         except ConnectionLost as exc:
-            self._remove(work.tx)
-            self._connections.discard(pooled)
-            return failure(False, Reason.TRANSACTION_LOST, str(exc))
-        deadline = sent_at + work.left_s
+            return self._not_run(work, pooled, Reason.CONNECTION_LOST, str(exc))
         reply = await self._active.answer(pooled, fut, deadline)
         if isinstance(reply, Failed):
             self._remove(work.tx)
@@ -139,6 +144,16 @@
             self._active.roll_back_and_release(pooled)
         return work_result(reply)
 
+    def _not_run(
+        self, work: Work, pooled: PooledConnection, reason: Reason, detail: str
+    ) -> Failed:
+        """End a transaction whose statement wasn't sent; closing rolls it back."""
+        self._remove(work.tx)
+        self._connections.discard(pooled)
+        if reason not in NOT_RUN_REASONS:
+            reason = Reason.TRANSACTION_LOST
+        return failure(False, reason, detail)
+
     def _remove(self, name: str) -> None:
         self._open.pop(name, None)
 
--- a/lavenderstack/node/targets/active_connections.py
+++ b/lavenderstack/node/targets/active_connections.py
@@ -5,8 +5,8 @@
 """
 
 import asyncio
+import math
 from collections.abc import Sequence
-from dataclasses import replace
 
 import structlog
 
@@ -17,7 +17,7 @@
 from lavenderstack.core.work_messages import Work, WorkDone
 from lavenderstack.node.acknowledged_positions import AcknowledgedPositions
 from lavenderstack.node.backend import Command, ConnectionLost
-from lavenderstack.node.targets.connection_setup import send_prepared
+from lavenderstack.node.targets.connection_setup import is_prepared, send_setup
 from lavenderstack.node.targets.target_connections import (
     PooledConnection,
     TargetConnections,
@@ -93,8 +93,7 @@
     ) -> Reply | Failed:
         """Wait for the answer to a statement until ``deadline``, on the clock.
 
-        The connection is closed if the answer doesn't arrive, or if the statement ran
-        though the target had refused what prepares the connection for it.
+        The connection is closed if the answer doesn't arrive.
         """
         try:
             async with asyncio.timeout(max(0.0, deadline - clock.now())):
@@ -111,23 +110,33 @@
             self._connections.discard(pooled)
             raise
         self._connections.record_answer()
-        error = pooled.confirm_setup()
-        return reply if error is None else self._unprepared(pooled, reply, error)
+        return reply
 
-    def _unprepared(
-        self, pooled: PooledConnection, reply: Reply, error: Reply
-    ) -> Reply | Failed:
-        """Return the outcome of a statement whose connection wasn't prepared for it.
+    async def prepare(
+        self, work: Work, pooled: PooledConnection, deadline: float = math.inf
+    ) -> Reply | None:
+        """Set the work's values and prepared statement on a connection.
 
-        If the target refused the statement too, the first error tells why.
+        Waits until ``deadline`` at the longest, on the clock. Returns None once the
+        target has confirmed them, otherwise its first error. The connection must not be
+        used then.
         """
-        self._log_unprepared(error)
-        if reply.reason is None:
-            self._connections.discard(pooled)
-            return failure(True, Reason.CONNECTION_LOST, "values not set")
-        if reply.reason is Reason.BAD_REQUEST:
-            return replace(reply, reason=error.reason, detail=error.detail)
-        return reply
+        if is_prepared(work, pooled):
+            return None
+        try:
+            futs = send_setup(work, pooled)
+            left_s = min(INTERNAL_STATEMENT_TIMEOUT_S, deadline - clock.now())
+            async with asyncio.timeout(max(0.0, left_s)):
+                await asyncio.wait(futs)
+        except (ConnectionLost, TimeoutError) as exc:
+            self._log_discarded(exc)
+            return Reply(reason=Reason.CONNECTION_LOST, detail="no answer")
+        error = pooled.confirm_setup()
+        if error is None:
+            self._connections.record_answer()
+        else:
+            self._log_unprepared(error)
+        return error
 
     async def run_internal(
         self, work: Work, pooled: PooledConnection, commands: Sequence[Command]
@@ -138,15 +147,11 @@
         prepares the connection.
         """
         try:
-            futs = send_prepared(work, pooled, commands)
+            futs = send_setup(work, pooled, commands)
             async with asyncio.timeout(INTERNAL_STATEMENT_TIMEOUT_S):
                 reply = await futs[-1]
         except (ConnectionLost, TimeoutError) as exc:
-            log.info(
-                "executor: connection discarded",
-                target=self._connections.target.name,
-                error=str(exc) or "no answer",
-            )
+            self._log_discarded(exc)
             return None
         self._connections.record_answer()
         error = pooled.confirm_setup()
@@ -155,6 +160,13 @@
             return None
         return reply
 
+    def _log_discarded(self, exc: ConnectionLost | TimeoutError) -> None:
+        log.info(
+            "executor: connection discarded",
+            target=self._connections.target.name,
+            error=str(exc) or "no answer",
+        )
+
     def _log_unprepared(self, error: Reply) -> None:
         log.info(
             "executor: connection not prepared",
--- a/lavenderstack/node/targets/connection_setup.py
+++ b/lavenderstack/node/targets/connection_setup.py
@@ -4,8 +4,9 @@
 on the connection must be exactly those of the session. Prepared statements have names
 on the connection that are the same for all sessions.
 
-What prepares a connection is sent together with the statement. It counts once the
-target has answered it: a target that has lost the lead refuses it in a transaction.
+What prepares a connection counts once the target has answered it, and a statement is
+sent after that: a target may refuse any of it, and would run the statement all the
+same. BEGIN depends on none of it and is sent together with it.
 """
 
 import asyncio
@@ -30,24 +31,37 @@
 MAX_PREPARED_NAMES = 256
 
 
-def send_prepared(
-    work: Work, pooled: PooledConnection, commands: Sequence[Command]
+def send_setup(
+    work: Work, pooled: PooledConnection, commands: Sequence[Command] = ()
 ) -> list["asyncio.Future[Reply]"]:
-    """Send commands after what sets the work's values and prepared statement.
+    """Send what sets the work's values and prepared statement, and then commands.
 
-    Returns the futures of the answers to ``commands``. Raises ``ConnectionLost`` if
-    nothing was sent, also if the target refused what prepared the connection before.
+    The commands must not depend on it. Returns the futures of all answers. Raises
+    ``ConnectionLost`` if nothing was sent, also if the target refused what prepared the
+    connection before.
     """
     if pooled.confirm_setup() is not None:
         raise ConnectionLost("the connection could not be prepared")
-    if _is_prepared(work, pooled):
+    if is_prepared(work, pooled):
         return pooled.conn.send(commands)
     setup, values, names = _setup(work, pooled)
     futs = pooled.conn.send([*setup, *commands])
     if work.prepared is not None and names != pooled.prepared:
         _log_prepared(work, pooled, work.prepared)
     pooled.setup = SentSetup(futs[: len(setup)], values, names)
-    return futs[len(setup) :]
+    return futs
+
+
+def send_prepared(
+    work: Work, pooled: PooledConnection, commands: Sequence[Command]
+) -> list["asyncio.Future[Reply]"]:
+    """Send commands on a connection that is prepared; return their answers' futures.
+
+    Raises ``ConnectionLost`` if nothing was sent, also if it isn't prepared.
+    """
+    if pooled.confirm_setup() is not None or not is_prepared(work, pooled):
+        raise ConnectionLost("the connection is not prepared")
+    return pooled.conn.send(commands)
 
 
 def _log_prepared(work: Work, pooled: PooledConnection, prepared: Prepared) -> None:
@@ -62,7 +76,8 @@
     )
 
 
-def _is_prepared(work: Work, pooled: PooledConnection) -> bool:
+def is_prepared(work: Work, pooled: PooledConnection) -> bool:
+    """Return whether the target has confirmed all that the work needs."""
     prepared = work.prepared
     known = prepared is None or prepared.shared_name in pooled.prepared
     return known and pooled.values == work.values
--- a/lavenderstack/node/transaction_opening.py
+++ b/lavenderstack/node/transaction_opening.py
@@ -11,7 +11,10 @@
 from lavenderstack.core.statement import StatementKind
 from lavenderstack.core.work_messages import Access, TransactionStart, Work
 from lavenderstack.node.backend import Command
-from lavenderstack.node.targets.active_connections import ActiveConnections
+from lavenderstack.node.targets.active_connections import (
+    NOT_RUN_REASONS,
+    ActiveConnections,
+)
 from lavenderstack.node.targets.allocated_connections import AllocatedConnections
 from lavenderstack.node.targets.target_connections import PooledConnection
 
@@ -73,7 +76,7 @@
         Before a write on a connection that was idle, probes the connection instead.
         The answer must arrive before the statement is sent: a read after a refused
         BEGIN would run outside any transaction, where nothing proves that the target
-        is the primary.
+        is the primary. The same goes for what sets the session's values.
         """
         self._require_allowed(work)
         proves_primary = work.access is Access.CURRENT_READ and not work.opens
@@ -90,7 +93,12 @@
                 Command(statement.ROLLBACK),
             ]
         else:
-            return True
+            error = await self._active.prepare(work, pooled)
+            if error is None:
+                return True
+            if error.reason in NOT_RUN_REASONS:
+                raise Refused(error.reason, error.detail)
+            return False
         asked_at = clock.now()
         reply = await self._active.run_internal(work, pooled, commands)
         if reply is None:
