Holds: the term of a primary's earlier lead doesn't count for its present one

An answer gives the term only if its target has led without a break since and no newer term was reported; otherwise the hold concerns every term.

--- a/lavenderstack/node/failover/group_positions.py
+++ b/lavenderstack/node/failover/group_positions.py
@@ -4,6 +4,7 @@
 position that any node has acknowledged has every acknowledged commit.
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from lavenderstack.core import clock
@@ -52,22 +53,32 @@
     """The last position that a group's primary reported to this node.
 
     ``at`` is the clock time in seconds from which on the answer holds, ``nodes`` are
-    the nodes that were registered then or shortly before.
+    the nodes that were registered then or shortly before. ``leads_since`` identifies
+    the lead under which the primary answered, as in ``TargetState``.
     """
 
     primary: str
     position: Position
     at: float
     nodes: frozenset[str]
+    leads_since: int
 
 
 class GroupPositions:
     """What this node, as the owner of groups, learns about their logs.
 
-    ``identity`` names this node and its run, as in its claims.
+    ``identity`` names this node and its run, as in its claims. ``terms`` maps a group
+    to the newest term that any of its targets reported.
     """
 
-    def __init__(self, directory: Directory, peers: Peers, identity: str) -> None:
+    def __init__(
+        self,
+        directory: Directory,
+        peers: Peers,
+        identity: str,
+        terms: Mapping[str, int],
+    ) -> None:
+        self._terms = terms
         self._directory = directory
         self._peers = peers
         self._last_answers: dict[str, _LastAnswer] = {}
@@ -88,6 +99,7 @@
             position,
             asked_at - answer.age_s,
             self._holds.nodes_seen_lately(),
+            primary.leads_since,
         )
 
     def describe_last_answer(self, group: str) -> str:
@@ -205,8 +217,17 @@
         return last
 
     def _term(self, group: str, last: _LastAnswer | None) -> int:
+        """Return the term of the primary that gave this answer, if it still leads it.
+
+        It may have led again since, without an answer.
+        """
         known = last.position.term if last else 0
-        return known if known and group not in self._every_term else ANY_TERM
+        if not known or group in self._every_term:
+            return ANY_TERM
+        state = self._directory.targets.get(last.primary)
+        is_same_lead = state is None or state.leads_since == last.leads_since
+        is_newest = known >= self._terms.get(group, 0)
+        return known if is_same_lead and is_newest else ANY_TERM
 
     async def acknowledged_end(self, group: str, primary: str) -> AcknowledgedEnd:
         """Return the highest position that may have been acknowledged, if it is known.
--- a/lavenderstack/node/failover/replacer.py
+++ b/lavenderstack/node/failover/replacer.py
@@ -81,7 +81,9 @@
         self._replicas = Followers(directory, backend)
         self._probe = PrimaryProbe(peers)
         self._group_claims = GroupClaims(directory, peers, claims)
-        self._positions = GroupPositions(directory, peers, claims.identity)
+        self._positions = GroupPositions(
+            directory, peers, claims.identity, self._replicas.terms
+        )
         self._sets = ReplicaSets(
             directory, self._positions, self._probe, self._replicas, claims
         )
--- a/lavenderstack/node/failover/unanswered_orders_test.py
+++ b/lavenderstack/node/failover/unanswered_orders_test.py
@@ -223,3 +223,30 @@
         platform.promote = promote_and_lose_the_claim
         await harness.check()
         assert len(platform.sent) == before + 1
+
+
+class TestPrimaryThatLeadsAgain:
+    async def test_its_present_term_is_held_back(self):
+        """Found by ``bench promotions``: commits of its second lead were lost.
+
+        Seed 104, once the fake's nodes hold for terms as real ones do. The owner had
+        its last answer from the first lead and held back that term only.
+        """
+        harness = ReplacerHarness()
+        commit(harness)
+        await harness.check(2)
+        harness.primary_answers = False
+        for name in ("t2", "t1"):
+            harness.group.take_effect(name)
+            commit(harness)
+        terms = []
+        promote = harness.group.promote
+
+        async def promote_later(*order):
+            terms.extend(harness.held_terms.values())
+            await promote(*order)
+
+        harness.group.promote = promote_later
+        await harness.check(3)
+        assert terms
+        assert min(terms) >= harness.targets["t1"].term
