--- a/lavenderstack/node/failover/order_settlement.py
+++ b/lavenderstack/node/failover/order_settlement.py
@@ -140,8 +140,6 @@
         if pending.may_undo(name):
             await self._raise_fence(orders, primary)
             return
-        # Another owner's order must not follow this one closely.
-        orders.acted_at = now
         await self._reports.stop(group)
         if self._positions.holds(group):
             await self.end_holds_below(group, name)
@@ -153,6 +151,8 @@
             if state.paused
         ]
         if paused:
+            # Another owner's order must not follow this one closely.
+            orders.acted_at = now
             await self.resume(group, orders, paused)
         else:
             orders.may_be_paused = False
--- a/lavenderstack/node/failover/promoter.py
+++ b/lavenderstack/node/failover/promoter.py
@@ -78,14 +78,18 @@
     ) -> OrderOutcome:
         """Order a promotion under an unused epoch, and wait until it has taken effect.
 
-        Returns what is known of the order.
+        Returns what is known of the order. One that was accepted and has no effect yet
+        may still take it.
         """
         claim = await self._claim_with_unused_epoch(group)
         if claim is None:
             return OrderOutcome.NOT_TAKEN
         outcome, _ = await self._order(group, target, claim, pending)
-        if outcome is OrderOutcome.TAKEN and await self._has_effect(group, target):
-            pending.took_effect()
+        if outcome is not OrderOutcome.TAKEN:
+            return outcome
+        if not await self._has_effect(group, target):
+            return OrderOutcome.UNKNOWN
+        pending.took_effect()
         return outcome
 
     async def renew_used_epoch(self, group: str) -> None:
--- a/lavenderstack/node/failover/unanswered_orders_test.py
+++ b/lavenderstack/node/failover/unanswered_orders_test.py
@@ -201,6 +201,20 @@
                 await harness.group.promote(*late)
         assert harness.group.incomplete == []
 
+    async def test_an_accepted_one_without_effect_stays_pending(self, monkeypatch):
+        """Guards against nodes that are told of a primary which doesn't lead."""
+        name = "lavenderstack.node.failover.promoter.PROMOTION_TIMEOUT_S"
+        monkeypatch.setattr(name, 0.05)
+        harness, platform, order = await self.pending()
+
+        async def accept(*_):
+            return
+
+        platform.promote = accept
+        await harness.check()
+        assert harness.announced == []
+        assert harness.replacer._groups["g"].orders.pending.others("t1") == {order[1]}
+
     async def test_the_group_is_not_handed_over_while_it_is_pending(self):
         """The next owner would have to wait until it is over."""
         harness, _, _ = await self.pending()
