--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -8,11 +8,13 @@
   bench promotions [OPTIONS...]
   bench stops [OPTIONS...]
   bench texts [OPTIONS...]
+  bench changes [OPTIONS...]
 
 ``bench soak --help`` lists the options of the fault soak, ``bench upgrade --help``
 those of an upgrade from another build, ``bench promotions --help`` those of promotions
 at random moments, ``bench stops --help`` those of planned stops that overlap,
-``bench texts --help`` those of callers that choose their texts freely.
+``bench texts --help`` those of callers that choose their texts freely,
+``bench changes --help`` those of changes of primary beside another build.
 
 Options:
   --json FILE  Write the results as JSON.
@@ -85,6 +87,10 @@
         from bench import texts
 
         return texts.main(words)
+    if words[:1] == ["changes"]:
+        from bench import changes
+
+        return changes.main(words)
     args = docopt(__doc__, argv)
     if args["--list"]:
         print("\n".join(BENCHMARKS))
