Commits that wait at a node: none is acknowledged once it may be rolled back

Cause: positions were compared across terms, and no pending order was taken for no change. A hold is released only under the primary under which it was asked for; otherwise the nodes are told who leads. A node acknowledges nothing of a term below that of a commit that it has acknowledged.

Both tests of TestCommitOfAFormerLead failed before.

--- a/bench/promotions.py
+++ b/bench/promotions.py
@@ -1,13 +1,15 @@
 """Promote replicas at random moments, and check that no acknowledged commit is lost.
 
 Usage:
-  bench promotions [--count N] [--seed N] [--joins WHEN] [--go-on]
+  bench promotions [--count N] [--seed N] [--joins WHEN] [--late] [--go-on]
 
 Options:
   --count N  Promotions to play [default: 10000].
   --seed N   Seed of the first play; each next one has the next seed [default: 1].
   --joins WHEN  When new replicas join: never, served (while the owner doesn't take the
                 primary for lost) or always [default: never].
+  --late     Leave orders without an answer and carry them out at any later step, unless
+             their target has started again, and let owners die and others follow them.
   --go-on    Play on after a loss.
 
 A play has a group of three targets, the real supervision of one node, and the answers
@@ -22,7 +24,7 @@
 import logging
 import random
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -33,8 +35,15 @@
 from lavenderstack.core.position import START, Position
 from lavenderstack.core.view import Vm
 from lavenderstack.core.work_messages import GroupPosition
+from lavenderstack.node.backend import OrderRefused, OrderUnanswered
 from lavenderstack.node.backend_fake import FakeTarget
-from lavenderstack.node.failover import order_settlement, replica_sets, successor_choice
+from lavenderstack.node.failover import (
+    order_settlement,
+    promoter,
+    receipt_reports,
+    replica_sets,
+    successor_choice,
+)
 from lavenderstack.node.failover.replacer_fake import ReplacerHarness
 
 NODES = ("n1", "n2", "n3", "n4")
@@ -46,6 +55,12 @@
 ORDERED_FAULT_CHANCE = 0.3
 # The chance that a replica that joins is registered before it receives.
 REGISTERED_CHANCE = 0.5
+# The chance that an order gets no answer.
+UNANSWERED_CHANCE = 0.5
+# The chance in each step that one of those orders is carried out.
+LATE_CHANCE = 0.2
+# Turns of the event loop in which what replicas have received is reported.
+REPORT_STEPS = 30
 SHOWN_STEPS = 40
 
 
@@ -72,6 +87,7 @@
 
     seed: int
     joins: Joins = Joins.NEVER
+    late: bool = False
     steps: list[str] = field(default_factory=list)
 
     def __post_init__(self) -> None:
@@ -81,7 +97,10 @@
         self.harness = ReplacerHarness()
         for name in NODES[2:]:
             self.harness.directory.put_member(Vm(name, "z3", "10.0.0.3", 1))
-        self.harness.act_before_promotion(self._act_while_ordered)
+        # Orders that had no answer.
+        self.in_flight: list[tuple] = []
+        self.carry_out = self.harness.group.promote
+        self.harness.group.promote = self._promote
         self._show_nodes()
 
     async def run(self) -> int:
@@ -93,7 +112,12 @@
                 self.harness.put_target(self.joining.pop())
             self._act(self.rng.choice(self._actions()))
             self._write()
+            await self._carry_out_late()
+            self._write()
+            # The owner follows the store, however long a play takes.
+            self.harness.directory.proof.prove(clock.now())
             await self.harness.check()
+            self._learn_acknowledged()
             if self.lost or len(self.harness.group.epochs) >= PROMOTIONS_PER_PLAY:
                 break
         return len(self.harness.group.epochs)
@@ -122,6 +146,7 @@
             self._let_primary_leave,
             self._heal,
             *([self._join] if self.joins is not Joins.NEVER else []),
+            *([self._change_owner] if self.late else []),
         ]
 
     def _show_nodes(self) -> None:
@@ -145,6 +170,41 @@
                 self.nodes[name].position = primary.position
             self._show_nodes()
 
+    async def _promote(self, *order) -> None:
+        """Carry out an order, after other things have happened, or leave it for later.
+
+        Raises ``OrderUnanswered`` if it is left, ``OrderRefused`` as the platform does.
+        """
+        self._act_while_ordered()
+        for _ in range(REPORT_STEPS):
+            await asyncio.sleep(0)
+        self._learn_acknowledged()
+        if self.late and self.rng.random() < UNANSWERED_CHANCE:
+            self.in_flight.append(order)
+            self.steps.append(f"{order[1]} ordered without an answer")
+            raise OrderUnanswered("carried out later")
+        await self.carry_out(*order)
+
+    def _learn_acknowledged(self) -> None:
+        """Take over what nodes have acknowledged once it wasn't held back any more."""
+        for name, one in self.harness.observed.items():
+            node = self.nodes[name]
+            node.position = max(node.position, Position(*one.position))
+
+    async def _carry_out_late(self) -> None:
+        """Carry out an order that had no answer, unless a later one was carried out."""
+        if self.late and self.in_flight and self.rng.random() < LATE_CHANCE:
+            order = self.in_flight.pop(self.rng.randrange(len(self.in_flight)))
+            if not self.harness.targets[order[1]].reachable:
+                # The platform refuses an order of a target that isn't running.
+                return
+            self.steps.append(f"order of {order[1]} carried out late")
+            with suppress(OrderRefused):
+                await self.carry_out(*order)
+
+    def _change_owner(self) -> None:
+        self.harness.change_owner()
+
     def _act_while_ordered(self) -> None:
         self.steps.append("order under way")
         actions = [self._register_again, self._change_deafness]
@@ -187,6 +247,8 @@
             if not target.reachable:
                 target.reachable = True
                 target.resume()
+                # It has lost its log; no owner can make these orders harmless.
+                self.in_flight = [one for one in self.in_flight if one[1] != name]
                 self.harness.restart_target(name)
 
     def _silence_node(self) -> None:
@@ -199,7 +261,8 @@
     def _restart_node(self) -> None:
         name = self.rng.choice(NODES[1:])
         self.nodes[name] = Node(started_at=clock.now())
-        self.harness.holding.pop(name, None)
+        self.harness.end_hold(name)
+        self.harness.waiting.pop(name, None)
 
     def _join(self) -> None:
         """Start a replica, which receives now and is registered by the next step."""
@@ -237,6 +300,8 @@
         (order_settlement, "RELEASE_RETRY_S"),
         (order_settlement, "EFFECT_LIMIT_S"),
         (successor_choice, "CATCH_UP_TIMEOUT_S"),
+        (promoter, "ORDER_RETRY_S"),
+        (receipt_reports, "REPORT_INTERVAL_S"),
     )
     before = [getattr(module, name) for module, name in names]
     for module, name in names:
@@ -249,13 +314,17 @@
 
 
 async def play_until(
-    count: int, seed: int, go_on: bool, joins: Joins = Joins.NEVER
+    count: int,
+    seed: int,
+    go_on: bool,
+    joins: Joins = Joins.NEVER,
+    late: bool = False,
 ) -> tuple[int, list[Play]]:
     """Play until there were ``count`` promotions; return how many, and the losses."""
     promotions, losses = 0, []
     with without_pauses():
         while promotions < count and (go_on or not losses):
-            play = Play(seed, joins)
+            play = Play(seed, joins, late)
             promotions += await play.run()
             losses += [play] * bool(play.lost)
             seed += 1
@@ -271,7 +340,7 @@
     )
     count, seed = int(args["--count"]), int(args["--seed"])
     promotions, losses = asyncio.run(
-        play_until(count, seed, args["--go-on"], Joins(args["--joins"]))
+        play_until(count, seed, args["--go-on"], Joins(args["--joins"]), args["--late"])
     )
     print(f"{promotions} promotions, {len(losses)} plays that lost a commit")
     for play in losses:
--- a/lavenderstack/node/acknowledged_positions.py
+++ b/lavenderstack/node/acknowledged_positions.py
@@ -61,6 +61,9 @@
         while self._holds.excludes(group, position, clock.now()):
             if not await self._wait_for_release(group, deadline):
                 return False
+        if position.term < self.highest(group).term:
+            # Another target has taken the lead since, and may lack this commit.
+            return False
         self._highest[group] = max(self.highest(group), position)
         return True
 
--- a/lavenderstack/node/acknowledged_positions_test.py
+++ b/lavenderstack/node/acknowledged_positions_test.py
@@ -72,3 +72,23 @@
         assert positions.hold("g", 2, HoldNumber(7, 4))
         later = positions.record("g", Position(2, 42), 0.0, clock.now() + 0.02)
         assert not await later
+
+
+class TestCommitOfAFormerLead:
+    """Its position is below those of the present lead, whose log may lack it."""
+
+    async def record(self, positions, position):
+        now = clock.now()
+        return await positions.record("g", position, now, now + 0.01)
+
+    async def test_it_is_not_acknowledged_after_one_of_the_present_lead(self):
+        """Found by ``bench promotions --late --joins served``, seed 197."""
+        positions = AcknowledgedPositions()
+        assert await self.record(positions, Position(6, 259))
+        assert not await self.record(positions, Position(5, 264))
+
+    async def test_a_later_hold_does_not_let_it_through(self):
+        positions = AcknowledgedPositions()
+        assert await self.record(positions, Position(6, 259))
+        assert positions.hold("g", 7, NUMBER)
+        assert not await self.record(positions, Position(5, 264))
--- a/lavenderstack/node/backend_fake.py
+++ b/lavenderstack/node/backend_fake.py
@@ -123,7 +123,8 @@
             for one in self.targets.values():
                 one.leads = False
                 one.resume()
-            chosen.leads, chosen.term = True, chosen.term + 1
+            term = max(one.term for one in self.targets.values())
+            chosen.leads, chosen.term = True, term + 1
         self.on_promote(target)
 
 
--- a/lavenderstack/node/failover/group_positions.py
+++ b/lavenderstack/node/failover/group_positions.py
@@ -136,11 +136,7 @@
         return await self._hold(group, primary, names, PROBE_TIMEOUT_S)
 
     def set_every_term(self, group: str, needed: bool) -> None:
-        """Set whether holds of a group concern all terms, not just the primary's.
-
-        Needed while an order may make a target the primary that another order then
-        replaces: what is committed in between may be lost.
-        """
+        """Set whether holds of a group concern all terms, not just the primary's."""
         (self._every_term.add if needed else self._every_term.discard)(group)
 
     def holds(self, group: str) -> bool:
--- a/lavenderstack/node/failover/order_settlement.py
+++ b/lavenderstack/node/failover/order_settlement.py
@@ -31,7 +31,8 @@
     """What this node knows of the orders of one group and of what they left.
 
     ``first_epoch`` is the one under which this node became the owner, 0 if it isn't.
-    ``may_be_paused`` tells that replicas which this node paused may not receive again.
+    ``may_be_paused`` tells that replicas which this node paused may not receive again,
+    ``held_under`` names the primary under which it asked for holds, if one was known.
     The times are in seconds on the clock: the last order that may be carried out, the
     last search for traces of a former owner, and the last try to end what is pending.
     """
@@ -39,6 +40,7 @@
     pending: PendingOrders = field(default_factory=PendingOrders)
     first_epoch: int = 0
     may_be_paused: bool = False
+    held_under: str = ""
     acted_at: float = 0.0
     sought_at: float = float("-inf")
     settled_at: float = float("-inf")
@@ -95,31 +97,65 @@
                 held=held,
             )
 
+    def cover_terms(self, group: str, orders: OrderStatus, primary: str) -> None:
+        """Let the next holds concern all terms, if there are orders that ask for it.
+
+        Needed while an order may make a target the primary that another order then
+        replaces: what is committed in between may be lost.
+        """
+        orders.held_under = primary
+        self._positions.set_every_term(group, orders.pending.endanger(primary))
+
+    async def notice_lead(self, orders: OrderStatus, primary: TargetState) -> None:
+        """Answer what is held back of a former primary, if a late order replaced it.
+
+        It may be gone, and must not be let through with positions of a later term.
+        """
+        group, name = primary.group, primary.target.name
+        if not self._positions.holds(group) or orders.held_under == name:
+            return
+        orders.held_under = name
+        if orders.pending.may_undo(name):
+            await self._promoter.announce(group, name)
+        else:
+            await self.end_holds_below(group, name)
+
     async def resume(
-        self, group: str, orders: OrderStatus, followers: list[TargetState]
+        self,
+        group: str,
+        orders: OrderStatus,
+        followers: list[TargetState],
+        primary: str,
     ) -> None:
         """Resume replicas, unless an order is pending or the next owner may act.
 
-        One that isn't known to receive again is resumed later, if it is still paused.
+        ``primary`` is the name of the one that was to be replaced, empty if it isn't
+        known. A replica that isn't known to receive again is resumed later, if it is
+        still paused.
         """
-        self.release(group, orders)
+        released = self.release(group, orders, primary)
         orders.may_be_paused = True
-        if orders.pending.may_undo(self._leader(group)):
+        if orders.pending.may_undo(primary):
             log.warning("replacer: replicas stay paused", group=group)
         elif self._promoter.lease_holds():
-            orders.may_be_paused = not await self._replicas.resume(group, followers)
+            resumed = await self._replicas.resume(group, followers)
+            orders.may_be_paused = not (resumed and released)
         else:
             log.warning("replacer: lease too old to act", group=group)
 
-    def _leader(self, group: str) -> str:
-        """Return the name of the group's primary, empty if none is known."""
-        primary = self._directory.primary(group)
-        return primary.target.name if primary else ""
+    def release(self, group: str, orders: OrderStatus, primary: str) -> bool:
+        """Let the nodes acknowledge commits again, as nobody replaces the primary.
 
-    def release(self, group: str, orders: OrderStatus) -> None:
-        """Let the nodes acknowledge commits again, unless an order is pending."""
-        if not orders.pending.may_undo(self._leader(group)):
-            self._positions.release(group)
+        Returns False if an order is pending, or another target leads by now: then what
+        is held back may be gone, and ``settle`` ends the holds.
+        """
+        leader = self._directory.primary(group)
+        is_replaced = leader is not None and leader.target.name != primary
+        if orders.pending.may_undo(primary) or is_replaced:
+            orders.may_be_paused = True
+            return False
+        self._positions.release(group)
+        return True
 
     async def settle(self, orders: OrderStatus, primary: TargetState) -> None:
         """See to it that no order can take the lead from a primary that runs.
@@ -153,7 +189,7 @@
         if paused:
             # Another owner's order must not follow this one closely.
             orders.acted_at = now
-            await self.resume(group, orders, paused)
+            await self.resume(group, orders, paused, name)
         else:
             orders.may_be_paused = False
         orders.may_be_paused |= any(state.received is None for state in states)
@@ -167,7 +203,7 @@
         """
         pending = orders.pending
         group, name = primary.group, primary.target.name
-        self._positions.set_every_term(group, pending.endanger(name))
+        self.cover_terms(group, orders, name)
         await self._positions.hold(group, name)
         states = [self._directory.targets.get(one) for one in pending.others(name)]
         known = pending.traces is Traces.NONE and None not in states
--- a/lavenderstack/node/failover/replacer.py
+++ b/lavenderstack/node/failover/replacer.py
@@ -140,6 +140,7 @@
             if status.misses >= MAX_UNKNOWN_CHECKS:
                 await self._replace_lost(group, status, None)
             return
+        await self._settlement.notice_lead(status.orders, primary)
         if primary.leaving:
             await self._replace_leaving(group, status, primary)
             return
@@ -197,12 +198,13 @@
     ) -> None:
         """Promote a replica in place of a lost primary, if one may take over."""
         pending = status.orders.pending
+        name = lost.target.name if lost else ""
         await self._reports.stop(group)
-        self._positions.set_every_term(group, pending.endanger(""))
+        self._settlement.cover_terms(group, status.orders, name)
         choice = await self._choice.in_place_of_lost(
             group, lost, self._may_act, ordered=pending.others("")
         )
-        await self._act_on(group, status, choice)
+        await self._act_on(group, status, choice, name)
         isolated = choice.chosen is Obstacle.ISOLATED
         if status.isolation.observe(isolated, clock.now()):
             await self._group_claims.give_up(group)
@@ -219,15 +221,15 @@
                 group, status, primary
             ):
                 return
-        self._positions.set_every_term(group, pending.endanger(name))
+        self._settlement.cover_terms(group, status.orders, name)
         choice = await self._choice.in_place_of_leaving(primary, ordered)
         successor = choice.chosen.name if choice.serving else ""
         state = self._directory.targets.get(successor)
         if state is None:
-            await self._act_on(group, status, choice)
+            await self._act_on(group, status, choice, name)
             return
         async with self._reports.running(state):
-            await self._act_on(group, status, choice)
+            await self._act_on(group, status, choice, name)
 
     def _staying(self, group: str, primary: TargetState) -> set[str]:
         """Return the replicas that may take over from one that leaves."""
@@ -250,33 +252,35 @@
         await self._settlement.settle(status.orders, primary)
         return not status.orders.pending.endanger(primary.target.name)
 
-    async def _act_on(self, group: str, status: _GroupStatus, choice: Choice) -> None:
-        """Promote the chosen replica, or resume those that were paused for a choice."""
-        if isinstance(choice.chosen, ReplicaState):
-            await self._promote(group, status, choice.chosen.name, choice.paused)
-        elif choice.paused:
-            await self._settlement.resume(group, status.orders, choice.paused)
-        else:
-            self._settlement.release(group, status.orders)
-
-    async def _promote(
-        self, group: str, status: _GroupStatus, target: str, paused: list[TargetState]
+    async def _act_on(
+        self, group: str, status: _GroupStatus, choice: Choice, primary: str
     ) -> None:
-        """Promote a target.
+        """Promote the chosen replica, or resume those that were paused for a choice.
 
-        ``paused`` are resumed if the order is certain not to be carried out. Otherwise
-        they must not receive what the target may lack when it becomes the primary.
+        ``primary`` is the name of the one to be replaced, empty if it isn't known.
         """
+        orders, paused = status.orders, choice.paused
+        if not isinstance(choice.chosen, ReplicaState):
+            if paused:
+                await self._settlement.resume(group, orders, paused, primary)
+            else:
+                self._settlement.release(group, orders, primary)
+        elif not await self._promote(group, status, choice.chosen.name):
+            # They must not receive what the chosen one may lack when it leads.
+            await self._settlement.resume(group, orders, paused, primary)
+
+    async def _promote(self, group: str, status: _GroupStatus, target: str) -> bool:
+        """Promote a target; return whether it is known to lead."""
         orders = status.orders
         outcome = await self._promoter.promote(group, target, orders.pending)
         if outcome is not OrderOutcome.NOT_TAKEN:
             orders.acted_at = clock.now()
-        if outcome is OrderOutcome.TAKEN:
-            status.misses, orders.may_be_paused = 0, True
-            await self._settlement.end_holds_below(group, target)
-            await self._promoter.renew_used_epoch(group)
-            return
-        await self._settlement.resume(group, orders, paused)
+        if outcome is not OrderOutcome.TAKEN:
+            return False
+        status.misses, orders.may_be_paused = 0, True
+        await self._settlement.end_holds_below(group, target)
+        await self._promoter.renew_used_epoch(group)
+        return True
 
     def _followers(self, group: str, primary: TargetState | None) -> list[TargetState]:
         name = primary.target.name if primary else ""
--- a/lavenderstack/node/failover/replacer_fake.py
+++ b/lavenderstack/node/failover/replacer_fake.py
@@ -115,15 +115,21 @@
         # up to which they do.
         self.holding: dict[str, Position] = {}
         self.held_terms: dict[str, int] = {}
-        # The numbers of holds that a former owner left at nodes.
-        self.former_holds: dict[str, HoldNumber] = {}
+        # The numbers of the holds in force at the nodes, without those that are final.
+        self.hold_numbers: dict[str, HoldNumber] = {}
+        # By node: commits that wait for the end of its hold; all that were rolled back.
+        self.waiting: dict[str, list[Position]] = {}
+        self.rolled_back: set[Position] = set()
         # The new primaries that were announced to each node.
         self.announced: list[tuple[str, str]] = []
         self.primary_answers = True
         self.primary_full = False
         self.peers.ask = self.ask
-        self.replacer = Replacer(
-            directory,
+        self.replacer = self._new_replacer()
+
+    def _new_replacer(self):
+        return Replacer(
+            self.directory,
             self.peers,
             FakeBackend(self.group),
             self.claims,
@@ -154,21 +160,49 @@
         """Commit a write that a node acknowledges to its caller, unless it holds."""
         primary, acknowledged = self.targets[self.primary], self.group.acknowledged
         self.group.commit(primary)
-        held = primary.term <= self.held_terms.get(node, 0)
-        if held and primary.position > self.holding.get(node, primary.position):
+        if self._is_held(node, primary.position):
             self.group.acknowledged = acknowledged
+            self.waiting.setdefault(node, []).append(primary.position)
             return
         self.observed[node] = GroupPosition(primary.position, uptime_s=60.0)
 
-    def acknowledge_released(self):
-        """Acknowledge what waits at the nodes and isn't held back any more."""
-        primary = self.targets[self.primary]
-        for node, held in self.holding.items():
-            if held.term == primary.term and node in self.observed:
-                position = min(held, primary.position)
-                self.group.acknowledged = max(self.group.acknowledged, position[1])
+    def _is_held(self, node, position):
+        if node not in self.holding or position.term > self.held_terms[node]:
+            return False
+        return position > self.holding[node]
+
+    def _acknowledge_released(self, node):
+        """Acknowledge what waits at a node and isn't held back any more."""
+        waiting = self.waiting.pop(node, [])
+        held = [one for one in waiting if self._is_held(node, one)]
+        if held:
+            self.waiting[node] = held
+        answer = self.observed.get(node)
+        highest = answer.position if isinstance(answer, GroupPosition) else START
+        for position in sorted(set(waiting) - set(held)):
+            if position.term < highest.term:
+                # Answered as unknown.
+                continue
+            if position in self.rolled_back:
+                self.group.incomplete.append(f"{position} acknowledged by {node}")
+            self.group.acknowledged = max(self.group.acknowledged, position.seq)
+            if node in self.observed:
                 self.observed[node] = GroupPosition(position, uptime_s=60.0)
 
+    def end_hold(self, node):
+        """End a node's hold, also as it starts anew."""
+        for holds in (self.holding, self.held_terms, self.hold_numbers):
+            holds.pop(node, None)
+
+    def change_owner(self):
+        """Let the owner die and another process own the group."""
+        process = int(self.claims.identity.partition("#")[2]) + 1
+        self.claims.identity = f"n1#{process}"
+        self.claims.epoch += 1
+        ownership = RecordedOwnership(self.claims.identity, self.claims.epoch)
+        self.directory.put_ownership("g", ownership)
+        self.replacer = self._new_replacer()
+
     def act_before_promotion(self, act):
         """Call ``act`` when an order is under way and has not taken effect yet."""
         promote = self.group.promote
@@ -200,6 +234,13 @@
 
     def report(self, _):
         """Let all registered targets report themselves after a promotion."""
+        leader = self.targets[self.primary]
+        for positions in self.waiting.values():
+            self.rolled_back.update(
+                one
+                for one in positions
+                if one.term < leader.term and one.seq > leader.received
+            )
         for name in list(self.directory.targets):
             if name in self.targets:
                 self.put_target(name)
@@ -208,6 +249,9 @@
         """Answer a message as the node ``vm`` does."""
         if isinstance(msg, LeadTaken):
             self.announced.append((vm.name, msg.target))
+            self.hold_numbers.pop(vm.name, None)
+            # What is held back is answered as unknown.
+            self.waiting.pop(vm.name, None)
             return LeadAcknowledged()
         if isinstance(msg, GroupPositionRequest):
             if vm.name not in self.observed:
@@ -224,16 +268,20 @@
         """Answer as a node does that knows holds, unless its answer is None."""
         answer = self.observed[node]
         if msg.release:
-            self.holding.pop(node, None)
-            self.held_terms.pop(node, None)
+            if self.hold_numbers.get(node, NO_HOLD) <= msg.hold:
+                self.end_hold(node)
+                self._acknowledge_released(node)
         elif msg.hold != NO_HOLD:
+            if msg.hold < self.hold_numbers.get(node, NO_HOLD):
+                return answer
             told = answer.position if isinstance(answer, GroupPosition) else START
             self.holding[node] = max(told, msg.received)
             self.held_terms[node] = msg.term
-            self.former_holds.pop(node, None)
+            self._acknowledge_released(node)
+            self.hold_numbers[node] = msg.hold
         if not isinstance(answer, GroupPosition) or node not in self.holding:
             return answer
-        held = self.former_holds.get(node, NO_HOLD)
+        held = self.hold_numbers.get(node, NO_HOLD)
         return msgspec.structs.replace(answer, holds=True, held=held)
 
     async def check(self, times=1):
--- a/lavenderstack/node/failover/unanswered_orders_test.py
+++ b/lavenderstack/node/failover/unanswered_orders_test.py
@@ -27,7 +27,6 @@
         self.sent.append(order)
         commit(self._harness)
         await self._harness.settle_reports()
-        self._harness.acknowledge_released()
         raise OrderUnanswered("lost")
 
     def answer(self):
@@ -71,7 +70,7 @@
         if held:
             for node, one in harness.observed.items():
                 harness.holding[node], harness.held_terms[node] = one.position, 1
-                harness.former_holds[node] = HoldNumber(FORMER_EPOCH, 1)
+                harness.hold_numbers[node] = HoldNumber(FORMER_EPOCH, 1)
         else:
             harness.targets["t2"].paused, harness.targets["t2"].paused_term = True, 2
         harness.put_target("t1", leaving=True)
@@ -215,6 +214,23 @@
         assert harness.announced == []
         assert harness.replacer._groups["g"].orders.pending.others("t1") == {order[1]}
 
+    async def test_what_waits_is_not_acknowledged_as_its_target_leads(self):
+        """Guards against a hold that is released once the commits are rolled back."""
+        harness, platform, order = await self.pending()
+        promote = platform.promote
+
+        async def promote_and_carry_out(*late):
+            harness.targets[order[1]].deaf = True
+            commit(harness)
+            await harness.group.promote(*order)
+            await promote(*late)
+
+        platform.promote = promote_and_carry_out
+        await harness.check(4)
+        assert harness.rolled_back
+        assert harness.primary == order[1]
+        assert harness.group.incomplete == []
+
     async def test_the_group_is_not_handed_over_while_it_is_pending(self):
         """The next owner would have to wait until it is over."""
         harness, _, _ = await self.pending()
