--- a/lavenderstack/node/failover/group_positions.py
+++ b/lavenderstack/node/failover/group_positions.py
@@ -9,10 +9,10 @@
 
 from lavenderstack.core import clock
 from lavenderstack.core.catalog import TargetState
-from lavenderstack.core.failover import replica_set, store_history
+from lavenderstack.core.failover import store_history
 from lavenderstack.core.failover.acknowledged_end import AcknowledgedEnd
 from lavenderstack.core.failover.isolation import is_isolated
-from lavenderstack.core.failover.replica_set import AcknowledgedPosition
+from lavenderstack.core.failover.last_answer import LastAnswer, end_since
 from lavenderstack.core.failover.store_history import ToldPosition
 from lavenderstack.core.position import START, Position
 from lavenderstack.core.work_messages import (
@@ -48,22 +48,6 @@
     isolated: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class _LastAnswer:
-    """The last position that a group's primary reported to this node.
-
-    ``at`` is the clock time in seconds from which on the answer holds, ``nodes`` are
-    the nodes that were registered then or shortly before. ``leads_since`` identifies
-    the lead under which the primary answered, as in ``TargetState``.
-    """
-
-    primary: str
-    position: Position
-    at: float
-    nodes: frozenset[str]
-    leads_since: int
-
-
 class GroupPositions:
     """What this node, as the owner of groups, learns about their logs.
 
@@ -81,7 +65,7 @@
         self._terms = terms
         self._directory = directory
         self._peers = peers
-        self._last_answers: dict[str, _LastAnswer] = {}
+        self._last_answers: dict[str, LastAnswer] = {}
         # The groups whose holds concern every term.
         self._every_term: set[str] = set()
         self._holds = HoldRequests(directory, peers, identity)
@@ -94,7 +78,7 @@
         before = self._last_answers.get(group)
         if before is not None and before.primary == primary.target.name:
             position = max(position, before.position)
-        self._last_answers[group] = _LastAnswer(
+        self._last_answers[group] = LastAnswer(
             primary.target.name,
             position,
             asked_at - answer.age_s,
@@ -205,14 +189,14 @@
         """Notice which nodes are registered now."""
         self._holds.nodes_seen_lately()
 
-    def _last_answer(self, group: str, primary: str) -> _LastAnswer | None:
+    def _last_answer(self, group: str, primary: str) -> LastAnswer | None:
         """Return the last answer of this primary, None if there was none."""
         last = self._last_answers.get(group)
         if last is None or primary not in ("", last.primary):
             return None
         return last
 
-    def _term(self, group: str, last: _LastAnswer | None) -> int:
+    def _term(self, group: str, last: LastAnswer | None) -> int:
         """Return the term of the primary that gave this answer, if it still leads it.
 
         It may have led again since, without an answer.
@@ -244,9 +228,7 @@
             return AcknowledgedEnd(untold=tuple(sorted(silent)))
         told = told.answers
         end = (
-            _end_since(last, asked_at, told)
-            if last
-            else self._end_since_beginning(told)
+            end_since(last, asked_at, told) if last else self._end_since_beginning(told)
         )
         if end.position is not None:
             return end
@@ -283,34 +265,3 @@
             return None
         positions = (Position(*one.position) for one in answers)
         return AcknowledgedEnd(max(positions, default=START))
-
-
-def _end_since(
-    last: _LastAnswer, asked_at: float, told: dict[str, GroupPosition | None]
-) -> AcknowledgedEnd:
-    """Return the end of the primary's log in its last answer and what came after."""
-    age_s = asked_at - last.at
-    proved = {name: _proved_by(one, name in last.nodes) for name, one in told.items()}
-    untold = (
-        name
-        for name, one in proved.items()
-        if replica_set.highest_acknowledged(last.position, age_s, [one]) is None
-    )
-    return AcknowledgedEnd(
-        replica_set.highest_acknowledged(last.position, age_s, proved.values()),
-        tuple(sorted(untold)),
-    )
-
-
-def _proved_by(
-    answer: GroupPosition | None, was_registered: bool
-) -> AcknowledgedPosition | None:
-    """Return what a node's answer proves.
-
-    A node that was registered at the primary's last answer must have run since then. A
-    later one has passed on nothing before its registration.
-    """
-    if answer is None:
-        return None
-    uptime_s = answer.uptime_s if was_registered else float("inf")
-    return AcknowledgedPosition(Position(*answer.position), uptime_s)
--- a/lavenderstack/node/failover/replacer_fake.py
+++ b/lavenderstack/node/failover/replacer_fake.py
@@ -4,8 +4,6 @@
 that it gives for them.
 """
 
-import asyncio
-
 import msgspec
 
 from lavenderstack.core import clock
@@ -30,7 +28,6 @@
 from lavenderstack.node.backend_fake import FakeBackend, FakeGroup, FakeTarget
 from lavenderstack.node.counters import Counters
 from lavenderstack.node.directory import Directory
-from lavenderstack.node.failover import receipt_reports
 from lavenderstack.node.failover.replacer import Replacer
 from lavenderstack.node.peers import Peers
 from lavenderstack.node.streams import StreamLost, StreamPool
@@ -290,10 +287,6 @@
             await self.replacer._check_group("g")
             await self.replacer._sets.settled()
 
-    async def settle_reports(self):
-        """Wait until what the targets have received is reported."""
-        await asyncio.sleep(3 * receipt_reports.REPORT_INTERVAL_S)
-
     @property
     def primary(self):
         """The name of the present primary."""
--- a/lavenderstack/node/failover/unanswered_orders_test.py
+++ b/lavenderstack/node/failover/unanswered_orders_test.py
@@ -1,11 +1,14 @@
 """Tests of orders without an answer, of this owner and of former ones."""
 
+import asyncio
+
 import pytest
 
 from lavenderstack.core.failover.acknowledgement_hold import HoldNumber
 from lavenderstack.node.backend import OrderRefused, OrderUnanswered
 from lavenderstack.node.backend_fake import FakeTarget
 from lavenderstack.node.failover import order_settlement
+from lavenderstack.node.failover.receipt_reports import REPORT_INTERVAL_S
 from lavenderstack.node.failover.replacer_fake import ReplacerHarness
 
 FORMER_EPOCH = 10
@@ -26,7 +29,7 @@
         """Take an order without an answer."""
         self.sent.append(order)
         commit(self._harness)
-        await self._harness.settle_reports()
+        await asyncio.sleep(3 * REPORT_INTERVAL_S)
         raise OrderUnanswered("lost")
 
     def answer(self):
