--- a/bench/changes.py
+++ b/bench/changes.py
@@ -34,18 +34,13 @@
 
 WRITERS = 8
 NODES = 4
-DATABASE = "g1now"
 BEFORE_S, AFTER_S = 4.0, 7.0
 
 
 class Writer(Caller):
-    """Writes to one database, one write after the other."""
-
-    def _database(self):
-        return self.fleet.operator.databases[DATABASE]
+    """Writes to the databases of the group, one write after the other."""
 
     async def _operate(self, session: Session) -> None:
-        session.database = self._database()
         await self._write(session)
 
 
