--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,5 +3,5 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 export PYTHONPATH="$PWD:$PWD/target/deps"
-python3 -m compileall -q standins review/world3.py review/11 review/12 review/13
-python3 -c "import aiohttp, review.world3"
+python3 -m compileall -q standins review/world3.py review/platform3.py review/11 review/12 review/13
+python3 -c "import aiohttp, review.platform3"
--- a/review/world3.py
+++ b/review/world3.py
@@ -2,8 +2,6 @@
 
 The nodes are processes of the command in ``deploy/system.toml``. The store, the call
 that promotes and the targets are the project's stand-ins, served by this process.
-A zone can be cut off: its nodes from the store, the orders, the other nodes and the
-targets of other zones, and its targets from the targets of other zones and the store.
 """
 
 import asyncio
@@ -20,7 +18,6 @@
 from standins import faulty_store, line_server, promotion_orders
 from standins.faulty_store import FaultyStore
 from standins.line_group import GroupTarget, LineGroup
-from standins.link import Link, open_link
 from standins.network import Network
 from standins.promotion_orders import PromotionOrders
 from standins.sockets import HOST, free_port
@@ -50,41 +47,26 @@
         self._file.flush()
 
 
-@dataclass
-class ZonedGroup(LineGroup):
-    """A group whose replicas in a zone that is cut off reach only that zone."""
-
-    cut_zone: str = ""
-
-    def _receive(self, target: GroupTarget) -> bool:
-        leader = self.targets[self.leader]
-        cut = self.cut_zone
-        if cut and (target.zone == cut) != (leader.zone == cut):
-            return False
-        return super()._receive(target)
-
-
 @dataclass
 class Node:
-    """A node: its zone, its ports, its links and its process."""
+    """A node: its zone, its ports and its process."""
 
     name: str
     zone: str
     settings: Path
     callers: int
     ready: int
-    links: list[Link] = field(default_factory=list)
     process: asyncio.subprocess.Process | None = None
 
 
 @dataclass
 class World:
-    """All parts of the deployment; ``cut_zone`` is cut off, if it isn't empty."""
+    """All parts of the deployment."""
 
     folder: Path
     log: Log
     store: FaultyStore
-    group: ZonedGroup
+    group: LineGroup
     orders: PromotionOrders
     network: Network
     stack: AsyncExitStack
@@ -93,7 +75,6 @@
     ports: dict[str, int] = field(default_factory=dict)
     reported_at: dict[str, float] = field(default_factory=dict)
     born: dict[str, int] = field(default_factory=dict)
-    cut_zone: str = ""
 
     # The targets and the store.
 
@@ -113,7 +94,7 @@
 
     def report(self, target: GroupTarget) -> None:
         """Write what a target says of itself, if it reaches the store."""
-        if not target.up or target.zone == self.cut_zone:
+        if not target.up:
             return
         self.reported_at[target.name] = now()
         fields = {
@@ -141,34 +122,6 @@
                     self.store.delete(key)
             await asyncio.sleep(HEARTBEAT_S)
 
-    def remove_target(self, target: GroupTarget) -> None:
-        """End a target that was to leave; its report goes with it."""
-        self.group.crash(target)
-        self.store.delete(f"servers/{target.name}")
-        self.log.add(f"target {target.name} has left")
-
-    # The zone that is cut off.
-
-    def cut(self, zone: str) -> None:
-        """Cut a zone off; callers still reach its nodes."""
-        self.log.add(f"zone {zone} is cut off")
-        self.cut_zone = self.group.cut_zone = zone
-        self.network.isolate(zone, [one for one in self.zones if one != zone])
-        for node in self.nodes.values():
-            if node.zone == zone:
-                for link in node.links:
-                    link.path.cut()
-
-    def heal(self) -> None:
-        """End the cut."""
-        self.log.add("the cut has healed")
-        self.cut_zone = self.group.cut_zone = ""
-        self.network.heal()
-        for node in self.nodes.values():
-            for link in node.links:
-                link.path.heal()
-        self.group.notify()
-
     # The nodes.
 
     async def add_node(self, name: str, zone: str, orders_port: int) -> None:
@@ -176,8 +129,6 @@
         ports = {key: free_port() for key in ("callers", "ready", "peers", "metrics")}
         enter = self.stack.enter_async_context
         store_port = await enter(faulty_store.serving_node(self.store, name))
-        store = await enter(open_link(HOST, store_port))
-        orders = await enter(open_link(HOST, orders_port))
         peers = await enter(self.network.listen(name, zone, ports["peers"]))
         self.store.link_ports[ports["peers"]] = peers.port
         settings = {
@@ -188,8 +139,8 @@
             "readiness": f"{HOST}:{ports['ready']}",
             "peers_port": ports["peers"],
             "metrics_port": ports["metrics"],
-            "store": f"{HOST}:{store.port}",
-            "orders": f"{HOST}:{orders.port}",
+            "store": f"{HOST}:{store_port}",
+            "orders": f"{HOST}:{orders_port}",
             "descriptors": 1024,
             "withdrawn_key_limit_ms": 5000,
             "catalog_limit_ms": 3000,
@@ -203,9 +154,7 @@
         }
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(settings))
-        self.nodes[name] = Node(
-            name, zone, path, ports["callers"], ports["ready"], [store, orders]
-        )
+        self.nodes[name] = Node(name, zone, path, ports["callers"], ports["ready"])
 
     async def start(self, node: Node) -> None:
         """Start the process of a node with the command of the deploy file."""
@@ -337,7 +286,7 @@
     rng = random.Random(seed)
     log = Log(record)
     targets = [GroupTarget(f"i-{zone}", zone) for zone in zones[:3]]
-    group = ZonedGroup("db", {one.name: one for one in targets}, rng)
+    group = LineGroup("db", {one.name: one for one in targets}, rng)
     store = FaultyStore(rng=rng)
     orders = PromotionOrders({"db": group}, rng, [])
     async with AsyncExitStack() as stack:
